--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Thin front of the CMake presets; see README.md.
+PRESET ?= release
+BUILD := build/$(PRESET)
+
+.PHONY: all dependencies configure build test demo bench format format-check lint
+
+all: build
+
+dependencies:
+	@scripts/install-dependencies.sh
+
+configure: dependencies
+	@cmake --preset $(PRESET) >/dev/null
+
+build: configure
+	@cmake --build --preset $(PRESET)
+
+test: build
+	@ctest --preset $(PRESET) -j 6
+
+demo: build
+	@scripts/demo.sh $(BUILD)
+
+bench: build
+	@$(BUILD)/martenyard-bench experiment --out build/bench
+
+format:
+	@git ls-files '*.cc' '*.h' | xargs clang-format -i
+
+format-check:
+	@git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
+
+lint: build
+	@scripts/lint.sh $(BUILD)
--- /dev/null
+++ b/bench/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/bench/stub.cc
@@ -0,0 +1,1 @@
+int placeholder_for_the_bench = 0;
--- /dev/null
+++ b/src/base/ids.h
@@ -0,0 +1,51 @@
+// Strongly typed identifiers shared by every layer.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace martenyard {
+
+/// A value that identifies one kind of thing; `Tag` keeps different kinds from being mixed up.
+template <typename Tag, typename Value>
+struct TypedId {
+  Value value{};
+
+  TypedId() = default;
+  explicit TypedId(Value initial) : value(std::move(initial)) {}
+
+  friend auto operator<=>(const TypedId&, const TypedId&) = default;
+  friend bool operator==(const TypedId&, const TypedId&) = default;
+
+  template <typename H>
+  friend H AbslHashValue(H state, const TypedId& id) {
+    return H::combine(std::move(state), id.value);
+  }
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(value);
+  }
+};
+
+/// One life of one daemon's stored state: a daemon that lost its disk or memory gets a new one.
+using NodeId = TypedId<struct NodeTag, std::uint64_t>;
+/// One replicated log; programs are hashed to groups.
+using GroupId = TypedId<struct GroupTag, std::uint32_t>;
+/// One program (a chain of calls), unique within the whole system.
+using ProgramId = TypedId<struct ProgramTag, std::string>;
+/// The caller's Idempotency-Key, unique within its program.
+using CallKey = TypedId<struct CallKeyTag, std::string>;
+/// A partner's short name, as it stands in the settings.
+using PartnerName = TypedId<struct PartnerTag, std::string>;
+/// A model engine, tool or application back end, as the platform names it.
+using BackendName = TypedId<struct BackendTag, std::string>;
+/// A zone's name.
+using ZoneName = TypedId<struct ZoneTag, std::string>;
+
+/// No node; real ids are never zero.
+inline const NodeId kNoNode{0};
+
+}  // namespace martenyard
--- /dev/null
+++ b/src/base/toml_reader.h
@@ -0,0 +1,47 @@
+// Reads checked values out of a TOML table: every key must be expected, of its type and in range.
+// The first fault is kept, in words for the person who wrote the file.
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace martenyard {
+
+/// Reads one table. Read every key, then ask `Finish` of the outermost reader's `fault`.
+class TomlReader {
+ public:
+  /// @param path the table's place in the file, for messages; empty for the whole file.
+  /// @param fault receives the first fault; shared by readers of the tables within.
+  TomlReader(const toml::table& table, std::string path, std::string* fault);
+
+  std::string Text(std::string_view key, bool required, std::string fallback = "");
+  std::int64_t Integer(std::string_view key, std::int64_t low, std::int64_t high,
+                       std::int64_t fallback);
+  double Number(std::string_view key, double low, double high, double fallback);
+  bool Boolean(std::string_view key, bool fallback);
+  std::vector<std::string> Texts(std::string_view key);
+  /// @return the tables of the array `key`; empty when it is absent.
+  std::vector<const toml::table*> Tables(std::string_view key);
+  /// @return the table `key`, or null when it is absent.
+  const toml::table* Table(std::string_view key);
+  /// Reports keys that nobody read.
+  void RefuseOthers();
+  /// Reports a fault of the caller's own finding.
+  void Refuse(std::string_view key, const std::string& allowed);
+  std::string PathOf(std::string_view key) const;
+
+ private:
+  const toml::node* Take(std::string_view key);
+
+  const toml::table& table_;
+  std::string path_;
+  std::string* fault_;
+  std::set<std::string, std::less<>> taken_;
+};
+
+}  // namespace martenyard
--- /dev/null
+++ b/src/daemon/backend_view.cc
@@ -0,0 +1,146 @@
+#include "daemon/backend_view.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace martenyard::daemon {
+namespace {
+
+constexpr absl::Duration kGoneAfter = absl::Seconds(30);
+constexpr absl::Duration kLeavingMemory = absl::Seconds(30);
+/// A load report older than this says nothing; only the gateway's own count is then used.
+constexpr absl::Duration kLoadLifetime = absl::Seconds(3);
+
+const bundle::LendSpec* LendingOf(const bundle::BundleBook& bundles, const PartnerName& owner) {
+  const bundle::ActiveBundle* active = bundles.Find(owner);
+  return active == nullptr ? nullptr : &active->bundle->lend;
+}
+
+}  // namespace
+
+std::optional<NodeId> DispatcherOf(const platform::Backend& engine,
+                                   const std::vector<membership::MemberInfo>& live) {
+  std::optional<NodeId> best;
+  std::pair<int, std::uint64_t> best_rank;
+  for (const membership::MemberInfo& member : live) {
+    std::pair<int, std::uint64_t> rank{member.zone == engine.zone ? 1 : 0,
+                                       StableHash(engine.name.value, member.id.value)};
+    if (!best || rank > best_rank) {
+      best = member.id;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+void BackendView::SetMachines(absl::Time now, std::vector<platform::Backend> machines) {
+  list_read_ = true;
+  machines_.clear();
+  for (platform::Backend& machine : machines) {
+    last_seen_[machine.name] = now;
+    machines_[machine.name] = std::move(machine);
+  }
+}
+
+void BackendView::OnLoads(absl::Time now, const std::vector<dispatch::EngineLoad>& loads) {
+  for (const dispatch::EngineLoad& load : loads) {
+    loads_[load.engine] = {load, now};
+  }
+}
+
+void BackendView::MarkLeaving(absl::Time now, const BackendName& engine) {
+  leaving_until_[engine] = now + kLeavingMemory;
+}
+
+bool BackendView::IsLeaving(absl::Time now, const platform::Backend& backend) const {
+  auto found = leaving_until_.find(backend.name);
+  return backend.leaving || (found != leaving_until_.end() && now < found->second);
+}
+
+std::vector<gateway::EngineCandidate> BackendView::EnginesFor(
+    absl::Time now, const PartnerName& partner, const std::string& service,
+    const bundle::BundleBook& bundles) const {
+  std::vector<gateway::EngineCandidate> candidates;
+  for (const auto& [name, backend] : machines_) {
+    bool serves = backend.kind == platform::BackendKind::kEngine && backend.service == service;
+    if (!serves || IsLeaving(now, backend)) {
+      continue;
+    }
+    gateway::EngineCandidate candidate;
+    candidate.backend = backend;
+    candidate.view.name = name;
+    candidate.view.slots = backend.slots;
+    candidate.view.own = backend.owner == partner;
+    candidate.view.same_zone = backend.zone == own_zone_;
+    if (!candidate.view.own) {
+      const bundle::LendSpec* lending = LendingOf(bundles, backend.owner);
+      if (lending == nullptr || !lending->idle_engines) {
+        continue;
+      }
+      candidate.view.slots = static_cast<int>(lending->max_share * backend.slots);
+      if (candidate.view.slots == 0) {
+        continue;
+      }
+    }
+    auto load = loads_.find(name);
+    if (load != loads_.end() && now - load->second.at < kLoadLifetime) {
+      candidate.view.in_flight = load->second.load.in_flight;
+      candidate.view.queued = load->second.load.queued;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+std::vector<platform::Backend> BackendView::ServicesFor(const PartnerName& partner,
+                                                        platform::BackendKind kind,
+                                                        const std::string& service) const {
+  std::vector<platform::Backend> found;
+  for (const auto& [name, backend] : machines_) {
+    bool usable = backend.kind == kind && backend.service == service && backend.owner == partner &&
+                  !backend.leaving;
+    if (usable) {
+      found.push_back(backend);
+    }
+  }
+  return found;
+}
+
+const platform::Backend* BackendView::Find(const BackendName& name) const {
+  auto found = machines_.find(name);
+  return found == machines_.end() ? nullptr : &found->second;
+}
+
+bool BackendView::IsGone(absl::Time now, const BackendName& name) const {
+  if (!list_read_ || machines_.contains(name)) {
+    return false;
+  }
+  auto seen = last_seen_.find(name);
+  return seen == last_seen_.end() || now - seen->second > kGoneAfter;
+}
+
+std::vector<dispatch::EngineConfig> BackendView::DispatchedBy(
+    NodeId self, const std::vector<membership::MemberInfo>& live,
+    const bundle::BundleBook& bundles) const {
+  std::vector<dispatch::EngineConfig> configs;
+  for (const auto& [name, backend] : machines_) {
+    if (backend.kind != platform::BackendKind::kEngine || DispatcherOf(backend, live) != self) {
+      continue;
+    }
+    dispatch::EngineConfig config;
+    config.name = name;
+    config.owner = backend.owner;
+    config.slots = backend.slots;
+    config.leaving = backend.leaving;
+    if (const bundle::LendSpec* lending = LendingOf(bundles, backend.owner)) {
+      config.lends = lending->idle_engines;
+      config.lend_share = lending->max_share;
+    }
+    configs.push_back(std::move(config));
+  }
+  return configs;
+}
+
+}  // namespace martenyard::daemon
--- /dev/null
+++ b/src/daemon/backend_view.h
@@ -0,0 +1,64 @@
+// What a daemon knows of the back ends: the platform's lagging list, the dispatchers' load reports,
+// and which daemon dispatches for which engine. Decision code only.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/ids.h"
+#include "bundle/roll.h"
+#include "dispatch/dispatcher.h"
+#include "dispatch/messages.h"
+#include "gateway/call_host.h"
+#include "membership/membership.h"
+#include "platform/backends.h"
+
+namespace martenyard::daemon {
+
+/// @return the live member that dispatches for the engine: the highest rendezvous hash among the
+/// members of the engine's zone, or of all members when the zone has none.
+std::optional<NodeId> DispatcherOf(const platform::Backend& engine,
+                                   const std::vector<membership::MemberInfo>& live);
+
+class BackendView {
+ public:
+  explicit BackendView(ZoneName own_zone) : own_zone_(std::move(own_zone)) {}
+
+  void SetMachines(absl::Time now, std::vector<platform::Backend> machines);
+  void OnLoads(absl::Time now, const std::vector<dispatch::EngineLoad>& loads);
+  /// The engine refused as leaving, which the list does not show yet.
+  void MarkLeaving(absl::Time now, const BackendName& engine);
+
+  /// @return engines of the service that `partner` owns or that their owner lends.
+  std::vector<gateway::EngineCandidate> EnginesFor(absl::Time now, const PartnerName& partner,
+                                                   const std::string& service,
+                                                   const bundle::BundleBook& bundles) const;
+  std::vector<platform::Backend> ServicesFor(const PartnerName& partner, platform::BackendKind kind,
+                                             const std::string& service) const;
+  const platform::Backend* Find(const BackendName& name) const;
+  /// @return true when the list was read and has not shown the back end for a while.
+  bool IsGone(absl::Time now, const BackendName& name) const;
+  /// @return configurations of the engines that `self` dispatches for.
+  std::vector<dispatch::EngineConfig> DispatchedBy(NodeId self,
+                                                   const std::vector<membership::MemberInfo>& live,
+                                                   const bundle::BundleBook& bundles) const;
+  const std::map<BackendName, platform::Backend>& machines() const { return machines_; }
+
+ private:
+  struct LoadReport {
+    dispatch::EngineLoad load;
+    absl::Time at;
+  };
+  bool IsLeaving(absl::Time now, const platform::Backend& backend) const;
+
+  ZoneName own_zone_;
+  bool list_read_ = false;
+  std::map<BackendName, platform::Backend> machines_;
+  std::map<BackendName, absl::Time> last_seen_;
+  std::map<BackendName, absl::Time> leaving_until_;
+  std::map<BackendName, LoadReport> loads_;
+};
+
+}  // namespace martenyard::daemon
--- /dev/null
+++ b/src/daemon/messages.h
@@ -0,0 +1,42 @@
+// Every message between daemons, in one envelope.
+#pragma once
+
+#include <variant>
+
+#include "base/ids.h"
+#include "consensus/types.h"
+#include "dispatch/messages.h"
+#include "ledger/messages.h"
+#include "membership/membership.h"
+#include "spread/spread.h"
+#include "wire/endpoint.h"
+
+namespace martenyard::daemon {
+
+/// A message between replicas of one group.
+struct GroupMessage {
+  GroupId group;
+  consensus::RaftMessage message;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(group, message);
+  }
+};
+
+using PeerMessage =
+    std::variant<GroupMessage, ledger::LedgerRequest, ledger::LedgerReply, dispatch::PermitSync,
+                 dispatch::PermitRelease, dispatch::PermitNews, spread::SpreadMessage,
+                 membership::MemberList>;
+
+struct Envelope {
+  NodeId from;
+  wire::Endpoint from_endpoint;
+  NodeId to;  ///< A daemon in another life must not take it; kNoNode: whoever is there.
+  PeerMessage body;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(from, from_endpoint, to, body);
+  }
+};
+
+}  // namespace martenyard::daemon
--- /dev/null
+++ b/src/daemon/node.cc
@@ -0,0 +1,617 @@
+#include "daemon/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/logging.h"
+#include "wire/codec.h"
+
+namespace martenyard::daemon {
+namespace {
+
+constexpr char kLog[] = "node";
+constexpr char kDirectoryItem[] = "directory";
+constexpr char kGroupItemPrefix[] = "group/";
+constexpr char kRollItemPrefix[] = "roll/";
+constexpr char kDirectoryKey[] = "/martenyard/directory";
+constexpr std::size_t kWatchersPerZone = 2;
+constexpr std::size_t kLoadReportTargets = 16;
+constexpr std::size_t kReleasesPerRound = 32;
+constexpr absl::Duration kManageInterval = absl::Milliseconds(200);
+constexpr absl::Duration kSweepPatience = absl::Seconds(2);
+/// A learner this close behind may vote: the rest reaches it while the change is on its way.
+constexpr consensus::LogIndex kCaughtUpEntries = 64;
+
+bool HasPrefix(const std::string& text, std::string_view prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+std::uint64_t ReleaseMark(GroupId group, std::uint64_t order) {
+  std::uint64_t both[] = {group.value, order};
+  return StableHash({reinterpret_cast<const char*>(both), sizeof(both)});
+}
+
+}  // namespace
+
+Node::Node(membership::MemberInfo self, const NodeOptions& options, NodeEnvironment& environment,
+           storage::LogStore& store, std::uint64_t seed, absl::Time now)
+    : options_(options),
+      environment_(environment),
+      random_(seed),
+      now_(now),
+      store_(store),
+      membership_(self, options.membership, options.seeds, random_.NextId(), now),
+      spread_(
+          options.spread, [this](const spread::Item& item) { return ValidateItem(item); },
+          random_.NextId(), now),
+      bundles_(options.partners),
+      rolls_(environment.KeyValueService(), options.partners,
+             [this](const bundle::SignedRoll& roll) { OnRoll(roll); }),
+      replica_host_(self.id, options.group, store, random_.NextId()),
+      backends_(self.zone),
+      dispatcher_(options.dispatcher, now),
+      router_(options.router, random_.NextId(), now),
+      coordinator_(*this, options.coordinator, random_.NextId(), now) {
+  periodics_ = {
+      {options.key_value_poll, now, &Node::PollKeyValue},
+      {options.machine_list_poll, now, &Node::PollMachines},
+      {options.load_report_interval, now, &Node::ReportLoads},
+      {kManageInterval, now, &Node::ManageGroups},
+      {options.release_interval, now, &Node::SendReleases},
+      {options.sweep_interval, now + options.sweep_interval, &Node::SweepContexts},
+  };
+}
+
+Result<void> Node::Start(absl::Time now) {
+  now_ = now;
+  BOOST_LEAF_AUTO(stored, store_.Load());
+  return replica_host_.Restore(now, stored);
+}
+
+// ---- Events ----
+
+void Node::OnEnvelope(absl::Time now, const Envelope& envelope) {
+  now_ = std::max(now_, now);
+  if (envelope.to != kNoNode && envelope.to != Self()) {
+    return;  // Meant for an earlier life of this address.
+  }
+  Handle(envelope.from, envelope.from_endpoint, envelope.body);
+}
+
+void Node::OnPacket(absl::Time now, const membership::Packet& packet) {
+  now_ = std::max(now_, now);
+  membership_.OnPacket(now_, packet);
+}
+
+void Node::Tick(absl::Time now) {
+  now_ = std::max(now_, now);
+  membership_.Tick(now_);
+  if (membership_.version() != live_version_) {
+    OnMembersChanged();
+  }
+  spread_.Tick(now_, Peers());
+  replica_host_.Tick(now_);
+  router_.Tick(now_);
+  dispatcher_.Tick(now_);
+  coordinator_.Tick(now_);
+  for (Periodic& periodic : periodics_) {
+    if (now_ >= periodic.next) {
+      periodic.next = now_ + periodic.interval * (0.9 + 0.2 * random_.Uniform());
+      (this->*periodic.run)();
+    }
+  }
+}
+
+Result<void> Node::Settle(absl::Time now) {
+  now_ = std::max(now_, now);
+  bool busy = true;
+  while (busy) {
+    FlushMembership();
+    FlushSpread();
+    for (gateway::LedgerRequestTo& request : router_.TakeRequests()) {
+      Send(request.to, std::move(request.request));
+    }
+    for (dispatch::NewsTo& news : dispatcher_.TakeNews()) {
+      Send(news.to, std::move(news.news));
+    }
+    BOOST_LEAF_AUTO(effects, replica_host_.Pump());
+    for (GroupMessageTo& message : effects.messages) {
+      Send(message.to, std::move(message.message));
+    }
+    for (ledger::ReplyTo& reply : effects.replies) {
+      Send(reply.to, std::move(reply.reply));
+    }
+    busy = !local_.empty();
+    HandleLocal();
+  }
+  return {};
+}
+
+void Node::HandleLocal() {
+  std::deque<Envelope> batch;
+  batch.swap(local_);
+  for (const Envelope& envelope : batch) {
+    Handle(envelope.from, envelope.from_endpoint, envelope.body);
+  }
+}
+
+void Node::Handle(NodeId from, const wire::Endpoint& endpoint, const PeerMessage& message) {
+  if (const auto* group = std::get_if<GroupMessage>(&message)) {
+    replica_host_.OnMessage(now_, from, *group);
+  } else if (const auto* request = std::get_if<ledger::LedgerRequest>(&message)) {
+    if (!replica_host_.OnRequest(now_, from, *request)) {
+      ledger::LedgerReply reply;
+      reply.request_id = request->request_id;
+      reply.group = request->group;
+      reply.status = ledger::ReplyStatus::kNotLeader;
+      Send(from, std::move(reply));
+    }
+  } else if (const auto* reply = std::get_if<ledger::LedgerReply>(&message)) {
+    router_.OnReply(now_, from, *reply);
+  } else if (const auto* sync = std::get_if<dispatch::PermitSync>(&message)) {
+    dispatcher_.OnSync(now_, from, *sync);
+  } else if (const auto* release = std::get_if<dispatch::PermitRelease>(&message)) {
+    dispatcher_.OnRelease(now_, from, *release);
+  } else if (const auto* news = std::get_if<dispatch::PermitNews>(&message)) {
+    backends_.OnLoads(now_, news->loads);
+    coordinator_.OnPermitNews(now_, *news);
+  } else if (const auto* spread = std::get_if<spread::SpreadMessage>(&message)) {
+    spread_.OnMessage(from, *spread, Peers());
+  } else if (const auto* list = std::get_if<membership::MemberList>(&message)) {
+    membership_.OnMemberList(now_, endpoint, *list);
+  }
+}
+
+void Node::Send(NodeId to, PeerMessage message) {
+  Envelope envelope{Self(), membership_.self().peer, to, std::move(message)};
+  if (to == Self()) {
+    local_.push_back(std::move(envelope));
+    return;
+  }
+  // A member that is wrongly believed dead must still be reached by its group.
+  if (const membership::MemberInfo* member = membership_.FindEvenDead(to)) {
+    environment_.SendFrame(member->peer, envelope);
+  }
+}
+
+void Node::FlushMembership() {
+  membership::MembershipEffects effects = membership_.TakeEffects();
+  for (const membership::PacketTo& packet : effects.packets) {
+    environment_.SendDatagram(packet.to, packet.packet);
+  }
+  for (membership::MemberListTo& list : effects.lists) {
+    environment_.SendFrame(list.to,
+                           {Self(), membership_.self().peer, kNoNode, std::move(list.list)});
+  }
+}
+
+void Node::FlushSpread() {
+  for (spread::SpreadTo& message : spread_.TakeMessages()) {
+    Send(message.to, std::move(message.message));
+  }
+  for (const spread::Item& item : spread_.TakeChanges()) {
+    TakeItem(item);
+  }
+}
+
+// ---- Members ----
+
+std::vector<NodeId> Node::Peers() const {
+  std::vector<NodeId> peers;
+  for (const membership::MemberInfo& member : live_) {
+    if (member.id != Self()) {
+      peers.push_back(member.id);
+    }
+  }
+  return peers;
+}
+
+void Node::OnMembersChanged() {
+  live_version_ = membership_.version();
+  std::vector<membership::MemberInfo> before = std::move(live_);
+  live_ = membership_.Live();
+  for (const membership::MemberInfo& member : before) {
+    if (membership_.StatusOf(member.id) == membership::MemberStatus::kDead) {
+      MARTENYARD_LOG_INFO("membership", "Daemon " << member.peer.ToString() << " is gone.");
+      router_.OnMemberGone(now_, member.id);
+    }
+  }
+  MARTENYARD_LOG_INFO("membership", "Members up: " << live_.size() << ".");
+  RefreshEngines();
+}
+
+// ---- Spread items: the group directory and the bundles in force ----
+
+bool Node::ValidateItem(const spread::Item& item) const {
+  if (!HasPrefix(item.key, kRollItemPrefix)) {
+    return item.key == kDirectoryItem || HasPrefix(item.key, kGroupItemPrefix);
+  }
+  auto roll = wire::Decode<bundle::SignedRoll>(item.value);
+  bool named_right = roll && item.key == kRollItemPrefix + roll->statement.partner.value &&
+                     item.version == roll->statement.epoch;
+  return named_right && Recover<bundle::BundleError>(
+                            [&]() -> Result<bool> {
+                              BOOST_LEAF_CHECK(bundle::VerifyRoll(bundles_.partners(), *roll));
+                              return true;
+                            },
+                            [](const bundle::BundleError&) { return false; });
+}
+
+void Node::TakeItem(const spread::Item& item) {
+  if (item.key == kDirectoryItem) {
+    if (auto directory = wire::Decode<std::vector<consensus::Configuration>>(item.value)) {
+      AdoptDirectory(*directory);
+    }
+  } else if (HasPrefix(item.key, kGroupItemPrefix)) {
+    auto configuration = wire::Decode<consensus::Configuration>(item.value);
+    GroupId group(static_cast<std::uint32_t>(
+        std::strtoul(item.key.c_str() + sizeof(kGroupItemPrefix) - 1, nullptr, 10)));
+    if (configuration) {
+      AdoptGroup(group, item.version, *configuration);
+    }
+  } else if (auto roll = wire::Decode<bundle::SignedRoll>(item.value)) {
+    bool in_force = Recover<bundle::BundleError>([&] { return bundles_.Accept(*roll); },
+                                                 [](const bundle::BundleError&) { return false; });
+    if (in_force) {
+      MARTENYARD_LOG_INFO("bundle", "Partner " << roll->statement.partner.value << " is at epoch "
+                                               << roll->statement.epoch << ".");
+      RefreshEngines();
+    }
+  }
+}
+
+void Node::OnRoll(const bundle::SignedRoll& roll) {
+  spread::Item item;
+  item.key = kRollItemPrefix + roll.statement.partner.value;
+  item.version = roll.statement.epoch;
+  item.value = wire::Encode(roll);
+  const spread::Item* present = spread_.Find(item.key);
+  bool newer = present == nullptr || present->version < item.version;
+  if (newer && ValidateItem(item)) {
+    spread_.Publish(item, Peers());
+  }
+}
+
+void Node::AdoptDirectory(const std::vector<consensus::Configuration>& directory) {
+  for (std::size_t index = 0; index < directory.size(); ++index) {
+    GroupId group(static_cast<std::uint32_t>(index));
+    AdoptGroup(group, 0, directory[index]);
+    if (directory[index].IsVoter(Self())) {
+      replica_host_.Found(now_, group, directory[index]);
+    }
+  }
+  MARTENYARD_LOG_INFO(kLog, "Groups are placed: " << directory.size() << ".");
+}
+
+void Node::AdoptGroup(GroupId group, std::uint64_t version,
+                      const consensus::Configuration& present) {
+  auto known = directory_versions_.find(group);
+  if (known != directory_versions_.end() && known->second > version) {
+    return;
+  }
+  directory_versions_[group] = version;
+  directory_[group] = present;
+  router_.SetReplicas(group, present.voters);
+  // A replica that was taken out of its group may never hear of it from the group itself.
+  ledger::GroupReplica* replica = replica_host_.Find(group);
+  bool stale = replica != nullptr && version > 0 && !present.IsVoter(Self()) &&
+               !present.IsLearner(Self()) && replica->raft().commit_index() <= version &&
+               !replica->raft().IsLeader();
+  if (stale) {
+    MARTENYARD_LOG_INFO(kLog, "Left group " << group.value << ".");
+    replica_host_.Remove(group);
+  }
+}
+
+int Node::GroupsWithLeader() const {
+  int count = 0;
+  for (const auto& [group, replica] : replica_host_.replicas()) {
+    count += replica->raft().leader() != kNoNode ? 1 : 0;
+  }
+  return count;
+}
+
+// ---- Platform ----
+
+bool Node::WatchesKeyValue() const {
+  std::size_t before_self = 0;
+  for (const membership::MemberInfo& member : live_) {
+    before_self += member.zone == membership_.self().zone && member.id < Self() ? 1 : 0;
+  }
+  return before_self < kWatchersPerZone;
+}
+
+void Node::PollKeyValue() {
+  if (!WatchesKeyValue()) {
+    return;
+  }
+  rolls_.Poll();
+  if (!directory_.empty()) {
+    return;
+  }
+  environment_.KeyValueService().Get(kDirectoryKey, [this](const platform::KeyValueAnswer& answer) {
+    if (answer.status != platform::KeyValueStatus::kDone || !directory_.empty()) {
+      return;
+    }
+    if (!answer.entries.empty()) {
+      spread_.Publish({kDirectoryItem, 1, answer.entries[0].value}, Peers());
+      return;
+    }
+    if (live_.size() < static_cast<std::size_t>(options_.bootstrap_daemons)) {
+      return;
+    }
+    auto placed = PlaceGroups(live_, options_.groups, options_.replicas);
+    if (placed.empty()) {
+      return;
+    }
+    // Whoever writes first decides; every daemon then reads what is there.
+    environment_.KeyValueService().PutIf(kDirectoryKey, 0, wire::Encode(placed),
+                                         [](const platform::KeyValueAnswer&) {});
+  });
+}
+
+void Node::PollMachines() {
+  environment_.Backends().FetchMachines(
+      [this](std::optional<std::vector<platform::Backend>> machines) {
+        if (machines) {
+          backends_.SetMachines(now_, std::move(*machines));
+          RefreshEngines();
+        }
+      });
+}
+
+void Node::RefreshEngines() {
+  dispatcher_.SetEngines(now_, stopping_ ? std::vector<dispatch::EngineConfig>{}
+                                         : backends_.DispatchedBy(Self(), live_, bundles_));
+}
+
+void Node::ReportLoads() {
+  dispatch::PermitNews news;
+  news.loads = dispatcher_.Loads();
+  if (news.loads.empty()) {
+    return;
+  }
+  backends_.OnLoads(now_, news.loads);
+  std::vector<NodeId> targets = Peers();
+  std::shuffle(targets.begin(), targets.end(), random_.engine());
+  targets.resize(std::min(targets.size(), kLoadReportTargets));
+  for (NodeId target : targets) {
+    Send(target, news);
+  }
+}
+
+// ---- Groups ----
+
+void Node::ManageGroups() {
+  for (const auto& [group, replica] : replica_host_.replicas()) {
+    if (replica->raft().LeaderIsCurrent()) {
+      ManageGroup(*replica);
+    }
+  }
+  if (stopping_) {
+    HandOverLeaderships();
+  }
+}
+
+void Node::ManageGroup(ledger::GroupReplica& replica) {
+  consensus::Raft& raft = replica.raft();
+  if (!raft.ConfigurationIsCommitted()) {
+    return;
+  }
+  const consensus::Configuration& present = raft.configuration();
+  auto known = directory_.find(replica.group());
+  if (known == directory_.end() || known->second != present) {
+    spread_.Publish({kGroupItemPrefix + std::to_string(replica.group().value), raft.commit_index(),
+                     wire::Encode(present)},
+                    Peers());
+  }
+  std::vector<ReplicaView> views;
+  for (NodeId member : present.Members()) {
+    ReplicaView view;
+    view.node = member;
+    membership::MemberStatus status = membership_.StatusOf(member);
+    bool dead_long = status == membership::MemberStatus::kDead &&
+                     membership_.DeadSince(member) + options_.replace_after <= now_ &&
+                     raft.LastContact(member) + options_.replace_after <= now_;
+    view.gone = member != Self() && dead_long;
+    // A leaving daemon without a data folder takes its replica's memory with it.
+    const membership::MemberInfo* info = membership_.FindEvenDead(member);
+    bool volatile_leaver =
+        status == membership::MemberStatus::kLeaving && info != nullptr && !info->durable;
+    view.gone = view.gone || volatile_leaver;
+    view.caught_up = raft.MatchIndex(member) + kCaughtUpEntries >= raft.last_index();
+    views.push_back(view);
+  }
+  auto next = PlanChange(replica.group(), present, views, live_,
+                         static_cast<std::size_t>(options_.replicas));
+  if (next && raft.ProposeConfiguration(*next)) {
+    MARTENYARD_LOG_INFO(kLog, "Group " << replica.group().value << " changes to "
+                                       << next->voters.size() << " voters and "
+                                       << next->learners.size() << " learners.");
+  }
+}
+
+GroupId Node::GroupOf(const ProgramId& program) const {
+  return GroupId(static_cast<std::uint32_t>(StableHash(program.value) %
+                                            static_cast<std::uint64_t>(options_.groups)));
+}
+
+void Node::AskLedger(GroupId group, ledger::RequestBody body, absl::Time deadline,
+                     gateway::LedgerCallback on_answer) {
+  router_.Ask(group, std::move(body), deadline, std::move(on_answer));
+}
+
+// ---- Engines ----
+
+void Node::SendPermitAsks(const std::vector<dispatch::PermitAsk>& asks) {
+  std::map<NodeId, dispatch::PermitSync> by_dispatcher;
+  for (const dispatch::PermitAsk& ask : asks) {
+    const platform::Backend* engine = backends_.Find(ask.engine);
+    auto dispatcher = engine == nullptr ? std::nullopt : DispatcherOf(*engine, live_);
+    if (dispatcher) {
+      by_dispatcher[*dispatcher].asks.push_back(ask);
+    }
+  }
+  for (auto& [dispatcher, sync] : by_dispatcher) {
+    Send(dispatcher, std::move(sync));
+  }
+}
+
+void Node::SendPermitRelease(const dispatch::PermitRelease& release) {
+  if (release.engine_leaves) {
+    backends_.MarkLeaving(now_, release.engine);
+  }
+  const platform::Backend* engine = backends_.Find(release.engine);
+  auto dispatcher = engine == nullptr ? std::nullopt : DispatcherOf(*engine, live_);
+  if (dispatcher) {
+    Send(*dispatcher, release);
+  }
+}
+
+std::vector<gateway::EngineCandidate> Node::EnginesFor(const PartnerName& partner,
+                                                       const std::string& service) {
+  auto candidates = backends_.EnginesFor(now_, partner, service, bundles_);
+  for (gateway::EngineCandidate& candidate : candidates) {
+    // Reports lag: what this daemon itself has there is known better.
+    int own = coordinator_.CountOn(candidate.backend.name);
+    int reported = candidate.view.in_flight + candidate.view.queued;
+    candidate.view.in_flight += std::max(0, own - reported);
+  }
+  return candidates;
+}
+
+std::vector<platform::Backend> Node::ServicesFor(const PartnerName& partner,
+                                                 platform::BackendKind kind,
+                                                 const std::string& service) {
+  return backends_.ServicesFor(partner, kind, service);
+}
+
+int Node::PriorityOf(const PartnerName& partner, const std::string& program_kind) {
+  constexpr int kDefaultPriority = 5;
+  const bundle::ActiveBundle* active = bundles_.Find(partner);
+  const bundle::ProgramSpec* spec =
+      active == nullptr ? nullptr : active->bundle->FindProgram(program_kind);
+  return spec == nullptr ? kDefaultPriority : spec->priority;
+}
+
+// ---- Contexts of programs that are gone ----
+
+void Node::SendReleases() {
+  for (const auto& [group, replica] : replica_host_.replicas()) {
+    for (const ledger::ReleaseOrder& order : replica->DueReleases(kReleasesPerRound)) {
+      const platform::Backend* engine = backends_.Find(order.engine);
+      if (engine == nullptr) {
+        if (backends_.IsGone(now_, order.engine)) {
+          replica->ProposeOwn(ledger::AcknowledgeRelease{{order.id}});
+        }
+        continue;
+      }
+      std::uint64_t mark = ReleaseMark(group, order.id);
+      if (!releasing_.insert(mark).second) {
+        continue;
+      }
+      environment_.Backends().ReleaseContext(
+          engine->url, order.program.value, [this, group = group, id = order.id, mark](bool gone) {
+            releasing_.erase(mark);
+            ledger::GroupReplica* owner = replica_host_.Find(group);
+            if (gone && owner != nullptr && owner->raft().IsLeader()) {
+              owner->ProposeOwn(ledger::AcknowledgeRelease{{id}});
+            }
+          });
+    }
+  }
+}
+
+void Node::SweepContexts() {
+  for (const auto& [name, backend] : backends_.machines()) {
+    bool own =
+        backend.kind == platform::BackendKind::kEngine && DispatcherOf(backend, live_) == Self();
+    if (!own) {
+      continue;
+    }
+    environment_.Backends().ListContexts(
+        backend.url,
+        [this, engine = backend](std::optional<std::vector<platform::HeldContext>> contexts) {
+          if (contexts) {
+            SweepEngine(engine, *contexts);
+          }
+        });
+  }
+}
+
+void Node::SweepEngine(const platform::Backend& engine,
+                       const std::vector<platform::HeldContext>& contexts) {
+  std::map<GroupId, ledger::CheckPrograms> by_group;
+  for (const platform::HeldContext& context : contexts) {
+    ProgramId program(context.id);
+    by_group[GroupOf(program)].programs.push_back(program);
+  }
+  for (auto& [group, check] : by_group) {
+    AskLedger(group, std::move(check), now_ + kSweepPatience,
+              [this, url = engine.url](const gateway::LedgerAnswer& answer) {
+                if (answer.status != gateway::LedgerAnswer::Status::kAnswered) {
+                  return;
+                }
+                for (const ProgramId& program : answer.reply.programs_over) {
+                  environment_.Backends().ReleaseContext(url, program.value, [](bool) {});
+                }
+              });
+  }
+}
+
+// ---- Planned stop ----
+
+void Node::BeginStop(absl::Time now) {
+  now_ = std::max(now_, now);
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  MARTENYARD_LOG_INFO(kLog, "Stopping: no new calls, handing over.");
+  coordinator_.StopAdmitting();
+  membership_.Leave();
+  RefreshEngines();
+}
+
+void Node::HandOverLeaderships() {
+  for (const auto& [group, replica] : replica_host_.replicas()) {
+    consensus::Raft& raft = replica->raft();
+    if (!raft.IsLeader()) {
+      continue;
+    }
+    NodeId best = kNoNode;
+    for (NodeId voter : raft.configuration().voters) {
+      bool staying =
+          voter != Self() && membership_.StatusOf(voter) == membership::MemberStatus::kAlive;
+      if (staying && (best == kNoNode || raft.MatchIndex(voter) > raft.MatchIndex(best))) {
+        best = voter;
+      }
+    }
+    if (best != kNoNode) {
+      raft.TransferLeadership(best);
+    }
+  }
+}
+
+bool Node::MayExit() const {
+  if (coordinator_.active() > 0) {
+    return false;
+  }
+  bool can_hand_over = live_.size() >= 2;
+  bool replacement_exists = live_.size() >= static_cast<std::size_t>(options_.replicas);
+  for (const auto& [group, replica] : replica_host_.replicas()) {
+    if (replica->raft().IsLeader() && can_hand_over &&
+        replica->raft().configuration().voters.size() > 1) {
+      return false;
+    }
+    bool still_needed = !store_.IsDurable() && replacement_exists &&
+                        replica->raft().configuration().IsVoter(Self());
+    if (still_needed) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace martenyard::daemon
--- /dev/null
+++ b/src/daemon/node.h
@@ -0,0 +1,166 @@
+// One daemon's decisions, all roles together, without I/O: the same code runs in martenyardd, in
+// the tests' simulator and in the hollow fleet.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/errors.h"
+#include "base/random.h"
+#include "bundle/roll_manager.h"
+#include "daemon/backend_view.h"
+#include "daemon/group_placement.h"
+#include "daemon/messages.h"
+#include "daemon/replica_host.h"
+#include "dispatch/dispatcher.h"
+#include "gateway/call_coordinator.h"
+#include "gateway/ledger_router.h"
+#include "membership/membership.h"
+#include "spread/spread.h"
+#include "storage/log_store.h"
+
+namespace martenyard::daemon {
+
+/// The world around a node.
+class NodeEnvironment {
+ public:
+  virtual ~NodeEnvironment() = default;
+  virtual void SendFrame(const wire::Endpoint& to, const Envelope& envelope) = 0;
+  virtual void SendDatagram(const wire::Endpoint& to, const membership::Packet& packet) = 0;
+  virtual platform::KeyValue& KeyValueService() = 0;
+  virtual platform::BackendClient& Backends() = 0;
+};
+
+struct NodeOptions {
+  int groups = 8;
+  int replicas = 3;
+  int bootstrap_daemons = 3;
+  std::vector<wire::Endpoint> seeds;
+  std::vector<bundle::PartnerKey> partners;
+  ledger::GroupOptions group;
+  membership::MembershipOptions membership;
+  spread::SpreadOptions spread;
+  dispatch::DispatcherOptions dispatcher;
+  gateway::CoordinatorOptions coordinator;
+  gateway::RouterOptions router;
+  absl::Duration replace_after = absl::Seconds(10);
+  absl::Duration key_value_poll = absl::Seconds(2);
+  absl::Duration machine_list_poll = absl::Seconds(1);
+  absl::Duration load_report_interval = absl::Milliseconds(250);
+  absl::Duration release_interval = absl::Milliseconds(500);
+  absl::Duration sweep_interval = absl::Seconds(5);
+};
+
+class Node : public gateway::CallHost {
+ public:
+  /// @param self its id must be the store's identity.
+  Node(membership::MemberInfo self, const NodeOptions& options, NodeEnvironment& environment,
+       storage::LogStore& store, std::uint64_t seed, absl::Time now);
+
+  /// Starts what the store holds. Errors: the store's.
+  Result<void> Start(absl::Time now);
+  void OnEnvelope(absl::Time now, const Envelope& envelope);
+  void OnPacket(absl::Time now, const membership::Packet& packet);
+  void Tick(absl::Time now);
+  /// Stores and sends what the calls above led to; call after each batch of them.
+  /// Errors: the store's: the daemon must then stop.
+  Result<void> Settle(absl::Time now);
+
+  gateway::CallCoordinator& coordinator() { return coordinator_; }
+  bundle::RollManager& rolls() { return rolls_; }
+  const bundle::BundleBook& bundles() const { return bundles_; }
+  const membership::Membership& membership() const { return membership_; }
+  const ReplicaHost& replicas() const { return replica_host_; }
+  const BackendView& backends_view() const { return backends_; }
+  const NodeOptions& options() const { return options_; }
+  /// True once the groups' replicas are known, so that calls can be served.
+  bool IsReady() const { return !directory_.empty(); }
+  /// @return how many groups currently have a leader known here.
+  int GroupsWithLeader() const;
+
+  /// Starts a planned stop: no new calls, leaderships and dispatchers handed over.
+  void BeginStop(absl::Time now);
+  /// True when nothing would be cut by exiting now.
+  bool MayExit() const;
+
+  // CallHost:
+  NodeId Self() const override { return membership_.self().id; }
+  GroupId GroupOf(const ProgramId& program) const override;
+  void AskLedger(GroupId group, ledger::RequestBody body, absl::Time deadline,
+                 gateway::LedgerCallback on_answer) override;
+  void SendPermitAsks(const std::vector<dispatch::PermitAsk>& asks) override;
+  void SendPermitRelease(const dispatch::PermitRelease& release) override;
+  std::vector<gateway::EngineCandidate> EnginesFor(const PartnerName& partner,
+                                                   const std::string& service) override;
+  std::vector<platform::Backend> ServicesFor(const PartnerName& partner, platform::BackendKind kind,
+                                             const std::string& service) override;
+  int PriorityOf(const PartnerName& partner, const std::string& program_kind) override;
+  platform::BackendClient& Backends() override { return environment_.Backends(); }
+
+ private:
+  struct Periodic {
+    absl::Duration interval;
+    absl::Time next;
+    void (Node::*run)();
+  };
+
+  void Send(NodeId to, PeerMessage message);
+  void Handle(NodeId from, const wire::Endpoint& endpoint, const PeerMessage& message);
+  void HandleLocal();
+  void FlushMembership();
+  void FlushSpread();
+  void OnMembersChanged();
+  std::vector<NodeId> Peers() const;
+
+  bool ValidateItem(const spread::Item& item) const;
+  void TakeItem(const spread::Item& item);
+  void OnRoll(const bundle::SignedRoll& roll);
+  void AdoptDirectory(const std::vector<consensus::Configuration>& directory);
+  void AdoptGroup(GroupId group, std::uint64_t version, const consensus::Configuration& present);
+
+  bool WatchesKeyValue() const;
+  void PollKeyValue();
+  void PollMachines();
+  void ReportLoads();
+  void ManageGroups();
+  void ManageGroup(ledger::GroupReplica& replica);
+  void SendReleases();
+  void SweepContexts();
+  void SweepEngine(const platform::Backend& engine,
+                   const std::vector<platform::HeldContext>& contexts);
+  void RefreshEngines();
+  void HandOverLeaderships();
+
+  NodeOptions options_;
+  NodeEnvironment& environment_;
+  Random random_;
+  absl::Time now_;
+  storage::LogStore& store_;
+  membership::Membership membership_;
+  spread::Spread spread_;
+  bundle::BundleBook bundles_;
+  bundle::RollManager rolls_;
+  ReplicaHost replica_host_;
+  BackendView backends_;
+  dispatch::Dispatcher dispatcher_;
+  gateway::LedgerRouter router_;
+  gateway::CallCoordinator coordinator_;
+
+  std::vector<Periodic> periodics_;
+  std::vector<membership::MemberInfo> live_;
+  std::uint64_t live_version_ = ~std::uint64_t{0};
+  std::map<GroupId, consensus::Configuration> directory_;
+  std::map<GroupId, std::uint64_t> directory_versions_;
+  std::deque<Envelope> local_;
+  std::set<std::uint64_t> releasing_;  // Per group and order, hashed: on their way to an engine.
+  bool stopping_ = false;
+};
+
+}  // namespace martenyard::daemon
--- /dev/null
+++ b/src/daemon/replica_host.h
@@ -0,0 +1,68 @@
+// All group replicas of one daemon over one log store: one synced write for all groups a round.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/errors.h"
+#include "base/random.h"
+#include "daemon/messages.h"
+#include "ledger/group_replica.h"
+#include "storage/log_store.h"
+
+namespace martenyard::daemon {
+
+struct GroupMessageTo {
+  NodeId to;
+  GroupMessage message;
+};
+
+struct HostEffects {
+  std::vector<GroupMessageTo> messages;
+  std::vector<ledger::ReplyTo> replies;
+};
+
+class ReplicaHost {
+ public:
+  ReplicaHost(NodeId self, const ledger::GroupOptions& options, storage::LogStore& store,
+              std::uint64_t seed);
+
+  /// Starts the replicas that were stored. Errors: the store's.
+  Result<void> Restore(absl::Time now, const storage::StoredNode& stored);
+  /// Starts a replica as one of a new group's first voters. Ignored when the group is known here.
+  void Found(absl::Time now, GroupId group, const consensus::Configuration& configuration);
+  void OnMessage(absl::Time now, NodeId from, const GroupMessage& message);
+  /// @return false when this daemon has no replica of the group.
+  bool OnRequest(absl::Time now, NodeId from, const ledger::LedgerRequest& request);
+  void Tick(absl::Time now);
+  /// Forgets a group whose committed configuration no longer names this daemon.
+  void Remove(GroupId group);
+  /// Stores, sends and applies until nothing is left to do. Errors: the store's; then this host
+  /// must not be used further.
+  Result<HostEffects> Pump();
+
+  const std::map<GroupId, std::unique_ptr<ledger::GroupReplica>>& replicas() const {
+    return replicas_;
+  }
+  ledger::GroupReplica* Find(GroupId group);
+  std::uint64_t synced_writes() const { return synced_writes_; }
+
+ private:
+  void Add(absl::Time now, GroupId group, consensus::RestoredState restored);
+  Result<void> PumpRound(HostEffects& effects);
+
+  NodeId self_;
+  ledger::GroupOptions options_;
+  storage::LogStore& store_;
+  Random random_;
+  std::map<GroupId, std::unique_ptr<ledger::GroupReplica>> replicas_;
+  std::set<GroupId> removed_;
+  std::vector<storage::GroupWrite> pending_writes_;
+  std::uint64_t synced_writes_ = 0;
+};
+
+}  // namespace martenyard::daemon
--- /dev/null
+++ b/src/gateway/call_coordinator.cc
@@ -0,0 +1,614 @@
+#include "gateway/call_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/prompt.h"
+
+namespace martenyard::gateway {
+namespace {
+
+using ledger::CallKind;
+using ledger::CallState;
+using ledger::Verdict;
+
+constexpr int kRetrySoonSeconds = 1;
+constexpr absl::Duration kBackoffBase = absl::Milliseconds(50);
+constexpr absl::Duration kBackoffCap = absl::Seconds(2);
+constexpr absl::Duration kRenewPatience = absl::Seconds(1);
+
+/// How a refusal to begin is told.
+struct RefusalText {
+  Verdict verdict;
+  int status;
+  const char* title;
+  bool retry_soon;
+};
+
+constexpr RefusalText kRefusals[] = {
+    {Verdict::kUnknownProgram, 404, "no such program", false},
+    {Verdict::kProgramEnded, 409, "the program has ended", false},
+    {Verdict::kNotAllowed, 403, "the bundle does not let this program call the service", false},
+    {Verdict::kKeyReused, 422, "the Idempotency-Key was used for another request", false},
+    {Verdict::kBusy, 429, "too many calls of this program wait for their turn", true},
+    {Verdict::kBudgetExhausted, 409, "the program's budget does not cover this call", false},
+    {Verdict::kTooManyCalls, 409, "the program made as many calls as its bundle allows", false},
+    {Verdict::kTooLong, 409, "the program's wall time is over", false},
+    {Verdict::kHistoryFull, 409, "the program's history is as long as its bundle allows", false},
+    {Verdict::kStaleEpoch, 503, "a newer bundle is in force and not yet known here", true},
+};
+
+platform::BackendKind BackendKindOf(CallKind kind) {
+  return kind == CallKind::kTool ? platform::BackendKind::kTool
+                                 : platform::BackendKind::kApplication;
+}
+
+CallEnd Refusal(int status, const std::string& title, std::optional<int> retry_after) {
+  CallEnd end;
+  end.status = status;
+  end.title = title;
+  end.outcome = CallState::kNotRun;
+  end.retry_after_seconds = retry_after;
+  return end;
+}
+
+}  // namespace
+
+CallCoordinator::CallCoordinator(CallHost& host, const CoordinatorOptions& options,
+                                 std::uint64_t seed, absl::Time now)
+    : host_(host),
+      options_(options),
+      random_(seed),
+      now_(now),
+      next_renewal_(now),
+      retry_budget_(options.retry_budget_cap) {}
+
+CallCoordinator::Call* CallCoordinator::Find(CallId id) {
+  auto found = calls_.find(id);
+  return found == calls_.end() ? nullptr : &found->second;
+}
+
+// ---- Admission ----
+
+void CallCoordinator::Start(absl::Time now, const CallSpec& spec, std::shared_ptr<CallSink> sink) {
+  now_ = std::max(now_, now);
+  auto known = by_key_.find({spec.program, spec.key});
+  if (known != by_key_.end()) {
+    Call& call = calls_.at(known->second);
+    bool same = call.spec.request_hash == spec.request_hash && call.spec.partner == spec.partner;
+    if (!same) {
+      sink->OnEnd(Refusal(422, "the Idempotency-Key was used for another request", std::nullopt));
+      return;
+    }
+    if (!call.text.empty()) {
+      sink->OnText(call.text);
+    }
+    call.sinks.push_back(std::move(sink));
+    return;
+  }
+  if (!admitting_) {
+    sink->OnEnd(Refusal(503, "this daemon is stopping", kRetrySoonSeconds));
+    return;
+  }
+  if (calls_.size() >= options_.max_active) {
+    sink->OnEnd(Refusal(503, "this daemon has too many calls under way", kRetrySoonSeconds));
+    return;
+  }
+  ++stats_.calls_started;
+  CallId id = ++last_call_;
+  Call& call = calls_[id];
+  call.id = id;
+  call.spec = spec;
+  call.sinks.push_back(std::move(sink));
+  by_key_[{spec.program, spec.key}] = id;
+  Admit(call);
+}
+
+void CallCoordinator::Admit(Call& call) {
+  const CallSpec& spec = call.spec;
+  ledger::BeginCall begin;
+  begin.program = spec.program;
+  begin.partner = spec.partner;
+  begin.permitted_kinds = spec.permitted_kinds;
+  begin.key = spec.key;
+  begin.request_hash = spec.request_hash;
+  begin.kind = spec.kind;
+  begin.repeatable = spec.repeatable;
+  begin.gateway = host_.Self();
+  begin.reserve = spec.Reservation();
+  begin.epoch = spec.epoch;
+  begin.turn = spec.turn;
+  host_.AskLedger(host_.GroupOf(spec.program), ledger::Operation(std::move(begin)), spec.deadline,
+                  [this, id = call.id](const LedgerAnswer& answer) { OnBegun(id, answer); });
+}
+
+void CallCoordinator::OnBegun(CallId id, const LedgerAnswer& answer) {
+  Call* call = Find(id);
+  if (call == nullptr) {
+    return;
+  }
+  if (answer.status == LedgerAnswer::Status::kNotProposed) {
+    End(*call, Refusal(503, "the program's ledger can't be reached", kRetrySoonSeconds));
+    return;
+  }
+  if (answer.status == LedgerAnswer::Status::kUncertain) {
+    VoidAdmission(*call);
+    return;
+  }
+  const ledger::ApplyResult& result = answer.reply.result;
+  if (result.verdict == Verdict::kDone) {
+    TakeGrant(*call, result);
+  } else if (result.verdict == Verdict::kAlready && result.call) {
+    EndFromRecord(*call, *result.call);
+  } else {
+    RefuseAdmission(*call, result.verdict);
+  }
+}
+
+void CallCoordinator::VoidAdmission(Call& call) {
+  call.status_if_not_run = 504;
+  call.reason = "the call did not get its turn in time";
+  ledger::VoidCall order{call.spec.program, call.spec.key, call.spec.request_hash};
+  host_.AskLedger(host_.GroupOf(call.spec.program), ledger::Operation(std::move(order)),
+                  now_ + options_.void_patience,
+                  [this, id = call.id](const LedgerAnswer& answer) { OnVoided(id, answer); });
+}
+
+void CallCoordinator::OnVoided(CallId id, const LedgerAnswer& answer) {
+  Call* call = Find(id);
+  if (call == nullptr) {
+    return;
+  }
+  const auto& record = answer.reply.result.call;
+  if (answer.status != LedgerAnswer::Status::kAnswered || !record) {
+    EndUnknown(*call, 503, "the program's ledger did not answer in time");
+    return;
+  }
+  bool began_here = record->state == CallState::kRunning && record->gateway == host_.Self();
+  if (began_here) {
+    // Its intent was committed, but nothing was sent: that can be settled truthfully.
+    call->granted = true;
+    call->grant = {call->spec.program, call->spec.key, record->attempt};
+    Commit(*call, CallState::kNotRun, "");
+    return;
+  }
+  EndFromRecord(*call, *record);
+}
+
+void CallCoordinator::RefuseAdmission(Call& call, Verdict verdict) {
+  for (const RefusalText& refusal : kRefusals) {
+    if (refusal.verdict == verdict) {
+      auto retry = refusal.retry_soon ? std::optional(kRetrySoonSeconds) : std::nullopt;
+      End(call, Refusal(refusal.status, refusal.title, retry));
+      return;
+    }
+  }
+  EndUnknown(call, 503, "the ledger gave an answer that is not understood");
+}
+
+void CallCoordinator::TakeGrant(Call& call, const ledger::ApplyResult& result) {
+  call.granted = true;
+  call.grant = {call.spec.program, call.spec.key, result.call->attempt};
+  call.priority = host_.PriorityOf(call.spec.partner, result.program_kind);
+  call.attained = result.attained;
+  if (!result.engines.empty()) {
+    call.last_engine = result.engines.back();
+  }
+  if (call.spec.kind == CallKind::kModel) {
+    call.messages = BuildMessages(result.history, call.spec.turn);
+    call.context_tokens = EstimateTokens(call.messages);
+    Place(call);
+  } else {
+    RunService(call);
+  }
+}
+
+// ---- Model calls ----
+
+void CallCoordinator::Place(Call& call) {
+  call.stage = Stage::kPlacing;
+  call.resume_at = now_ + options_.placement_retry;
+  std::vector<EngineCandidate> usable;
+  for (EngineCandidate& candidate : host_.EnginesFor(call.spec.partner, call.spec.service)) {
+    auto avoided = call.avoided.find(candidate.backend.name);
+    if (avoided != call.avoided.end() && avoided->second > now_) {
+      continue;
+    }
+    if (candidate.backend.name == call.last_engine) {
+      candidate.view.held_tokens = call.context_tokens - call.spec.turn_tokens;
+    }
+    usable.push_back(std::move(candidate));
+  }
+  std::vector<scheduling::EngineView> views;
+  views.reserve(usable.size());
+  for (const EngineCandidate& candidate : usable) {
+    views.push_back(candidate.view);
+  }
+  scheduling::CallView view{call.context_tokens, call.last_engine};
+  auto chosen = scheduling::ChooseEngine(options_.placement, views, view, options_.costs,
+                                         round_robin_, random_);
+  if (!chosen) {
+    call.reason = "no engine is available for this model";
+    return;  // Tried again until the deadline.
+  }
+  call.backend = usable[*chosen].backend;
+  AskPermit(call);
+}
+
+void CallCoordinator::AskPermit(Call& call) {
+  call.stage = Stage::kWaitingForPermit;
+  host_.SendPermitAsks({AskOf(call)});
+}
+
+dispatch::PermitAsk CallCoordinator::AskOf(const Call& call) const {
+  dispatch::PermitAsk ask;
+  ask.grant = call.grant;
+  ask.engine = call.backend.name;
+  ask.partner = call.spec.partner;
+  ask.priority = call.priority;
+  ask.attained = call.attained;
+  ask.holding = call.holds_permit;
+  return ask;
+}
+
+void CallCoordinator::OnPermitNews(absl::Time now, const dispatch::PermitNews& news) {
+  now_ = std::max(now_, now);
+  for (const dispatch::PermitAnswer& answer : news.answers) {
+    auto known = by_key_.find({answer.grant.program, answer.grant.key});
+    Call* call = known == by_key_.end() ? nullptr : Find(known->second);
+    bool current = call != nullptr && call->stage == Stage::kWaitingForPermit &&
+                   call->grant == answer.grant && call->backend.name == answer.engine;
+    if (current && answer.verdict == dispatch::PermitVerdict::kGranted) {
+      call->holds_permit = true;
+      RunModel(*call);
+    } else if (current && answer.verdict != dispatch::PermitVerdict::kQueued) {
+      call->avoided[answer.engine] = now_ + options_.engine_penalty;
+      Place(*call);
+    } else if (!current && answer.verdict == dispatch::PermitVerdict::kGranted) {
+      // A late grant for what is no longer wanted must not hold a slot; but an engine that this
+      // very call uses right now is not given back.
+      bool in_use = call != nullptr && call->grant == answer.grant && call->holds_permit &&
+                    call->backend.name == answer.engine;
+      if (!in_use) {
+        host_.SendPermitRelease({answer.grant, answer.engine, false});
+      }
+    }
+  }
+}
+
+void CallCoordinator::RunModel(Call& call) {
+  call.stage = Stage::kRunning;
+  ++call.dispatches;
+  platform::ModelRequest request;
+  request.url = call.backend.url;
+  request.request_id = call.spec.program.value + "/" + call.spec.key.value + "/" +
+                       std::to_string(call.grant.attempt) + "." + std::to_string(call.dispatches);
+  request.context_id = call.spec.program.value;
+  request.model = call.spec.service;
+  request.messages = call.messages;
+  request.resume_text = call.text;
+  request.max_tokens = call.spec.max_tokens;
+  request.priority = call.priority;
+  request.timeout = std::max(absl::Milliseconds(1), call.spec.deadline - now_);
+  CallId id = call.id;
+  call.handle = host_.Backends().StartModel(
+      request,
+      [this, id](const std::string& text) {
+        if (Call* running = Find(id)) {
+          running->text += text;
+          for (const auto& sink : running->sinks) {
+            sink->OnText(text);
+          }
+        }
+      },
+      [this, id](const platform::ModelOutcome& outcome) { OnModelDone(id, outcome); });
+}
+
+void CallCoordinator::OnModelDone(CallId id, const platform::ModelOutcome& outcome) {
+  Call* call = Find(id);
+  if (call == nullptr || call->stage != Stage::kRunning) {
+    return;
+  }
+  call->handle = 0;
+  using Status = platform::ModelOutcome::Status;
+  LeaveEngine(*call, outcome.status == Status::kLeaving);
+  switch (outcome.status) {
+    case Status::kFinished:
+      call->usage = outcome.usage;
+      stats_.prompt_tokens += static_cast<std::uint64_t>(outcome.usage.prompt_tokens);
+      stats_.cached_tokens += static_cast<std::uint64_t>(outcome.usage.cached_tokens);
+      retry_budget_ =
+          std::min(options_.retry_budget_cap, retry_budget_ + options_.retry_budget_share);
+      Commit(*call, CallState::kRan,
+             BuildModelResult(call->text, outcome.usage.prompt_tokens, outcome.usage.cached_tokens,
+                              outcome.usage.completion_tokens));
+      break;
+    case Status::kRejected:
+      call->status_if_not_run = 422;
+      call->reason = "the engine rejected the request: " + outcome.detail;
+      Commit(*call, call->text.empty() ? CallState::kNotRun : CallState::kUnknown, "");
+      break;
+    case Status::kLeaving:
+    case Status::kRefused:
+    case Status::kBroken:
+      Redispatch(*call, "the engine failed or refused: " + outcome.detail);
+      break;
+  }
+}
+
+void CallCoordinator::LeaveEngine(Call& call, bool engine_leaves) {
+  if (call.holds_permit || call.stage == Stage::kWaitingForPermit) {
+    host_.SendPermitRelease({call.grant, call.backend.name, engine_leaves});
+  }
+  call.holds_permit = false;
+}
+
+/// Another engine goes on where this one stopped: the caller sees one whole answer.
+void CallCoordinator::Redispatch(Call& call, const std::string& reason) {
+  call.avoided[call.backend.name] = now_ + options_.engine_penalty;
+  call.reason = reason;
+  ++stats_.redispatches;
+  if (call.dispatches >= options_.max_dispatches) {
+    Commit(call, call.text.empty() ? CallState::kNotRun : CallState::kUnknown, "");
+    return;
+  }
+  Place(call);
+}
+
+// ---- Tool and application calls ----
+
+void CallCoordinator::RunService(Call& call) {
+  std::vector<platform::Backend> backends =
+      host_.ServicesFor(call.spec.partner, BackendKindOf(call.spec.kind), call.spec.service);
+  std::vector<platform::Backend> fresh;
+  for (const platform::Backend& backend : backends) {
+    auto avoided = call.avoided.find(backend.name);
+    if (avoided == call.avoided.end() || avoided->second <= now_) {
+      fresh.push_back(backend);
+    }
+  }
+  if (fresh.empty()) {
+    call.reason = "no back end is available for this service";
+    call.stage = Stage::kBackingOff;
+    call.resume_at = now_ + options_.placement_retry;
+    return;
+  }
+  call.backend = fresh[random_.Below(fresh.size())];
+  call.stage = Stage::kRunning;
+  ++call.dispatches;
+  platform::ServiceRequest request;
+  request.url = call.backend.url;
+  request.request_key = call.spec.program.value + "/" + call.spec.key.value;
+  request.arguments = call.spec.turn;
+  request.timeout = std::max(absl::Milliseconds(1), call.spec.deadline - now_);
+  CallId id = call.id;
+  call.handle = host_.Backends().StartService(
+      request, [this, id](const platform::ServiceOutcome& outcome) { OnServiceDone(id, outcome); });
+}
+
+void CallCoordinator::OnServiceDone(CallId id, const platform::ServiceOutcome& outcome) {
+  Call* call = Find(id);
+  if (call == nullptr || call->stage != Stage::kRunning) {
+    return;
+  }
+  call->handle = 0;
+  using Status = platform::ServiceOutcome::Status;
+  if (outcome.status == Status::kRan) {
+    retry_budget_ =
+        std::min(options_.retry_budget_cap, retry_budget_ + options_.retry_budget_share);
+    Commit(*call, CallState::kRan, outcome.result);
+    return;
+  }
+  call->reason = "the service failed: " + outcome.detail;
+  bool may_run_again = outcome.status == Status::kNotRun || call->spec.repeatable;
+  if (may_run_again && call->dispatches < options_.max_dispatches && MayRetry()) {
+    ++stats_.redispatches;
+    call->avoided[call->backend.name] = now_ + options_.engine_penalty;
+    absl::Duration backoff =
+        std::min(kBackoffCap, kBackoffBase * (std::int64_t{1} << std::min(call->dispatches, 10)));
+    call->stage = Stage::kBackingOff;
+    call->resume_at = now_ + backoff * (0.5 + 0.5 * random_.Uniform());
+    return;
+  }
+  // An earlier try of a repeatable call may have run even if the last one surely did not.
+  bool surely_not_run =
+      outcome.status == Status::kNotRun && (!call->spec.repeatable || call->dispatches == 1);
+  Commit(*call, surely_not_run ? CallState::kNotRun : CallState::kUnknown, "");
+}
+
+bool CallCoordinator::MayRetry() {
+  if (retry_budget_ < 1.0) {
+    ++stats_.retries_denied;
+    return false;
+  }
+  retry_budget_ -= 1.0;
+  return true;
+}
+
+// ---- The end ----
+
+void CallCoordinator::Commit(Call& call, CallState outcome, std::string result) {
+  call.stage = Stage::kCommitting;
+  ledger::FinishCall finish;
+  finish.grant = call.grant;
+  finish.outcome = outcome;
+  finish.result = std::move(result);
+  if (call.spec.kind == CallKind::kModel) {
+    finish.used = call.spec.turn_tokens + call.usage.completion_tokens;
+    finish.engine = call.backend.name;
+  }
+  host_.AskLedger(host_.GroupOf(call.spec.program), ledger::Operation(std::move(finish)),
+                  now_ + options_.commit_patience,
+                  [this, id = call.id](const LedgerAnswer& answer) { OnCommitted(id, answer); });
+}
+
+void CallCoordinator::OnCommitted(CallId id, const LedgerAnswer& answer) {
+  Call* call = Find(id);
+  if (call == nullptr) {
+    return;
+  }
+  bool stored = answer.status == LedgerAnswer::Status::kAnswered && answer.reply.result.call;
+  if (!stored) {
+    EndUnknown(*call, 503, "the result could not be stored");
+    return;
+  }
+  EndFromRecord(*call, *answer.reply.result.call);
+}
+
+void CallCoordinator::EndFromRecord(Call& call, const ledger::CallRecord& record) {
+  switch (record.state) {
+    case CallState::kRan: {
+      CallEnd end;
+      end.outcome = CallState::kRan;
+      end.record = record;
+      End(call, end);
+      return;
+    }
+    case CallState::kNotRun: {
+      std::string title = call.reason.empty() ? "the call was not run" : call.reason;
+      bool may_retry = call.status_if_not_run >= 500;
+      End(call, Refusal(call.status_if_not_run, title,
+                        may_retry ? std::optional(kRetrySoonSeconds) : std::nullopt));
+      return;
+    }
+    case CallState::kRunning:
+    case CallState::kUnknown:
+      EndUnknown(call, 504,
+                 call.reason.empty() ? "it is not known whether the call ran" : call.reason);
+      return;
+  }
+}
+
+void CallCoordinator::EndUnknown(Call& call, int status, const std::string& title) {
+  CallEnd end;
+  end.status = status;
+  end.title = title;
+  end.outcome = CallState::kUnknown;
+  if (call.spec.repeatable) {
+    end.retry_after_seconds = kRetrySoonSeconds;
+  }
+  End(call, end);
+}
+
+void CallCoordinator::End(Call& call, const CallEnd& end) {
+  switch (end.outcome) {
+    case CallState::kRan:
+      ++stats_.calls_ran;
+      break;
+    case CallState::kNotRun:
+      ++stats_.calls_not_run;
+      break;
+    default:
+      ++stats_.calls_unknown;
+      break;
+  }
+  StopWork(call);
+  std::vector<std::shared_ptr<CallSink>> sinks = std::move(call.sinks);
+  by_key_.erase({call.spec.program, call.spec.key});
+  calls_.erase(call.id);
+  for (const auto& sink : sinks) {
+    sink->OnEnd(end);
+  }
+}
+
+void CallCoordinator::StopWork(Call& call) {
+  if (call.handle != 0) {
+    host_.Backends().Cancel(call.handle);
+    call.handle = 0;
+  }
+  LeaveEngine(call, /*engine_leaves=*/false);
+}
+
+// ---- Time ----
+
+void CallCoordinator::Tick(absl::Time now) {
+  now_ = std::max(now_, now);
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : calls_) {
+    ids.push_back(id);
+  }
+  for (CallId id : ids) {
+    Call* call = Find(id);
+    if (call == nullptr) {
+      continue;
+    }
+    CheckDeadline(*call);
+    call = Find(id);
+    if (call == nullptr || now_ < call->resume_at) {
+      continue;
+    }
+    if (call->stage == Stage::kPlacing) {
+      Place(*call);
+    } else if (call->stage == Stage::kBackingOff) {
+      RunService(*call);
+    }
+  }
+  if (now_ >= next_renewal_) {
+    next_renewal_ = now_ + options_.renew_interval;
+    RenewGrants();
+    RenewPermits();
+  }
+}
+
+void CallCoordinator::CheckDeadline(Call& call) {
+  bool working = call.granted && call.stage != Stage::kCommitting;
+  if (!working || now_ < call.spec.deadline) {
+    return;
+  }
+  bool never_sent = call.dispatches == 0;
+  call.status_if_not_run = 504;
+  if (call.reason.empty()) {
+    call.reason = "the deadline passed";
+  }
+  StopWork(call);
+  Commit(call, never_sent ? CallState::kNotRun : CallState::kUnknown, "");
+}
+
+void CallCoordinator::RenewGrants() {
+  std::map<GroupId, ledger::RenewGrants> by_group;
+  for (const auto& [id, call] : calls_) {
+    if (call.granted) {
+      by_group[host_.GroupOf(call.spec.program)].grants.push_back(call.grant);
+    }
+  }
+  for (auto& [group, renewal] : by_group) {
+    host_.AskLedger(group, std::move(renewal), now_ + kRenewPatience,
+                    [this](const LedgerAnswer& answer) { OnRenewed(answer); });
+  }
+}
+
+void CallCoordinator::OnRenewed(const LedgerAnswer& answer) {
+  if (answer.status != LedgerAnswer::Status::kAnswered) {
+    return;
+  }
+  for (const ledger::Grant& lost : answer.reply.grants_lost) {
+    auto known = by_key_.find({lost.program, lost.key});
+    Call* call = known == by_key_.end() ? nullptr : Find(known->second);
+    // While its result is on the way to the ledger, the ledger's answer to that decides.
+    if (call != nullptr && call->grant == lost && call->stage != Stage::kCommitting) {
+      EndUnknown(*call, 503, "this daemon lost the call, or the program was ended");
+    }
+  }
+}
+
+void CallCoordinator::RenewPermits() {
+  std::vector<dispatch::PermitAsk> asks;
+  for (const auto& [id, call] : calls_) {
+    if (call.holds_permit || call.stage == Stage::kWaitingForPermit) {
+      asks.push_back(AskOf(call));
+    }
+  }
+  if (!asks.empty()) {
+    host_.SendPermitAsks(asks);
+  }
+}
+
+int CallCoordinator::CountOn(const BackendName& engine) const {
+  return static_cast<int>(std::count_if(calls_.begin(), calls_.end(), [&](const auto& entry) {
+    const Call& call = entry.second;
+    return call.backend.name == engine &&
+           (call.holds_permit || call.stage == Stage::kWaitingForPermit);
+  }));
+}
+
+}  // namespace martenyard::gateway
--- /dev/null
+++ b/src/gateway/call_request.h
@@ -0,0 +1,33 @@
+// Checks the body of a call request and makes a CallSpec of it.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "absl/time/time.h"
+#include "bundle/roll.h"
+#include "gateway/call_types.h"
+#include "http/server.h"
+
+namespace martenyard::gateway {
+
+/// What the checks need beside the request.
+struct CallRequestContext {
+  PartnerName partner;
+  ProgramId program;
+  const bundle::ActiveBundle* active = nullptr;
+  absl::Time now;
+  absl::Duration default_deadline;
+};
+
+/// A checked request, or what is wrong with it.
+struct CallRequest {
+  std::optional<CallSpec> spec;
+  bool stream = false;
+  int status = 400;     ///< When `spec` is empty.
+  std::string problem;  ///< When `spec` is empty.
+};
+
+CallRequest ReadCallRequest(const http::Request& request, const CallRequestContext& context);
+
+}  // namespace martenyard::gateway
--- /dev/null
+++ b/src/gateway/caller_api.cc
@@ -0,0 +1,361 @@
+#include "gateway/caller_api.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_split.h"
+#include "bundle/signature.h"
+#include "gateway/call_request.h"
+#include "gateway/problem.h"
+#include "platform/sse.h"
+
+namespace martenyard::gateway {
+namespace {
+
+using ledger::CallState;
+using nlohmann::json;
+
+constexpr int kRetrySoonSeconds = 1;
+
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json ParsedOrNull(const std::string& text) {
+  json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  return value.is_discarded() ? json() : value;
+}
+
+/// The answer to a call that ran, as it is stored.
+json AnswerOf(const ledger::CallRecord& call) {
+  json answer = {{"call_id", call.key.value},
+                 {"sequence", call.sequence},
+                 {"outcome", OutcomeName(call.state)}};
+  if (call.state != CallState::kRan) {
+    return answer;
+  }
+  json result = ParsedOrNull(call.result);
+  if (call.kind == ledger::CallKind::kModel && result.is_object()) {
+    answer.update(result);
+  } else {
+    answer["result"] = std::move(result);
+  }
+  return answer;
+}
+
+std::string KindName(ledger::CallKind kind) {
+  switch (kind) {
+    case ledger::CallKind::kModel:
+      return "model";
+    case ledger::CallKind::kTool:
+      return "tool";
+    case ledger::CallKind::kApplication:
+      break;
+  }
+  return "application";
+}
+
+json DescribeProgram(const ledger::ProgramRecord& program) {
+  return {{"program_id", program.id.value},
+          {"partner", program.partner.value},
+          {"program", program.program_kind},
+          {"parent_id", program.parent.value},
+          {"state", program.ended ? "ended" : "open"},
+          {"end_reason", program.end_reason},
+          {"calls", program.calls.size()},
+          {"budget_tokens", program.limits.budget_tokens},
+          {"spent_tokens", program.spent},
+          {"reserved_tokens", program.reserved},
+          {"created_ms", program.created_ms},
+          {"last_activity_ms", program.last_activity_ms}};
+}
+
+json DescribeHistory(const ledger::ProgramRecord& program) {
+  json turns = json::array();
+  for (const ledger::CallRecord& call : program.calls) {
+    json turn = AnswerOf(call);
+    turn["kind"] = KindName(call.kind);
+    turn["turn"] = ParsedOrNull(call.turn);
+    turns.push_back(std::move(turn));
+  }
+  return {{"program_id", program.id.value}, {"turns", std::move(turns)}};
+}
+
+http::Response EndResponse(const CallEnd& end) {
+  if (end.record) {
+    return JsonResponse(200, Dump(AnswerOf(*end.record)));
+  }
+  return Problem(end.status, end.title, end.outcome, end.retry_after_seconds);
+}
+
+/// Waits for the end and sends it as one answer.
+class WholeSink : public CallSink {
+ public:
+  explicit WholeSink(std::shared_ptr<http::Responder> responder)
+      : responder_(std::move(responder)) {}
+  void OnText(const std::string& /*text*/) override {}
+  void OnEnd(const CallEnd& end) override { responder_->Send(EndResponse(end)); }
+
+ private:
+  std::shared_ptr<http::Responder> responder_;
+};
+
+/// Relays text as server-sent events; the last event, `done` or `error`, tells the committed end.
+class StreamSink : public CallSink {
+ public:
+  explicit StreamSink(std::shared_ptr<http::Responder> responder)
+      : responder_(std::move(responder)) {}
+
+  void OnText(const std::string& text) override {
+    Open();
+    responder_->Write(platform::FormatSseEvent("", Dump({{"text", text}})));
+  }
+
+  void OnEnd(const CallEnd& end) override {
+    if (!open_ && !end.record) {
+      responder_->Send(EndResponse(end));
+      return;
+    }
+    Open();
+    http::Response response = EndResponse(end);
+    responder_->Write(platform::FormatSseEvent(end.record ? "done" : "error", response.body));
+    responder_->Finish();
+  }
+
+ private:
+  void Open() {
+    if (!open_) {
+      open_ = true;
+      responder_->StartStream(
+          200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}});
+    }
+  }
+
+  std::shared_ptr<http::Responder> responder_;
+  bool open_ = false;
+};
+
+http::Response LedgerUnreachable(LedgerAnswer::Status status) {
+  bool certain = status == LedgerAnswer::Status::kNotProposed;
+  return Problem(503, "the program's ledger can't be reached",
+                 certain ? CallState::kNotRun : CallState::kUnknown, kRetrySoonSeconds);
+}
+
+}  // namespace
+
+CallerApi::CallerApi(CallHost& host, CallCoordinator& coordinator,
+                     const bundle::BundleBook& bundles, const CallerApiOptions& options,
+                     std::uint64_t seed)
+    : host_(host), coordinator_(coordinator), bundles_(bundles), options_(options), random_(seed) {}
+
+const bundle::ActiveBundle* CallerApi::Authenticate(const std::string& token,
+                                                    PartnerName* partner) const {
+  if (token.empty()) {
+    return nullptr;
+  }
+  std::string hash = bundle::Sha256(token);
+  for (const auto& [name, active] : bundles_.all()) {
+    if (active.bundle->KnowsCaller(hash)) {
+      *partner = name;
+      return &active;
+    }
+  }
+  return nullptr;
+}
+
+bool CallerApi::Handle(absl::Time now, const http::Request& request,
+                       const std::shared_ptr<http::Responder>& responder) {
+  std::vector<std::string> parts = absl::StrSplit(request.path, '/', absl::SkipEmpty());
+  bool ours = parts.size() >= 2 && parts[0] == "v1" && parts[1] == "programs";
+  if (!ours) {
+    return false;
+  }
+  Exchange exchange{request, responder, {}, {}, now};
+  const bundle::ActiveBundle* active = Authenticate(BearerToken(request), &exchange.partner);
+  if (active == nullptr) {
+    responder->Send(
+        Problem(401, "the bearer token is missing or in no bundle in force", CallState::kNotRun));
+    return true;
+  }
+  if (parts.size() > 2) {
+    if (!IsIdentifier(parts[2])) {
+      responder->Send(Problem(404, "no such program", CallState::kNotRun));
+      return true;
+    }
+    exchange.program = ProgramId(parts[2]);
+  }
+  Route(exchange, *active, parts);
+  return true;
+}
+
+void CallerApi::Route(const Exchange& exchange, const bundle::ActiveBundle& active,
+                      const std::vector<std::string>& parts) {
+  const std::string& method = exchange.request.method;
+  std::string below = parts.size() > 3 ? parts[3] : "";
+  auto responder = exchange.responder;
+  if (parts.size() == 2 && method == "POST") {
+    CreateProgram(exchange, active);
+  } else if (parts.size() == 3 && method == "GET") {
+    WithProgram(exchange, exchange.program, [responder](const ledger::ProgramRecord& program) {
+      responder->Send(JsonResponse(200, Dump(DescribeProgram(program))));
+    });
+  } else if (parts.size() == 3 && method == "DELETE") {
+    EndProgram(exchange);
+  } else if (parts.size() == 4 && below == "history" && method == "GET") {
+    WithProgram(exchange, exchange.program, [responder](const ledger::ProgramRecord& program) {
+      responder->Send(JsonResponse(200, Dump(DescribeHistory(program))));
+    });
+  } else if (parts.size() == 4 && below == "calls" && method == "POST") {
+    StartCall(exchange, active);
+  } else if (parts.size() == 5 && below == "calls" && method == "GET") {
+    WithProgram(exchange, exchange.program,
+                [responder, key = CallKey(parts[4])](const ledger::ProgramRecord& program) {
+                  const ledger::CallRecord* call = program.Find(key);
+                  responder->Send(call == nullptr ? Problem(404, "no such call", CallState::kNotRun)
+                                                  : JsonResponse(200, Dump(AnswerOf(*call))));
+                });
+  } else {
+    responder->Send(Problem(405, "no such method on this path", CallState::kNotRun));
+  }
+}
+
+void CallerApi::CreateProgram(const Exchange& exchange, const bundle::ActiveBundle& active) {
+  json body = json::parse(exchange.request.body, nullptr, /*allow_exceptions=*/false);
+  auto refuse = [&](int status, const std::string& title) {
+    exchange.responder->Send(Problem(status, title, CallState::kNotRun));
+  };
+  if (!body.is_object()) {
+    return refuse(400, "the body must be a JSON object");
+  }
+  for (const auto& [key, value] : body.items()) {
+    bool known = key == "partner" || key == "program" || key == "program_id" ||
+                 key == "parent_id" || key == "deadline_ms";
+    bool typed = key == "deadline_ms" ? value.is_number_integer() : value.is_string();
+    if (!known || !typed) {
+      return refuse(400, "field '" + key + "' is unknown or of the wrong type");
+    }
+  }
+  if (body.value("partner", "") != exchange.partner.value) {
+    return refuse(403, "the token is not one of the named partner");
+  }
+  const bundle::ProgramSpec* spec = active.bundle->FindProgram(body.value("program", ""));
+  if (spec == nullptr) {
+    return refuse(404, "the partner's bundle has no such program");
+  }
+  ledger::CreateProgram command;
+  command.partner = exchange.partner;
+  command.program_kind = spec->name;
+  command.limits = spec->limits;
+  command.epoch = active.epoch;
+  command.parent = ProgramId(body.value("parent_id", ""));
+  command.program = ProgramId(body.value("program_id", ""));
+  if (command.program.value.empty()) {
+    command.program = ProgramId(exchange.partner.value + "-" + std::to_string(random_.NextId()));
+  }
+  bool good_ids = IsIdentifier(command.program.value) &&
+                  (command.parent.value.empty() || IsIdentifier(command.parent.value));
+  if (!good_ids) {
+    return refuse(400, "ids must be 1 to 128 letters, digits or ._:-");
+  }
+  if (body.contains("deadline_ms")) {
+    std::int64_t deadline = body["deadline_ms"].get<std::int64_t>();
+    if (deadline < 1) {
+      return refuse(400, "'deadline_ms' must be a positive whole number");
+    }
+    command.limits.max_wall_ms = std::min(command.limits.max_wall_ms, deadline);
+  }
+  if (command.parent.value.empty()) {
+    SendCreate(exchange, std::move(command));
+    return;
+  }
+  WithProgram(exchange, command.parent,
+              [this, exchange, command](const ledger::ProgramRecord& parent) mutable {
+                command.inherited = parent.spent + parent.inherited;
+                SendCreate(exchange, std::move(command));
+              });
+}
+
+void CallerApi::SendCreate(const Exchange& exchange, ledger::CreateProgram command) {
+  ProgramId program = command.program;
+  host_.AskLedger(
+      host_.GroupOf(program), ledger::Operation(std::move(command)),
+      exchange.now + options_.ledger_patience,
+      [responder = exchange.responder, program](const LedgerAnswer& answer) {
+        if (answer.status != LedgerAnswer::Status::kAnswered) {
+          responder->Send(LedgerUnreachable(answer.status));
+          return;
+        }
+        json body = {{"program_id", program.value}};
+        switch (answer.reply.result.verdict) {
+          case ledger::Verdict::kDone:
+            responder->Send(JsonResponse(201, Dump(body)));
+            break;
+          case ledger::Verdict::kAlready:
+            responder->Send(JsonResponse(200, Dump(body)));
+            break;
+          case ledger::Verdict::kProgramConflict:
+            responder->Send(
+                Problem(409, "the program id is taken by another program", CallState::kNotRun));
+            break;
+          default:
+            responder->Send(Problem(503, "a newer bundle is in force and not yet known here",
+                                    CallState::kNotRun, kRetrySoonSeconds));
+            break;
+        }
+      });
+}
+
+void CallerApi::StartCall(const Exchange& exchange, const bundle::ActiveBundle& active) {
+  CallRequestContext context{exchange.partner, exchange.program, &active, exchange.now,
+                             options_.default_deadline};
+  CallRequest request = ReadCallRequest(exchange.request, context);
+  if (!request.spec) {
+    exchange.responder->Send(Problem(request.status, request.problem, CallState::kNotRun));
+    return;
+  }
+  std::shared_ptr<CallSink> sink;
+  if (request.stream) {
+    sink = std::make_shared<StreamSink>(exchange.responder);
+  } else {
+    sink = std::make_shared<WholeSink>(exchange.responder);
+  }
+  coordinator_.Start(exchange.now, *request.spec, std::move(sink));
+}
+
+void CallerApi::EndProgram(const Exchange& exchange) {
+  WithProgram(exchange, exchange.program, [this, exchange](const ledger::ProgramRecord& program) {
+    host_.AskLedger(
+        host_.GroupOf(program.id),
+        ledger::Operation(ledger::EndProgram{program.id, "ended by the caller"}),
+        exchange.now + options_.ledger_patience,
+        [responder = exchange.responder, id = program.id](const LedgerAnswer& answer) {
+          if (answer.status != LedgerAnswer::Status::kAnswered) {
+            responder->Send(LedgerUnreachable(answer.status));
+            return;
+          }
+          responder->Send(JsonResponse(200, Dump({{"program_id", id.value}, {"state", "ended"}})));
+        });
+  });
+}
+
+void CallerApi::WithProgram(const Exchange& exchange, const ProgramId& program,
+                            ProgramCallback then) {
+  host_.AskLedger(host_.GroupOf(program), ledger::ReadProgram{program},
+                  exchange.now + options_.ledger_patience,
+                  [responder = exchange.responder, partner = exchange.partner,
+                   then = std::move(then)](const LedgerAnswer& answer) {
+                    if (answer.status != LedgerAnswer::Status::kAnswered) {
+                      responder->Send(LedgerUnreachable(answer.status));
+                      return;
+                    }
+                    const auto& found = answer.reply.program;
+                    if (!found || found->partner != partner) {
+                      responder->Send(Problem(404, "no such program", CallState::kNotRun));
+                      return;
+                    }
+                    then(*found);
+                  });
+}
+
+}  // namespace martenyard::gateway
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,229 @@
+#include "http/client.h"
+
+#include <curl/curl.h>
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace martenyard::http {
+namespace {
+
+constexpr int kPollMilliseconds = 1000;
+constexpr long kMaxIdleConnections = 256;
+
+/// One transfer, owned by the client's thread once it runs.
+struct Transfer {
+  TransferId id = 0;
+  ClientRequest request;
+  DataCallback on_data;
+  DoneCallback on_done;
+  ClientResult result;
+  CURL* handle = nullptr;
+  curl_slist* headers = nullptr;
+
+  ~Transfer() {
+    if (handle != nullptr) {
+      curl_easy_cleanup(handle);
+    }
+    curl_slist_free_all(headers);
+  }
+};
+
+std::size_t ReceiveBody(char* data, std::size_t size, std::size_t count, void* context) {
+  auto& transfer = *static_cast<Transfer*>(context);
+  std::string_view chunk(data, size * count);
+  if (transfer.on_data) {
+    transfer.on_data(chunk);
+  } else {
+    transfer.result.body.append(chunk);
+  }
+  return chunk.size();
+}
+
+void Configure(Transfer& transfer) {
+  const ClientRequest& request = transfer.request;
+  CURL* handle = curl_easy_init();
+  transfer.handle = handle;
+  for (const std::string& line : request.headers) {
+    transfer.headers = curl_slist_append(transfer.headers, line.c_str());
+  }
+  transfer.headers = curl_slist_append(transfer.headers, "Expect:");
+  curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers);
+  if (!request.body.empty() || request.method == "POST") {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.c_str());
+  }
+  if (request.timeout != absl::InfiniteDuration()) {
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(absl::ToInt64Milliseconds(request.timeout)));
+  }
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(absl::ToInt64Milliseconds(request.connect_timeout)));
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &ReceiveBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+  curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
+}
+
+void Complete(Transfer& transfer, CURLcode code) {
+  long status = 0;
+  long request_bytes = 0;
+  curl_off_t retry_after = 0;
+  curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo(transfer.handle, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo(transfer.handle, CURLINFO_RETRY_AFTER, &retry_after);
+  transfer.result.status = static_cast<int>(status);
+  transfer.result.connected = request_bytes > 0;
+  if (retry_after > 0) {
+    transfer.result.retry_after_seconds = static_cast<int>(retry_after);
+  }
+  if (code != CURLE_OK) {
+    transfer.result.error = curl_easy_strerror(code);
+  }
+  transfer.on_done(std::move(transfer.result));
+}
+
+class CurlClient : public Client {
+ public:
+  CurlClient() {
+    static const bool initialised = curl_global_init(CURL_GLOBAL_DEFAULT) == CURLE_OK;
+    (void)initialised;
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  ~CurlClient() override {
+    {
+      std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    curl_multi_cleanup(multi_);
+  }
+
+  TransferId Start(ClientRequest request, DataCallback on_data, DoneCallback on_done) override {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->request = std::move(request);
+    transfer->on_data = std::move(on_data);
+    transfer->on_done = std::move(on_done);
+    TransferId id = 0;
+    {
+      std::lock_guard lock(mutex_);
+      id = ++last_id_;
+      transfer->id = id;
+      starting_.push_back(std::move(transfer));
+    }
+    curl_multi_wakeup(multi_);
+    return id;
+  }
+
+  void Cancel(TransferId id) override {
+    {
+      std::lock_guard lock(mutex_);
+      cancelling_.push_back(id);
+    }
+    curl_multi_wakeup(multi_);
+  }
+
+ private:
+  void Run() {
+    while (TakeRequests()) {
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      FinishTransfers();
+      curl_multi_poll(multi_, nullptr, 0, kPollMilliseconds, nullptr);
+    }
+    for (auto& [id, transfer] : running_) {
+      curl_multi_remove_handle(multi_, transfer->handle);
+    }
+    running_.clear();
+  }
+
+  /// Takes what other threads asked for. @return false when the client stops.
+  bool TakeRequests() {
+    std::deque<std::unique_ptr<Transfer>> starting;
+    std::deque<TransferId> cancelling;
+    {
+      std::lock_guard lock(mutex_);
+      if (stopping_) {
+        return false;
+      }
+      starting.swap(starting_);
+      cancelling.swap(cancelling_);
+    }
+    for (auto& transfer : starting) {
+      Configure(*transfer);
+      curl_multi_add_handle(multi_, transfer->handle);
+      running_.emplace(transfer->id, std::move(transfer));
+    }
+    for (TransferId id : cancelling) {
+      auto found = running_.find(id);
+      if (found != running_.end()) {
+        curl_multi_remove_handle(multi_, found->second->handle);
+        running_.erase(found);
+      }
+    }
+    return true;
+  }
+
+  void FinishTransfers() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      Transfer* transfer = nullptr;
+      CURLcode code = message->data.result;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      curl_multi_remove_handle(multi_, transfer->handle);
+      auto node = running_.extract(transfer->id);
+      Complete(*node.mapped(), code);
+    }
+  }
+
+  CURLM* multi_;
+  std::mutex mutex_;
+  bool stopping_ = false;
+  TransferId last_id_ = 0;
+  std::deque<std::unique_ptr<Transfer>> starting_;
+  std::deque<TransferId> cancelling_;
+  std::map<TransferId, std::unique_ptr<Transfer>> running_;  // Only the client's thread.
+  std::thread thread_;
+};
+
+}  // namespace
+
+ClientResult Client::Fetch(ClientRequest request) {
+  return FetchStreaming(std::move(request), nullptr);
+}
+
+ClientResult Client::FetchStreaming(ClientRequest request, DataCallback on_data) {
+  struct Waiter {
+    std::mutex mutex;
+    std::condition_variable ended;
+    std::optional<ClientResult> result;
+  };
+  auto waiter = std::make_shared<Waiter>();
+  Start(std::move(request), std::move(on_data), [waiter](ClientResult result) {
+    std::lock_guard lock(waiter->mutex);
+    waiter->result = std::move(result);
+    waiter->ended.notify_all();
+  });
+  std::unique_lock lock(waiter->mutex);
+  waiter->ended.wait(lock, [&] { return waiter->result.has_value(); });
+  return std::move(*waiter->result);
+}
+
+std::unique_ptr<Client> Client::Create() { return std::make_unique<CurlClient>(); }
+
+}  // namespace martenyard::http
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,59 @@
+// Asynchronous HTTP client over libcurl: one thread drives every transfer.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+
+namespace martenyard::http {
+
+/// A request to send.
+struct ClientRequest {
+  std::string method = "GET";
+  std::string url;
+  std::vector<std::string> headers;  ///< Whole lines, "Name: value".
+  std::string body;
+  absl::Duration timeout = absl::Seconds(30);  ///< For the whole transfer; infinite allowed.
+  absl::Duration connect_timeout = absl::Seconds(1);
+};
+
+/// How a transfer ended. `status` is 0 when no answer came.
+struct ClientResult {
+  int status = 0;
+  std::string body;        ///< Empty when a data callback took it.
+  std::string error;       ///< Empty when the whole answer arrived.
+  bool connected = false;  ///< False: the request surely never left this machine.
+  std::optional<int> retry_after_seconds;
+
+  bool ok() const { return error.empty() && status >= 200 && status < 300; }
+};
+
+using DataCallback = std::function<void(std::string_view)>;
+using DoneCallback = std::function<void(ClientResult)>;
+/// Names a transfer; ids are not used twice.
+using TransferId = std::uint64_t;
+
+/// Runs transfers. Callbacks run on the client's own thread, in order, `on_done` exactly once and
+/// last, unless the transfer was cancelled: then none runs after `Cancel` took effect.
+class Client {
+ public:
+  virtual ~Client() = default;
+  /// Thread-safe. `on_data` may be empty: then the body is gathered into the result.
+  virtual TransferId Start(ClientRequest request, DataCallback on_data, DoneCallback on_done) = 0;
+  /// Thread-safe; ends the transfer soon. Unknown ids are ignored.
+  virtual void Cancel(TransferId id) = 0;
+  /// Starts a transfer and waits for its end. Not to be called from a callback.
+  ClientResult Fetch(ClientRequest request);
+  /// The same, with the body handed to `on_data` on the client's thread as it comes.
+  ClientResult FetchStreaming(ClientRequest request, DataCallback on_data);
+
+  static std::unique_ptr<Client> Create();
+};
+
+}  // namespace martenyard::http
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,339 @@
+#include "http/server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <cstring>
+#include <mutex>
+#include <set>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+
+namespace martenyard::http {
+namespace {
+
+constexpr std::size_t kStreamBlockBytes = 16384;
+
+/// The state of one request from its first header to the last byte of its answer.
+///
+/// Invariant: `connection_` is suspended exactly while `suspended_` is true; both change under
+/// `mutex_`, so a resume can't overtake the suspend it answers.
+class Exchange : public Responder {
+ public:
+  explicit Exchange(MHD_Connection* connection) : connection_(connection) {}
+
+  void Send(Response response) override {
+    std::lock_guard lock(mutex_);
+    if (state_ != State::kWaiting) {
+      return;
+    }
+    response_ = std::move(response);
+    state_ = State::kWhole;
+    ResumeLocked();
+  }
+
+  void StartStream(int status, std::map<std::string, std::string> headers) override {
+    std::lock_guard lock(mutex_);
+    if (state_ != State::kWaiting) {
+      return;
+    }
+    response_.status = status;
+    response_.headers = std::move(headers);
+    state_ = State::kStreaming;
+    ResumeLocked();
+  }
+
+  void Write(std::string chunk) override {
+    std::lock_guard lock(mutex_);
+    if (state_ != State::kStreaming) {
+      return;
+    }
+    response_.body += chunk;
+    ResumeLocked();
+  }
+
+  void Finish() override {
+    std::lock_guard lock(mutex_);
+    if (state_ != State::kStreaming) {
+      return;
+    }
+    state_ = State::kStreamEnded;
+    ResumeLocked();
+  }
+
+  void Cut() override {
+    std::lock_guard lock(mutex_);
+    if (state_ != State::kWaiting && state_ != State::kStreaming) {
+      return;
+    }
+    state_ = State::kCut;
+    ResumeLocked();
+  }
+
+  void OnDisconnect(std::function<void()> callback) override {
+    std::unique_lock lock(mutex_);
+    if (connection_ != nullptr) {
+      on_disconnect_ = std::move(callback);
+      return;
+    }
+    lock.unlock();
+    callback();
+  }
+
+  /// Queues the answer if there is one, else suspends the connection until there is.
+  MHD_Result QueueOrSuspend(const std::shared_ptr<Exchange>& self) {
+    std::lock_guard lock(mutex_);
+    if (state_ == State::kWaiting) {
+      MHD_suspend_connection(connection_);
+      suspended_ = true;
+      return MHD_YES;
+    }
+    MHD_Response* response = nullptr;
+    if (state_ == State::kWhole) {
+      response = MHD_create_response_from_buffer(response_.body.size(), response_.body.data(),
+                                                 MHD_RESPMEM_MUST_COPY);
+    } else {
+      response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, kStreamBlockBytes, &ReadStream,
+                                                   new std::shared_ptr<Exchange>(self),
+                                                   &FreeStreamReference);
+    }
+    for (const auto& [name, value] : response_.headers) {
+      MHD_add_response_header(response, name.c_str(), value.c_str());
+    }
+    MHD_Result queued =
+        MHD_queue_response(connection_, static_cast<unsigned>(response_.status), response);
+    MHD_destroy_response(response);
+    return queued;
+  }
+
+  /// The connection is done with this exchange; tells the owner if the answer was cut short.
+  void Detach(bool complete) {
+    std::function<void()> callback;
+    {
+      std::lock_guard lock(mutex_);
+      connection_ = nullptr;
+      suspended_ = false;
+      if (!complete || state_ == State::kWaiting || state_ == State::kStreaming) {
+        callback = std::move(on_disconnect_);
+      }
+      state_ = State::kGone;
+    }
+    if (callback) {
+      callback();
+    }
+  }
+
+  /// Ends the answer because the server stops.
+  void Abort() {
+    Response response;
+    response.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+    Send(std::move(response));
+    Finish();
+  }
+
+  std::string& request_body() { return request_body_; }
+  bool body_too_large = false;
+  bool handled = false;
+
+ private:
+  enum class State { kWaiting, kWhole, kStreaming, kStreamEnded, kCut, kGone };
+
+  void ResumeLocked() {
+    if (suspended_ && connection_ != nullptr) {
+      suspended_ = false;
+      MHD_resume_connection(connection_);
+    }
+  }
+
+  static ssize_t ReadStream(void* reference, std::uint64_t /*position*/, char* buffer,
+                            std::size_t size) {
+    Exchange& self = **static_cast<std::shared_ptr<Exchange>*>(reference);
+    std::lock_guard lock(self.mutex_);
+    if (!self.response_.body.empty()) {
+      std::size_t count = std::min(size, self.response_.body.size());
+      std::memcpy(buffer, self.response_.body.data(), count);
+      self.response_.body.erase(0, count);
+      return static_cast<ssize_t>(count);
+    }
+    if (self.state_ == State::kStreaming) {
+      MHD_suspend_connection(self.connection_);
+      self.suspended_ = true;
+      return 0;
+    }
+    return self.state_ == State::kCut ? MHD_CONTENT_READER_END_WITH_ERROR
+                                      : MHD_CONTENT_READER_END_OF_STREAM;
+  }
+
+  static void FreeStreamReference(void* reference) {
+    delete static_cast<std::shared_ptr<Exchange>*>(reference);
+  }
+
+  std::mutex mutex_;
+  MHD_Connection* connection_;
+  State state_ = State::kWaiting;
+  bool suspended_ = false;
+  Response response_;
+  std::string request_body_;
+  std::function<void()> on_disconnect_;
+};
+
+MHD_Result CollectPair(void* target, MHD_ValueKind kind, const char* name, const char* value) {
+  auto& pairs = *static_cast<std::map<std::string, std::string>*>(target);
+  std::string key = kind == MHD_HEADER_KIND ? absl::AsciiStrToLower(name) : std::string(name);
+  pairs[key] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+class MicrohttpdServer : public Server {
+ public:
+  MicrohttpdServer(const ServerOptions& options, Handler handler)
+      : options_(options), handler_(std::move(handler)) {}
+
+  ~MicrohttpdServer() override { Stop(); }
+
+  bool Listen() {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(options_.port);
+    if (inet_pton(AF_INET, options_.address.c_str(), &address.sin_addr) != 1) {
+      return false;
+    }
+    daemon_ = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TCP_FASTOPEN,
+        options_.port, nullptr, nullptr, &Accept, this, MHD_OPTION_SOCK_ADDR, &address,
+        MHD_OPTION_THREAD_POOL_SIZE, options_.threads, MHD_OPTION_CONNECTION_LIMIT,
+        options_.max_connections, MHD_OPTION_NOTIFY_COMPLETED, &Completed, this, MHD_OPTION_END);
+    return daemon_ != nullptr;
+  }
+
+  std::uint16_t port() const override {
+    const MHD_DaemonInfo* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT);
+    return info == nullptr ? options_.port : info->port;
+  }
+
+  void Stop() override {
+    if (daemon_ == nullptr) {
+      return;
+    }
+    std::set<std::shared_ptr<Exchange>> live;
+    {
+      std::lock_guard lock(mutex_);
+      stopping_ = true;
+      live = live_;
+    }
+    for (const auto& exchange : live) {
+      exchange->Abort();
+    }
+    MHD_stop_daemon(daemon_);
+    daemon_ = nullptr;
+  }
+
+ private:
+  static MHD_Result Accept(void* server, MHD_Connection* connection, const char* url,
+                           const char* method, const char* /*version*/, const char* upload,
+                           std::size_t* upload_size, void** context) {
+    auto& self = *static_cast<MicrohttpdServer*>(server);
+    auto* reference = static_cast<std::shared_ptr<Exchange>*>(*context);
+    if (reference == nullptr) {
+      auto exchange = std::make_shared<Exchange>(connection);
+      *context = new std::shared_ptr<Exchange>(exchange);
+      std::lock_guard lock(self.mutex_);
+      self.live_.insert(exchange);
+      return MHD_YES;
+    }
+    std::shared_ptr<Exchange> exchange = *reference;
+    if (*upload_size > 0) {
+      self.CollectBody(*exchange, upload, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+    if (!exchange->handled) {
+      exchange->handled = true;
+      self.Dispatch(connection, url, method, exchange);
+    }
+    return exchange->QueueOrSuspend(exchange);
+  }
+
+  void CollectBody(Exchange& exchange, const char* upload, std::size_t size) const {
+    if (exchange.request_body().size() + size > options_.max_body_bytes) {
+      exchange.body_too_large = true;
+      return;
+    }
+    exchange.request_body().append(upload, size);
+  }
+
+  void Dispatch(MHD_Connection* connection, const char* url, const char* method,
+                const std::shared_ptr<Exchange>& exchange) {
+    bool stopping = false;
+    {
+      std::lock_guard lock(mutex_);
+      stopping = stopping_;
+    }
+    if (stopping) {
+      exchange->Abort();
+      return;
+    }
+    if (exchange->body_too_large) {
+      Response response;
+      response.status = MHD_HTTP_CONTENT_TOO_LARGE;
+      response.headers["Content-Type"] = "application/problem+json";
+      response.body = R"({"title":"body too large","status":413,"outcome":"not_run"})";
+      exchange->Send(std::move(response));
+      return;
+    }
+    Request request;
+    request.method = method;
+    request.path = url;
+    request.body = std::move(exchange->request_body());
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectPair, &request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &CollectPair, &request.query);
+    handler_(std::move(request), exchange);
+  }
+
+  static void Completed(void* server, MHD_Connection* /*connection*/, void** context,
+                        MHD_RequestTerminationCode code) {
+    auto& self = *static_cast<MicrohttpdServer*>(server);
+    auto* reference = static_cast<std::shared_ptr<Exchange>*>(*context);
+    if (reference == nullptr) {
+      return;
+    }
+    std::shared_ptr<Exchange> exchange = std::move(*reference);
+    delete reference;
+    *context = nullptr;
+    {
+      std::lock_guard lock(self.mutex_);
+      self.live_.erase(exchange);
+    }
+    exchange->Detach(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+  }
+
+  ServerOptions options_;
+  Handler handler_;
+  MHD_Daemon* daemon_ = nullptr;
+  std::mutex mutex_;
+  bool stopping_ = false;
+  std::set<std::shared_ptr<Exchange>> live_;
+};
+
+}  // namespace
+
+std::string Request::Header(const std::string& name) const {
+  auto found = headers.find(name);
+  return found == headers.end() ? "" : found->second;
+}
+
+Result<std::unique_ptr<Server>> Server::Start(const ServerOptions& options, Handler handler) {
+  auto server = std::make_unique<MicrohttpdServer>(options, std::move(handler));
+  if (!server->Listen()) {
+    return leaf::new_error(
+        HttpError{HttpError::Code::kCannotListen, "cannot listen on " + options.address + ":" +
+                                                      std::to_string(options.port) + ": " +
+                                                      std::strerror(errno)});
+  }
+  return std::unique_ptr<Server>(std::move(server));
+}
+
+}  // namespace martenyard::http
--- /dev/null
+++ b/src/ledger/group_replica.cc
@@ -0,0 +1,419 @@
+#include "ledger/group_replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace martenyard::ledger {
+namespace {
+
+constexpr absl::Duration kExpiryCheckInterval = absl::Seconds(1);
+constexpr std::size_t kExpiriesPerCheck = 64;
+
+}  // namespace
+
+GroupReplica::GroupReplica(GroupId group, NodeId self, const GroupOptions& options,
+                           consensus::RestoredState restored, std::uint64_t seed, absl::Time now)
+    : group_(group),
+      self_(self),
+      options_(options),
+      raft_(self, options.raft, restored, seed, now),
+      now_(now) {
+  const consensus::Snapshot& snapshot = restored.snapshot;
+  if (snapshot.index > 0) {
+    ledger_.Restore(snapshot.data);
+    snapshot_bytes_ = snapshot.data.size();
+  }
+  applied_ = snapshot.index;
+  applied_term_ = snapshot.term;
+}
+
+void GroupReplica::Tick(absl::Time now) {
+  now_ = std::max(now_, now);
+  raft_.Tick(now_);
+  WatchLeadership();
+  if (!LedgerIsCurrent()) {
+    return;
+  }
+  LapseSilentGrants();
+  if (now_ >= next_expiry_check_) {
+    next_expiry_check_ = now_ + kExpiryCheckInterval;
+    EndExpiredPrograms();
+  }
+}
+
+void GroupReplica::OnRaftMessage(absl::Time now, NodeId from,
+                                 const consensus::RaftMessage& message) {
+  now_ = std::max(now_, now);
+  raft_.Step(now_, from, message);
+  WatchLeadership();
+}
+
+// ---- Leadership ----
+
+void GroupReplica::WatchLeadership() {
+  if (raft_.IsLeader() && !was_leader_) {
+    was_leader_ = true;
+    leases_.clear();
+    lapsing_.clear();
+    next_expiry_check_ = now_;
+  } else if (!raft_.IsLeader() && was_leader_) {
+    was_leader_ = false;
+    FailPendingAfterLosingLead();
+  }
+}
+
+bool GroupReplica::LedgerIsCurrent() const {
+  return raft_.LeaderIsCurrent() && applied_ == raft_.commit_index();
+}
+
+void GroupReplica::FailPendingAfterLosingLead() {
+  for (const auto& [index, proposal] : proposals_) {
+    AnswerStatus(proposal.requester, ReplyStatus::kUncertain);
+  }
+  proposals_.clear();
+  for (const auto& [program, calls] : waiting_) {
+    for (const WaitingCall& call : calls) {
+      AnswerStatus(call.requester, ReplyStatus::kNotLeader);
+    }
+  }
+  waiting_.clear();
+  for (const auto& [id, read] : reads_) {
+    AnswerStatus(read.requester, ReplyStatus::kNotLeader);
+  }
+  reads_.clear();
+  leases_.clear();
+}
+
+void GroupReplica::LapseSilentGrants() {
+  for (const ProgramId& program : ledger_.running()) {
+    // A new leader does not know when it last heard of a grant: it gives each a whole lease.
+    auto lease = leases_.emplace(program, now_ + options_.grant_lease).first;
+    if (lease->second > now_ || lapsing_.contains(program)) {
+      continue;
+    }
+    const CallRecord* call = ledger_.Find(program)->Running();
+    lapsing_.insert(program);
+    Propose(Requester{}, LapseCall{Grant{program, call->key, call->attempt}});
+  }
+}
+
+void GroupReplica::EndExpiredPrograms() {
+  for (const ProgramId& program : ledger_.Expired(NowMillis(), kExpiriesPerCheck)) {
+    Propose(Requester{}, EndProgram{program, "expired"});
+  }
+}
+
+std::vector<ReleaseOrder> GroupReplica::DueReleases(std::size_t limit) const {
+  std::vector<ReleaseOrder> due;
+  if (!raft_.LeaderIsCurrent()) {
+    return due;
+  }
+  for (const auto& [id, order] : ledger_.outbox()) {
+    if (due.size() >= limit) {
+      break;
+    }
+    due.push_back(order);
+  }
+  return due;
+}
+
+// ---- Requests ----
+
+void GroupReplica::OnRequest(absl::Time now, NodeId from, const LedgerRequest& request) {
+  now_ = std::max(now_, now);
+  Requester requester{from, request.request_id};
+  if (!raft_.IsLeader()) {
+    AnswerStatus(requester, ReplyStatus::kNotLeader);
+    return;
+  }
+  if (proposals_.size() + reads_.size() >= options_.max_pending) {
+    AnswerStatus(requester, ReplyStatus::kOverloaded);
+    return;
+  }
+  if (const auto* operation = std::get_if<Operation>(&request.body)) {
+    OnOperation(requester, *operation);
+  } else if (const auto* read = std::get_if<ReadProgram>(&request.body)) {
+    OnRead(requester, *read);
+  } else if (const auto* renew = std::get_if<RenewGrants>(&request.body)) {
+    OnRenew(requester, from, *renew);
+  } else if (const auto* check = std::get_if<CheckPrograms>(&request.body)) {
+    OnCheck(requester, *check);
+  }
+}
+
+void GroupReplica::OnOperation(const Requester& requester, const Operation& operation) {
+  const auto* begin = std::get_if<BeginCall>(&operation);
+  if (begin != nullptr && MustWait(*begin)) {
+    EnqueueCall(requester, *begin);
+    return;
+  }
+  Propose(requester, operation);
+}
+
+bool GroupReplica::MustWait(const BeginCall& command) const {
+  const ProgramRecord* program = ledger_.Find(command.program);
+  if (program == nullptr) {
+    return false;
+  }
+  const CallRecord* running = program->Running();
+  bool own_call =
+      running != nullptr && running->key == command.key && running->gateway == command.gateway;
+  if (own_call) {
+    return false;
+  }
+  if (running != nullptr) {
+    // A finished call's stored answer needs no turn.
+    const CallRecord* existing = program->Find(command.key);
+    return existing == nullptr || existing->state == CallState::kRunning;
+  }
+  // Nothing runs now, but earlier arrivals go first.
+  auto queue = waiting_.find(command.program);
+  return queue != waiting_.end() && !queue->second.empty();
+}
+
+void GroupReplica::EnqueueCall(const Requester& requester, const BeginCall& command) {
+  auto& queue = waiting_[command.program];
+  for (WaitingCall& waiting : queue) {
+    bool repeated = waiting.requester.node == requester.node && waiting.command.key == command.key;
+    if (repeated) {
+      waiting.requester = requester;
+      return;
+    }
+  }
+  if (queue.size() >= options_.max_waiting_calls) {
+    LedgerReply reply;
+    reply.result.verdict = Verdict::kBusy;
+    Answer(requester, std::move(reply));
+    return;
+  }
+  queue.push_back({requester, command});
+}
+
+void GroupReplica::ProposeOwn(Operation operation) { Propose(Requester{}, std::move(operation)); }
+
+bool GroupReplica::Propose(const Requester& requester, Operation operation) {
+  Command command{NowMillis(), std::move(operation)};
+  auto index = raft_.Propose(consensus::EntryKind::kCommand, wire::Encode(command));
+  if (!index) {
+    AnswerStatus(requester, ReplyStatus::kNotLeader);
+    return false;
+  }
+  proposals_[*index] = {raft_.term(), requester};
+  return true;
+}
+
+void GroupReplica::OnRead(const Requester& requester, const ReadProgram& read) {
+  ++last_read_id_;
+  reads_[last_read_id_] = {requester, read, std::nullopt};
+  if (!raft_.RequestRead(last_read_id_)) {
+    reads_.erase(last_read_id_);
+    AnswerStatus(requester, ReplyStatus::kNotLeader);
+  }
+}
+
+void GroupReplica::OnRenew(const Requester& requester, NodeId from, const RenewGrants& renew) {
+  LedgerReply reply;
+  if (!LedgerIsCurrent()) {
+    AnswerStatus(requester, ReplyStatus::kNotLeader);
+    return;
+  }
+  for (const Grant& grant : renew.grants) {
+    const ProgramRecord* program = ledger_.Find(grant.program);
+    const CallRecord* running = program == nullptr ? nullptr : program->Running();
+    bool held = running != nullptr && running->key == grant.key &&
+                running->attempt == grant.attempt && running->gateway == from;
+    if (held) {
+      leases_[grant.program] = now_ + options_.grant_lease;
+    } else {
+      reply.grants_lost.push_back(grant);
+    }
+  }
+  Answer(requester, std::move(reply));
+}
+
+void GroupReplica::OnCheck(const Requester& requester, const CheckPrograms& check) {
+  // A stale "over" would drop a live program's context: speed, not correctness. No read round.
+  LedgerReply reply;
+  if (!LedgerIsCurrent()) {
+    AnswerStatus(requester, ReplyStatus::kNotLeader);
+    return;
+  }
+  for (const ProgramId& id : check.programs) {
+    const ProgramRecord* program = ledger_.Find(id);
+    if (program == nullptr || program->ended) {
+      reply.programs_over.push_back(id);
+    }
+  }
+  Answer(requester, std::move(reply));
+}
+
+// ---- Applying ----
+
+bool GroupReplica::HasWork() const { return raft_.HasReady() || !replies_.empty(); }
+
+std::optional<consensus::Snapshot> GroupReplica::Apply(const consensus::Ready& ready) {
+  if (ready.snapshot_to_install) {
+    const consensus::Snapshot& snapshot = *ready.snapshot_to_install;
+    ledger_.Restore(snapshot.data);
+    applied_ = snapshot.index;
+    applied_term_ = snapshot.term;
+    log_bytes_ = 0;
+    snapshot_bytes_ = snapshot.data.size();
+  }
+  for (const consensus::Entry& entry : ready.committed) {
+    ApplyEntry(entry);
+  }
+  for (const consensus::ReadyRead& read : ready.reads) {
+    auto found = reads_.find(read.read_id);
+    if (found != reads_.end()) {
+      found->second.serve_at = read.index;
+    }
+  }
+  ServeReads();
+  return SnapshotIfDue();
+}
+
+void GroupReplica::ApplyEntry(const consensus::Entry& entry) {
+  applied_ = entry.index;
+  applied_term_ = entry.term;
+  log_bytes_ += entry.payload.size();
+  auto proposal = proposals_.extract(entry.index);
+  if (entry.kind != consensus::EntryKind::kCommand) {
+    return;
+  }
+  auto command = wire::Decode<Command>(entry.payload);
+  if (!command) {
+    return;  // Every replica skips it alike.
+  }
+  ApplyResult result = ledger_.Apply(*command);
+  AfterCommand(*command, result);
+  if (proposal.empty()) {
+    return;
+  }
+  const auto* begin = std::get_if<BeginCall>(&command->operation);
+  if (begin != nullptr && raft_.IsLeader() && LostRaceToBegin(result)) {
+    waiting_[begin->program].push_front({proposal.mapped().requester, *begin});
+    return;
+  }
+  if (proposal.mapped().term != entry.term) {
+    AnswerStatus(proposal.mapped().requester, ReplyStatus::kUncertain);
+    return;
+  }
+  LedgerReply reply;
+  reply.result = std::move(result);
+  Answer(proposal.mapped().requester, std::move(reply));
+}
+
+bool GroupReplica::LostRaceToBegin(const ApplyResult& result) {
+  bool same_key_elsewhere = result.verdict == Verdict::kAlready && result.call &&
+                            result.call->state == CallState::kRunning;
+  return result.verdict == Verdict::kBusy || same_key_elsewhere;
+}
+
+void GroupReplica::AfterCommand(const Command& command, const ApplyResult& result) {
+  if (!raft_.IsLeader()) {
+    return;
+  }
+  std::optional<ProgramId> settled;
+  if (const auto* begin = std::get_if<BeginCall>(&command.operation)) {
+    if (result.verdict == Verdict::kDone) {
+      leases_[begin->program] = now_ + options_.grant_lease;
+    } else {
+      settled = begin->program;  // A refused waiter must not block those behind it.
+    }
+  } else if (const auto* finish = std::get_if<FinishCall>(&command.operation)) {
+    settled = finish->grant.program;
+  } else if (const auto* lapse = std::get_if<LapseCall>(&command.operation)) {
+    lapsing_.erase(lapse->grant.program);
+    settled = lapse->grant.program;
+  } else if (const auto* end = std::get_if<EndProgram>(&command.operation)) {
+    settled = end->program;
+  }
+  if (settled) {
+    if (!ledger_.running().contains(*settled)) {
+      leases_.erase(*settled);
+    }
+    WakeWaiting(*settled);
+  }
+}
+
+void GroupReplica::WakeWaiting(const ProgramId& program) {
+  auto queue = waiting_.find(program);
+  if (queue == waiting_.end() || ledger_.running().contains(program)) {
+    return;
+  }
+  WaitingCall next = std::move(queue->second.front());
+  queue->second.pop_front();
+  bool proposed = Propose(next.requester, std::move(next.command));
+  if (!proposed) {
+    for (const WaitingCall& call : queue->second) {
+      AnswerStatus(call.requester, ReplyStatus::kNotLeader);
+    }
+  }
+  if (!proposed || queue->second.empty()) {
+    waiting_.erase(queue);
+  }
+}
+
+void GroupReplica::ServeReads() {
+  for (auto read = reads_.begin(); read != reads_.end();) {
+    if (!read->second.serve_at || *read->second.serve_at > applied_) {
+      ++read;
+      continue;
+    }
+    LedgerReply reply;
+    const ProgramRecord* program = ledger_.Find(read->second.read.program);
+    if (program == nullptr) {
+      reply.result.verdict = Verdict::kUnknownProgram;
+    } else {
+      reply.program = *program;
+    }
+    Answer(read->second.requester, std::move(reply));
+    read = reads_.erase(read);
+  }
+}
+
+std::optional<consensus::Snapshot> GroupReplica::SnapshotIfDue() {
+  // Waiting for as many log bytes as the state has keeps the cost per command constant.
+  if (log_bytes_ < std::max(options_.snapshot_log_bytes, snapshot_bytes_)) {
+    return std::nullopt;
+  }
+  if (!raft_.ConfigurationIsCommitted()) {
+    return std::nullopt;
+  }
+  consensus::Snapshot snapshot;
+  snapshot.index = applied_;
+  snapshot.term = applied_term_;
+  snapshot.configuration = raft_.configuration();
+  snapshot.data = ledger_.Serialize();
+  log_bytes_ = 0;
+  snapshot_bytes_ = snapshot.data.size();
+  raft_.Compact(snapshot);
+  return snapshot;
+}
+
+std::vector<ReplyTo> GroupReplica::TakeReplies() {
+  std::vector<ReplyTo> taken = std::move(replies_);
+  replies_.clear();
+  return taken;
+}
+
+void GroupReplica::Answer(const Requester& requester, LedgerReply reply) {
+  if (requester.node == kNoNode) {
+    return;
+  }
+  reply.request_id = requester.request_id;
+  reply.group = group_;
+  reply.leader = raft_.leader();
+  replies_.push_back({requester.node, std::move(reply)});
+}
+
+void GroupReplica::AnswerStatus(const Requester& requester, ReplyStatus status) {
+  LedgerReply reply;
+  reply.status = status;
+  Answer(requester, std::move(reply));
+}
+
+}  // namespace martenyard::ledger
--- /dev/null
+++ b/src/ledger/group_replica.h
@@ -0,0 +1,129 @@
+// One group's replica: the replicated log, its ledger, and the leader's duties (turn queue, grant
+// leases, expiry). Decision code only.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "consensus/raft.h"
+#include "ledger/ledger.h"
+#include "ledger/messages.h"
+#include "storage/log_store.h"
+
+namespace martenyard::ledger {
+
+/// Tunables of a group replica.
+struct GroupOptions {
+  consensus::RaftOptions raft;
+  absl::Duration grant_lease = absl::Seconds(3);  ///< A gateway silent for this long lost its call.
+  std::size_t max_waiting_calls = 16;             ///< Calls of one program waiting for their turn.
+  std::size_t max_pending = 20000;                ///< Commands and reads under way at one leader.
+  std::uint64_t snapshot_log_bytes = std::uint64_t{4} << 20;  ///< Or the last snapshot's size.
+};
+
+/// An answer to one requester.
+struct ReplyTo {
+  NodeId to;
+  LedgerReply reply;
+};
+
+class GroupReplica {
+ public:
+  GroupReplica(GroupId group, NodeId self, const GroupOptions& options,
+               consensus::RestoredState restored, std::uint64_t seed, absl::Time now);
+
+  void Tick(absl::Time now);
+  void OnRaftMessage(absl::Time now, NodeId from, const consensus::RaftMessage& message);
+  void OnRequest(absl::Time now, NodeId from, const LedgerRequest& request);
+  /// Proposes what the leader itself decides, such as acknowledged releases.
+  void ProposeOwn(Operation operation);
+
+  /// True when `TakeWork` has something to store, send or apply.
+  bool HasWork() const;
+  /// Takes what to store now; the owner stores it, sends the messages and calls `Applied`.
+  consensus::Ready TakeReady() { return raft_.TakeReady(); }
+  /// Applies what `ready` committed. @return a snapshot to store, if one is due.
+  std::optional<consensus::Snapshot> Apply(const consensus::Ready& ready);
+  std::vector<ReplyTo> TakeReplies();
+
+  consensus::Raft& raft() { return raft_; }
+  const consensus::Raft& raft() const { return raft_; }
+  const Ledger& ledger() const { return ledger_; }
+  GroupId group() const { return group_; }
+  /// Leader only: contexts to release, to be acknowledged by `ProposeOwn(AcknowledgeRelease)`.
+  std::vector<ReleaseOrder> DueReleases(std::size_t limit) const;
+
+ private:
+  struct Requester {
+    NodeId node;
+    std::uint64_t request_id = 0;
+    friend auto operator<=>(const Requester&, const Requester&) = default;
+  };
+  struct Proposal {
+    consensus::Term term = 0;
+    Requester requester;
+  };
+  struct WaitingCall {
+    Requester requester;
+    BeginCall command;
+  };
+
+  void OnOperation(const Requester& requester, const Operation& operation);
+  bool MustWait(const BeginCall& command) const;
+  void EnqueueCall(const Requester& requester, const BeginCall& command);
+  /// @return false when nothing was proposed; the requester has then been told.
+  bool Propose(const Requester& requester, Operation operation);
+  void OnRead(const Requester& requester, const ReadProgram& read);
+  void OnRenew(const Requester& requester, NodeId from, const RenewGrants& renew);
+  void OnCheck(const Requester& requester, const CheckPrograms& check);
+  void ApplyEntry(const consensus::Entry& entry);
+  /// True when a proposed call found another one under way: it waits like a later arrival.
+  static bool LostRaceToBegin(const ApplyResult& result);
+  void AfterCommand(const Command& command, const ApplyResult& result);
+  void WakeWaiting(const ProgramId& program);
+  void ServeReads();
+  void FailPendingAfterLosingLead();
+  void WatchLeadership();
+  /// True when this leader's ledger holds all that was ever committed.
+  bool LedgerIsCurrent() const;
+  void LapseSilentGrants();
+  void EndExpiredPrograms();
+  std::optional<consensus::Snapshot> SnapshotIfDue();
+  void Answer(const Requester& requester, LedgerReply reply);
+  void AnswerStatus(const Requester& requester, ReplyStatus status);
+  UnixMillis NowMillis() const { return absl::ToUnixMillis(now_); }
+
+  GroupId group_;
+  NodeId self_;
+  GroupOptions options_;
+  consensus::Raft raft_;
+  Ledger ledger_;
+  absl::Time now_;
+
+  consensus::LogIndex applied_ = 0;
+  consensus::Term applied_term_ = 0;
+  std::uint64_t log_bytes_ = 0;       // Applied since the last snapshot.
+  std::uint64_t snapshot_bytes_ = 0;  // The last snapshot's size.
+
+  bool was_leader_ = false;
+  absl::Time next_expiry_check_;
+  std::map<consensus::LogIndex, Proposal> proposals_;
+  std::map<ProgramId, std::deque<WaitingCall>> waiting_;
+  std::map<ProgramId, absl::Time> leases_;  // When each running call's gateway counts as gone.
+  std::set<ProgramId> lapsing_;             // Lapse proposed, not yet applied.
+  std::uint64_t last_read_id_ = 0;
+  struct PendingRead {
+    Requester requester;
+    ReadProgram read;
+    std::optional<consensus::LogIndex> serve_at;
+  };
+  std::map<std::uint64_t, PendingRead> reads_;
+  std::vector<ReplyTo> replies_;
+};
+
+}  // namespace martenyard::ledger
--- /dev/null
+++ b/src/ledger/ledger.cc
@@ -0,0 +1,383 @@
+#include "ledger/ledger.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace martenyard::ledger {
+namespace {
+
+/// A program that ended is kept this long, so that callers can still fetch answers.
+constexpr std::int64_t kKeepEndedMs = std::int64_t{24} * 3600 * 1000;
+
+ApplyResult Refuse(Verdict verdict) {
+  ApplyResult result;
+  result.verdict = verdict;
+  return result;
+}
+
+ApplyResult WithCall(Verdict verdict, const CallRecord& call) {
+  ApplyResult result;
+  result.verdict = verdict;
+  result.call = call;
+  return result;
+}
+
+ApplyResult Begun(const ProgramRecord& program, const CallRecord& call) {
+  ApplyResult result = WithCall(Verdict::kDone, call);
+  result.partner = program.partner;
+  result.program_kind = program.program_kind;
+  result.attained = program.spent + program.inherited;
+  result.engines = program.engines;
+  for (const CallRecord& earlier : program.calls) {
+    if (earlier.sequence < call.sequence && earlier.state == CallState::kRan) {
+      result.history.push_back(earlier);
+    }
+  }
+  return result;
+}
+
+/// The state as it is stored in a snapshot.
+struct StoredLedger {
+  UnixMillis now_ms = 0;
+  std::uint64_t last_release_id = 0;
+  std::map<ProgramId, ProgramRecord> programs;
+  std::map<PartnerName, std::uint64_t> epochs;
+  std::map<std::uint64_t, ReleaseOrder> outbox;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(now_ms, last_release_id, programs, epochs, outbox);
+  }
+};
+
+}  // namespace
+
+const CallRecord* ProgramRecord::Find(const CallKey& key) const {
+  auto found = std::find_if(calls.rbegin(), calls.rend(),
+                            [&](const CallRecord& call) { return call.key == key; });
+  return found == calls.rend() ? nullptr : &*found;
+}
+
+const CallRecord* ProgramRecord::Running() const {
+  // Calls run one at a time, but a void key may stand behind the running call.
+  auto found = std::find_if(calls.rbegin(), calls.rend(), [](const CallRecord& call) {
+    return call.state == CallState::kRunning;
+  });
+  return found == calls.rend() ? nullptr : &*found;
+}
+
+UnixMillis ExpiryTime(const ProgramRecord& program) {
+  if (program.ended) {
+    return program.last_activity_ms + kKeepEndedMs;
+  }
+  UnixMillis idle_end = program.last_activity_ms + program.limits.idle_expiry_ms;
+  UnixMillis wall_end = program.created_ms + program.limits.max_wall_ms;
+  return std::min(idle_end, wall_end);
+}
+
+ApplyResult Ledger::Apply(const Command& command) {
+  now_ms_ = std::max(now_ms_, command.proposed_ms);
+  return std::visit([this](const auto& operation) { return On(operation); }, command.operation);
+}
+
+const ProgramRecord* Ledger::Find(const ProgramId& program) const {
+  auto found = programs_.find(program);
+  return found == programs_.end() ? nullptr : &found->second;
+}
+
+ProgramRecord* Ledger::FindMutable(const ProgramId& program) {
+  auto found = programs_.find(program);
+  return found == programs_.end() ? nullptr : &found->second;
+}
+
+std::vector<ProgramId> Ledger::Expired(UnixMillis now_ms, std::size_t limit) const {
+  std::vector<ProgramId> expired;
+  for (const auto& [when, program] : expiry_) {
+    if (when > now_ms || expired.size() >= limit) {
+      break;
+    }
+    if (!running_.contains(program)) {
+      expired.push_back(program);
+    }
+  }
+  return expired;
+}
+
+void Ledger::Touch(ProgramRecord& program) {
+  expiry_.erase({ExpiryTime(program), program.id});
+  program.last_activity_ms = now_ms_;
+  expiry_.insert({ExpiryTime(program), program.id});
+}
+
+ApplyResult Ledger::On(const CreateProgram& command) {
+  if (const ProgramRecord* existing = Find(command.program)) {
+    bool same = existing->partner == command.partner &&
+                existing->program_kind == command.program_kind &&
+                existing->parent == command.parent;
+    return Refuse(same ? Verdict::kAlready : Verdict::kProgramConflict);
+  }
+  std::uint64_t& epoch = epochs_[command.partner];
+  if (command.epoch < epoch) {
+    return Refuse(Verdict::kStaleEpoch);
+  }
+  epoch = command.epoch;
+  ProgramRecord program;
+  program.id = command.program;
+  program.partner = command.partner;
+  program.program_kind = command.program_kind;
+  program.parent = command.parent;
+  program.limits = command.limits;
+  program.inherited = command.inherited;
+  program.created_ms = now_ms_;
+  program.last_activity_ms = now_ms_;
+  expiry_.insert({ExpiryTime(program), program.id});
+  programs_.emplace(command.program, std::move(program));
+  return Refuse(Verdict::kDone);
+}
+
+std::optional<Verdict> Ledger::RefusalToBegin(const ProgramRecord& program,
+                                              const BeginCall& command) const {
+  if (program.ended) {
+    return Verdict::kProgramEnded;
+  }
+  const auto& kinds = command.permitted_kinds;
+  if (std::find(kinds.begin(), kinds.end(), program.program_kind) == kinds.end()) {
+    return Verdict::kNotAllowed;
+  }
+  auto epoch = epochs_.find(program.partner);
+  if (epoch != epochs_.end() && command.epoch < epoch->second) {
+    return Verdict::kStaleEpoch;
+  }
+  if (program.Running() != nullptr) {
+    return Verdict::kBusy;
+  }
+  if (now_ms_ >= program.created_ms + program.limits.max_wall_ms) {
+    return Verdict::kTooLong;
+  }
+  if (program.calls.size() >= program.limits.max_calls) {
+    return Verdict::kTooManyCalls;
+  }
+  if (program.history_bytes + command.turn.size() > program.limits.max_history_bytes) {
+    return Verdict::kHistoryFull;
+  }
+  if (program.spent + program.reserved + command.reserve > program.limits.budget_tokens) {
+    return Verdict::kBudgetExhausted;
+  }
+  return std::nullopt;
+}
+
+ApplyResult Ledger::On(const BeginCall& command) {
+  ProgramRecord* program = FindMutable(command.program);
+  if (program == nullptr || program->partner != command.partner) {
+    return Refuse(Verdict::kUnknownProgram);
+  }
+  if (const CallRecord* existing = program->Find(command.key)) {
+    return BeginAgain(*program, const_cast<CallRecord&>(*existing), command);
+  }
+  if (std::optional<Verdict> refusal = RefusalToBegin(*program, command)) {
+    return Refuse(*refusal);
+  }
+  std::uint64_t& epoch = epochs_[program->partner];
+  epoch = std::max(epoch, command.epoch);
+  CallRecord call;
+  call.key = command.key;
+  call.request_hash = command.request_hash;
+  call.sequence = static_cast<std::uint32_t>(program->calls.size()) + 1;
+  call.kind = command.kind;
+  call.repeatable = command.repeatable;
+  call.gateway = command.gateway;
+  call.reserved = command.reserve;
+  call.turn = command.turn;
+  program->reserved += command.reserve;
+  program->history_bytes += command.turn.size();
+  program->calls.push_back(std::move(call));
+  running_.insert(program->id);
+  Touch(*program);
+  return Begun(*program, program->calls.back());
+}
+
+ApplyResult Ledger::BeginAgain(ProgramRecord& program, CallRecord& call, const BeginCall& command) {
+  if (call.request_hash != command.request_hash) {
+    return Refuse(Verdict::kKeyReused);
+  }
+  if (call.state == CallState::kRunning && call.gateway == command.gateway) {
+    return Begun(program, call);  // The same gateway asks again because its answer was lost.
+  }
+  // Only the newest call may run again: a later turn may already build on the gap before it.
+  bool newest = std::none_of(program.calls.begin(), program.calls.end(), [&](const auto& other) {
+    return other.sequence > call.sequence && other.state != CallState::kNotRun;
+  });
+  if (call.state != CallState::kUnknown || !call.repeatable || !newest) {
+    return WithCall(Verdict::kAlready, call);
+  }
+  if (program.ended) {
+    return Refuse(Verdict::kProgramEnded);
+  }
+  if (program.spent + program.reserved + command.reserve > program.limits.budget_tokens) {
+    return WithCall(Verdict::kAlready, call);
+  }
+  call.state = CallState::kRunning;
+  ++call.attempt;
+  call.gateway = command.gateway;
+  call.reserved = command.reserve;
+  program.reserved += command.reserve;
+  running_.insert(program.id);
+  Touch(program);
+  return Begun(program, call);
+}
+
+CallRecord* Ledger::Granted(ProgramRecord& program, const Grant& grant) {
+  auto* call = const_cast<CallRecord*>(program.Find(grant.key));
+  bool current =
+      call != nullptr && call->state == CallState::kRunning && call->attempt == grant.attempt;
+  return current ? call : nullptr;
+}
+
+void Ledger::NoteEngine(ProgramRecord& program, const BackendName& engine) {
+  if (engine.value.empty()) {
+    return;
+  }
+  auto& engines = program.engines;
+  engines.erase(std::remove(engines.begin(), engines.end(), engine), engines.end());
+  engines.push_back(engine);  // The last is where the context is warmest.
+}
+
+void Ledger::Settle(ProgramRecord& program, CallRecord& call, CallState state, Tokens charge) {
+  program.reserved -= call.reserved;
+  program.spent += charge;
+  call.reserved = 0;
+  call.charged += charge;
+  call.state = state;
+  running_.erase(program.id);
+  Touch(program);
+}
+
+ApplyResult Ledger::On(const FinishCall& command) {
+  ProgramRecord* program = FindMutable(command.grant.program);
+  if (program == nullptr) {
+    return Refuse(Verdict::kUnknownProgram);
+  }
+  CallRecord* call = Granted(*program, command.grant);
+  if (call == nullptr) {
+    const CallRecord* stored = program->Find(command.grant.key);
+    bool repeated = stored != nullptr && stored->attempt == command.grant.attempt &&
+                    stored->state == command.outcome && stored->result == command.result;
+    return stored == nullptr
+               ? Refuse(Verdict::kStaleGrant)
+               : WithCall(repeated ? Verdict::kAlready : Verdict::kStaleGrant, *stored);
+  }
+  // Nobody can use more than was reserved; an unknown outcome is charged whole.
+  Tokens charge = std::clamp<Tokens>(command.used, 0, call->reserved);
+  if (command.outcome == CallState::kUnknown) {
+    charge = call->reserved;
+  }
+  if (command.outcome == CallState::kRan) {
+    call->result = command.result;
+    program->history_bytes += command.result.size();
+  }
+  NoteEngine(*program, command.engine);
+  Settle(*program, *call, command.outcome, charge);
+  return WithCall(Verdict::kDone, *call);
+}
+
+ApplyResult Ledger::On(const LapseCall& command) {
+  ProgramRecord* program = FindMutable(command.grant.program);
+  CallRecord* call = program == nullptr ? nullptr : Granted(*program, command.grant);
+  if (call == nullptr) {
+    return Refuse(Verdict::kStaleGrant);
+  }
+  Settle(*program, *call, CallState::kUnknown, call->reserved);
+  return WithCall(Verdict::kDone, *call);
+}
+
+ApplyResult Ledger::On(const VoidCall& command) {
+  ProgramRecord* program = FindMutable(command.program);
+  if (program == nullptr) {
+    return Refuse(Verdict::kUnknownProgram);
+  }
+  if (const CallRecord* existing = program->Find(command.key)) {
+    return WithCall(Verdict::kAlready, *existing);
+  }
+  CallRecord call;
+  call.key = command.key;
+  call.request_hash = command.request_hash;
+  call.sequence = static_cast<std::uint32_t>(program->calls.size()) + 1;
+  call.state = CallState::kNotRun;
+  program->calls.push_back(call);
+  return WithCall(Verdict::kDone, call);
+}
+
+ApplyResult Ledger::On(const EndProgram& command) {
+  ProgramRecord* program = FindMutable(command.program);
+  if (program == nullptr) {
+    return Refuse(Verdict::kUnknownProgram);
+  }
+  if (program->ended) {
+    // Ending an ended program after its keeping time forgets it.
+    if (now_ms_ >= ExpiryTime(*program)) {
+      expiry_.erase({ExpiryTime(*program), program->id});
+      programs_.erase(command.program);
+    }
+    return Refuse(Verdict::kAlready);
+  }
+  End(*program, command.reason);
+  return Refuse(Verdict::kDone);
+}
+
+void Ledger::End(ProgramRecord& program, const std::string& reason) {
+  if (const CallRecord* running = program.Running()) {
+    auto& call = const_cast<CallRecord&>(*running);
+    Settle(program, call, CallState::kUnknown, call.reserved);
+  }
+  expiry_.erase({ExpiryTime(program), program.id});
+  program.ended = true;
+  program.end_reason = reason;
+  program.last_activity_ms = now_ms_;
+  expiry_.insert({ExpiryTime(program), program.id});
+  for (const BackendName& engine : program.engines) {
+    ++last_release_id_;
+    outbox_[last_release_id_] = {last_release_id_, program.id, engine};
+  }
+  program.engines.clear();
+}
+
+ApplyResult Ledger::On(const AcknowledgeRelease& command) {
+  for (std::uint64_t id : command.ids) {
+    outbox_.erase(id);
+  }
+  return Refuse(Verdict::kDone);
+}
+
+std::string Ledger::Serialize() const {
+  StoredLedger stored;
+  stored.now_ms = now_ms_;
+  stored.last_release_id = last_release_id_;
+  stored.programs.insert(programs_.begin(), programs_.end());
+  stored.epochs = epochs_;
+  stored.outbox = outbox_;
+  return wire::Encode(stored);
+}
+
+bool Ledger::Restore(const std::string& data) {
+  auto stored = wire::Decode<StoredLedger>(data);
+  if (!stored) {
+    return false;
+  }
+  *this = Ledger();
+  now_ms_ = stored->now_ms;
+  last_release_id_ = stored->last_release_id;
+  epochs_ = std::move(stored->epochs);
+  outbox_ = std::move(stored->outbox);
+  for (auto& [id, program] : stored->programs) {
+    expiry_.insert({ExpiryTime(program), id});
+    if (program.Running() != nullptr) {
+      running_.insert(id);
+    }
+    programs_.emplace(id, std::move(program));
+  }
+  return true;
+}
+
+}  // namespace martenyard::ledger
--- /dev/null
+++ b/src/ledger/ledger.h
@@ -0,0 +1,68 @@
+// The state machine of one group: program order, history, budgets, at-most-once records, outbox.
+// Deterministic: the same commands in the same order give the same state on every replica.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "ledger/types.h"
+
+namespace martenyard::ledger {
+
+class Ledger {
+ public:
+  ApplyResult Apply(const Command& command);
+
+  /// @return the program, or null.
+  const ProgramRecord* Find(const ProgramId& program) const;
+  const std::map<std::uint64_t, ReleaseOrder>& outbox() const { return outbox_; }
+  /// Programs with a call under way; the leader watches over their grants.
+  const std::set<ProgramId>& running() const { return running_; }
+  std::size_t program_count() const { return programs_.size(); }
+  /// @return programs not ended whose idle or wall time was over at `now_ms`, at most `limit`.
+  std::vector<ProgramId> Expired(UnixMillis now_ms, std::size_t limit) const;
+
+  /// @return the whole state, for `Restore` on another replica.
+  std::string Serialize() const;
+  /// @return false, with the state unchanged, when `data` is not a state.
+  bool Restore(const std::string& data);
+
+ private:
+  ApplyResult On(const CreateProgram& command);
+  ApplyResult On(const BeginCall& command);
+  ApplyResult On(const FinishCall& command);
+  ApplyResult On(const LapseCall& command);
+  ApplyResult On(const VoidCall& command);
+  ApplyResult On(const EndProgram& command);
+  ApplyResult On(const AcknowledgeRelease& command);
+
+  ProgramRecord* FindMutable(const ProgramId& program);
+  ApplyResult BeginAgain(ProgramRecord& program, CallRecord& call, const BeginCall& command);
+  std::optional<Verdict> RefusalToBegin(const ProgramRecord& program,
+                                        const BeginCall& command) const;
+  /// @return the running call that `grant` names in its present attempt, or null.
+  CallRecord* Granted(ProgramRecord& program, const Grant& grant);
+  void Settle(ProgramRecord& program, CallRecord& call, CallState state, Tokens charge);
+  void End(ProgramRecord& program, const std::string& reason);
+  static void NoteEngine(ProgramRecord& program, const BackendName& engine);
+  void Touch(ProgramRecord& program);
+
+  UnixMillis now_ms_ = 0;  // The largest time any command carried.
+  std::uint64_t last_release_id_ = 0;
+  absl::flat_hash_map<ProgramId, ProgramRecord> programs_;
+  std::map<PartnerName, std::uint64_t> epochs_;
+  std::map<std::uint64_t, ReleaseOrder> outbox_;
+  std::set<ProgramId> running_;
+  std::set<std::pair<UnixMillis, ProgramId>> expiry_;  // When each live program must be looked at.
+};
+
+/// @return when `program` expires unless something happens.
+UnixMillis ExpiryTime(const ProgramRecord& program);
+
+}  // namespace martenyard::ledger
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,412 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace martenyard::membership {
+namespace {
+
+constexpr absl::Duration kJoinRetry = absl::Seconds(1);
+constexpr int kRelayProbeTimeouts = 4;
+
+bool IsUp(MemberStatus status) {
+  return status == MemberStatus::kAlive || status == MemberStatus::kSuspect;
+}
+
+/// SWIM's precedence: a newer incarnation wins; at the same one the later status does. Death is
+/// final at its incarnation, but the member itself can refute it with a newer one.
+bool Overrides(const MemberUpdate& update, const MemberUpdate& present) {
+  if (update.incarnation != present.incarnation) {
+    return update.incarnation > present.incarnation;
+  }
+  return update.status > present.status;
+}
+
+}  // namespace
+
+Membership::Membership(MemberInfo self, const MembershipOptions& options,
+                       std::vector<wire::Endpoint> seeds, std::uint64_t seed, absl::Time now)
+    : self_(std::move(self)),
+      options_(options),
+      seeds_(std::move(seeds)),
+      random_(seed),
+      now_(now),
+      next_probe_(now + options.probe_interval * random_.Uniform()),
+      next_repair_(now + options.repair_interval * random_.Uniform()),
+      next_join_(now) {
+  std::erase(seeds_, self_.peer);
+  members_[self_.id] = {{self_, 0, MemberStatus::kAlive}, now};
+  Spread(self_.id);
+}
+
+void Membership::Tick(absl::Time now) {
+  now_ = std::max(now_, now);
+  JoinSeeds();
+  ExpireSuspects();
+  if (probe_ && !probe_->asked_others && now_ >= probe_->indirect_at) {
+    AskOthers();
+  }
+  if (now_ >= next_probe_) {
+    next_probe_ = now_ + options_.probe_interval;
+    StartProbe();
+  }
+  if (now_ >= next_repair_) {
+    next_repair_ = now_ + options_.repair_interval;
+    Repair();
+  }
+  std::erase_if(relayed_, [&](const auto& entry) { return entry.second.forget_at <= now_; });
+}
+
+// ---- Probing ----
+
+void Membership::StartProbe() {
+  if (probe_) {
+    auto found = members_.find(probe_->target);
+    if (found != members_.end()) {
+      OnProbeFailed(found->second);
+    }
+    probe_.reset();
+  }
+  std::optional<NodeId> target = NextTarget();
+  if (!target) {
+    return;
+  }
+  ++last_sequence_;
+  probe_ = Probe{*target, last_sequence_, now_ + options_.probe_timeout, next_probe_, false};
+  Send(members_[*target].update.info.peer, MakePacket(PacketKind::kPing, last_sequence_, *target));
+}
+
+void Membership::OnProbeFailed(Member& member) {
+  MemberStatus status = member.update.status;
+  if (status == MemberStatus::kAlive) {
+    SetStatus(member, MemberStatus::kSuspect, member.update.incarnation);
+  } else if (status == MemberStatus::kLeaving) {
+    // It said that it goes; suspecting it would count it as up again.
+    SetStatus(member, MemberStatus::kDead, member.update.incarnation);
+  }
+}
+
+std::optional<NodeId> Membership::NextTarget() {
+  // Round robin over a shuffled order bounds the time until every member has been probed.
+  for (int refills = 0; refills < 2;) {
+    if (probe_order_.empty()) {
+      ++refills;
+      for (const auto& [id, member] : members_) {
+        if (id != self_.id && member.update.status != MemberStatus::kDead) {
+          probe_order_.push_back(id);
+        }
+      }
+      std::shuffle(probe_order_.begin(), probe_order_.end(), random_.engine());
+      continue;
+    }
+    NodeId next = probe_order_.front();
+    probe_order_.pop_front();
+    auto found = members_.find(next);
+    if (found != members_.end() && found->second.update.status != MemberStatus::kDead) {
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<NodeId> Membership::RandomOthers(std::size_t count, NodeId except) {
+  std::vector<NodeId> others;
+  for (const auto& [id, member] : members_) {
+    bool usable = id != self_.id && id != except && IsUp(member.update.status);
+    if (usable) {
+      others.push_back(id);
+    }
+  }
+  std::shuffle(others.begin(), others.end(), random_.engine());
+  others.resize(std::min(count, others.size()));
+  return others;
+}
+
+void Membership::AskOthers() {
+  probe_->asked_others = true;
+  auto count = static_cast<std::size_t>(options_.indirect_probes);
+  for (NodeId other : RandomOthers(count, probe_->target)) {
+    Send(members_[other].update.info.peer,
+         MakePacket(PacketKind::kPingRequest, probe_->sequence, probe_->target));
+  }
+}
+
+void Membership::OnPacket(absl::Time now, const Packet& packet) {
+  now_ = std::max(now_, now);
+  for (const MemberUpdate& update : packet.updates) {
+    Merge(update);
+  }
+  switch (packet.kind) {
+    case PacketKind::kPing:
+      if (packet.target == self_.id) {
+        Send(packet.from_endpoint, MakePacket(PacketKind::kAck, packet.sequence, packet.from));
+      }
+      break;
+    case PacketKind::kAck: {
+      auto relayed = relayed_.find(packet.sequence);
+      if (relayed != relayed_.end()) {
+        Send(relayed->second.asker,
+             MakePacket(PacketKind::kAck, relayed->second.asker_sequence, packet.from));
+        relayed_.erase(relayed);
+      }
+      if (probe_ && probe_->sequence == packet.sequence) {
+        probe_.reset();
+      }
+      break;
+    }
+    case PacketKind::kPingRequest: {
+      auto target = members_.find(packet.target);
+      if (target == members_.end()) {
+        break;
+      }
+      ++last_sequence_;
+      relayed_[last_sequence_] = {packet.from_endpoint, packet.sequence,
+                                  now_ + options_.probe_timeout * kRelayProbeTimeouts};
+      Send(target->second.update.info.peer,
+           MakePacket(PacketKind::kPing, last_sequence_, packet.target));
+      break;
+    }
+    case PacketKind::kJoin:
+      effects_.lists.push_back({packet.from_endpoint, WholeList(/*reply_wanted=*/false)});
+      break;
+  }
+}
+
+// ---- Joining and repair ----
+
+void Membership::JoinSeeds() {
+  if (now_ < next_join_) {
+    return;
+  }
+  next_join_ = now_ + kJoinRetry;
+  for (const wire::Endpoint& seed : seeds_) {
+    // A seed that is known and up needs no join; one lost in a cut is asked again for ever.
+    bool known = std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
+      return entry.second.update.info.peer == seed && IsUp(entry.second.update.status);
+    });
+    if (!known) {
+      Packet join = MakePacket(PacketKind::kJoin, 0, kNoNode);
+      join.updates.push_back(members_[self_.id].update);
+      Send(seed, std::move(join));
+    }
+  }
+}
+
+void Membership::Repair() {
+  // The dead are asked too, now and then: the two sides of a healed cut find each other again.
+  std::vector<wire::Endpoint> targets;
+  for (NodeId other : RandomOthers(1, kNoNode)) {
+    targets.push_back(members_[other].update.info.peer);
+  }
+  std::vector<wire::Endpoint> dead;
+  for (const auto& [id, member] : members_) {
+    if (member.update.status == MemberStatus::kDead) {
+      dead.push_back(member.update.info.peer);
+    }
+  }
+  if (!dead.empty()) {
+    targets.push_back(dead[random_.Below(dead.size())]);
+  }
+  for (const wire::Endpoint& target : targets) {
+    effects_.lists.push_back({target, WholeList(/*reply_wanted=*/true)});
+  }
+}
+
+MemberList Membership::WholeList(bool reply_wanted) const {
+  MemberList list;
+  list.reply_wanted = reply_wanted;
+  for (const auto& [id, member] : members_) {
+    list.members.push_back(member.update);
+  }
+  return list;
+}
+
+void Membership::OnMemberList(absl::Time now, const wire::Endpoint& from, const MemberList& list) {
+  now_ = std::max(now_, now);
+  for (const MemberUpdate& update : list.members) {
+    Merge(update);
+  }
+  if (list.reply_wanted) {
+    effects_.lists.push_back({from, WholeList(/*reply_wanted=*/false)});
+  }
+}
+
+// ---- Merging ----
+
+void Membership::Merge(const MemberUpdate& update) {
+  if (update.info.id == self_.id) {
+    MergeAboutSelf(update);
+    return;
+  }
+  auto found = members_.find(update.info.id);
+  if (found == members_.end()) {
+    if (update.info.peer == self_.peer && update.status != MemberStatus::kDead) {
+      // An earlier life of this very daemon: it is gone.
+      MemberUpdate gone = update;
+      gone.status = MemberStatus::kDead;
+      members_[update.info.id] = {gone, now_};
+      Spread(update.info.id);
+      return;
+    }
+    members_[update.info.id] = {update, now_};
+    ++version_;
+    if (update.status != MemberStatus::kDead) {
+      RetireEndpoint(update.info);
+      Spread(update.info.id);
+    }
+    return;
+  }
+  if (Overrides(update, found->second.update)) {
+    if (found->second.update.status == MemberStatus::kDead && IsUp(update.status)) {
+      ++refuted_;
+    }
+    SetStatus(found->second, update.status, update.incarnation);
+  }
+}
+
+void Membership::MergeAboutSelf(const MemberUpdate& update) {
+  MemberUpdate& own = members_[self_.id].update;
+  bool wrong = update.status >= MemberStatus::kSuspect && update.incarnation >= own.incarnation;
+  if (wrong) {
+    own.incarnation = update.incarnation + 1;
+    Spread(self_.id);
+  }
+}
+
+void Membership::RetireEndpoint(const MemberInfo& newcomer) {
+  for (auto& [id, member] : members_) {
+    bool earlier_life = id != newcomer.id && member.update.info.peer == newcomer.peer &&
+                        member.update.status != MemberStatus::kDead;
+    // Of two lives at one endpoint the one heard of last is taken as the present one; if that is
+    // wrong, the present one refutes its death.
+    if (earlier_life && id != self_.id) {
+      SetStatus(member, MemberStatus::kDead, member.update.incarnation);
+    }
+  }
+}
+
+void Membership::SetStatus(Member& member, MemberStatus status, std::uint32_t incarnation) {
+  bool was_up = IsUp(member.update.status);
+  member.update.status = status;
+  member.update.incarnation = incarnation;
+  member.since = now_;
+  if (was_up != IsUp(status)) {
+    ++version_;
+  }
+  Spread(member.update.info.id);
+}
+
+void Membership::ExpireSuspects() {
+  std::vector<NodeId> forgotten;
+  for (auto& [id, member] : members_) {
+    if (member.update.status == MemberStatus::kSuspect &&
+        member.since + options_.suspicion <= now_) {
+      SetStatus(member, MemberStatus::kDead, member.update.incarnation);
+    } else if (member.update.status == MemberStatus::kDead &&
+               member.since + options_.keep_dead <= now_) {
+      forgotten.push_back(id);
+    }
+  }
+  for (NodeId id : forgotten) {
+    members_.erase(id);
+  }
+}
+
+void Membership::Leave() {
+  MemberUpdate& own = members_[self_.id].update;
+  if (own.status == MemberStatus::kLeaving) {
+    return;
+  }
+  ++own.incarnation;
+  own.status = MemberStatus::kLeaving;
+  ++version_;
+  Spread(self_.id);
+}
+
+// ---- Spreading ----
+
+void Membership::Spread(NodeId about) {
+  double members = static_cast<double>(members_.size()) + 1.0;
+  int sends = options_.retransmit_factor * static_cast<int>(std::ceil(std::log2(members + 1.0)));
+  std::erase_if(rumours_, [&](const Rumour& rumour) { return rumour.about == about; });
+  rumours_.push_front({about, sends});
+}
+
+Packet Membership::MakePacket(PacketKind kind, std::uint64_t sequence, NodeId target) {
+  Packet packet;
+  packet.kind = kind;
+  packet.sequence = sequence;
+  packet.from = self_.id;
+  packet.from_endpoint = self_.peer;
+  packet.target = target;
+  return packet;
+}
+
+void Membership::Send(const wire::Endpoint& to, Packet packet) {
+  std::deque<Rumour> sent;
+  int room = options_.updates_per_packet;
+  for (; room > 0 && !rumours_.empty(); --room) {
+    Rumour rumour = rumours_.front();
+    rumours_.pop_front();
+    auto found = members_.find(rumour.about);
+    if (found == members_.end()) {
+      continue;
+    }
+    packet.updates.push_back(found->second.update);
+    --rumour.sends_left;
+    if (rumour.sends_left > 0) {
+      sent.push_back(rumour);
+    }
+  }
+  // What was just sent goes behind what has not been.
+  rumours_.insert(rumours_.end(), sent.begin(), sent.end());
+  // A suspect must hear of it in the very probe, to refute it in the answer.
+  auto target = members_.find(packet.target);
+  if (target != members_.end() && target->second.update.status == MemberStatus::kSuspect) {
+    packet.updates.push_back(target->second.update);
+  }
+  effects_.packets.push_back({to, std::move(packet)});
+}
+
+MembershipEffects Membership::TakeEffects() {
+  MembershipEffects taken = std::move(effects_);
+  effects_ = MembershipEffects{};
+  return taken;
+}
+
+// ---- Views ----
+
+std::vector<MemberInfo> Membership::Live() const {
+  std::vector<MemberInfo> live;
+  for (const auto& [id, member] : members_) {
+    if (IsUp(member.update.status)) {
+      live.push_back(member.update.info);
+    }
+  }
+  return live;
+}
+
+const MemberInfo* Membership::Find(NodeId node) const {
+  auto found = members_.find(node);
+  bool usable = found != members_.end() && found->second.update.status != MemberStatus::kDead;
+  return usable ? &found->second.update.info : nullptr;
+}
+
+const MemberInfo* Membership::FindEvenDead(NodeId node) const {
+  auto found = members_.find(node);
+  return found == members_.end() ? nullptr : &found->second.update.info;
+}
+
+MemberStatus Membership::StatusOf(NodeId node) const {
+  auto found = members_.find(node);
+  return found == members_.end() ? MemberStatus::kDead : found->second.update.status;
+}
+
+absl::Time Membership::DeadSince(NodeId node) const {
+  auto found = members_.find(node);
+  bool dead = found != members_.end() && found->second.update.status == MemberStatus::kDead;
+  return dead ? found->second.since : absl::InfinitePast();
+}
+
+}  // namespace martenyard::membership
--- /dev/null
+++ b/src/platform/etcd_key_value.cc
@@ -0,0 +1,145 @@
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "platform/base64.h"
+#include "platform/key_value.h"
+
+namespace martenyard::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr absl::Duration kTimeout = absl::Seconds(2);
+constexpr int kTooManyRequests = 429;
+
+/// The first key behind all those that start with `prefix`.
+std::string PrefixEnd(std::string prefix) {
+  while (!prefix.empty()) {
+    auto last = static_cast<unsigned char>(prefix.back());
+    if (last < 0xFF) {
+      prefix.back() = static_cast<char>(last + 1);
+      return prefix;
+    }
+    prefix.pop_back();
+  }
+  return std::string(1, '\0');
+}
+
+/// The gateway writes 64-bit numbers as text.
+std::int64_t ReadInteger(const json& object, const char* name) {
+  auto found = object.find(name);
+  if (found == object.end()) {
+    return 0;
+  }
+  return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>();
+}
+
+std::vector<KeyValueEntry> ReadEntries(const json& range) {
+  std::vector<KeyValueEntry> entries;
+  for (const json& item : range.value("kvs", json::array())) {
+    KeyValueEntry entry;
+    entry.key = FromBase64(item.value("key", "")).value_or("");
+    entry.value = FromBase64(item.value("value", "")).value_or("");
+    entry.revision = ReadInteger(item, "mod_revision");
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+KeyValueAnswer ReadTransaction(const json& body) {
+  KeyValueAnswer answer;
+  if (body.value("succeeded", false)) {
+    answer.status = KeyValueStatus::kDone;
+    return answer;
+  }
+  answer.status = KeyValueStatus::kConditionFailed;
+  for (const json& response : body.value("responses", json::array())) {
+    auto range = response.find("response_range");
+    if (range != response.end()) {
+      answer.entries = ReadEntries(*range);
+    }
+  }
+  return answer;
+}
+
+class EtcdKeyValue : public KeyValue {
+ public:
+  EtcdKeyValue(http::Client& client, std::string base_url, Executor executor)
+      : client_(client), base_url_(std::move(base_url)), executor_(std::move(executor)) {}
+
+  void Get(const std::string& key, Callback on_answer) override {
+    Range(json{{"key", ToBase64(key)}}, std::move(on_answer));
+  }
+
+  void GetPrefix(const std::string& prefix, Callback on_answer) override {
+    Range(json{{"key", ToBase64(prefix)}, {"range_end", ToBase64(PrefixEnd(prefix))}},
+          std::move(on_answer));
+  }
+
+  void PutIf(const std::string& key, std::int64_t expected_revision, const std::string& value,
+             Callback on_answer) override {
+    json compare = {{"key", ToBase64(key)},
+                    {"target", "MOD"},
+                    {"result", "EQUAL"},
+                    {"mod_revision", std::to_string(expected_revision)}};
+    json put = {{"requestPut", {{"key", ToBase64(key)}, {"value", ToBase64(value)}}}};
+    json read = {{"requestRange", {{"key", ToBase64(key)}}}};
+    json body = {{"compare", json::array({compare})},
+                 {"success", json::array({put})},
+                 {"failure", json::array({read})}};
+    Post("/v3/kv/txn", body, &ReadTransaction, std::move(on_answer));
+  }
+
+ private:
+  using Reader = KeyValueAnswer (*)(const json&);
+
+  void Range(const json& body, Callback on_answer) {
+    Reader reader = [](const json& reply) {
+      return KeyValueAnswer{KeyValueStatus::kDone, ReadEntries(reply)};
+    };
+    Post("/v3/kv/range", body, reader, std::move(on_answer));
+  }
+
+  void Post(const std::string& path, const json& body, Reader reader, Callback on_answer) {
+    http::ClientRequest request;
+    request.method = "POST";
+    request.url = base_url_ + path;
+    request.headers = {"Content-Type: application/json"};
+    request.body = body.dump();
+    request.timeout = kTimeout;
+    auto deliver = [executor = executor_, reader,
+                    on_answer = std::move(on_answer)](http::ClientResult result) {
+      executor([answer = ReadAnswer(result, reader), on_answer] { on_answer(answer); });
+    };
+    client_.Start(std::move(request), nullptr, std::move(deliver));
+  }
+
+  static KeyValueAnswer ReadAnswer(const http::ClientResult& result, Reader reader) {
+    KeyValueAnswer answer;
+    if (!result.connected || result.status == kTooManyRequests) {
+      answer.status = KeyValueStatus::kRefused;
+      return answer;
+    }
+    if (!result.ok()) {
+      return answer;
+    }
+    try {
+      return reader(json::parse(result.body));
+    } catch (const std::exception&) {
+      return answer;
+    }
+  }
+
+  http::Client& client_;
+  std::string base_url_;
+  Executor executor_;
+};
+
+}  // namespace
+
+std::unique_ptr<KeyValue> CreateEtcdKeyValue(http::Client& client, std::string base_url,
+                                             Executor executor) {
+  return std::make_unique<EtcdKeyValue>(client, std::move(base_url), std::move(executor));
+}
+
+}  // namespace martenyard::platform
--- /dev/null
+++ b/src/platform/http_backends.cc
@@ -0,0 +1,294 @@
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "platform/backends.h"
+#include "platform/sse.h"
+
+namespace martenyard::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr absl::Duration kControlTimeout = absl::Seconds(2);
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+
+std::optional<BackendKind> ReadKind(const std::string& text) {
+  if (text == "engine") {
+    return BackendKind::kEngine;
+  }
+  if (text == "tool") {
+    return BackendKind::kTool;
+  }
+  if (text == "application") {
+    return BackendKind::kApplication;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::vector<Backend>> ReadMachines(const std::string& body) {
+  try {
+    std::vector<Backend> machines;
+    const json list = json::parse(body);
+    for (const json& item : list.at("machines")) {
+      std::optional<BackendKind> kind = ReadKind(item.at("kind").get<std::string>());
+      if (!kind) {
+        continue;  // A newer platform may list kinds that are not ours to use.
+      }
+      Backend backend;
+      backend.name = BackendName(item.at("name").get<std::string>());
+      backend.kind = *kind;
+      backend.service = item.at("service").get<std::string>();
+      backend.owner = PartnerName(item.at("owner").get<std::string>());
+      backend.zone = ZoneName(item.at("zone").get<std::string>());
+      backend.url = item.at("url").get<std::string>();
+      backend.slots = item.value("slots", 1);
+      backend.leaving = item.value("state", "live") != "live";
+      machines.push_back(std::move(backend));
+    }
+    return machines;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+/// What a model stream has told so far; lives on the HTTP client's thread.
+struct ModelStream {
+  explicit ModelStream(std::function<void(std::string)> on_text)
+      : parser([this, on_text = std::move(on_text)](const std::string&, const std::string& data) {
+          Take(data, on_text);
+        }) {}
+
+  void Take(const std::string& data, const std::function<void(std::string)>& on_text) {
+    if (data == "[DONE]") {
+      finished = true;
+      return;
+    }
+    json chunk = json::parse(data, nullptr, /*allow_exceptions=*/false);
+    if (!chunk.is_object()) {
+      return;
+    }
+    if (chunk.contains("usage") && chunk["usage"].is_object()) {
+      usage.prompt_tokens = chunk["usage"].value("prompt_tokens", std::int64_t{0});
+      usage.cached_tokens = chunk["usage"].value("cached_tokens", std::int64_t{0});
+      usage.completion_tokens = chunk["usage"].value("completion_tokens", std::int64_t{0});
+    }
+    for (const json& choice : chunk.value("choices", json::array())) {
+      std::string text = choice.value("delta", json::object()).value("content", "");
+      if (!text.empty()) {
+        on_text(std::move(text));
+      }
+    }
+  }
+
+  std::string raw;  // Kept for the words of a refusal.
+  SseParser parser;
+  ModelUsage usage;
+  bool finished = false;
+};
+
+ModelOutcome ReadModelOutcome(const http::ClientResult& result, const ModelStream& stream) {
+  ModelOutcome outcome;
+  outcome.usage = stream.usage;
+  outcome.detail = result.error;
+  if (result.ok() && stream.finished) {
+    outcome.status = ModelOutcome::Status::kFinished;
+  } else if (result.status == kServiceUnavailable &&
+             stream.raw.find("leaving") != std::string::npos) {
+    outcome.status = ModelOutcome::Status::kLeaving;
+  } else if (!result.connected || result.status == kServiceUnavailable ||
+             result.status == kTooManyRequests) {
+    outcome.status = ModelOutcome::Status::kRefused;
+  } else if (result.status >= 400 && result.status < 500) {
+    outcome.status = ModelOutcome::Status::kRejected;
+    outcome.detail = stream.raw;
+  }
+  return outcome;
+}
+
+ServiceOutcome ReadServiceOutcome(const http::ClientResult& result) {
+  ServiceOutcome outcome;
+  outcome.result = result.body;
+  outcome.detail = result.error.empty() ? "status " + std::to_string(result.status) : result.error;
+  if (result.ok() && json::accept(result.body)) {
+    outcome.status = ServiceOutcome::Status::kRan;
+  } else if (!result.connected || result.status == kServiceUnavailable ||
+             result.status == kTooManyRequests) {
+    outcome.status = ServiceOutcome::Status::kNotRun;
+  }
+  return outcome;
+}
+
+class HttpBackendClient : public BackendClient {
+ public:
+  HttpBackendClient(http::Client& client, std::string machine_list_url, Executor executor)
+      : client_(client),
+        machine_list_url_(std::move(machine_list_url)),
+        executor_(std::move(executor)),
+        live_(std::make_shared<std::set<Handle>>()) {}
+
+  void FetchMachines(MachineListCallback on_list) override {
+    http::ClientRequest request;
+    request.url = machine_list_url_ + "/machines";
+    request.timeout = kControlTimeout;
+    client_.Start(std::move(request), nullptr,
+                  [executor = executor_, on_list = std::move(on_list)](http::ClientResult result) {
+                    std::optional<std::vector<Backend>> machines;
+                    if (result.ok()) {
+                      machines = ReadMachines(result.body);
+                    }
+                    executor([machines, on_list] { on_list(machines); });
+                  });
+  }
+
+  Handle StartModel(const ModelRequest& request, std::function<void(std::string)> on_text,
+                    std::function<void(ModelOutcome)> on_done) override {
+    json body = {{"model", request.model},
+                 {"messages", json::parse(request.messages, nullptr, false)},
+                 {"max_tokens", request.max_tokens},
+                 {"stream", true},
+                 {"priority", request.priority},
+                 {"request_id", request.request_id},
+                 {"context_id", request.context_id}};
+    if (!request.resume_text.empty()) {
+      body["resume_text"] = request.resume_text;
+    }
+    http::ClientRequest post = Post(request.url + "/v1/chat/completions", body, request.timeout);
+    Handle handle = ++last_handle_;
+    live_->insert(handle);
+    auto text_on_loop = [this, handle, on_text = std::move(on_text)](std::string text) {
+      IfLive(handle, [on_text, text = std::move(text)] { on_text(text); });
+    };
+    auto stream = std::make_shared<ModelStream>(std::move(text_on_loop));
+    auto on_data = [stream](std::string_view bytes) {
+      if (!stream->finished && stream->raw.size() < 4096) {
+        stream->raw.append(bytes);
+      }
+      stream->parser.Feed(bytes);
+    };
+    auto on_end = [this, handle, stream, on_done = std::move(on_done)](http::ClientResult result) {
+      ModelOutcome outcome = ReadModelOutcome(result, *stream);
+      IfLive(handle, [this, handle, on_done, outcome] {
+        Forget(handle);
+        on_done(outcome);
+      });
+    };
+    transfers_[handle] = client_.Start(std::move(post), on_data, on_end);
+    return handle;
+  }
+
+  Handle StartService(const ServiceRequest& request,
+                      std::function<void(ServiceOutcome)> on_done) override {
+    json body = json::parse(request.arguments, nullptr, false);
+    http::ClientRequest post = Post(request.url + "/invoke", body, request.timeout);
+    post.headers.push_back("Idempotency-Key: " + request.request_key);
+    Handle handle = ++last_handle_;
+    live_->insert(handle);
+    auto on_end = [this, handle, on_done = std::move(on_done)](http::ClientResult result) {
+      ServiceOutcome outcome = ReadServiceOutcome(result);
+      IfLive(handle, [this, handle, on_done, outcome] {
+        Forget(handle);
+        on_done(outcome);
+      });
+    };
+    transfers_[handle] = client_.Start(std::move(post), nullptr, on_end);
+    return handle;
+  }
+
+  void Cancel(Handle handle) override {
+    auto found = transfers_.find(handle);
+    if (found != transfers_.end()) {
+      client_.Cancel(found->second);
+    }
+    Forget(handle);
+  }
+
+  void ReleaseContext(const std::string& engine_url, const std::string& context_id,
+                      std::function<void(bool)> on_done) override {
+    http::ClientRequest request;
+    request.method = "DELETE";
+    request.url = engine_url + "/contexts/" + context_id;
+    request.timeout = kControlTimeout;
+    client_.Start(std::move(request), nullptr,
+                  [executor = executor_, on_done = std::move(on_done)](http::ClientResult result) {
+                    bool gone = result.ok() || result.status == kNotFound;
+                    executor([gone, on_done] { on_done(gone); });
+                  });
+  }
+
+  void ListContexts(const std::string& engine_url,
+                    std::function<void(std::optional<std::vector<HeldContext>>)> on_list) override {
+    http::ClientRequest request;
+    request.url = engine_url + "/contexts";
+    request.timeout = kControlTimeout;
+    client_.Start(std::move(request), nullptr,
+                  [executor = executor_, on_list = std::move(on_list)](http::ClientResult result) {
+                    std::optional<std::vector<HeldContext>> contexts;
+                    if (result.ok()) {
+                      contexts = ReadContexts(result.body);
+                    }
+                    executor([contexts, on_list] { on_list(contexts); });
+                  });
+  }
+
+ private:
+  static http::ClientRequest Post(const std::string& url, const json& body,
+                                  absl::Duration timeout) {
+    http::ClientRequest request;
+    request.method = "POST";
+    request.url = url;
+    request.headers = {"Content-Type: application/json"};
+    request.body = body.dump();
+    request.timeout = timeout;
+    return request;
+  }
+
+  static std::optional<std::vector<HeldContext>> ReadContexts(const std::string& body) {
+    try {
+      std::vector<HeldContext> contexts;
+      const json list = json::parse(body);
+      for (const json& item : list.at("contexts")) {
+        contexts.push_back(
+            {item.at("id").get<std::string>(), item.value("tokens", std::int64_t{0})});
+      }
+      return contexts;
+    } catch (const json::exception&) {
+      return std::nullopt;
+    }
+  }
+
+  void Forget(Handle handle) {
+    live_->erase(handle);
+    transfers_.erase(handle);
+  }
+
+  void IfLive(Handle handle, std::function<void()> task) {
+    executor_([live = live_, handle, task = std::move(task)] {
+      if (live->contains(handle)) {
+        task();
+      }
+    });
+  }
+
+  http::Client& client_;
+  std::string machine_list_url_;
+  Executor executor_;
+  Handle last_handle_ = 0;
+  // Both only touched on the executor's thread.
+  std::shared_ptr<std::set<Handle>> live_;
+  std::map<Handle, http::TransferId> transfers_;
+};
+
+}  // namespace
+
+std::unique_ptr<BackendClient> CreateHttpBackendClient(http::Client& client,
+                                                       std::string machine_list_url,
+                                                       Executor executor) {
+  return std::make_unique<HttpBackendClient>(client, std::move(machine_list_url),
+                                             std::move(executor));
+}
+
+}  // namespace martenyard::platform
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,66 @@
+// The daemon's settings: a TOML file, checked on load. Flags override single values.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/errors.h"
+#include "bundle/roll.h"
+#include "wire/endpoint.h"
+
+namespace martenyard::settings {
+
+/// One line that names the file, the key and what is allowed.
+struct SettingsError {
+  std::string detail;
+};
+
+struct Settings {
+  std::string zone;
+  wire::Endpoint peer;     ///< Listens here for other daemons, TCP and UDP.
+  wire::Endpoint callers;  ///< Listens here for callers and operators, HTTP.
+  std::vector<wire::Endpoint> seeds;
+  std::string data_dir;  ///< Empty: keeps nothing.
+
+  int groups = 8;
+  int replicas = 3;
+  int bootstrap_daemons = 3;  ///< Daemons that must be seen before the groups are first placed.
+
+  std::string key_value_url;
+  std::string machine_list_url;
+
+  std::vector<bundle::PartnerKey> partners;
+
+  std::int64_t max_body_bytes = std::int64_t{4} << 20;
+  int max_active_calls = 2000;
+  int max_waiting_per_program = 16;
+  absl::Duration default_deadline = absl::Seconds(120);
+  absl::Duration stop_limit = absl::Seconds(30);
+
+  absl::Duration heartbeat_interval = absl::Milliseconds(60);
+  absl::Duration election_timeout = absl::Milliseconds(300);
+  absl::Duration grant_lease = absl::Seconds(3);
+  absl::Duration probe_interval = absl::Milliseconds(500);
+  absl::Duration suspicion = absl::Seconds(2);
+  absl::Duration replace_after = absl::Seconds(10);
+
+  std::string placement_policy = "wait_rebuild";
+  std::string order_policy = "attained_service";
+
+  std::string log_level = "info";
+  std::string log_format = "text";
+};
+
+/// Reads `text`. @param name the file's name, for messages. Errors: SettingsError.
+Result<Settings> ParseSettings(std::string_view text, const std::string& name);
+/// Reads the file. Errors: SettingsError.
+Result<Settings> LoadSettings(const std::string& path);
+/// Checks what only the machine knows: that `data_dir` exists. Errors: SettingsError.
+Result<void> CheckMachine(const Settings& settings, const std::string& name);
+/// @return the reference of all keys as a Markdown table; docs/operations.md holds the same text.
+std::string SettingsReference();
+
+}  // namespace martenyard::settings
--- /dev/null
+++ b/src/storage/log_store.h
@@ -0,0 +1,77 @@
+// Where replicas keep their logs: RocksDB in the data folder, or nowhere (memory replicas).
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/errors.h"
+#include "base/ids.h"
+#include "consensus/types.h"
+
+namespace martenyard::storage {
+
+/// Why stored state can't be read or written. `detail` names the folder.
+struct StorageError {
+  enum class Code { kCannotOpen, kWriteFailed, kDamaged, kForeignIdentity };
+  Code code = Code::kCannotOpen;
+  std::string detail;
+};
+
+/// What one group's replica wants stored; all parts take effect together.
+struct GroupWrite {
+  GroupId group;
+  std::optional<consensus::HardState> hard_state;
+  /// Replaces the stored snapshot; entries up to its index are dropped.
+  std::optional<consensus::Snapshot> snapshot;
+  /// True when the snapshot came from the leader: the whole stored log is dropped.
+  bool snapshot_replaces_log = false;
+  /// Replace the stored log from the first entry's index on.
+  std::vector<consensus::Entry> entries;
+  /// Forgets the group but for a mark that this node left it.
+  bool removed = false;
+};
+
+/// What was stored of one group.
+struct StoredGroup {
+  consensus::HardState hard_state;
+  consensus::Snapshot snapshot;
+  std::vector<consensus::Entry> entries;
+  bool removed = false;
+};
+
+/// Everything a node had stored.
+struct StoredNode {
+  NodeId identity;  ///< kNoNode when nothing was stored yet.
+  std::map<GroupId, StoredGroup> groups;
+};
+
+/// Not thread-safe. A write that returned is durable, as far as the kind of store can.
+class LogStore {
+ public:
+  virtual ~LogStore() = default;
+  /// Reads all that is stored. Errors: StorageError::kDamaged.
+  virtual Result<StoredNode> Load() = 0;
+  /// Stores the node's identity, once. Errors: StorageError::kForeignIdentity, kWriteFailed.
+  virtual Result<void> SetIdentity(NodeId identity) = 0;
+  /// Stores all writes with one sync. Errors: StorageError::kWriteFailed; the store must then not
+  /// be used further, since what is on the disk is unknown.
+  virtual Result<void> Write(const std::vector<GroupWrite>& writes) = 0;
+  /// @return true when stored state outlives the process.
+  virtual bool IsDurable() const = 0;
+};
+
+/// Keeps state in memory for the life of the object (a crash test's "disk", or a replica that has
+/// no data folder and takes a new identity at every start).
+std::unique_ptr<LogStore> CreateMemoryLogStore(bool durable_for_tests);
+
+/// Opens or creates the store in `folder`. Errors: StorageError::kCannotOpen, kDamaged.
+Result<std::unique_ptr<LogStore>> OpenRocksDbLogStore(const std::string& folder);
+
+/// Applies one write to the in-memory picture of a group (shared by the stores and their tests).
+void ApplyWrite(const GroupWrite& write, StoredGroup& group);
+
+}  // namespace martenyard::storage
--- /dev/null
+++ b/src/storage/rocksdb_log_store.cc
@@ -0,0 +1,231 @@
+// Key layout (big-endian numbers, so that RocksDB's order is the log's):
+//   "identity"                       -> NodeId
+//   'h' group                        -> HardState
+//   's' group                        -> Snapshot
+//   'e' group index                  -> Entry
+//   'x' group                        -> "" (this node left the group)
+#include <rocksdb/db.h>
+#include <rocksdb/options.h>
+#include <rocksdb/write_batch.h>
+
+#include <array>
+#include <utility>
+
+#include "base/hash.h"
+#include "storage/log_store.h"
+#include "wire/codec.h"
+
+namespace martenyard::storage {
+namespace {
+
+constexpr char kIdentityKey[] = "identity";
+constexpr std::size_t kChecksumBytes = 8;
+constexpr std::size_t kWriteBufferBytes = std::size_t{8} << 20;
+
+std::string BigEndian(std::uint64_t value, int bytes) {
+  std::string text;
+  for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+    text.push_back(static_cast<char>((value >> static_cast<unsigned>(shift)) & 0xFFU));
+  }
+  return text;
+}
+
+std::uint64_t FromBigEndian(std::string_view text) {
+  std::uint64_t value = 0;
+  for (char byte : text) {
+    value = (value << 8U) | static_cast<unsigned char>(byte);
+  }
+  return value;
+}
+
+std::string GroupKey(char kind, GroupId group) {
+  return std::string(1, kind) + BigEndian(group.value, 4);
+}
+
+std::string EntryKey(GroupId group, consensus::LogIndex index) {
+  return GroupKey('e', group) + BigEndian(index, 8);
+}
+
+/// A value with a checksum in front, so that damage is found here and not served.
+template <typename Value>
+std::string Seal(const Value& value) {
+  std::string bytes = wire::Encode(value);
+  return BigEndian(StableHash(bytes), kChecksumBytes) + bytes;
+}
+
+template <typename Value>
+std::optional<Value> Unseal(std::string_view sealed) {
+  if (sealed.size() < kChecksumBytes) {
+    return std::nullopt;
+  }
+  std::string bytes(sealed.substr(kChecksumBytes));
+  if (FromBigEndian(sealed.substr(0, kChecksumBytes)) != StableHash(bytes)) {
+    return std::nullopt;
+  }
+  return wire::Decode<Value>(bytes);
+}
+
+leaf::error_id Damaged(const std::string& detail) {
+  return leaf::new_error(StorageError{StorageError::Code::kDamaged, detail});
+}
+
+class RocksDbLogStore : public LogStore {
+ public:
+  RocksDbLogStore(std::unique_ptr<rocksdb::DB> db, std::string folder)
+      : db_(std::move(db)), folder_(std::move(folder)) {}
+
+  Result<StoredNode> Load() override {
+    StoredNode node;
+    std::unique_ptr<rocksdb::Iterator> cursor(db_->NewIterator(rocksdb::ReadOptions()));
+    for (cursor->SeekToFirst(); cursor->Valid(); cursor->Next()) {
+      if (!LoadRecord(cursor->key().ToString(), cursor->value().ToString(), node)) {
+        return Damaged("data folder " + folder_ + " holds a damaged record");
+      }
+    }
+    if (!cursor->status().ok()) {
+      return Damaged("data folder " + folder_ + ": " + cursor->status().ToString());
+    }
+    for (const auto& [group, stored] : node.groups) {
+      if (!LogIsContiguous(stored)) {
+        return Damaged("data folder " + folder_ + " lacks entries of group " +
+                       std::to_string(group.value));
+      }
+    }
+    return node;
+  }
+
+  Result<void> SetIdentity(NodeId identity) override {
+    std::string present;
+    rocksdb::Status found = db_->Get(rocksdb::ReadOptions(), kIdentityKey, &present);
+    if (found.ok()) {
+      std::optional<NodeId> stored = Unseal<NodeId>(present);
+      if (stored != identity) {
+        return leaf::new_error(StorageError{StorageError::Code::kForeignIdentity,
+                                            "data folder " + folder_ + " is another node's"});
+      }
+      return {};
+    }
+    rocksdb::WriteBatch batch;
+    batch.Put(kIdentityKey, Seal(identity));
+    return Commit(batch);
+  }
+
+  Result<void> Write(const std::vector<GroupWrite>& writes) override {
+    rocksdb::WriteBatch batch;
+    for (const GroupWrite& write : writes) {
+      AddToBatch(write, batch);
+    }
+    return Commit(batch);
+  }
+
+  bool IsDurable() const override { return true; }
+
+ private:
+  static bool LogIsContiguous(const StoredGroup& group) {
+    consensus::LogIndex expected = group.snapshot.index + 1;
+    for (const consensus::Entry& entry : group.entries) {
+      if (entry.index != expected) {
+        return false;
+      }
+      ++expected;
+    }
+    return true;
+  }
+
+  static bool LoadRecord(const std::string& key, const std::string& value, StoredNode& node) {
+    if (key == kIdentityKey) {
+      auto identity = Unseal<NodeId>(value);
+      node.identity = identity.value_or(kNoNode);
+      return identity.has_value();
+    }
+    GroupId group(static_cast<std::uint32_t>(FromBigEndian(std::string_view(key).substr(1, 4))));
+    StoredGroup& stored = node.groups[group];
+    switch (key.front()) {
+      case 'h': {
+        auto state = Unseal<consensus::HardState>(value);
+        stored.hard_state = state.value_or(consensus::HardState{});
+        return state.has_value();
+      }
+      case 's': {
+        auto snapshot = Unseal<consensus::Snapshot>(value);
+        stored.snapshot = snapshot.value_or(consensus::Snapshot{});
+        return snapshot.has_value();
+      }
+      case 'e': {
+        auto entry = Unseal<consensus::Entry>(value);
+        if (entry) {
+          stored.entries.push_back(std::move(*entry));
+        }
+        return entry.has_value();
+      }
+      case 'x':
+        stored.removed = true;
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  static void AddToBatch(const GroupWrite& write, rocksdb::WriteBatch& batch) {
+    GroupId group = write.group;
+    if (write.removed) {
+      batch.DeleteRange(EntryKey(group, 0), EntryKey(group, UINT64_MAX));
+      batch.Delete(GroupKey('h', group));
+      batch.Delete(GroupKey('s', group));
+      batch.Put(GroupKey('x', group), "");
+      return;
+    }
+    if (write.hard_state) {
+      batch.Put(GroupKey('h', group), Seal(*write.hard_state));
+    }
+    if (write.snapshot) {
+      consensus::LogIndex end =
+          write.snapshot_replaces_log ? UINT64_MAX : write.snapshot->index + 1;
+      batch.DeleteRange(EntryKey(group, 0), EntryKey(group, end));
+      batch.Put(GroupKey('s', group), Seal(*write.snapshot));
+    }
+    if (!write.entries.empty()) {
+      batch.DeleteRange(EntryKey(group, write.entries.front().index), EntryKey(group, UINT64_MAX));
+      for (const consensus::Entry& entry : write.entries) {
+        batch.Put(EntryKey(group, entry.index), Seal(entry));
+      }
+    }
+  }
+
+  Result<void> Commit(rocksdb::WriteBatch& batch) {
+    rocksdb::WriteOptions options;
+    options.sync = true;
+    rocksdb::Status status = db_->Write(options, &batch);
+    if (!status.ok()) {
+      return leaf::new_error(StorageError{StorageError::Code::kWriteFailed,
+                                          "data folder " + folder_ + ": " + status.ToString()});
+    }
+    return {};
+  }
+
+  std::unique_ptr<rocksdb::DB> db_;
+  std::string folder_;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<LogStore>> OpenRocksDbLogStore(const std::string& folder) {
+  rocksdb::Options options;
+  options.create_if_missing = true;
+  options.write_buffer_size = kWriteBufferBytes;
+  options.keep_log_file_num = 2;
+  options.paranoid_checks = true;
+  // A torn last record is an unsynced write, which nobody was told of; any other damage is refused.
+  options.wal_recovery_mode = rocksdb::WALRecoveryMode::kTolerateCorruptedTailRecords;
+  rocksdb::DB* opened = nullptr;
+  rocksdb::Status status = rocksdb::DB::Open(options, folder, &opened);
+  if (!status.ok()) {
+    auto code =
+        status.IsCorruption() ? StorageError::Code::kDamaged : StorageError::Code::kCannotOpen;
+    return leaf::new_error(StorageError{code, "data folder " + folder + ": " + status.ToString()});
+  }
+  return std::unique_ptr<LogStore>(
+      std::make_unique<RocksDbLogStore>(std::unique_ptr<rocksdb::DB>(opened), folder));
+}
+
+}  // namespace martenyard::storage
--- /dev/null
+++ b/src/wire/transport.cc
@@ -0,0 +1,256 @@
+#include "wire/transport.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace martenyard::wire {
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kMaxFrameBytes = std::size_t{64} << 20;
+constexpr std::size_t kMaxUnsentBytes = std::size_t{128} << 20;
+constexpr std::size_t kReadBytes = std::size_t{256} << 10;
+constexpr int kBacklog = 512;
+constexpr int kBindAttempts = 20;
+
+sockaddr_in SocketAddress(const Endpoint& endpoint) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+  return address;
+}
+
+bool BindSocket(int socket, const Endpoint& endpoint) {
+  sockaddr_in address = SocketAddress(endpoint);
+  return bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+}
+
+std::uint16_t BoundPort(int socket) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
+void AppendFrame(std::string& buffer, const std::string& payload) {
+  std::uint32_t length = htonl(static_cast<std::uint32_t>(payload.size()));
+  buffer.append(reinterpret_cast<const char*>(&length), kLengthBytes);
+  buffer.append(payload);
+}
+
+}  // namespace
+
+Transport::Transport(EventLoop& loop, PayloadHandler on_frame, PayloadHandler on_datagram)
+    : loop_(loop), on_frame_(std::move(on_frame)), on_datagram_(std::move(on_datagram)) {}
+
+Transport::~Transport() {
+  for (auto& [socket, connection] : accepted_) {
+    close(socket);
+  }
+  for (auto& [peer, connection] : peers_) {
+    close(connection->socket);
+  }
+  for (int socket : {listener_, datagrams_}) {
+    if (socket >= 0) {
+      close(socket);
+    }
+  }
+}
+
+Result<Endpoint> Transport::Listen(const Endpoint& endpoint) {
+  for (int attempt = 0; attempt < kBindAttempts; ++attempt) {
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    datagrams_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int yes = 1;
+    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    Endpoint bound = endpoint;
+    if (BindSocket(listener_, endpoint) && listen(listener_, kBacklog) == 0) {
+      bound.port = BoundPort(listener_);
+      if (BindSocket(datagrams_, bound)) {
+        loop_.Watch(listener_, EPOLLIN, [this](std::uint32_t) { AcceptAll(); });
+        loop_.Watch(datagrams_, EPOLLIN, [this](std::uint32_t) { ReadDatagrams(); });
+        return bound;
+      }
+    }
+    int failure = errno;
+    close(listener_);
+    close(datagrams_);
+    listener_ = datagrams_ = -1;
+    // A port the system chose for TCP may be taken for UDP: only then is another try useful.
+    if (endpoint.port != 0) {
+      return leaf::new_error(TransportError{"cannot listen on " + endpoint.ToString() + ": " +
+                                            std::strerror(failure)});
+    }
+  }
+  return leaf::new_error(TransportError{"no port is free for TCP and UDP on " + endpoint.address});
+}
+
+void Transport::AcceptAll() {
+  while (true) {
+    int socket = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0) {
+      return;
+    }
+    auto connection = std::make_unique<Connection>();
+    connection->socket = socket;
+    accepted_[socket] = std::move(connection);
+    loop_.Watch(socket, EPOLLIN, [this, socket](std::uint32_t) { ReadFrames(socket); });
+  }
+}
+
+void Transport::ReadFrames(int socket) {
+  auto found = accepted_.find(socket);
+  if (found == accepted_.end()) {
+    return;
+  }
+  Connection& connection = *found->second;
+  std::vector<char> buffer(kReadBytes);
+  ssize_t count = read(socket, buffer.data(), buffer.size());
+  bool healthy = count > 0 || (count < 0 && (errno == EAGAIN || errno == EINTR));
+  if (count > 0) {
+    stats_.bytes_received += static_cast<std::uint64_t>(count);
+    connection.received.append(buffer.data(), static_cast<std::size_t>(count));
+    healthy = TakeFrames(connection);
+  }
+  if (!healthy) {
+    loop_.Unwatch(socket);
+    close(socket);
+    accepted_.erase(socket);
+  }
+}
+
+bool Transport::TakeFrames(Connection& connection) {
+  std::size_t position = 0;
+  const std::string& received = connection.received;
+  while (received.size() - position >= kLengthBytes) {
+    std::uint32_t length = 0;
+    std::memcpy(&length, received.data() + position, kLengthBytes);
+    length = ntohl(length);
+    if (length > kMaxFrameBytes) {
+      return false;
+    }
+    if (received.size() - position - kLengthBytes < length) {
+      break;
+    }
+    on_frame_(received.substr(position + kLengthBytes, length));
+    position += kLengthBytes + length;
+  }
+  connection.received.erase(0, position);
+  return true;
+}
+
+void Transport::ReadDatagrams() {
+  std::array<char, 65536> buffer{};
+  while (true) {
+    ssize_t count = recv(datagrams_, buffer.data(), buffer.size(), 0);
+    if (count < 0) {
+      return;
+    }
+    stats_.bytes_received += static_cast<std::uint64_t>(count);
+    on_datagram_(std::string(buffer.data(), static_cast<std::size_t>(count)));
+  }
+}
+
+bool Transport::Connect(const Endpoint& peer) {
+  int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (socket < 0) {
+    return false;
+  }
+  int yes = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+  sockaddr_in address = SocketAddress(peer);
+  int status = connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (status != 0 && errno != EINPROGRESS) {
+    close(socket);
+    return false;
+  }
+  auto connection = std::make_unique<Connection>();
+  connection->socket = socket;
+  connection->connecting = status != 0;
+  peers_[peer] = std::move(connection);
+  loop_.Watch(socket, EPOLLOUT | EPOLLIN | EPOLLRDHUP,
+              [this, peer](std::uint32_t events) { OnPeerReady(peer, events); });
+  return true;
+}
+
+void Transport::SendFrame(const Endpoint& peer, const std::string& payload) {
+  if (!peers_.contains(peer) && !Connect(peer)) {
+    ++stats_.frames_dropped;
+    return;
+  }
+  Connection& connection = *peers_[peer];
+  if (connection.unsent.size() + payload.size() > kMaxUnsentBytes) {
+    ++stats_.frames_dropped;
+    return;
+  }
+  AppendFrame(connection.unsent, payload);
+  if (!connection.connecting) {
+    Flush(peer);
+  }
+}
+
+void Transport::Flush(const Endpoint& peer) {
+  Connection& connection = *peers_[peer];
+  while (!connection.unsent.empty()) {
+    ssize_t count =
+        send(connection.socket, connection.unsent.data(), connection.unsent.size(), MSG_NOSIGNAL);
+    if (count < 0 && errno == EAGAIN) {
+      loop_.Watch(connection.socket, EPOLLOUT | EPOLLIN | EPOLLRDHUP,
+                  [this, peer](std::uint32_t events) { OnPeerReady(peer, events); });
+      return;
+    }
+    if (count <= 0) {
+      ClosePeer(peer);
+      return;
+    }
+    stats_.bytes_sent += static_cast<std::uint64_t>(count);
+    connection.unsent.erase(0, static_cast<std::size_t>(count));
+  }
+  loop_.Watch(connection.socket, EPOLLIN | EPOLLRDHUP,
+              [this, peer](std::uint32_t events) { OnPeerReady(peer, events); });
+}
+
+void Transport::OnPeerReady(const Endpoint& peer, std::uint32_t events) {
+  auto found = peers_.find(peer);
+  if (found == peers_.end()) {
+    return;
+  }
+  // Peers never send on this direction, so readable means closed.
+  if ((events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP | EPOLLIN)) != 0) {
+    ClosePeer(peer);
+    return;
+  }
+  found->second->connecting = false;
+  Flush(peer);
+}
+
+void Transport::ClosePeer(const Endpoint& peer) {
+  auto found = peers_.find(peer);
+  loop_.Unwatch(found->second->socket);
+  close(found->second->socket);
+  peers_.erase(found);
+}
+
+void Transport::SendDatagram(const Endpoint& peer, const std::string& payload) {
+  sockaddr_in address = SocketAddress(peer);
+  ssize_t count = sendto(datagrams_, payload.data(), payload.size(), MSG_NOSIGNAL,
+                         reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (count < 0) {
+    ++stats_.frames_dropped;
+    return;
+  }
+  stats_.bytes_sent += static_cast<std::uint64_t>(count);
+}
+
+}  // namespace martenyard::wire
--- /dev/null
+++ b/src/wire/transport.h
@@ -0,0 +1,75 @@
+// Frames between daemons: length-prefixed over TCP, and datagrams over UDP on the same port.
+// One outgoing connection per peer; a frame that can't be delivered soon is dropped, never queued
+// without bound, since every protocol above tolerates loss.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/errors.h"
+#include "wire/endpoint.h"
+#include "wire/event_loop.h"
+
+namespace martenyard::wire {
+
+/// Why a transport could not start.
+struct TransportError {
+  std::string detail;
+};
+
+/// Counters since the start, in bytes and frames.
+struct TransportStats {
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t frames_dropped = 0;
+};
+
+/// All on the loop's thread.
+class Transport {
+ public:
+  /// Receives a frame's or a datagram's payload.
+  using PayloadHandler = std::function<void(std::string payload)>;
+
+  Transport(EventLoop& loop, PayloadHandler on_frame, PayloadHandler on_datagram);
+  ~Transport();
+  Transport(const Transport&) = delete;
+  Transport& operator=(const Transport&) = delete;
+
+  /// Binds TCP and UDP to the same port. Port 0 lets the system choose.
+  /// Errors: TransportError.
+  Result<Endpoint> Listen(const Endpoint& endpoint);
+  void SendFrame(const Endpoint& peer, const std::string& payload);
+  void SendDatagram(const Endpoint& peer, const std::string& payload);
+  const TransportStats& stats() const { return stats_; }
+
+ private:
+  struct Connection {
+    int socket = -1;
+    bool connecting = false;
+    std::string unsent;
+    std::string received;
+  };
+
+  void AcceptAll();
+  void ReadFrames(int socket);
+  bool TakeFrames(Connection& connection);
+  void ReadDatagrams();
+  void Flush(const Endpoint& peer);
+  void OnPeerReady(const Endpoint& peer, std::uint32_t events);
+  void ClosePeer(const Endpoint& peer);
+  bool Connect(const Endpoint& peer);
+
+  EventLoop& loop_;
+  PayloadHandler on_frame_;
+  PayloadHandler on_datagram_;
+  int listener_ = -1;
+  int datagrams_ = -1;
+  std::map<int, std::unique_ptr<Connection>> accepted_;
+  std::map<Endpoint, std::unique_ptr<Connection>> peers_;
+  TransportStats stats_;
+};
+
+}  // namespace martenyard::wire
