Find two ways to run a call twice and a false "not run" by random faults; mend them

- A call that may not be repeated ran twice.
Cause: the ledger knew the gateway by NodeId, so a durable daemon that restarted, or one that had given the call up, was granted its own earlier call again.
Now every try to begin carries an admission id of its own, and only the very same request is granted again.
Ruled out: a session per process (the second case).
- "Not run" was told of a call that had run.
Cause: a gateway without its ledger, stopping or overloaded, spoke for its own request only, and a refusal for budget left the key free for a late duplicate.
Now only the ledger's word is "not run"; such refusals void the key; a request turned away earlier says outcome unknown, started nothing, retry with same_key.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -42,6 +42,9 @@
 using PartnerName = TypedId<struct PartnerTag, std::string>;
 /// A model engine, tool or application back end, as the platform names it.
 using BackendName = TypedId<struct BackendTag, std::string>;
+/// One gateway's try to begin one call. Only a repetition of that very request carries it again: a
+/// gateway that restarted, or that gave the call up, must not be taken for the one that runs it.
+using AdmissionId = TypedId<struct AdmissionTag, std::uint64_t>;
 /// A zone's name.
 using ZoneName = TypedId<struct ZoneTag, std::string>;
 
--- a/src/daemon/status.cc
+++ b/src/daemon/status.cc
@@ -97,6 +97,8 @@
       counter("calls_started_total", "Calls taken in by this gateway.", calls.calls_started),
       counter("calls_ran_total", "Calls that ended with a result.", calls.calls_ran),
       counter("calls_not_run_total", "Calls refused or settled as not run.", calls.calls_not_run),
+      counter("calls_refused_total", "Calls turned away before anything started.",
+              calls.calls_refused),
       counter("calls_unknown_total", "Calls whose outcome is unknown.", calls.calls_unknown),
       counter("redispatches_total", "Calls sent to another back end.", calls.redispatches),
       counter("retries_denied_total", "Retries the retry budget denied.", calls.retries_denied),
--- a/src/gateway/call_coordinator.cc
+++ b/src/gateway/call_coordinator.cc
@@ -17,25 +17,23 @@
 constexpr absl::Duration kBackoffCap = absl::Seconds(2);
 constexpr absl::Duration kRenewPatience = absl::Seconds(1);
 
-/// How a refusal to begin is told.
+/// How a refusal to begin is told. All of these are for good: the ledger either keeps the key void
+/// or the reason can't go away, so that no late duplicate of the request runs.
 struct RefusalText {
   Verdict verdict;
   int status;
   const char* title;
-  bool retry_soon;
 };
 
 constexpr RefusalText kRefusals[] = {
-    {Verdict::kUnknownProgram, 404, "no such program", false},
-    {Verdict::kProgramEnded, 409, "the program has ended", false},
-    {Verdict::kNotAllowed, 403, "the bundle does not let this program call the service", false},
-    {Verdict::kKeyReused, 422, "the Idempotency-Key was used for another request", false},
-    {Verdict::kBusy, 429, "too many calls of this program wait for their turn", true},
-    {Verdict::kBudgetExhausted, 409, "the program's budget does not cover this call", false},
-    {Verdict::kTooManyCalls, 409, "the program made as many calls as its bundle allows", false},
-    {Verdict::kTooLong, 409, "the program's wall time is over", false},
-    {Verdict::kHistoryFull, 409, "the program's history is as long as its bundle allows", false},
-    {Verdict::kStaleEpoch, 503, "a newer bundle is in force and not yet known here", true},
+    {Verdict::kUnknownProgram, 404, "no such program"},
+    {Verdict::kProgramEnded, 409, "the program has ended"},
+    {Verdict::kNotAllowed, 403, "the bundle does not let this program call the service"},
+    {Verdict::kKeyReused, 422, "the Idempotency-Key was used for another request"},
+    {Verdict::kBudgetExhausted, 409, "the program's budget does not cover this call"},
+    {Verdict::kTooManyCalls, 409, "the program made as many calls as its bundle allows"},
+    {Verdict::kTooLong, 409, "the program's wall time is over"},
+    {Verdict::kHistoryFull, 409, "the program's history is as long as its bundle allows"},
 };
 
 platform::BackendKind BackendKindOf(CallKind kind) {
@@ -43,12 +41,23 @@
                                  : platform::BackendKind::kApplication;
 }
 
-CallEnd Refusal(int status, const std::string& title, std::optional<int> retry_after) {
+CallEnd NotRun(int status, const std::string& title) {
   CallEnd end;
   end.status = status;
   end.title = title;
   end.outcome = CallState::kNotRun;
-  end.retry_after_seconds = retry_after;
+  end.started = false;
+  return end;
+}
+
+/// The request was turned away before its ledger could tell what the key's earlier requests did.
+CallEnd TurnedAway(int status, const std::string& title) {
+  CallEnd end;
+  end.status = status;
+  end.title = title;
+  end.outcome = CallState::kUnknown;
+  end.started = false;
+  end.retry_after_seconds = kRetrySoonSeconds;
   return end;
 }
 
@@ -75,7 +84,7 @@
     Call& call = calls_.at(known->second);
     bool same = call.spec.request_hash == spec.request_hash && call.spec.partner == spec.partner;
     if (!same) {
-      sink->OnEnd(Refusal(422, "the Idempotency-Key was used for another request", std::nullopt));
+      sink->OnEnd(NotRun(422, "the Idempotency-Key was used for another request"));
       return;
     }
     if (!call.text.empty()) {
@@ -85,17 +94,18 @@
     return;
   }
   if (!admitting_) {
-    sink->OnEnd(Refusal(503, "this daemon is stopping", kRetrySoonSeconds));
+    sink->OnEnd(TurnedAway(503, "this daemon is stopping"));
     return;
   }
   if (calls_.size() >= options_.max_active) {
-    sink->OnEnd(Refusal(503, "this daemon has too many calls under way", kRetrySoonSeconds));
+    sink->OnEnd(TurnedAway(503, "this daemon has too many calls under way"));
     return;
   }
   ++stats_.calls_started;
   CallId id = ++last_call_;
   Call& call = calls_[id];
   call.id = id;
+  call.admission = AdmissionId(random_.NextId());
   call.spec = spec;
   call.sinks.push_back(std::move(sink));
   by_key_[{spec.program, spec.key}] = id;
@@ -112,7 +122,7 @@
   begin.request_hash = spec.request_hash;
   begin.kind = spec.kind;
   begin.repeatable = spec.repeatable;
-  begin.gateway = host_.Self();
+  begin.admission = call.admission;
   begin.reserve = spec.Reservation();
   begin.epoch = spec.epoch;
   begin.turn = spec.turn;
@@ -127,7 +137,7 @@
     return;
   }
   if (answer.status == LedgerAnswer::Status::kNotProposed) {
-    End(*call, Refusal(503, "the program's ledger can't be reached", kRetrySoonSeconds));
+    End(*call, TurnedAway(503, "the program's ledger can't be reached"));
     return;
   }
   if (answer.status == LedgerAnswer::Status::kUncertain) {
@@ -163,7 +173,7 @@
     EndUnknown(*call, 503, "the program's ledger did not answer in time");
     return;
   }
-  bool began_here = record->state == CallState::kRunning && record->gateway == host_.Self();
+  bool began_here = record->state == CallState::kRunning && record->admission == call->admission;
   if (began_here) {
     // Its intent was committed, but nothing was sent: that can be settled truthfully.
     call->granted = true;
@@ -171,14 +181,24 @@
     Commit(*call, CallState::kNotRun, "");
     return;
   }
+  if (record->state != CallState::kNotRun) {
+    call->reason.clear();
+  }
   EndFromRecord(*call, *record);
 }
 
 void CallCoordinator::RefuseAdmission(Call& call, Verdict verdict) {
+  if (verdict == Verdict::kBusy) {
+    End(call, TurnedAway(429, "too many calls of this program wait for their turn"));
+    return;
+  }
+  if (verdict == Verdict::kStaleEpoch) {
+    End(call, TurnedAway(503, "a newer bundle is in force and not yet known here"));
+    return;
+  }
   for (const RefusalText& refusal : kRefusals) {
     if (refusal.verdict == verdict) {
-      auto retry = refusal.retry_soon ? std::optional(kRetrySoonSeconds) : std::nullopt;
-      End(call, Refusal(refusal.status, refusal.title, retry));
+      End(call, NotRun(refusal.status, refusal.title));
       return;
     }
   }
@@ -367,6 +387,7 @@
 void CallCoordinator::Redispatch(Call& call, const std::string& reason) {
   call.avoided[call.backend.name] = host_.Now() + options_.engine_penalty;
   call.reason = reason;
+  call.status_if_not_run = 503;
   ++stats_.redispatches;
   if (call.dispatches >= options_.max_dispatches) {
     Commit(call, OutcomeWhenGivenUp(call), "");
@@ -420,6 +441,7 @@
     return;
   }
   call->reason = "the service failed: " + outcome.detail;
+  call->status_if_not_run = 503;
   call->may_have_run = call->may_have_run || outcome.status == Status::kUnknown;
   bool may_run_again = outcome.status == Status::kNotRun || call->spec.repeatable;
   if (may_run_again && call->dispatches < options_.max_dispatches && MayRetry()) {
@@ -486,10 +508,12 @@
       return;
     }
     case CallState::kNotRun: {
-      std::string title = call.reason.empty() ? "the call was not run" : call.reason;
-      bool may_retry = call.status_if_not_run >= 500;
-      End(call, Refusal(call.status_if_not_run, title,
-                        may_retry ? std::optional(kRetrySoonSeconds) : std::nullopt));
+      std::string title = call.reason.empty() ? "the call was not run before" : call.reason;
+      CallEnd end = NotRun(call.status_if_not_run, title + "; its key is void");
+      if (call.status_if_not_run >= 500) {
+        end.retry_after_seconds = kRetrySoonSeconds;
+      }
+      End(call, end);
       return;
     }
     case CallState::kRunning:
@@ -512,6 +536,7 @@
 }
 
 void CallCoordinator::End(Call& call, const CallEnd& end) {
+  bool turned_away = !end.started && end.outcome == CallState::kUnknown;
   switch (end.outcome) {
     case CallState::kRan:
       ++stats_.calls_ran;
@@ -520,7 +545,7 @@
       ++stats_.calls_not_run;
       break;
     default:
-      ++stats_.calls_unknown;
+      ++(turned_away ? stats_.calls_refused : stats_.calls_unknown);
       break;
   }
   StopWork(call);
--- a/src/gateway/call_coordinator.h
+++ b/src/gateway/call_coordinator.h
@@ -41,6 +41,7 @@
   std::uint64_t calls_ran = 0;
   std::uint64_t calls_not_run = 0;
   std::uint64_t calls_unknown = 0;
+  std::uint64_t calls_refused = 0;  ///< Nothing started; the ledger was not asked or not reached.
   std::uint64_t redispatches = 0;
   std::uint64_t retries_denied = 0;
   std::uint64_t prompt_tokens = 0;
@@ -76,6 +77,7 @@
 
   struct Call {
     CallId id = 0;
+    AdmissionId admission;
     CallSpec spec;
     std::vector<std::shared_ptr<CallSink>> sinks;
     Stage stage = Stage::kAdmitting;
@@ -96,7 +98,7 @@
     std::map<BackendName, absl::Time> avoided;
     std::string text;  // Generated so far.
     platform::ModelUsage usage;
-    int status_if_not_run = 503;
+    int status_if_not_run = 409;
     std::string reason;
   };
 
--- a/src/gateway/call_types.h
+++ b/src/gateway/call_types.h
@@ -37,7 +37,10 @@
   /// HTTP status; 200 when `record` holds the result.
   int status = 200;
   std::string title;
+  /// Of the key, not only of this request: an earlier request with it may have run.
   ledger::CallState outcome = ledger::CallState::kNotRun;
+  /// False when this very request surely started nothing, whatever earlier ones did.
+  bool started = true;
   std::optional<int> retry_after_seconds;
   std::optional<ledger::CallRecord> record;
 };
--- a/src/gateway/problem.cc
+++ b/src/gateway/problem.cc
@@ -31,6 +31,10 @@
                          {"title", title},
                          {"status", status},
                          {"outcome", OutcomeName(outcome)}};
+  if (retry_after_seconds) {
+    // A key that was settled as not run stays void, so that late duplicates can't run it.
+    body["retry_with"] = outcome == ledger::CallState::kNotRun ? "new_key" : "same_key";
+  }
   http::Response response;
   response.status = status;
   response.headers["Content-Type"] = "application/problem+json";
--- a/src/gateway/problem.h
+++ b/src/gateway/problem.h
@@ -12,7 +12,8 @@
 /// @return "ran", "running", "unknown" or "not_run".
 std::string OutcomeName(ledger::CallState state);
 
-/// @return an error answer; `outcome` tells what is known of the request's effect.
+/// @return an error answer; `outcome` tells what is known of the effect of all requests with this
+/// key. `retry_with` in the body names the key to use with a later try, where one makes sense.
 http::Response Problem(int status, const std::string& title, ledger::CallState outcome,
                        std::optional<int> retry_after_seconds = std::nullopt);
 
--- a/src/ledger/group_replica.cc
+++ b/src/ledger/group_replica.cc
@@ -137,7 +137,7 @@
   } else if (const auto* read = std::get_if<ReadProgram>(&request.body)) {
     OnRead(requester, *read);
   } else if (const auto* renew = std::get_if<RenewGrants>(&request.body)) {
-    OnRenew(requester, from, *renew);
+    OnRenew(requester, *renew);
   } else if (const auto* check = std::get_if<CheckPrograms>(&request.body)) {
     OnCheck(requester, *check);
   }
@@ -160,7 +160,7 @@
   }
   const CallRecord* running = program->Running();
   bool own_call =
-      running != nullptr && running->key == command.key && running->gateway == command.gateway;
+      running != nullptr && running->key == command.key && running->admission == command.admission;
   if (own_call) {
     return false;
   }
@@ -177,9 +177,7 @@
 void GroupReplica::EnqueueCall(WaitingCall call) {
   auto& queue = waiting_[call.command.program];
   for (WaitingCall& waiting : queue) {
-    bool repeated =
-        waiting.requester.node == call.requester.node && waiting.command.key == call.command.key;
-    if (repeated) {
+    if (waiting.command.admission == call.command.admission) {
       waiting.requester = call.requester;
       return;
     }
@@ -218,7 +216,7 @@
   }
 }
 
-void GroupReplica::OnRenew(const Requester& requester, NodeId from, const RenewGrants& renew) {
+void GroupReplica::OnRenew(const Requester& requester, const RenewGrants& renew) {
   LedgerReply reply;
   if (!LedgerIsCurrent()) {
     AnswerStatus(requester, ReplyStatus::kNotLeader);
@@ -227,8 +225,8 @@
   for (const Grant& grant : renew.grants) {
     const ProgramRecord* program = ledger_.Find(grant.program);
     const CallRecord* running = program == nullptr ? nullptr : program->Running();
-    bool held = running != nullptr && running->key == grant.key &&
-                running->attempt == grant.attempt && running->gateway == from;
+    bool held =
+        running != nullptr && running->key == grant.key && running->attempt == grant.attempt;
     if (held) {
       leases_[grant.program] = now_ + options_.grant_lease;
     } else {
--- a/src/ledger/group_replica.h
+++ b/src/ledger/group_replica.h
@@ -81,7 +81,7 @@
   /// @return false when nothing was proposed; the requester has then been told.
   bool Propose(const Requester& requester, Operation operation, std::uint64_t arrival = 0);
   void OnRead(const Requester& requester, const ReadProgram& read);
-  void OnRenew(const Requester& requester, NodeId from, const RenewGrants& renew);
+  void OnRenew(const Requester& requester, const RenewGrants& renew);
   void OnCheck(const Requester& requester, const CheckPrograms& check);
   void ApplyEntry(const consensus::Entry& entry);
   /// True when a proposed call found another one under way: it waits like a later arrival.
--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -177,6 +177,10 @@
     return BeginAgain(*program, const_cast<CallRecord&>(*existing), command);
   }
   if (std::optional<Verdict> refusal = RefusalToBegin(*program, command)) {
+    // These reasons may go away; a late duplicate must not run after "not run" was said.
+    if (*refusal == Verdict::kBudgetExhausted || *refusal == Verdict::kNotAllowed) {
+      AddVoid(*program, command.key, command.request_hash);
+    }
     return Refuse(*refusal);
   }
   std::uint64_t& epoch = epochs_[program->partner];
@@ -187,7 +191,7 @@
   call.sequence = static_cast<std::uint32_t>(program->calls.size()) + 1;
   call.kind = command.kind;
   call.repeatable = command.repeatable;
-  call.gateway = command.gateway;
+  call.admission = command.admission;
   call.reserved = command.reserve;
   call.turn = command.turn;
   program->reserved += command.reserve;
@@ -202,8 +206,8 @@
   if (call.request_hash != command.request_hash) {
     return Refuse(Verdict::kKeyReused);
   }
-  if (call.state == CallState::kRunning && call.gateway == command.gateway) {
-    return Begun(program, call);  // The same gateway asks again because its answer was lost.
+  if (call.state == CallState::kRunning && call.admission == command.admission) {
+    return Begun(program, call);  // The same request again, because its answer was lost.
   }
   // Only the newest call may run again: a later turn may already build on the gap before it.
   bool newest = std::none_of(program.calls.begin(), program.calls.end(), [&](const auto& other) {
@@ -220,7 +224,7 @@
   }
   call.state = CallState::kRunning;
   ++call.attempt;
-  call.gateway = command.gateway;
+  call.admission = command.admission;
   call.reserved = command.reserve;
   program.reserved += command.reserve;
   running_.insert(program.id);
@@ -300,13 +304,18 @@
   if (const CallRecord* existing = program->Find(command.key)) {
     return WithCall(Verdict::kAlready, *existing);
   }
+  return WithCall(Verdict::kDone, AddVoid(*program, command.key, command.request_hash));
+}
+
+CallRecord& Ledger::AddVoid(ProgramRecord& program, const CallKey& key,
+                            std::uint64_t request_hash) {
   CallRecord call;
-  call.key = command.key;
-  call.request_hash = command.request_hash;
-  call.sequence = static_cast<std::uint32_t>(program->calls.size()) + 1;
+  call.key = key;
+  call.request_hash = request_hash;
+  call.sequence = static_cast<std::uint32_t>(program.calls.size()) + 1;
   call.state = CallState::kNotRun;
-  program->calls.push_back(call);
-  return WithCall(Verdict::kDone, call);
+  program.calls.push_back(call);
+  return program.calls.back();
 }
 
 ApplyResult Ledger::On(const EndProgram& command) {
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -44,6 +44,8 @@
 
   ProgramRecord* FindMutable(const ProgramId& program);
   ApplyResult BeginAgain(ProgramRecord& program, CallRecord& call, const BeginCall& command);
+  /// Makes the key void: whoever sends the request again, late or in vain, gets the same answer.
+  CallRecord& AddVoid(ProgramRecord& program, const CallKey& key, std::uint64_t request_hash);
   std::optional<Verdict> RefusalToBegin(const ProgramRecord& program,
                                         const BeginCall& command) const;
   /// @return the running call that `grant` names in its present attempt, or null.
--- a/src/ledger/types.h
+++ b/src/ledger/types.h
@@ -63,7 +63,7 @@
   bool repeatable = false;
   CallState state = CallState::kRunning;
   std::uint32_t attempt = 1;
-  NodeId gateway;  ///< Who runs the present attempt.
+  AdmissionId admission;  ///< Whose request began the present attempt.
   Tokens reserved = 0;
   Tokens charged = 0;
   std::string turn;    ///< The caller's new messages or arguments, JSON.
@@ -72,7 +72,7 @@
   friend bool operator==(const CallRecord&, const CallRecord&) = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, request_hash, sequence, kind, repeatable, state, attempt, gateway, reserved,
+    archive(key, request_hash, sequence, kind, repeatable, state, attempt, admission, reserved,
             charged, turn, result);
   }
 };
@@ -141,13 +141,13 @@
   std::uint64_t request_hash = 0;
   CallKind kind = CallKind::kModel;
   bool repeatable = false;
-  NodeId gateway;
+  AdmissionId admission;
   Tokens reserve = 0;
   std::uint64_t epoch = 0;
   std::string turn;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(program, partner, permitted_kinds, key, request_hash, kind, repeatable, gateway,
+    archive(program, partner, permitted_kinds, key, request_hash, kind, repeatable, admission,
             reserve, epoch, turn);
   }
 };
--- /dev/null
+++ b/tests/consensus/raft_test.cc
@@ -0,0 +1,387 @@
+#include "consensus/raft.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "storage/log_store.h"
+
+namespace martenyard::consensus {
+namespace {
+
+/// A group of replicas on a network that a test holds in its hands.
+class Cluster {
+ public:
+  explicit Cluster(std::size_t voters, std::size_t extra = 0) {
+    Configuration configuration;
+    for (std::size_t number = 1; number <= voters; ++number) {
+      configuration.voters.push_back(NodeId(number));
+    }
+    for (std::size_t number = 1; number <= voters + extra; ++number) {
+      NodeId id(number);
+      disks_[id].snapshot.configuration = number <= voters ? configuration : Configuration{};
+      Boot(id);
+    }
+  }
+
+  void Boot(NodeId id) {
+    const storage::StoredGroup& disk = disks_[id];
+    RestoredState restored{disk.hard_state, disk.snapshot, disk.entries};
+    replicas_[id] = std::make_unique<Raft>(id, RaftOptions{}, restored,
+                                           id.value * 7919 + 104729 * boots_++, now_);
+    applied_[id].resize(disk.snapshot.index);
+  }
+
+  void Kill(NodeId id) { replicas_[id] = nullptr; }
+
+  /// Lets `time` pass in ticks, delivering what may be delivered.
+  void Run(absl::Duration time) {
+    for (absl::Time end = now_ + time; now_ < end; now_ += absl::Milliseconds(10)) {
+      for (auto& [id, replica] : replicas_) {
+        if (replica != nullptr) {
+          replica->Tick(now_);
+          Pump(id);
+        }
+      }
+      DeliverAll();
+    }
+  }
+
+  void DeliverAll() {
+    while (!wire_.empty()) {
+      auto [from, outbound] = std::move(wire_.front());
+      wire_.pop_front();
+      bool open = !cut_.contains(from) && !cut_.contains(outbound.to);
+      auto receiver = replicas_.find(outbound.to);
+      if (open && receiver != replicas_.end() && receiver->second != nullptr) {
+        receiver->second->Step(now_, from, outbound.message);
+        Pump(outbound.to);
+      }
+    }
+  }
+
+  void Pump(NodeId id) {
+    Raft& raft = *replicas_[id];
+    while (raft.HasReady()) {
+      Ready ready = raft.TakeReady();
+      storage::GroupWrite write;
+      write.hard_state = ready.hard_state;
+      write.snapshot = ready.snapshot_to_install;
+      write.snapshot_replaces_log = ready.snapshot_to_install.has_value();
+      write.entries = ready.entries_to_store;
+      storage::ApplyWrite(write, disks_[id]);
+      if (ready.snapshot_to_install) {
+        applied_[id].resize(ready.snapshot_to_install->index);
+      }
+      for (const Entry& entry : ready.committed) {
+        ASSERT_EQ(entry.index, applied_[id].size() + 1) << "entries are applied without gaps";
+        applied_[id].push_back(entry);
+        CheckAgreed(entry);
+      }
+      for (auto* list : {&ready.messages_before_store, &ready.messages_after_store}) {
+        for (Outbound& outbound : *list) {
+          wire_.emplace_back(id, std::move(outbound));
+        }
+      }
+      reads_.insert(reads_.end(), ready.reads.begin(), ready.reads.end());
+      failed_reads_ += ready.failed_reads.size();
+      if (raft.IsLeader()) {
+        auto [known, added] = leaders_.emplace(raft.term(), id);
+        ASSERT_EQ(known->second, id) << "two leaders in term " << raft.term();
+      }
+    }
+  }
+
+  void CheckAgreed(const Entry& entry) {
+    auto [known, added] = agreed_.emplace(entry.index, entry);
+    ASSERT_EQ(known->second, entry) << "two entries committed at index " << entry.index;
+  }
+
+  Raft* Leader() {
+    Raft* leader = nullptr;
+    for (auto& [id, replica] : replicas_) {
+      bool newer = replica != nullptr && replica->LeaderIsCurrent() && !cut_.contains(id) &&
+                   (leader == nullptr || replica->term() > leader->term());
+      leader = newer ? replica.get() : leader;
+    }
+    return leader;
+  }
+
+  NodeId LeaderId() {
+    for (auto& [id, replica] : replicas_) {
+      if (replica != nullptr && replica.get() == Leader()) {
+        return id;
+      }
+    }
+    return kNoNode;
+  }
+
+  Raft& replica(std::uint64_t id) { return *replicas_[NodeId(id)]; }
+  bool IsUp(NodeId id) { return replicas_[id] != nullptr; }
+  void Cut(NodeId id) { cut_.insert(id); }
+  void Heal() { cut_.clear(); }
+  std::set<NodeId>& cut() { return cut_; }
+  std::deque<std::pair<NodeId, Outbound>>& wire() { return wire_; }
+  const std::map<LogIndex, Entry>& agreed() const { return agreed_; }
+  std::size_t AppliedAt(std::uint64_t id) { return applied_[NodeId(id)].size(); }
+  std::vector<ReadyRead>& reads() { return reads_; }
+  std::size_t failed_reads() const { return failed_reads_; }
+  absl::Time now() const { return now_; }
+  std::size_t size() const { return replicas_.size(); }
+
+ private:
+  absl::Time now_ = absl::FromUnixSeconds(1000);
+  std::uint64_t boots_ = 0;
+  std::map<NodeId, storage::StoredGroup> disks_;
+  std::map<NodeId, std::unique_ptr<Raft>> replicas_;
+  std::map<NodeId, std::vector<Entry>> applied_;
+  std::deque<std::pair<NodeId, Outbound>> wire_;
+  std::set<NodeId> cut_;
+  std::map<LogIndex, Entry> agreed_;
+  std::map<Term, NodeId> leaders_;
+  std::vector<ReadyRead> reads_;
+  std::size_t failed_reads_ = 0;
+};
+
+std::size_t CommandsIn(const std::map<LogIndex, Entry>& agreed) {
+  std::size_t count = 0;
+  for (const auto& [index, entry] : agreed) {
+    count += entry.kind == EntryKind::kCommand ? 1 : 0;
+  }
+  return count;
+}
+
+TEST(RaftTest, OneVoterElectsItselfAndCommits) {
+  Cluster cluster(1);
+  cluster.Run(absl::Seconds(2));
+  ASSERT_NE(cluster.Leader(), nullptr);
+  cluster.Leader()->Propose(EntryKind::kCommand, "a");
+  cluster.Run(absl::Milliseconds(20));
+  EXPECT_EQ(CommandsIn(cluster.agreed()), 1U);
+}
+
+TEST(RaftTest, ThreeVotersElectOneLeaderAndCommitOnAll) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  ASSERT_NE(cluster.Leader(), nullptr);
+  for (int number = 0; number < 20; ++number) {
+    cluster.Leader()->Propose(EntryKind::kCommand, "c" + std::to_string(number));
+  }
+  cluster.Run(absl::Milliseconds(200));
+  EXPECT_EQ(CommandsIn(cluster.agreed()), 20U);
+  EXPECT_EQ(cluster.AppliedAt(1), cluster.AppliedAt(2));
+  EXPECT_EQ(cluster.AppliedAt(2), cluster.AppliedAt(3));
+}
+
+TEST(RaftTest, LeaderWithoutQuorumStepsDownAndTheRestElectsAnother) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  NodeId old = cluster.LeaderId();
+  cluster.Cut(old);
+  cluster.Run(absl::Seconds(2));
+  EXPECT_FALSE(cluster.replica(old.value).IsLeader());
+  ASSERT_NE(cluster.Leader(), nullptr);
+  EXPECT_NE(cluster.LeaderId(), old);
+}
+
+TEST(RaftTest, ReplicaThatWasCutOffDoesNotDisturbTheLeaderWhenItComesBack) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  NodeId leader = cluster.LeaderId();
+  Term term = cluster.Leader()->term();
+  NodeId follower(leader == NodeId(1) ? 2 : 1);
+  cluster.Cut(follower);
+  cluster.Run(absl::Seconds(5));
+  cluster.Heal();
+  cluster.Run(absl::Seconds(2));
+  EXPECT_EQ(cluster.LeaderId(), leader);
+  EXPECT_EQ(cluster.Leader()->term(), term) << "pre-vote keeps the term";
+}
+
+TEST(RaftTest, UncommittedEntriesOfADeposedLeaderAreReplaced) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  NodeId old = cluster.LeaderId();
+  cluster.Cut(old);
+  cluster.replica(old.value).Propose(EntryKind::kCommand, "lost");
+  cluster.Run(absl::Seconds(2));
+  cluster.Leader()->Propose(EntryKind::kCommand, "kept");
+  cluster.Run(absl::Milliseconds(200));
+  cluster.Heal();
+  cluster.Run(absl::Seconds(2));
+  ASSERT_EQ(CommandsIn(cluster.agreed()), 1U);
+  EXPECT_EQ(cluster.AppliedAt(old.value), cluster.agreed().size());
+}
+
+TEST(RaftTest, LeadershipTransferMovesTheLeadWithoutWaitingForATimeout) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  NodeId old = cluster.LeaderId();
+  NodeId next(old == NodeId(1) ? 2 : 1);
+  cluster.Leader()->TransferLeadership(next);
+  EXPECT_FALSE(cluster.replica(old.value).Propose(EntryKind::kCommand, "x").has_value());
+  cluster.Run(absl::Milliseconds(50));
+  EXPECT_EQ(cluster.LeaderId(), next);
+}
+
+TEST(RaftTest, LaggingReplicaGetsTheSnapshotAndThenTheLog) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  NodeId leader = cluster.LeaderId();
+  NodeId lagging(leader == NodeId(1) ? 2 : 1);
+  cluster.Cut(lagging);
+  for (int number = 0; number < 10; ++number) {
+    cluster.Leader()->Propose(EntryKind::kCommand, "c");
+  }
+  cluster.Run(absl::Milliseconds(200));
+  Snapshot snapshot;
+  snapshot.index = cluster.Leader()->commit_index();
+  snapshot.term = cluster.Leader()->term();
+  snapshot.configuration = cluster.Leader()->configuration();
+  cluster.Leader()->Compact(snapshot);
+  EXPECT_EQ(cluster.Leader()->log_size(), 0U);
+  cluster.Leader()->Propose(EntryKind::kCommand, "after");
+  cluster.Heal();
+  cluster.Run(absl::Seconds(2));
+  EXPECT_EQ(cluster.AppliedAt(lagging.value), cluster.agreed().size());
+}
+
+TEST(RaftTest, NewMemberLearnsThenVotesAndTheOldOneLeaves) {
+  Cluster cluster(3, /*extra=*/1);
+  cluster.Run(absl::Seconds(2));
+  Configuration learning = cluster.Leader()->configuration();
+  learning.learners.push_back(NodeId(4));
+  ASSERT_TRUE(cluster.Leader()->ProposeConfiguration(learning));
+  cluster.Run(absl::Milliseconds(500));
+  EXPECT_EQ(cluster.Leader()->MatchIndex(NodeId(4)), cluster.Leader()->last_index());
+  Configuration voting = learning;
+  voting.learners.clear();
+  voting.voters.push_back(NodeId(4));
+  ASSERT_TRUE(cluster.Leader()->ProposeConfiguration(voting));
+  cluster.Run(absl::Milliseconds(500));
+  NodeId leader = cluster.LeaderId();
+  Configuration smaller = voting;
+  std::erase(smaller.voters, leader);
+  ASSERT_TRUE(cluster.Leader()->ProposeConfiguration(smaller));
+  cluster.Run(absl::Seconds(2));
+  EXPECT_NE(cluster.LeaderId(), leader) << "a leader that is removed steps down";
+  EXPECT_NE(cluster.Leader(), nullptr);
+}
+
+TEST(RaftTest, ConfigurationsThatDifferInMoreThanOneVoterAreRefused) {
+  Cluster cluster(3, /*extra=*/2);
+  cluster.Run(absl::Seconds(2));
+  Configuration next = cluster.Leader()->configuration();
+  next.voters.push_back(NodeId(4));
+  next.voters.push_back(NodeId(5));
+  EXPECT_FALSE(cluster.Leader()->ProposeConfiguration(next));
+  next.voters = {};
+  EXPECT_FALSE(cluster.Leader()->ProposeConfiguration(next));
+}
+
+TEST(RaftTest, LearnerNeitherVotesNorStandsForElection) {
+  Cluster cluster(1, /*extra=*/1);
+  cluster.Run(absl::Seconds(2));
+  Configuration learning = cluster.Leader()->configuration();
+  learning.learners.push_back(NodeId(2));
+  ASSERT_TRUE(cluster.Leader()->ProposeConfiguration(learning));
+  cluster.Run(absl::Milliseconds(500));
+  cluster.Kill(NodeId(1));
+  cluster.Run(absl::Seconds(5));
+  EXPECT_EQ(cluster.Leader(), nullptr);
+}
+
+TEST(RaftTest, ReadIsServedOnlyAfterAQuorumConfirmedTheLead) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  ASSERT_TRUE(cluster.Leader()->RequestRead(1));
+  cluster.Run(absl::Milliseconds(50));
+  ASSERT_EQ(cluster.reads().size(), 1U);
+  NodeId old = cluster.LeaderId();
+  cluster.Cut(old);
+  ASSERT_TRUE(cluster.replica(old.value).RequestRead(2));
+  cluster.Run(absl::Seconds(2));
+  EXPECT_EQ(cluster.reads().size(), 1U) << "a leader cut off must not serve reads";
+  EXPECT_EQ(cluster.failed_reads(), 1U);
+}
+
+TEST(RaftTest, RestartedReplicaAppliesItsLogAgainFromTheSnapshot) {
+  Cluster cluster(3);
+  cluster.Kill(NodeId(2));
+  cluster.Boot(NodeId(2));
+  cluster.Kill(NodeId(1));
+  cluster.Run(absl::Seconds(5));
+  cluster.Boot(NodeId(1));
+  cluster.Run(absl::Seconds(5));
+  ASSERT_NE(cluster.Leader(), nullptr);
+  cluster.Leader()->Propose(EntryKind::kCommand, "c");
+  cluster.Run(absl::Seconds(1));
+  EXPECT_EQ(CommandsIn(cluster.agreed()), 1U);
+}
+
+// Random histories: election safety and state machine safety are checked at every step by the
+// cluster itself; at the end the healed group must agree and make progress.
+RC_GTEST_PROP(RaftPropertyTest, AgreementHoldsUnderAnyHistory, ()) {
+  Cluster cluster(3);
+  auto steps = *rc::gen::resize(
+      80, rc::gen::container<std::vector<std::pair<int, std::uint64_t>>>(
+              rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange<std::uint64_t>(1, 4))));
+  std::size_t proposed = 0;
+  for (const auto& [action, target] : steps) {
+    NodeId node(target);
+    switch (action) {
+      case 0:
+        cluster.Cut(node);
+        break;
+      case 1:
+        cluster.Heal();
+        break;
+      case 2:
+        cluster.Kill(node);
+        break;
+      case 3:
+        if (!cluster.IsUp(node)) {
+          cluster.Boot(node);
+        }
+        break;
+      case 4:
+      case 5:
+        if (cluster.IsUp(node) &&
+            cluster.replica(target).Propose(EntryKind::kCommand, std::to_string(proposed))) {
+          ++proposed;
+          cluster.Pump(node);
+        }
+        break;
+      case 6:  // Messages cross.
+        std::reverse(cluster.wire().begin(), cluster.wire().end());
+        break;
+      case 7:  // A message arrives twice.
+        if (!cluster.wire().empty()) {
+          cluster.wire().push_back(cluster.wire().front());
+        }
+        break;
+      default:
+        cluster.Run(absl::Milliseconds(static_cast<int>(target) * 150));
+        break;
+    }
+  }
+  cluster.Heal();
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    if (!cluster.IsUp(NodeId(id))) {
+      cluster.Boot(NodeId(id));
+    }
+  }
+  cluster.Run(absl::Seconds(5));
+  RC_ASSERT(cluster.LeaderId() != kNoNode);
+  RC_ASSERT(cluster.Leader()->Propose(EntryKind::kCommand, "last").has_value());
+  cluster.Run(absl::Seconds(1));
+  RC_ASSERT(cluster.agreed().rbegin()->second.payload == "last");
+  RC_ASSERT(!::testing::Test::HasFailure());
+}
+
+}  // namespace
+}  // namespace martenyard::consensus
