Send appends before the leader's own synced write

Cause: a round's messages were gathered and sent only after the round's write, so the leader's sync and its followers' syncs ran one after the other, twice a call (intent and result). Change: what Raft allows to leave before the write goes out first.

--- a/bench/local_system.cc
+++ b/bench/local_system.cc
@@ -45,7 +45,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(tcp, reinterpret_cast<sockaddr*>(&address), size);
+    if (bind(tcp, reinterpret_cast<sockaddr*>(&address), size) != 0) {
+      std::abort();  // Loopback always has a free port to give.
+    }
     getsockname(tcp, reinterpret_cast<sockaddr*>(&address), &size);
     if (bind(udp, reinterpret_cast<sockaddr*>(&address), size) == 0) {
       ports.push_back(ntohs(address.sin_port));
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -115,7 +115,9 @@
     for (dispatch::NewsTo& news : dispatcher_.TakeNews()) {
       Send(news.to, std::move(news.news));
     }
-    BOOST_LEAF_AUTO(effects, replica_host_.Pump());
+    BOOST_LEAF_AUTO(effects, replica_host_.Pump([this](GroupMessageTo message) {
+      Send(message.to, std::move(message.message));
+    }));
     for (GroupMessageTo& message : effects.messages) {
       Send(message.to, std::move(message.message));
     }
--- a/src/daemon/replica_host.cc
+++ b/src/daemon/replica_host.cc
@@ -102,11 +102,11 @@
   return found == replicas_.end() ? nullptr : found->second.get();
 }
 
-Result<HostEffects> ReplicaHost::Pump() {
+Result<HostEffects> ReplicaHost::Pump(const std::function<void(GroupMessageTo)>& send_early) {
   HostEffects effects;
   bool busy = true;
   while (busy) {
-    BOOST_LEAF_CHECK(PumpRound(effects));
+    BOOST_LEAF_CHECK(PumpRound(send_early, effects));
     busy = false;
     for (const auto& [group, replica] : replicas_) {
       busy = busy || replica->HasWork();
@@ -115,7 +115,8 @@
   return effects;
 }
 
-Result<void> ReplicaHost::PumpRound(HostEffects& effects) {
+Result<void> ReplicaHost::PumpRound(const std::function<void(GroupMessageTo)>& send_early,
+                                    HostEffects& effects) {
   std::vector<std::pair<ledger::GroupReplica*, consensus::Ready>> readies;
   std::vector<storage::GroupWrite> writes = std::move(pending_writes_);
   pending_writes_.clear();
@@ -124,7 +125,9 @@
       continue;
     }
     consensus::Ready ready = replica->TakeReady();
-    AddMessages(group, ready.messages_before_store, effects.messages);
+    for (consensus::Outbound& outbound : ready.messages_before_store) {
+      send_early({outbound.to, GroupMessage{group, std::move(outbound.message)}});
+    }
     bool stores = ready.hard_state || !ready.entries_to_store.empty() || ready.snapshot_to_install;
     if (stores) {
       storage::GroupWrite write;
--- a/src/daemon/replica_host.h
+++ b/src/daemon/replica_host.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -41,9 +42,11 @@
   void Tick(absl::Time now);
   /// Forgets a group whose committed configuration no longer names this daemon.
   void Remove(GroupId group);
-  /// Stores, sends and applies until nothing is left to do. Errors: the store's; then this host
-  /// must not be used further.
-  Result<HostEffects> Pump();
+  /// Stores, sends and applies until nothing is left to do.
+  /// @param send_early takes what may leave before the synced write: followers then write while
+  /// this daemon does.
+  /// Errors: the store's; then this host must not be used further.
+  Result<HostEffects> Pump(const std::function<void(GroupMessageTo)>& send_early);
 
   const std::map<GroupId, std::unique_ptr<ledger::GroupReplica>>& replicas() const {
     return replicas_;
@@ -53,7 +56,8 @@
 
  private:
   void Add(absl::Time now, GroupId group, consensus::RestoredState restored);
-  Result<void> PumpRound(HostEffects& effects);
+  Result<void> PumpRound(const std::function<void(GroupMessageTo)>& send_early,
+                         HostEffects& effects);
 
   NodeId self_;
   ledger::GroupOptions options_;
--- a/src/sim/sim_platform.cc
+++ b/src/sim/sim_platform.cc
@@ -149,14 +149,13 @@
     for (std::size_t from = 0; from < whole; from += kChunkBytes) {
       delay += kChunkTime;
       std::string chunk = rest.substr(from, std::min(kChunkBytes, whole - from));
-      platform_.queue_.After(delay,
-                             [this, live = live_, deliver = deliver_, handle, on_text, chunk] {
-                               deliver([live, handle, on_text, chunk] {
-                                 if (live->contains(handle)) {
-                                   on_text(chunk);
-                                 }
-                               });
-                             });
+      platform_.queue_.After(delay, [live = live_, deliver = deliver_, handle, on_text, chunk] {
+        deliver([live, handle, on_text, chunk] {
+          if (live->contains(handle)) {
+            on_text(chunk);
+          }
+        });
+      });
     }
     outcome.status = breaks ? platform::ModelOutcome::Status::kBroken
                             : platform::ModelOutcome::Status::kFinished;
