Build a call's history only where it is sent

Cause: every replica copied the whole history into the result of a begun call, 91 turns of it at the end of a long program. Change: the leader adds it when it answers; followers never do.

--- a/src/ledger/group_replica.cc
+++ b/src/ledger/group_replica.cc
@@ -306,6 +306,11 @@
   }
   LedgerReply reply;
   reply.result = std::move(result);
+  bool needs_history =
+      begin != nullptr && reply.result.verdict == Verdict::kDone && begin->kind == CallKind::kModel;
+  if (needs_history) {
+    reply.result.history = ledger_.HistoryBefore(begin->program, reply.result.call->sequence);
+  }
   Answer(proposal.mapped().requester, std::move(reply));
 }
 
--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -31,11 +31,6 @@
   result.program_kind = program.program_kind;
   result.attained = program.spent + program.inherited;
   result.engines = program.engines;
-  for (const CallRecord& earlier : program.calls) {
-    if (earlier.sequence < call.sequence && earlier.state == CallState::kRan) {
-      result.history.push_back(earlier);
-    }
-  }
   return result;
 }
 
@@ -92,6 +87,20 @@
   return found == programs_.end() ? nullptr : &found->second;
 }
 
+std::vector<CallRecord> Ledger::HistoryBefore(const ProgramId& id, std::uint32_t sequence) const {
+  std::vector<CallRecord> history;
+  const ProgramRecord* program = Find(id);
+  if (program == nullptr) {
+    return history;
+  }
+  for (const CallRecord& call : program->calls) {
+    if (call.sequence < sequence && call.state == CallState::kRan) {
+      history.push_back(call);
+    }
+  }
+  return history;
+}
+
 std::vector<ProgramId> Ledger::Expired(UnixMillis now_ms, std::size_t limit) const {
   std::vector<ProgramId> expired;
   for (const auto& [when, program] : expiry_) {
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -21,6 +21,8 @@
 
   /// @return the program, or null.
   const ProgramRecord* Find(const ProgramId& program) const;
+  /// @return the program's calls that ran before the one numbered `sequence`, in order.
+  std::vector<CallRecord> HistoryBefore(const ProgramId& program, std::uint32_t sequence) const;
   const std::map<std::uint64_t, ReleaseOrder>& outbox() const { return outbox_; }
   /// Programs with a call under way; the leader watches over their grants.
   const std::set<ProgramId>& running() const { return running_; }
--- a/src/ledger/types.h
+++ b/src/ledger/types.h
@@ -234,7 +234,8 @@
   kStaleGrant,  ///< The attempt is no longer the present one.
 };
 
-/// What a command did. `history` is filled for a begun model call.
+/// What a command did. The leader adds `history` when it answers a begun model call: the other
+/// replicas have no use for it.
 struct ApplyResult {
   Verdict verdict = Verdict::kDone;
   std::optional<CallRecord> call;
