Make membership's cost flat and its news fast; let a daemon that left come back

Now what was sent least goes first, what came in a whole list is not passed on, and news is gossiped every 200 ms, only while there is any. - Every tick looked at every member; now only at suspects. Peers and zones are kept, not rebuilt. - A daemon that stopped as planned and came back under its id stayed "leaving" for the others: its own new state did not refute the old one. It does now; the proof of planned stops, which the faster gossip made fail, passes again, and membership has a test of its own for it.

--- a/src/daemon/backend_view.cc
+++ b/src/daemon/backend_view.cc
@@ -20,17 +20,32 @@
 
 }  // namespace
 
-std::optional<NodeId> DispatcherOf(const platform::Backend& engine,
-                                   const std::vector<membership::MemberInfo>& live) {
+LiveMembers LiveMembers::From(std::vector<membership::MemberInfo> members) {
+  LiveMembers live;
+  for (const membership::MemberInfo& member : members) {
+    live.by_zone[member.zone].push_back(member.id);
+  }
+  live.all = std::move(members);
+  return live;
+}
+
+std::optional<NodeId> DispatcherOf(const platform::Backend& engine, const LiveMembers& live) {
   std::optional<NodeId> best;
-  std::pair<int, std::uint64_t> best_rank;
-  for (const membership::MemberInfo& member : live) {
-    std::pair<int, std::uint64_t> rank{member.zone == engine.zone ? 1 : 0,
-                                       StableHash(engine.name.value, member.id.value)};
+  std::uint64_t best_rank = 0;
+  auto consider = [&](NodeId member) {
+    std::uint64_t rank = StableHash(engine.name.value, member.value);
     if (!best || rank > best_rank) {
-      best = member.id;
+      best = member;
       best_rank = rank;
     }
+  };
+  auto zone = live.by_zone.find(engine.zone);
+  if (zone != live.by_zone.end()) {
+    std::for_each(zone->second.begin(), zone->second.end(), consider);
+    return best;
+  }
+  for (const membership::MemberInfo& member : live.all) {
+    consider(member.id);
   }
   return best;
 }
@@ -122,8 +137,7 @@
 }
 
 std::vector<dispatch::EngineConfig> BackendView::DispatchedBy(
-    NodeId self, const std::vector<membership::MemberInfo>& live,
-    const bundle::BundleBook& bundles) const {
+    NodeId self, const LiveMembers& live, const bundle::BundleBook& bundles) const {
   std::vector<dispatch::EngineConfig> configs;
   for (const auto& [name, backend] : machines_) {
     if (backend.kind != platform::BackendKind::kEngine || DispatcherOf(backend, live) != self) {
--- a/src/daemon/backend_view.h
+++ b/src/daemon/backend_view.h
@@ -17,10 +17,17 @@
 
 namespace martenyard::daemon {
 
+/// The live members, and by zone: a dispatcher is found without looking at the whole fleet.
+struct LiveMembers {
+  std::vector<membership::MemberInfo> all;
+  std::map<ZoneName, std::vector<NodeId>> by_zone;
+
+  static LiveMembers From(std::vector<membership::MemberInfo> members);
+};
+
 /// @return the live member that dispatches for the engine: the highest rendezvous hash among the
 /// members of the engine's zone, or of all members when the zone has none.
-std::optional<NodeId> DispatcherOf(const platform::Backend& engine,
-                                   const std::vector<membership::MemberInfo>& live);
+std::optional<NodeId> DispatcherOf(const platform::Backend& engine, const LiveMembers& live);
 
 class BackendView {
  public:
@@ -41,8 +48,7 @@
   /// @return true when the list was read and has not shown the back end for a while.
   bool IsGone(absl::Time now, const BackendName& name) const;
   /// @return configurations of the engines that `self` dispatches for.
-  std::vector<dispatch::EngineConfig> DispatchedBy(NodeId self,
-                                                   const std::vector<membership::MemberInfo>& live,
+  std::vector<dispatch::EngineConfig> DispatchedBy(NodeId self, const LiveMembers& live,
                                                    const bundle::BundleBook& bundles) const;
   const std::map<BackendName, platform::Backend>& machines() const { return machines_; }
 
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -199,27 +199,23 @@
 
 // ---- Members ----
 
-std::vector<NodeId> Node::Peers() const {
-  std::vector<NodeId> peers;
-  for (const membership::MemberInfo& member : live_) {
+void Node::OnMembersChanged() {
+  live_version_ = membership_.version();
+  std::vector<membership::MemberInfo> before = std::move(live_.all);
+  live_ = LiveMembers::From(membership_.Live());
+  peers_.clear();
+  for (const membership::MemberInfo& member : live_.all) {
     if (member.id != Self()) {
-      peers.push_back(member.id);
+      peers_.push_back(member.id);
     }
   }
-  return peers;
-}
-
-void Node::OnMembersChanged() {
-  live_version_ = membership_.version();
-  std::vector<membership::MemberInfo> before = std::move(live_);
-  live_ = membership_.Live();
   for (const membership::MemberInfo& member : before) {
     if (membership_.StatusOf(member.id) == membership::MemberStatus::kDead) {
       MARTENYARD_LOG_INFO("membership", "Daemon " << member.peer.ToString() << " is gone.");
       router_.OnMemberGone(now_, member.id);
     }
   }
-  MARTENYARD_LOG_INFO("membership", "Members up: " << live_.size() << ".");
+  MARTENYARD_LOG_INFO("membership", "Members up: " << live_.all.size() << ".");
   RefreshEngines();
 }
 
@@ -318,7 +314,7 @@
 
 bool Node::WatchesKeyValue() const {
   std::size_t before_self = 0;
-  for (const membership::MemberInfo& member : live_) {
+  for (const membership::MemberInfo& member : live_.all) {
     before_self += member.zone == membership_.self().zone && member.id < Self() ? 1 : 0;
   }
   return before_self < kWatchersPerZone;
@@ -340,10 +336,10 @@
       spread_.Publish({kDirectoryItem, 1, answer.entries[0].value}, Peers());
       return;
     }
-    if (live_.size() < static_cast<std::size_t>(options_.bootstrap_daemons)) {
+    if (live_.all.size() < static_cast<std::size_t>(options_.bootstrap_daemons)) {
       return;
     }
-    auto placed = PlaceGroups(live_, options_.groups, options_.replicas);
+    auto placed = PlaceGroups(live_.all, options_.groups, options_.replicas);
     if (placed.empty()) {
       return;
     }
@@ -425,7 +421,7 @@
     view.caught_up = raft.MatchIndex(member) + kCaughtUpEntries >= raft.last_index();
     views.push_back(view);
   }
-  auto next = PlanChange(replica.group(), present, views, live_,
+  auto next = PlanChange(replica.group(), present, views, live_.all,
                          static_cast<std::size_t>(options_.replicas));
   if (next && raft.ProposeConfiguration(*next)) {
     MARTENYARD_LOG_INFO(kLog, "Group " << replica.group().value << " changes to "
@@ -600,8 +596,8 @@
   if (coordinator_.active() > 0) {
     return false;
   }
-  bool can_hand_over = live_.size() >= 2;
-  bool replacement_exists = live_.size() >= static_cast<std::size_t>(options_.replicas);
+  bool can_hand_over = live_.all.size() >= 2;
+  bool replacement_exists = live_.all.size() >= static_cast<std::size_t>(options_.replicas);
   for (const auto& [group, replica] : replica_host_.replicas()) {
     if (replica->raft().IsLeader() && can_hand_over &&
         replica->raft().configuration().voters.size() > 1) {
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -119,7 +119,7 @@
   void FlushMembership();
   void FlushSpread();
   void OnMembersChanged();
-  std::vector<NodeId> Peers() const;
+  const std::vector<NodeId>& Peers() const { return peers_; }
 
   bool ValidateItem(const spread::Item& item) const;
   void TakeItem(const spread::Item& item);
@@ -156,7 +156,8 @@
   gateway::CallCoordinator coordinator_;
 
   std::vector<Periodic> periodics_;
-  std::vector<membership::MemberInfo> live_;
+  LiveMembers live_;
+  std::vector<NodeId> peers_;  // The live members but for this one.
   std::uint64_t live_version_ = ~std::uint64_t{0};
   std::map<GroupId, consensus::Configuration> directory_;
   std::map<GroupId, std::uint64_t> directory_versions_;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -4,10 +4,13 @@
 #include <cmath>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace martenyard::membership {
 namespace {
 
 constexpr absl::Duration kJoinRetry = absl::Seconds(1);
+constexpr absl::Duration kForgetInterval = absl::Seconds(10);
 constexpr int kRelayProbeTimeouts = 4;
 
 bool IsUp(MemberStatus status) {
@@ -33,8 +36,10 @@
       random_(seed),
       now_(now),
       next_probe_(now + options.probe_interval * random_.Uniform()),
+      next_gossip_(now + options.gossip_interval * random_.Uniform()),
       next_repair_(now + options.repair_interval * random_.Uniform()),
-      next_join_(now) {
+      next_join_(now),
+      next_forget_(now) {
   std::erase(seeds_, self_.peer);
   members_[self_.id] = {{self_, 0, MemberStatus::kAlive}, now};
   Spread(self_.id);
@@ -44,6 +49,10 @@
   now_ = std::max(now_, now);
   JoinSeeds();
   ExpireSuspects();
+  if (now_ >= next_forget_) {
+    next_forget_ = now_ + kForgetInterval;
+    ForgetDead();
+  }
   if (probe_ && !probe_->asked_others && now_ >= probe_->indirect_at) {
     AskOthers();
   }
@@ -51,6 +60,10 @@
     next_probe_ = now_ + options_.probe_interval;
     StartProbe();
   }
+  if (now_ >= next_gossip_) {
+    next_gossip_ = now_ + options_.gossip_interval;
+    Gossip();
+  }
   if (now_ >= next_repair_) {
     next_repair_ = now_ + options_.repair_interval;
     Repair();
@@ -135,7 +148,7 @@
 void Membership::OnPacket(absl::Time now, const Packet& packet) {
   now_ = std::max(now_, now);
   for (const MemberUpdate& update : packet.updates) {
-    Merge(update);
+    Merge(update, /*spread=*/true);
   }
   switch (packet.kind) {
     case PacketKind::kPing:
@@ -167,6 +180,8 @@
            MakePacket(PacketKind::kPing, last_sequence_, packet.target));
       break;
     }
+    case PacketKind::kGossip:
+      break;
     case PacketKind::kJoin:
       effects_.lists.push_back({packet.from_endpoint, WholeList(/*reply_wanted=*/false)});
       break;
@@ -209,10 +224,36 @@
     targets.push_back(dead[random_.Below(dead.size())]);
   }
   for (const wire::Endpoint& target : targets) {
-    effects_.lists.push_back({target, WholeList(/*reply_wanted=*/true)});
+    MemberList list;
+    list.digest_only = true;
+    list.digest = Digest();
+    effects_.lists.push_back({target, std::move(list)});
   }
 }
 
+void Membership::Gossip() {
+  if (rumours_.empty()) {
+    return;
+  }
+  auto fanout = static_cast<std::size_t>(options_.gossip_fanout);
+  for (NodeId other : RandomOthers(fanout, kNoNode)) {
+    Send(members_[other].update.info.peer, MakePacket(PacketKind::kGossip, 0, kNoNode));
+  }
+}
+
+std::uint64_t Membership::Digest() const {
+  std::uint64_t digest = 0;
+  for (const auto& [id, member] : members_) {
+    if (member.update.status == MemberStatus::kDead) {
+      continue;
+    }
+    std::uint64_t parts[] = {id.value, member.update.incarnation,
+                             static_cast<std::uint64_t>(member.update.status)};
+    digest ^= StableHash({reinterpret_cast<const char*>(parts), sizeof(parts)});
+  }
+  return digest;
+}
+
 MemberList Membership::WholeList(bool reply_wanted) const {
   MemberList list;
   list.reply_wanted = reply_wanted;
@@ -224,8 +265,14 @@
 
 void Membership::OnMemberList(absl::Time now, const wire::Endpoint& from, const MemberList& list) {
   now_ = std::max(now_, now);
+  if (list.digest_only) {
+    if (list.digest != Digest()) {
+      effects_.lists.push_back({from, WholeList(/*reply_wanted=*/true)});
+    }
+    return;
+  }
   for (const MemberUpdate& update : list.members) {
-    Merge(update);
+    Merge(update, /*spread=*/false);
   }
   if (list.reply_wanted) {
     effects_.lists.push_back({from, WholeList(/*reply_wanted=*/false)});
@@ -234,7 +281,7 @@
 
 // ---- Merging ----
 
-void Membership::Merge(const MemberUpdate& update) {
+void Membership::Merge(const MemberUpdate& update, bool spread) {
   if (update.info.id == self_.id) {
     MergeAboutSelf(update);
     return;
@@ -250,10 +297,15 @@
       return;
     }
     members_[update.info.id] = {update, now_};
+    if (update.status == MemberStatus::kSuspect) {
+      suspects_.insert(update.info.id);
+    }
     ++version_;
     if (update.status != MemberStatus::kDead) {
       RetireEndpoint(update.info);
-      Spread(update.info.id);
+      if (spread) {
+        Spread(update.info.id);
+      }
     }
     return;
   }
@@ -267,7 +319,9 @@
 
 void Membership::MergeAboutSelf(const MemberUpdate& update) {
   MemberUpdate& own = members_[self_.id].update;
-  bool wrong = update.status >= MemberStatus::kSuspect && update.incarnation >= own.incarnation;
+  // Also what it said in an earlier life is wrong now, such as that it leaves.
+  bool wrong = update.incarnation > own.incarnation ||
+               (update.incarnation == own.incarnation && update.status != own.status);
   if (wrong) {
     own.incarnation = update.incarnation + 1;
     Spread(self_.id);
@@ -291,6 +345,11 @@
   member.update.status = status;
   member.update.incarnation = incarnation;
   member.since = now_;
+  if (status == MemberStatus::kSuspect) {
+    suspects_.insert(member.update.info.id);
+  } else {
+    suspects_.erase(member.update.info.id);
+  }
   if (was_up != IsUp(status)) {
     ++version_;
   }
@@ -298,19 +357,20 @@
 }
 
 void Membership::ExpireSuspects() {
-  std::vector<NodeId> forgotten;
-  for (auto& [id, member] : members_) {
-    if (member.update.status == MemberStatus::kSuspect &&
-        member.since + options_.suspicion <= now_) {
+  std::set<NodeId> watched = suspects_;
+  for (NodeId id : watched) {
+    Member& member = members_[id];
+    if (member.since + options_.suspicion <= now_) {
       SetStatus(member, MemberStatus::kDead, member.update.incarnation);
-    } else if (member.update.status == MemberStatus::kDead &&
-               member.since + options_.keep_dead <= now_) {
-      forgotten.push_back(id);
     }
   }
-  for (NodeId id : forgotten) {
-    members_.erase(id);
-  }
+}
+
+void Membership::ForgetDead() {
+  std::erase_if(members_, [&](const auto& entry) {
+    const Member& member = entry.second;
+    return member.update.status == MemberStatus::kDead && member.since + options_.keep_dead <= now_;
+  });
 }
 
 void Membership::Leave() {
@@ -330,7 +390,19 @@
   double members = static_cast<double>(members_.size()) + 1.0;
   int sends = options_.retransmit_factor * static_cast<int>(std::ceil(std::log2(members + 1.0)));
   std::erase_if(rumours_, [&](const Rumour& rumour) { return rumour.about == about; });
-  rumours_.push_front({about, sends});
+  rumours_.push_back({about, sends});
+}
+
+std::vector<Membership::Rumour> Membership::TakeFreshest(std::size_t count) {
+  // What was sent least goes first: news of now is not held up by a crowd of older news.
+  count = std::min(count, rumours_.size());
+  std::partial_sort(
+      rumours_.begin(), rumours_.begin() + static_cast<std::ptrdiff_t>(count), rumours_.end(),
+      [](const Rumour& left, const Rumour& right) { return left.sends_left > right.sends_left; });
+  std::vector<Rumour> freshest(rumours_.begin(),
+                               rumours_.begin() + static_cast<std::ptrdiff_t>(count));
+  rumours_.erase(rumours_.begin(), rumours_.begin() + static_cast<std::ptrdiff_t>(count));
+  return freshest;
 }
 
 Packet Membership::MakePacket(PacketKind kind, std::uint64_t sequence, NodeId target) {
@@ -344,11 +416,8 @@
 }
 
 void Membership::Send(const wire::Endpoint& to, Packet packet) {
-  std::deque<Rumour> sent;
-  int room = options_.updates_per_packet;
-  for (; room > 0 && !rumours_.empty(); --room) {
-    Rumour rumour = rumours_.front();
-    rumours_.pop_front();
+  auto room = static_cast<std::size_t>(options_.updates_per_packet);
+  for (Rumour& rumour : TakeFreshest(room)) {
     auto found = members_.find(rumour.about);
     if (found == members_.end()) {
       continue;
@@ -356,14 +425,12 @@
     packet.updates.push_back(found->second.update);
     --rumour.sends_left;
     if (rumour.sends_left > 0) {
-      sent.push_back(rumour);
+      rumours_.push_back(rumour);
     }
   }
-  // What was just sent goes behind what has not been.
-  rumours_.insert(rumours_.end(), sent.begin(), sent.end());
-  // A suspect must hear of it in the very probe, to refute it in the answer.
+  // Whoever is not simply alive must hear of it in the very probe, to refute it in the answer.
   auto target = members_.find(packet.target);
-  if (target != members_.end() && target->second.update.status == MemberStatus::kSuspect) {
+  if (target != members_.end() && target->second.update.status != MemberStatus::kAlive) {
     packet.updates.push_back(target->second.update);
   }
   effects_.packets.push_back({to, std::move(packet)});
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,7 +47,7 @@
   }
 };
 
-enum class PacketKind : std::uint8_t { kPing, kAck, kPingRequest, kJoin };
+enum class PacketKind : std::uint8_t { kPing, kAck, kPingRequest, kJoin, kGossip };
 
 /// One datagram.
 struct Packet {
@@ -63,13 +64,16 @@
   }
 };
 
-/// The whole member list, sent over a stream: as an answer to a join, and now and then as repair.
+/// The member list, sent over a stream: whole as an answer to a join; now and then its digest
+/// alone, which is answered with the whole list where it differs.
 struct MemberList {
   bool reply_wanted = false;
+  bool digest_only = false;
+  std::uint64_t digest = 0;
   std::vector<MemberUpdate> members;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(reply_wanted, members);
+    archive(reply_wanted, digest_only, digest, members);
   }
 };
 
@@ -78,8 +82,10 @@
   absl::Duration probe_interval = absl::Milliseconds(500);
   absl::Duration probe_timeout = absl::Milliseconds(150);  ///< Then others are asked to probe.
   int indirect_probes = 3;
-  absl::Duration suspicion = absl::Seconds(2);         ///< Before a suspect counts as dead.
-  absl::Duration repair_interval = absl::Seconds(30);  ///< Whole lists with a random member.
+  absl::Duration suspicion = absl::Seconds(2);               ///< Before a suspect counts as dead.
+  absl::Duration gossip_interval = absl::Milliseconds(200);  ///< Only while there is news.
+  int gossip_fanout = 3;
+  absl::Duration repair_interval = absl::Seconds(10);  ///< Digests with a random member.
   absl::Duration keep_dead = absl::Minutes(10);
   int updates_per_packet = 8;
   int retransmit_factor = 3;  ///< Each update is sent about factor * log2(members) times.
@@ -156,7 +162,8 @@
   void AskOthers();
   std::optional<NodeId> NextTarget();
   std::vector<NodeId> RandomOthers(std::size_t count, NodeId except);
-  void Merge(const MemberUpdate& update);
+  /// @param spread false for what came in a whole list: others learn that in their own time.
+  void Merge(const MemberUpdate& update, bool spread);
   void MergeAboutSelf(const MemberUpdate& update);
   void RetireEndpoint(const MemberInfo& newcomer);
   void SetStatus(Member& member, MemberStatus status, std::uint32_t incarnation);
@@ -164,8 +171,13 @@
   Packet MakePacket(PacketKind kind, std::uint64_t sequence, NodeId target);
   void Send(const wire::Endpoint& to, Packet packet);
   void JoinSeeds();
+  void Gossip();
   void Repair();
+  /// @return a hash of who is here in which state; the dead do not count, as they get forgotten.
+  std::uint64_t Digest() const;
+  std::vector<Rumour> TakeFreshest(std::size_t count);
   void ExpireSuspects();
+  void ForgetDead();
   MemberList WholeList(bool reply_wanted) const;
 
   MemberInfo self_;
@@ -174,14 +186,17 @@
   Random random_;
   absl::Time now_;
   std::map<NodeId, Member> members_;  // Self included.
+  std::set<NodeId> suspects_;         // Those in `members_` whose status is kSuspect.
   std::deque<NodeId> probe_order_;
   std::optional<Probe> probe_;
   std::map<std::uint64_t, RelayedProbe> relayed_;
-  std::deque<Rumour> rumours_;
+  std::vector<Rumour> rumours_;
   std::uint64_t last_sequence_ = 0;
   absl::Time next_probe_;
+  absl::Time next_gossip_;
   absl::Time next_repair_;
   absl::Time next_join_;
+  absl::Time next_forget_;
   std::uint64_t version_ = 0;
   std::uint64_t refuted_ = 0;
   MembershipEffects effects_;
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -159,6 +159,15 @@
   }
 }
 
+TEST(MembershipTest, MemberThatLeftAndCameBackUnderItsIdIsUpAgain) {
+  Fleet fleet(6);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.AllSee(6); }, absl::Seconds(20)));
+  fleet.At(2).Leave();
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.AllSee(5); }, absl::Seconds(10)));
+  fleet.Boot(2, 3);
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllSee(6); }, absl::Seconds(10)));
+}
+
 TEST(MembershipTest, PacketsPerMemberDoNotGrowWithTheFleet) {
   auto per_member = [](std::size_t size) {
     Fleet fleet(size);
