Confirm renewals by a quorum; take a process that refuses connections as dead at once

Now a renewal is answered like a read: only after a quorum confirmed the leader since it was asked.

News of a death counts from when it was checked, and not at all when older than 200 ms, so that a daemon which slept does not take a peer's new life for dead.

The random-faults proof now also checks reads for linearizability.

--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -19,6 +19,8 @@
 constexpr char kBundle[] =
     "partner = \"tenant\"\nversion = \"1\"\n[[program]]\nname = \"p\"\nmodels = [\"m\"]\n";
 constexpr absl::Duration kSettled = absl::Seconds(20);  ///< Length of the quiet measurement.
+/// The news and list repairs of a whole fleet's start are over after this.
+constexpr absl::Duration kCalmDown = absl::Seconds(60);
 constexpr int kDaemonsPerZone = 47;
 constexpr int kGroupsPerDaemon = 1;
 
@@ -73,6 +75,7 @@
     bool joined = world_.RunUntil([&] { return AllSee(count_); }, absl::Seconds(120));
     figures.join_seconds = joined ? SecondsSince(start) : -1.0;
     world_.RunUntil([&] { return world_.AllGroupsLed(); }, absl::Seconds(60));
+    world_.Run(kCalmDown);
     MeasureQuiet(figures);
     MeasureRoll(figures);
     MeasureDeath(figures);
--- a/bench/local_system.cc
+++ b/bench/local_system.cc
@@ -289,7 +289,8 @@
 
 std::string LocalSystem::BundleText(const std::string& version) const {
   return "partner = \"tournament\"\nversion = \"" + version +
-         "\"\n[[program]]\nname = \"ruling\"\nmax_calls = 1000000\nmax_history_bytes = 1000000000\nmodels = [\"judge-models\"]\n"
+         "\"\n[[program]]\nname = \"ruling\"\nmax_calls = 1000000\nmax_history_bytes = "
+         "1000000000\nmodels = [\"judge-models\"]\n"
          "tools = [\"rules-lookup\"]\napplications = [\"hall-app\"]\n"
          "[[caller]]\nname = \"floor\"\ntoken_hash = \"" +
          bundle::Sha256(Token()) + "\"\n";
--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -8,6 +8,8 @@
 namespace martenyard::consensus {
 namespace {
 
+/// Within this share of an election timeout replicas stand for election when the leader is dead.
+constexpr double kEagerElectionShare = 0.3;
 /// How many election timeouts a hand-over of leadership may take before proposals resume.
 constexpr int kTransferTimeouts = 3;
 /// A follower that shows no progress for this many election timeouts gets its snapshot again.
@@ -88,6 +90,17 @@
   }
 }
 
+void Raft::OnMemberDead(absl::Time now, NodeId member) {
+  now_ = std::max(now_, now);
+  if (role_ == Role::kLeader || leader_ != member || leader_ == kNoNode) {
+    return;
+  }
+  leader_ = kNoNode;
+  last_leader_contact_ = absl::InfinitePast();
+  // Spread out, so that one replica is usually elected before the next one tries.
+  election_deadline_ = now_ + options_.election_timeout * kEagerElectionShare * random_.Uniform();
+}
+
 // ---- Elections ----
 
 void Raft::BecomeFollower(Term term, NodeId leader) {
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -59,6 +59,9 @@
 
   void Tick(absl::Time now);
   void Step(absl::Time now, NodeId from, const RaftMessage& message);
+  /// `member`'s process is known to be dead: if it led, an election starts soon, not after its
+  /// lease. Being wrong costs an election, never safety.
+  void OnMemberDead(absl::Time now, NodeId member);
 
   /// @return the entry's index, or nothing when this replica does not lead (or hands over).
   std::optional<LogIndex> Propose(EntryKind kind, std::string payload);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -33,7 +33,10 @@
 
   transport_ = std::make_unique<wire::Transport>(
       loop_, [this](const std::string& payload) { OnFrame(payload); },
-      [this](const std::string& payload) { OnDatagram(payload); });
+      [this](const std::string& payload) { OnDatagram(payload); },
+      [this](const wire::Endpoint& peer, absl::Time checked_at) {
+        node_->OnEndpointDead(absl::Now(), peer, checked_at);
+      });
   BOOST_LEAF_ASSIGN(peer_, TranslateError<wire::TransportError>(
                                [&] { return transport_->Listen(settings_.peer); },
                                [](const wire::TransportError& error) {
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -84,6 +84,16 @@
   membership_.OnPacket(now_, packet);
 }
 
+void Node::OnEndpointDead(absl::Time now, const wire::Endpoint& endpoint, absl::Time checked_at) {
+  now_ = std::max(now_, now);
+  std::optional<NodeId> dead = membership_.OnEndpointDead(now_, endpoint);
+  if (!dead) {
+    return;
+  }
+  replica_host_.OnMemberDead(now_, *dead, checked_at);
+  OnMembersChanged();
+}
+
 void Node::Tick(absl::Time now) {
   now_ = std::max(now_, now);
   membership_.Tick(now_);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -69,6 +69,9 @@
   Result<void> Start(absl::Time now);
   void OnEnvelope(absl::Time now, const Envelope& envelope);
   void OnPacket(absl::Time now, const membership::Packet& packet);
+  /// A connection to the endpoint broke and a new one, tried at `checked_at`, was refused: its
+  /// process was dead then.
+  void OnEndpointDead(absl::Time now, const wire::Endpoint& endpoint, absl::Time checked_at);
   void Tick(absl::Time now);
   /// Stores and sends what the calls above led to; call after each batch of them.
   /// Errors: the store's: the daemon must then stop.
--- a/src/daemon/replica_host.cc
+++ b/src/daemon/replica_host.cc
@@ -80,6 +80,12 @@
   return true;
 }
 
+void ReplicaHost::OnMemberDead(absl::Time now, NodeId member, absl::Time died_before) {
+  for (auto& [group, replica] : replicas_) {
+    replica->OnMemberDead(now, member, died_before);
+  }
+}
+
 void ReplicaHost::Tick(absl::Time now) {
   for (auto& [group, replica] : replicas_) {
     replica->Tick(now);
--- a/src/daemon/replica_host.h
+++ b/src/daemon/replica_host.h
@@ -39,6 +39,7 @@
   void OnMessage(absl::Time now, NodeId from, const GroupMessage& message);
   /// @return false when this daemon has no replica of the group.
   bool OnRequest(absl::Time now, NodeId from, const ledger::LedgerRequest& request);
+  void OnMemberDead(absl::Time now, NodeId member, absl::Time died_before);
   void Tick(absl::Time now);
   /// Forgets a group whose committed configuration no longer names this daemon.
   void Remove(GroupId group);
--- a/src/gateway/call_coordinator.cc
+++ b/src/gateway/call_coordinator.cc
@@ -123,6 +123,7 @@
   begin.kind = spec.kind;
   begin.repeatable = spec.repeatable;
   begin.admission = call.admission;
+  begin.gateway = host_.Self();
   begin.reserve = spec.Reservation();
   begin.epoch = spec.epoch;
   begin.turn = spec.turn;
--- a/src/ledger/group_replica.cc
+++ b/src/ledger/group_replica.cc
@@ -50,6 +50,26 @@
   WatchLeadership();
 }
 
+void GroupReplica::OnMemberDead(absl::Time now, NodeId member, absl::Time died_before) {
+  now_ = std::max(now_, now);
+  raft_.OnMemberDead(now_, member);
+  dead_members_[member] = died_before;
+  for (const ProgramId& program : ledger_.running()) {
+    if (ledger_.Find(program)->Running()->gateway == member) {
+      leases_.erase(program);
+    }
+  }
+}
+
+absl::Time GroupReplica::FirstLease(const ProgramId& id) const {
+  const ProgramRecord& program = *ledger_.Find(id);
+  auto dead = dead_members_.find(program.Running()->gateway);
+  // A daemon that came back may run newer calls under the same node id.
+  bool ran_there =
+      dead != dead_members_.end() && program.last_activity_ms <= absl::ToUnixMillis(dead->second);
+  return ran_there ? now_ : now_ + options_.grant_lease;
+}
+
 // ---- Leadership ----
 
 void GroupReplica::WatchLeadership() {
@@ -79,17 +99,18 @@
     }
   }
   waiting_.clear();
-  for (const auto& [id, read] : reads_) {
+  for (const auto& [id, read] : queries_) {
     AnswerStatus(read.requester, ReplyStatus::kNotLeader);
   }
-  reads_.clear();
+  queries_.clear();
   leases_.clear();
 }
 
 void GroupReplica::LapseSilentGrants() {
   for (const ProgramId& program : ledger_.running()) {
-    // A new leader does not know when it last heard of a grant: it gives each a whole lease.
-    auto lease = leases_.emplace(program, now_ + options_.grant_lease).first;
+    // A new leader does not know when a grant was last heard of: it gives each a whole lease,
+    // unless its gateway is known to be dead.
+    auto lease = leases_.emplace(program, FirstLease(program)).first;
     if (lease->second > now_ || lapsing_.contains(program)) {
       continue;
     }
@@ -128,16 +149,16 @@
     AnswerStatus(requester, ReplyStatus::kNotLeader);
     return;
   }
-  if (proposals_.size() + reads_.size() >= options_.max_pending) {
+  if (proposals_.size() + queries_.size() >= options_.max_pending) {
     AnswerStatus(requester, ReplyStatus::kOverloaded);
     return;
   }
   if (const auto* operation = std::get_if<Operation>(&request.body)) {
     OnOperation(requester, *operation);
   } else if (const auto* read = std::get_if<ReadProgram>(&request.body)) {
-    OnRead(requester, *read);
+    OnQuery(requester, *read);
   } else if (const auto* renew = std::get_if<RenewGrants>(&request.body)) {
-    OnRenew(requester, *renew);
+    OnQuery(requester, *renew);
   } else if (const auto* check = std::get_if<CheckPrograms>(&request.body)) {
     OnCheck(requester, *check);
   }
@@ -207,21 +228,28 @@
   return true;
 }
 
-void GroupReplica::OnRead(const Requester& requester, const ReadProgram& read) {
+void GroupReplica::OnQuery(const Requester& requester, LeaderQuery query) {
   ++last_read_id_;
-  reads_[last_read_id_] = {requester, read, std::nullopt};
+  queries_[last_read_id_] = {requester, std::move(query), std::nullopt};
   if (!raft_.RequestRead(last_read_id_)) {
-    reads_.erase(last_read_id_);
+    queries_.erase(last_read_id_);
     AnswerStatus(requester, ReplyStatus::kNotLeader);
   }
 }
 
-void GroupReplica::OnRenew(const Requester& requester, const RenewGrants& renew) {
+LedgerReply GroupReplica::AnswerTo(const ReadProgram& read) const {
   LedgerReply reply;
-  if (!LedgerIsCurrent()) {
-    AnswerStatus(requester, ReplyStatus::kNotLeader);
-    return;
+  const ProgramRecord* program = ledger_.Find(read.program);
+  if (program == nullptr) {
+    reply.result.verdict = Verdict::kUnknownProgram;
+  } else {
+    reply.program = *program;
   }
+  return reply;
+}
+
+LedgerReply GroupReplica::AnswerTo(const RenewGrants& renew) {
+  LedgerReply reply;
   for (const Grant& grant : renew.grants) {
     const ProgramRecord* program = ledger_.Find(grant.program);
     const CallRecord* running = program == nullptr ? nullptr : program->Running();
@@ -233,7 +261,7 @@
       reply.grants_lost.push_back(grant);
     }
   }
-  Answer(requester, std::move(reply));
+  return reply;
 }
 
 void GroupReplica::OnCheck(const Requester& requester, const CheckPrograms& check) {
@@ -269,12 +297,12 @@
     ApplyEntry(entry);
   }
   for (const consensus::ReadyRead& read : ready.reads) {
-    auto found = reads_.find(read.read_id);
-    if (found != reads_.end()) {
+    auto found = queries_.find(read.read_id);
+    if (found != queries_.end()) {
       found->second.serve_at = read.index;
     }
   }
-  ServeReads();
+  ServeQueries();
   return SnapshotIfDue();
 }
 
@@ -327,7 +355,7 @@
   std::optional<ProgramId> settled;
   if (const auto* begin = std::get_if<BeginCall>(&command.operation)) {
     if (result.verdict == Verdict::kDone) {
-      leases_[begin->program] = now_ + options_.grant_lease;
+      leases_[begin->program] = FirstLease(begin->program);
     } else {
       settled = begin->program;  // A refused waiter must not block those behind it.
     }
@@ -365,21 +393,17 @@
   }
 }
 
-void GroupReplica::ServeReads() {
-  for (auto read = reads_.begin(); read != reads_.end();) {
-    if (!read->second.serve_at || *read->second.serve_at > applied_) {
-      ++read;
+void GroupReplica::ServeQueries() {
+  for (auto pending = queries_.begin(); pending != queries_.end();) {
+    const PendingQuery& waiting = pending->second;
+    if (!waiting.serve_at || *waiting.serve_at > applied_) {
+      ++pending;
       continue;
     }
-    LedgerReply reply;
-    const ProgramRecord* program = ledger_.Find(read->second.read.program);
-    if (program == nullptr) {
-      reply.result.verdict = Verdict::kUnknownProgram;
-    } else {
-      reply.program = *program;
-    }
-    Answer(read->second.requester, std::move(reply));
-    read = reads_.erase(read);
+    LedgerReply reply =
+        std::visit([this](const auto& query) { return AnswerTo(query); }, waiting.query);
+    Answer(waiting.requester, std::move(reply));
+    pending = queries_.erase(pending);
   }
 }
 
--- a/src/ledger/group_replica.h
+++ b/src/ledger/group_replica.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -39,6 +40,9 @@
 
   void Tick(absl::Time now);
   void OnRaftMessage(absl::Time now, NodeId from, const consensus::RaftMessage& message);
+  /// `member`'s process is known to have died before `died_before`: calls that it had begun by
+  /// then lapse now. A process that came back since runs on.
+  void OnMemberDead(absl::Time now, NodeId member, absl::Time died_before);
   void OnRequest(absl::Time now, NodeId from, const LedgerRequest& request);
   /// Proposes what the leader itself decides, such as acknowledged releases.
   void ProposeOwn(Operation operation);
@@ -80,20 +84,26 @@
   void EnqueueCall(WaitingCall call);
   /// @return false when nothing was proposed; the requester has then been told.
   bool Propose(const Requester& requester, Operation operation, std::uint64_t arrival = 0);
-  void OnRead(const Requester& requester, const ReadProgram& read);
-  void OnRenew(const Requester& requester, const RenewGrants& renew);
+  /// A request whose answer must come from the present leader: it waits for a quorum's word.
+  using LeaderQuery = std::variant<ReadProgram, RenewGrants>;
+  void OnQuery(const Requester& requester, LeaderQuery query);
+  LedgerReply AnswerTo(const ReadProgram& read) const;
+  /// Renews the leases of grants that are still held.
+  LedgerReply AnswerTo(const RenewGrants& renew);
   void OnCheck(const Requester& requester, const CheckPrograms& check);
   void ApplyEntry(const consensus::Entry& entry);
   /// True when a proposed call found another one under way: it waits like a later arrival.
   static bool LostRaceToBegin(const ApplyResult& result);
   void AfterCommand(const Command& command, const ApplyResult& result);
   void WakeWaiting(const ProgramId& program);
-  void ServeReads();
+  void ServeQueries();
   void FailPendingAfterLosingLead();
   void WatchLeadership();
   /// True when this leader's ledger holds all that was ever committed.
   bool LedgerIsCurrent() const;
   void LapseSilentGrants();
+  /// @return when the running call's gateway counts as gone if nothing is heard from it.
+  absl::Time FirstLease(const ProgramId& program) const;
   void EndExpiredPrograms();
   std::optional<consensus::Snapshot> SnapshotIfDue();
   void Answer(const Requester& requester, LedgerReply reply);
@@ -117,15 +127,16 @@
   std::uint64_t last_arrival_ = 0;
   std::map<consensus::LogIndex, Proposal> proposals_;
   std::map<ProgramId, std::deque<WaitingCall>> waiting_;
-  std::map<ProgramId, absl::Time> leases_;  // When each running call's gateway counts as gone.
-  std::set<ProgramId> lapsing_;             // Lapse proposed, not yet applied.
+  std::map<ProgramId, absl::Time> leases_;     // When each running call's gateway counts as gone.
+  std::map<NodeId, absl::Time> dead_members_;  // By when each is known to have died.
+  std::set<ProgramId> lapsing_;                // Lapse proposed, not yet applied.
   std::uint64_t last_read_id_ = 0;
-  struct PendingRead {
+  struct PendingQuery {
     Requester requester;
-    ReadProgram read;
+    LeaderQuery query;
     std::optional<consensus::LogIndex> serve_at;
   };
-  std::map<std::uint64_t, PendingRead> reads_;
+  std::map<std::uint64_t, PendingQuery> queries_;
   std::vector<ReplyTo> replies_;
 };
 
--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -201,6 +201,7 @@
   call.kind = command.kind;
   call.repeatable = command.repeatable;
   call.admission = command.admission;
+  call.gateway = command.gateway;
   call.reserved = command.reserve;
   call.turn = command.turn;
   program->reserved += command.reserve;
@@ -234,6 +235,7 @@
   call.state = CallState::kRunning;
   ++call.attempt;
   call.admission = command.admission;
+  call.gateway = command.gateway;
   call.reserved = command.reserve;
   program.reserved += command.reserve;
   running_.insert(program.id);
--- a/src/ledger/types.h
+++ b/src/ledger/types.h
@@ -64,6 +64,7 @@
   CallState state = CallState::kRunning;
   std::uint32_t attempt = 1;
   AdmissionId admission;  ///< Whose request began the present attempt.
+  NodeId gateway;         ///< The daemon that runs it.
   Tokens reserved = 0;
   Tokens charged = 0;
   std::string turn;    ///< The caller's new messages or arguments, JSON.
@@ -72,8 +73,8 @@
   friend bool operator==(const CallRecord&, const CallRecord&) = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, request_hash, sequence, kind, repeatable, state, attempt, admission, reserved,
-            charged, turn, result);
+    archive(key, request_hash, sequence, kind, repeatable, state, attempt, admission, gateway,
+            reserved, charged, turn, result);
   }
 };
 
@@ -142,13 +143,14 @@
   CallKind kind = CallKind::kModel;
   bool repeatable = false;
   AdmissionId admission;
+  NodeId gateway;
   Tokens reserve = 0;
   std::uint64_t epoch = 0;
   std::string turn;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(program, partner, permitted_kinds, key, request_hash, kind, repeatable, admission,
-            reserve, epoch, turn);
+            gateway, reserve, epoch, turn);
   }
 };
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -373,6 +373,19 @@
   });
 }
 
+std::optional<NodeId> Membership::OnEndpointDead(absl::Time now, const wire::Endpoint& endpoint) {
+  now_ = std::max(now_, now);
+  for (auto& [id, member] : members_) {
+    bool there = id != self_.id && member.update.info.peer == endpoint &&
+                 member.update.status != MemberStatus::kDead;
+    if (there) {
+      SetStatus(member, MemberStatus::kDead, member.update.incarnation);
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
 void Membership::Leave() {
   MemberUpdate& own = members_[self_.id].update;
   if (own.status == MemberStatus::kLeaving) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -115,6 +115,9 @@
   void Tick(absl::Time now);
   void OnPacket(absl::Time now, const Packet& packet);
   void OnMemberList(absl::Time now, const wire::Endpoint& from, const MemberList& list);
+  /// The process at `endpoint` is known to be dead (nothing listens there any more).
+  /// @return the member that it was, if one was believed up or leaving.
+  std::optional<NodeId> OnEndpointDead(absl::Time now, const wire::Endpoint& endpoint);
   /// Tells everyone that this daemon takes no new work; it still answers.
   void Leave();
   MembershipEffects TakeEffects();
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint16_t kPort = 7000;
+constexpr absl::Duration kDeathCheckLifetime = absl::Milliseconds(200);
 constexpr absl::Duration kConditionStep = absl::Milliseconds(20);
 
 wire::Endpoint EndpointOf(std::size_t index) {
@@ -172,6 +173,31 @@
   daemon.frozen = false;
   daemon.waiting.clear();
   daemon.node.reset();
+  TellOfDeath(index);
+}
+
+void World::TellOfDeath(std::size_t index) {
+  // The dead process's kernel resets its connections; whoever is cut off hears nothing.
+  std::uint64_t life = daemons_[index].life;
+  for (std::size_t other = 0; other < daemons_.size(); ++other) {
+    if (other == index || daemons_[other].node == nullptr) {
+      continue;
+    }
+    queue_.After(options_.other_zone_delay * 3,
+                 [this, index, life, other, other_life = daemons_[other].life] {
+                   bool still_dead = daemons_[index].life == life;
+                   if (still_dead && Reachable(daemons_[index], daemons_[other])) {
+                     absl::Time checked_at = queue_.now();
+                     Deliver(other, other_life, [this, index, other, checked_at] {
+                       // As in wire::Transport: news from before a freeze is no news.
+                       if (queue_.now() - checked_at < kDeathCheckLifetime) {
+                         daemons_[other].node->OnEndpointDead(queue_.now(),
+                                                              daemons_[index].endpoint, checked_at);
+                       }
+                     });
+                   }
+                 });
+  }
 }
 
 void World::Restart(std::size_t index) {
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -95,6 +95,7 @@
   };
 
   void Boot(std::size_t index);
+  void TellOfDeath(std::size_t index);
   void ScheduleTick(std::size_t index);
   /// Runs `task` in the daemon if this life of it still runs.
   void Deliver(std::size_t index, std::uint64_t life, std::function<void()> task);
--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include "absl/time/clock.h"
+
 namespace martenyard::wire {
 namespace {
 
@@ -22,6 +24,8 @@
 constexpr std::size_t kReadBytes = std::size_t{256} << 10;
 constexpr int kBacklog = 512;
 constexpr int kBindAttempts = 20;
+/// A refused connection says that a peer is dead only while the news is this young.
+constexpr absl::Duration kDeathCheckLifetime = absl::Milliseconds(200);
 
 sockaddr_in SocketAddress(const Endpoint& endpoint) {
   sockaddr_in address{};
@@ -51,8 +55,12 @@
 
 }  // namespace
 
-Transport::Transport(EventLoop& loop, PayloadHandler on_frame, PayloadHandler on_datagram)
-    : loop_(loop), on_frame_(std::move(on_frame)), on_datagram_(std::move(on_datagram)) {}
+Transport::Transport(EventLoop& loop, PayloadHandler on_frame, PayloadHandler on_datagram,
+                     DeadHandler on_dead)
+    : loop_(loop),
+      on_frame_(std::move(on_frame)),
+      on_datagram_(std::move(on_datagram)),
+      on_dead_(std::move(on_dead)) {}
 
 Transport::~Transport() {
   for (auto& [socket, connection] : accepted_) {
@@ -172,12 +180,15 @@
   sockaddr_in address = SocketAddress(peer);
   int status = connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   if (status != 0 && errno != EINPROGRESS) {
+    int failure = errno;
     close(socket);
+    errno = failure;
     return false;
   }
   auto connection = std::make_unique<Connection>();
   connection->socket = socket;
   connection->connecting = status != 0;
+  connection->opened_at = absl::Now();
   peers_[peer] = std::move(connection);
   loop_.Watch(socket, EPOLLOUT | EPOLLIN | EPOLLRDHUP,
               [this, peer](std::uint32_t events) { OnPeerReady(peer, events); });
@@ -211,7 +222,7 @@
       return;
     }
     if (count <= 0) {
-      ClosePeer(peer);
+      OnBroken(peer);
       return;
     }
     stats_.bytes_sent += static_cast<std::uint64_t>(count);
@@ -228,13 +239,46 @@
   }
   // Peers never send on this direction, so readable means closed.
   if ((events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP | EPOLLIN)) != 0) {
-    ClosePeer(peer);
+    OnBroken(peer);
     return;
   }
   found->second->connecting = false;
   Flush(peer);
 }
 
+void Transport::OnBroken(const Endpoint& peer) {
+  Connection& connection = *peers_[peer];
+  int failure = 0;
+  socklen_t size = sizeof(failure);
+  getsockopt(connection.socket, SOL_SOCKET, SO_ERROR, &failure, &size);
+  bool established = !connection.connecting;
+  bool checks_death = connection.checks_death;
+  absl::Time checked_at = connection.opened_at;
+  ClosePeer(peer);
+  if (established) {
+    // The process may be dead or may only have closed this connection: a new one tells.
+    if (Connect(peer)) {
+      peers_[peer]->checks_death = true;
+    } else if (errno == ECONNREFUSED) {
+      ReportDead(peer, absl::Now());
+    }
+    return;
+  }
+  if (checks_death && failure == ECONNREFUSED) {
+    ReportDead(peer, checked_at);
+  }
+}
+
+void Transport::ReportDead(const Endpoint& peer, absl::Time checked_at) {
+  // Later: this may run amid the owner's own sending.
+  loop_.Post([this, peer, checked_at] {
+    // If this process slept since it checked, the peer may have come back meanwhile.
+    if (absl::Now() - checked_at < kDeathCheckLifetime) {
+      on_dead_(peer, checked_at);
+    }
+  });
+}
+
 void Transport::ClosePeer(const Endpoint& peer) {
   auto found = peers_.find(peer);
   loop_.Unwatch(found->second->socket);
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -33,7 +33,11 @@
   /// Receives a frame's or a datagram's payload.
   using PayloadHandler = std::function<void(std::string payload)>;
 
-  Transport(EventLoop& loop, PayloadHandler on_frame, PayloadHandler on_datagram);
+  /// Told that a connection to a peer broke and that nothing listens there any more.
+  using DeadHandler = std::function<void(const Endpoint& peer, absl::Time checked_at)>;
+
+  Transport(EventLoop& loop, PayloadHandler on_frame, PayloadHandler on_datagram,
+            DeadHandler on_dead);
   ~Transport();
   Transport(const Transport&) = delete;
   Transport& operator=(const Transport&) = delete;
@@ -49,6 +53,8 @@
   struct Connection {
     int socket = -1;
     bool connecting = false;
+    bool checks_death = false;  ///< Opened only because the one before broke.
+    absl::Time opened_at;
     std::string unsent;
     std::string received;
   };
@@ -60,11 +66,15 @@
   void Flush(const Endpoint& peer);
   void OnPeerReady(const Endpoint& peer, std::uint32_t events);
   void ClosePeer(const Endpoint& peer);
+  /// @return false with errno set when the connection failed at once.
   bool Connect(const Endpoint& peer);
+  void ReportDead(const Endpoint& peer, absl::Time checked_at);
+  void OnBroken(const Endpoint& peer);
 
   EventLoop& loop_;
   PayloadHandler on_frame_;
   PayloadHandler on_datagram_;
+  DeadHandler on_dead_;
   int listener_ = -1;
   int datagrams_ = -1;
   std::map<int, std::unique_ptr<Connection>> accepted_;
--- a/tests/proofs/promises_test.cc
+++ b/tests/proofs/promises_test.cc
@@ -85,6 +85,24 @@
   EXPECT_EQ(proof_->RunsOf(kProgram, "frozen"), 0);
 }
 
+TEST_F(PromiseTest, FrozenLeaderThatWakesDoesNotRenewItsOwnGrants) {
+  // The gateway leads the program's group itself. It sleeps after its intent went out; the others
+  // commit that, elect a leader, give the call up and go on. Awake, it reads their old answers
+  // first.
+  std::size_t gateway = Leader();
+  auto first = proof_->Call(gateway, kProgram, "frozen", CallKind::kTool, false);
+  world().Freeze(gateway);
+  std::size_t other = proof_->NotLeaderOf(kProgram);
+  auto second = proof_->Call(other, kProgram, "after", CallKind::kTool, false);
+  ASSERT_TRUE(proof_->Await(second));
+  EXPECT_EQ(second->end.outcome, CallState::kRan);
+  world().Thaw(gateway);
+  ASSERT_TRUE(proof_->Await(first));
+  EXPECT_NE(first->end.outcome, CallState::kRan);
+  world().Run(absl::Seconds(10));
+  EXPECT_EQ(proof_->RunsOf(kProgram, "frozen"), 0);
+}
+
 // ---- A program's history is never lost and never mixed ----
 
 TEST_F(PromiseTest, HistorySurvivesTheDeathOfTheLeaderAfterEveryTurn) {
--- a/tests/proofs/random_faults_test.cc
+++ b/tests/proofs/random_faults_test.cc
@@ -56,10 +56,72 @@
       rc::gen::set(&Fault::pause_ms, rc::gen::inRange(0, 3000)));
 }
 
+/// Linearizability of one program's record, which is an append-only list: with unique keys it holds
+/// if every read shows all calls answered before it began, none begun after it ended, and no read
+/// shows less than one that ended before it began.
+class ReadWatcher {
+ public:
+  ReadWatcher(ProofWorld& proof, ProgramId program) : proof_(proof), program_(std::move(program)) {}
+
+  /// A call was answered as run.
+  void NoteRan(const std::string& key) { ran_[key] = Now(); }
+  void NoteAsked(const std::string& key) { asked_.try_emplace(key, Now()); }
+
+  /// Starts a read through some daemon; its answer is judged when it comes.
+  void StartRead(std::size_t gateway) {
+    daemon::Node* node = proof_.world().node(gateway);
+    absl::Time began = Now();
+    node->AskLedger(node->GroupOf(program_), ledger::ReadProgram{program_},
+                    began + absl::Seconds(5), [this, began](const gateway::LedgerAnswer& answer) {
+                      if (answer.reply.program) {
+                        JudgeRead(began, *answer.reply.program);
+                      }
+                    });
+    proof_.world().Settle(gateway);
+  }
+
+  int judged() const { return judged_; }
+
+ private:
+  absl::Time Now() const { return proof_.world().queue().now(); }
+
+  void JudgeRead(absl::Time began, const ledger::ProgramRecord& record) {
+    ++judged_;
+    for (const auto& [key, when] : ran_) {
+      if (when < began) {
+        const ledger::CallRecord* call = record.Find(CallKey(key));
+        RC_ASSERT(call != nullptr);
+        RC_ASSERT(call->state == CallState::kRan);
+      }
+    }
+    for (const ledger::CallRecord& call : record.calls) {
+      auto asked = asked_.find(call.key.value);
+      RC_ASSERT(asked != asked_.end());
+      RC_ASSERT(asked->second <= Now());
+    }
+    for (const auto& [ended, length] : reads_) {
+      if (ended < began) {
+        RC_ASSERT(record.calls.size() >= length);
+      }
+    }
+    reads_.emplace_back(Now(), record.calls.size());
+  }
+
+  ProofWorld& proof_;
+  ProgramId program_;
+  std::map<std::string, absl::Time> asked_;
+  std::map<std::string, absl::Time> ran_;
+  std::vector<std::pair<absl::Time, std::size_t>> reads_;
+  int judged_ = 0;
+};
+
 /// One caller that makes its program's calls one after the other and believes what it is told.
 class Caller {
  public:
-  Caller(ProofWorld& proof, ProgramId program) : proof_(proof), program_(std::move(program)) {}
+  Caller(ProofWorld& proof, ProgramId program)
+      : proof_(proof),
+        program_(program),
+        reads_(std::make_unique<ReadWatcher>(proof, std::move(program))) {}
 
   /// Looks at the call under way and makes the next one when it is over or was given up.
   void Step() {
@@ -68,6 +130,10 @@
       call_ = nullptr;
     }
     absl::Time now = proof_.world().queue().now();
+    std::optional<std::size_t> reader = PickGateway();
+    if (reader && proof_.world().random().Below(4) == 0) {
+      reads_->StartRead(*reader);
+    }
     if (call_ != nullptr && now < give_up_at_) {
       return;
     }
@@ -76,6 +142,7 @@
     if (!gateway) {
       return;
     }
+    reads_->NoteAsked(Key());
     call_ = proof_.Call(*gateway, program_, Key(), Kind(), Repeatable(), absl::Seconds(8), 20);
     give_up_at_ = now + absl::Seconds(12);
   }
@@ -99,6 +166,7 @@
 
   const ProgramId& program() const { return program_; }
   int ran() const { return static_cast<int>(told_ran_.size()); }
+  int reads_judged() const { return reads_->judged(); }
 
  private:
   std::string Key() const { return "k" + std::to_string(number_); }
@@ -122,6 +190,7 @@
   void Note(const Told& told) {
     if (told.end.outcome == CallState::kRan) {
       told_ran_[Key()] = told.end.record->result;
+      reads_->NoteRan(Key());
       ++number_;
     } else if (told.end.outcome == CallState::kNotRun) {
       told_not_run_.insert(Key());
@@ -165,6 +234,7 @@
 
   ProofWorld& proof_;
   ProgramId program_;
+  std::unique_ptr<ReadWatcher> reads_;  // Stays where answers under way find it.
   int number_ = 0;
   int unknowns_ = 0;
   std::shared_ptr<Told> call_;
@@ -336,6 +406,7 @@
     proof.world().Run(absl::Milliseconds(100));
   }
   EXPECT_GT(caller.ran(), 40);
+  EXPECT_GT(caller.reads_judged(), 20);
 }
 
 }  // namespace
