--- /dev/null
+++ b/tests/platform/key_value_test.cc
@@ -0,0 +1,191 @@
+// The contract of platform::KeyValue, against the etcd client with the emulator and against the
+// simulator's own; and what only the emulator has: leases, watches, the rate limit.
+#include "platform/key_value.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "absl/synchronization/notification.h"
+#include "emulator/emulator.h"
+#include "emulator/key_value_store.h"
+#include "platform/base64.h"
+#include "sim/sim_platform.h"
+
+namespace martenyard::platform {
+namespace {
+
+/// One implementation under test, with its faults.
+class Subject {
+ public:
+  virtual ~Subject() = default;
+  virtual KeyValue& store() = 0;
+  /// Runs the request that `start` makes and waits for its answer.
+  virtual KeyValueAnswer Await(const std::function<void(KeyValue::Callback)>& start) = 0;
+  virtual void LoseNextAnswer() = 0;
+};
+
+class EtcdSubject : public Subject {
+ public:
+  EtcdSubject() {
+    emulator_ = std::move(*emulator::Emulator::Start(emulator::Config{}));
+    store_ = CreateEtcdKeyValue(*client_, emulator_->url(), [](auto task) { task(); });
+  }
+  KeyValue& store() override { return *store_; }
+  KeyValueAnswer Await(const std::function<void(KeyValue::Callback)>& start) override {
+    auto answer = std::make_shared<KeyValueAnswer>();
+    auto done = std::make_shared<absl::Notification>();
+    start([answer, done](KeyValueAnswer told) {
+      *answer = std::move(told);
+      done->Notify();
+    });
+    done->WaitForNotification();
+    return *answer;
+  }
+  void LoseNextAnswer() override {
+    http::ClientRequest request;
+    request.method = "POST";
+    request.url = emulator_->url() + "/faults";
+    request.body = R"({"target":"key_value","lose_answers":1})";
+    client_->Fetch(std::move(request));
+  }
+
+ private:
+  std::unique_ptr<emulator::Emulator> emulator_;
+  std::unique_ptr<KeyValue> store_;
+  std::unique_ptr<http::Client> client_ = http::Client::Create();
+};
+
+class SimSubject : public Subject {
+ public:
+  KeyValue& store() override { return *store_; }
+  KeyValueAnswer Await(const std::function<void(KeyValue::Callback)>& start) override {
+    std::optional<KeyValueAnswer> answer;
+    start([&](KeyValueAnswer told) { answer = std::move(told); });
+    while (!answer) {
+      queue_.RunUntil(queue_.now() + absl::Seconds(1));
+    }
+    platform_.key_value_faults = {};
+    return *answer;
+  }
+  void LoseNextAnswer() override { platform_.key_value_faults.lost_answer = 1.0; }
+
+ private:
+  sim::EventQueue queue_;
+  sim::SimPlatform platform_{queue_, 1};
+  std::unique_ptr<KeyValue> store_ = sim::CreateSimKeyValue(platform_, [](auto task) { task(); });
+};
+
+class KeyValueContract : public ::testing::TestWithParam<bool> {
+ protected:
+  KeyValueContract() {
+    if (GetParam()) {
+      subject_ = std::make_unique<EtcdSubject>();
+    } else {
+      subject_ = std::make_unique<SimSubject>();
+    }
+  }
+  KeyValueAnswer PutIf(const std::string& key, std::int64_t revision, const std::string& value) {
+    return subject_->Await([&](KeyValue::Callback done) {
+      subject_->store().PutIf(key, revision, value, std::move(done));
+    });
+  }
+  KeyValueAnswer Get(const std::string& key) {
+    return subject_->Await(
+        [&](KeyValue::Callback done) { subject_->store().Get(key, std::move(done)); });
+  }
+  std::unique_ptr<Subject> subject_;
+};
+
+TEST_P(KeyValueContract, AbsentKeyHasNoEntry) {
+  KeyValueAnswer answer = Get("none");
+  EXPECT_EQ(answer.status, KeyValueStatus::kDone);
+  EXPECT_TRUE(answer.entries.empty());
+}
+
+TEST_P(KeyValueContract, WriteTakesEffectOnlyAtTheExpectedRevision) {
+  ASSERT_EQ(PutIf("k", 0, "one").status, KeyValueStatus::kDone);
+  KeyValueAnswer again = PutIf("k", 0, "two");
+  EXPECT_EQ(again.status, KeyValueStatus::kConditionFailed);
+  ASSERT_EQ(again.entries.size(), 1U);
+  EXPECT_EQ(again.entries[0].value, "one");
+  EXPECT_EQ(PutIf("k", again.entries[0].revision, "two").status, KeyValueStatus::kDone);
+  EXPECT_EQ(Get("k").entries.at(0).value, "two");
+}
+
+TEST_P(KeyValueContract, ValuesAreAnyBytes) {
+  std::string bytes("\0\xff\n\"", 4);
+  ASSERT_EQ(PutIf("k", 0, bytes).status, KeyValueStatus::kDone);
+  EXPECT_EQ(Get("k").entries.at(0).value, bytes);
+}
+
+TEST_P(KeyValueContract, PrefixReadsExactlyTheKeysThatStartWithIt) {
+  for (const char* key : {"a/1", "a/2", "a0", "b/1"}) {
+    PutIf(key, 0, "v");
+  }
+  KeyValueAnswer answer = subject_->Await(
+      [&](KeyValue::Callback done) { subject_->store().GetPrefix("a/", std::move(done)); });
+  ASSERT_EQ(answer.entries.size(), 2U);
+  EXPECT_EQ(answer.entries[1].key, "a/2");
+}
+
+TEST_P(KeyValueContract, LostAnswerIsUncertainThoughTheWriteTookEffect) {
+  subject_->LoseNextAnswer();
+  EXPECT_EQ(PutIf("k", 0, "v").status, KeyValueStatus::kUncertain);
+  EXPECT_EQ(Get("k").entries.at(0).value, "v");
+}
+
+INSTANTIATE_TEST_SUITE_P(Implementations, KeyValueContract, ::testing::Values(true, false),
+                         [](const auto& info) { return info.param ? "Etcd" : "Simulated"; });
+
+class KeyValueStoreTest : public ::testing::Test {
+ protected:
+  nlohmann::json Ask(const std::string& path, const nlohmann::json& body) {
+    return store_.Handle(path, body, now_);
+  }
+  std::string CountOf(const std::string& key) {
+    return Ask("/kv/range", {{"key", ToBase64(key)}})["count"];
+  }
+  absl::Time now_ = absl::FromUnixSeconds(1000);
+  emulator::KeyValueStore store_{2.0};
+};
+
+TEST_F(KeyValueStoreTest, KeyGoesWithItsLeaseUnlessThatIsKeptAlive) {
+  std::string lease = Ask("/lease/grant", {{"TTL", "5"}})["ID"];
+  Ask("/kv/put", {{"key", ToBase64("k")}, {"value", ToBase64("v")}, {"lease", lease}});
+  now_ += absl::Seconds(4);
+  Ask("/lease/keepalive", {{"ID", lease}});
+  now_ += absl::Seconds(4);
+  EXPECT_EQ(CountOf("k"), "1");
+  now_ += absl::Seconds(2);
+  EXPECT_EQ(CountOf("k"), "0");
+}
+
+TEST_F(KeyValueStoreTest, WatchTellsChangesOfItsRangeOnly) {
+  std::vector<std::string> seen;
+  store_.Watch({{"key", ToBase64("a")}, {"range_end", ToBase64("b")}},
+               [&](const nlohmann::json& event) {
+                 seen.push_back(event["type"]);
+                 return true;
+               });
+  Ask("/kv/put", {{"key", ToBase64("a1")}, {"value", ""}});
+  Ask("/kv/put", {{"key", ToBase64("b1")}, {"value", ""}});
+  Ask("/kv/deleterange", {{"key", ToBase64("a1")}});
+  EXPECT_EQ(seen, (std::vector<std::string>{"PUT", "DELETE"}));
+}
+
+TEST_F(KeyValueStoreTest, RateLimitRefusesAndRefills) {
+  EXPECT_TRUE(store_.TakeToken(now_));
+  EXPECT_TRUE(store_.TakeToken(now_));
+  EXPECT_FALSE(store_.TakeToken(now_));
+  EXPECT_TRUE(store_.TakeToken(now_ + absl::Milliseconds(500)));
+}
+
+TEST_F(KeyValueStoreTest, UnknownPathOrOperationIsNoAnswer) {
+  EXPECT_TRUE(Ask("/kv/none", {}).is_null());
+}
+
+}  // namespace
+}  // namespace martenyard::platform
