Name the member of a refused connection also when others told of its death first

Cause: when the gossip of a death came before the refused connection, the groups were not told, and calls of the dead gateway waited out their lease. Found by reading; the new membership test fails without the change.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -11,6 +11,8 @@
 
 constexpr absl::Duration kJoinRetry = absl::Seconds(1);
 constexpr absl::Duration kForgetInterval = absl::Seconds(10);
+/// A death heard of this short a time ago is the one that a refused connection tells of, too.
+constexpr absl::Duration kJustDied = absl::Seconds(5);
 constexpr int kRelayProbeTimeouts = 4;
 
 bool IsUp(MemberStatus status) {
@@ -375,15 +377,22 @@
 
 std::optional<NodeId> Membership::OnEndpointDead(absl::Time now, const wire::Endpoint& endpoint) {
   now_ = std::max(now_, now);
+  std::optional<NodeId> just_died;
+  absl::Time latest = now_ - kJustDied;
   for (auto& [id, member] : members_) {
-    bool there = id != self_.id && member.update.info.peer == endpoint &&
-                 member.update.status != MemberStatus::kDead;
-    if (there) {
+    if (id == self_.id || member.update.info.peer != endpoint) {
+      continue;
+    }
+    if (member.update.status != MemberStatus::kDead) {
       SetStatus(member, MemberStatus::kDead, member.update.incarnation);
       return id;
     }
+    if (member.since > latest) {
+      just_died = id;  // Others' news of this death came first.
+      latest = member.since;
+    }
   }
-  return std::nullopt;
+  return just_died;
 }
 
 void Membership::Leave() {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -116,7 +116,7 @@
   void OnPacket(absl::Time now, const Packet& packet);
   void OnMemberList(absl::Time now, const wire::Endpoint& from, const MemberList& list);
   /// The process at `endpoint` is known to be dead (nothing listens there any more).
-  /// @return the member that it was, if one was believed up or leaving.
+  /// @return the member that it was, if it was believed up or leaving, or is dead only since now.
   std::optional<NodeId> OnEndpointDead(absl::Time now, const wire::Endpoint& endpoint);
   /// Tells everyone that this daemon takes no new work; it still answers.
   void Leave();
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -168,6 +168,25 @@
   EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllSee(6); }, absl::Seconds(10)));
 }
 
+TEST(MembershipTest, RefusedConnectionNamesTheMemberThoughItsDeathWasHeardOfBefore) {
+  absl::Time now = absl::FromUnixSeconds(1000);
+  MemberInfo self;
+  self.id = NodeId(1);
+  self.peer = Fleet::Endpoint(0);
+  Membership membership(self, MembershipOptions{}, {}, 1, now);
+  MemberInfo other;
+  other.id = NodeId(2);
+  other.peer = Fleet::Endpoint(1);
+  Packet packet;
+  packet.kind = PacketKind::kGossip;
+  packet.updates = {{other, 0, MemberStatus::kAlive}};
+  membership.OnPacket(now, packet);
+  packet.updates = {{other, 0, MemberStatus::kDead}};
+  membership.OnPacket(now, packet);
+  EXPECT_EQ(membership.OnEndpointDead(now, other.peer), NodeId(2));
+  EXPECT_EQ(membership.OnEndpointDead(now + absl::Minutes(1), other.peer), std::nullopt);
+}
+
 TEST(MembershipTest, PacketsPerMemberDoNotGrowWithTheFleet) {
   auto per_member = [](std::size_t size) {
     Fleet fleet(size);
