--- a/apps/cli/program_commands.cc
+++ b/apps/cli/program_commands.cc
@@ -6,7 +6,7 @@
 #include "absl/flags/flag.h"
 #include "base/random.h"
 #include "cli.h"
-#include "platform/sse.h"
+#include "clients/sse.h"
 
 ABSL_FLAG(std::string, partner, "", "program create: the partner's name.");
 ABSL_FLAG(std::string, program, "", "program create: the program's name in the bundle.");
@@ -61,7 +61,7 @@
   CommonFlags flags = ReadCommonFlags();
   int code = kExitUnknown;
   std::string raw;
-  platform::SseParser parser([&](const std::string& event, const std::string& data) {
+  clients::SseParser parser([&](const std::string& event, const std::string& data) {
     json value = json::parse(data, nullptr, false);
     if (event.empty()) {
       std::cout << value.value("text", "") << std::flush;
--- a/bench/failover.cc
+++ b/bench/failover.cc
@@ -9,7 +9,7 @@
 #include <memory>
 #include <thread>
 
-#include "absl/time/clock.h"
+#include "base/clock.h"
 #include "base/logging.h"
 #include "bench/experiments.h"
 #include "bench/local_system.h"
@@ -55,7 +55,7 @@
   void Run() {
     for (int number = 0; !stopping_; ++number) {
       std::string key = "n" + std::to_string(number);
-      absl::Time start = absl::Now();
+      absl::Time start = SteadyNow();
       bool ended = false;
       while (!ended && !stopping_) {
         ended = Try(key);
@@ -64,7 +64,7 @@
           absl::SleepFor(absl::Milliseconds(10));
         }
       }
-      double waited = absl::ToDoubleSeconds(absl::Now() - start);
+      double waited = absl::ToDoubleSeconds(SteadyNow() - start);
       longest_ = std::max(longest_.load(), waited);
       ++ended_;
     }
--- a/bench/ledger_scale.cc
+++ b/bench/ledger_scale.cc
@@ -3,7 +3,7 @@
 
 #include <iostream>
 
-#include "absl/time/clock.h"
+#include "base/clock.h"
 #include "bench/experiments.h"
 #include "bench/report.h"
 #include "ledger/ledger.h"
@@ -67,24 +67,24 @@
     for (int number = 0; number < programs; ++number) {
       CreateProgram(ledger, number);
     }
-    absl::Time start = absl::Now();
+    absl::Time start = SteadyNow();
     for (int turn = 0; turn < turns; ++turn) {
       for (int number = 0; number < programs; ++number) {
         RunTurn(ledger, number, turn);
       }
     }
-    double microseconds = absl::ToDoubleMicroseconds(absl::Now() - start) / programs / turns;
+    double microseconds = absl::ToDoubleMicroseconds(SteadyNow() - start) / programs / turns;
     double bytes = static_cast<double>(HeapBytes() - before) / programs;
-    start = absl::Now();
+    start = SteadyNow();
     std::string snapshot = ledger.Serialize();
-    double snapshot_ms = absl::ToDoubleMilliseconds(absl::Now() - start);
+    double snapshot_ms = absl::ToDoubleMilliseconds(SteadyNow() - start);
     ledger::Ledger copy;
-    start = absl::Now();
+    start = SteadyNow();
     if (!copy.Restore(snapshot)) {
       std::cerr << "a snapshot could not be restored\n";
       return 1;
     }
-    double restore_ms = absl::ToDoubleMilliseconds(absl::Now() - start);
+    double restore_ms = absl::ToDoubleMilliseconds(SteadyNow() - start);
     table.AddRow({std::to_string(programs), std::to_string(turns), Number(bytes, 0),
                   Number(microseconds, 2), Number(static_cast<double>(snapshot.size()) / 1e6, 1),
                   Number(snapshot_ms, 1), Number(restore_ms, 1)});
--- a/bench/local_system.cc
+++ b/bench/local_system.cc
@@ -16,7 +16,7 @@
 #include <thread>
 #include <utility>
 
-#include "absl/time/clock.h"
+#include "base/clock.h"
 #include "bundle/roll.h"
 
 namespace martenyard::bench {
@@ -152,9 +152,9 @@
 }
 
 bool WaitUntil(const std::function<bool()>& condition) {
-  absl::Time end = absl::Now() + kPatience;
+  absl::Time end = SteadyNow() + kPatience;
   while (!condition()) {
-    if (absl::Now() > end) {
+    if (SteadyNow() > end) {
       return false;
     }
     std::this_thread::sleep_for(absl::ToChronoMilliseconds(kPollInterval));
--- a/bench/overhead.cc
+++ b/bench/overhead.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "absl/time/clock.h"
+#include "base/clock.h"
 #include "base/random.h"
 #include "bench/experiments.h"
 #include "bench/local_system.h"
@@ -73,11 +74,11 @@
 
 void Launch(LocalSystem& system, http::ClientRequest request, Recorder& recorder) {
   recorder.Started();
-  absl::Time start = absl::Now();
+  absl::Time start = SteadyNow();
   system.client().Start(std::move(request), nullptr, [&recorder, start](http::ClientResult result) {
     bool whole = result.ok() && (result.body.find("[DONE]") != std::string::npos ||
                                  result.body.find("event: done") != std::string::npos);
-    recorder.Ended(whole, absl::Now() - start);
+    recorder.Ended(whole, SteadyNow() - start);
   });
 }
 
@@ -117,10 +118,10 @@
   Recorder direct;
   Recorder through;
   Random random(options.seed);
-  absl::Time next = absl::Now();
+  absl::Time next = SteadyNow();
   for (int number = 0; number < calls; ++number) {
     next += absl::Seconds(-std::log(1.0 - random.Uniform()) / options.rate);
-    absl::SleepFor(next - absl::Now());
+    absl::SleepFor(next - SteadyNow());
     if (number % 2 == 0) {
       Launch(system, ThroughRequest(system, number), through);
     } else {
--- a/emulator/emulator.cc
+++ b/emulator/emulator.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_split.h"
-#include "absl/time/clock.h"
+#include "base/clock.h"
 
 namespace martenyard::emulator {
 namespace {
@@ -168,7 +168,7 @@
 // ---- Key-value service ----
 
 void Emulator::HandleKeyValue(const http::Request& request, const ResponderPtr& responder) {
-  absl::Time now = absl::Now();
+  absl::Time now = SteadyNow();
   if (key_value_faults_.hang) {
     return;
   }
--- a/emulator/engine.cc
+++ b/emulator/engine.cc
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "absl/strings/numbers.h"
-#include "absl/time/clock.h"
+#include "base/clock.h"
 #include "base/hash.h"
-#include "platform/sse.h"
+#include "clients/sse.h"
 
 namespace martenyard::emulator {
 namespace {
@@ -154,15 +154,15 @@
                   {"cached_tokens", request->cached_tokens},
                   {"completion_tokens", request->length}};
     Json last = {{"choices", Json::array()}, {"usage", usage}};
-    request->responder->Write(platform::FormatSseEvent("", last.dump()) +
-                              platform::FormatSseEvent("", "[DONE]"));
+    request->responder->Write(clients::FormatSseEvent("", last.dump()) +
+                              clients::FormatSseEvent("", "[DONE]"));
     request->responder->Finish();
     End(request, /*complete=*/true);
     return;
   }
   Json delta = {{"content", TokenText(request->messages, request->next_token)}};
   Json chunk = {{"choices", Json::array({{{"index", 0}, {"delta", delta}}})}};
-  request->responder->Write(platform::FormatSseEvent("", chunk.dump()));
+  request->responder->Write(clients::FormatSseEvent("", chunk.dump()));
   ++request->next_token;
   ++request->sent;
   loop_.After(absl::Seconds(1.0 / config_.decode_tokens_per_second),
@@ -232,7 +232,7 @@
 }
 
 void Engine::NoteEvent(const std::string& kind, const std::string& context) {
-  events_.push_back({++last_event_, absl::Now(), kind, context});
+  events_.push_back({++last_event_, SteadyNow(), kind, context});
   if (events_.size() > kMostEvents) {
     events_.pop_front();
   }
@@ -240,7 +240,7 @@
 
 Json Engine::CacheEvents(std::int64_t after) const {
   Json list = Json::array();
-  absl::Time visible = absl::Now() - event_lag_;
+  absl::Time visible = SteadyNow() - event_lag_;
   for (const CacheEvent& event : events_) {
     if (event.number > after && event.at <= visible && event.number % kGapEvery != 0) {
       list.push_back({{"number", event.number}, {"kind", event.kind}, {"id", event.context}});
@@ -250,7 +250,7 @@
 }
 
 void Engine::SampleLoad() {
-  absl::Time now = absl::Now();
+  absl::Time now = SteadyNow();
   samples_.push_back({now, running_, static_cast<int>(queue_.size())});
   while (samples_.size() > 1 && samples_[1].at <= now - load_lag_) {
     samples_.pop_front();
--- a/emulator/key_value_store.cc
+++ b/emulator/key_value_store.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "platform/base64.h"
+#include "clients/base64.h"
 
 namespace martenyard::emulator {
 namespace {
@@ -11,7 +11,7 @@
 using Json = nlohmann::json;
 
 std::string ReadBytes(const Json& body, const char* name) {
-  return platform::FromBase64(body.value(name, "")).value_or("");
+  return clients::FromBase64(body.value(name, "")).value_or("");
 }
 
 std::int64_t ReadInteger(const Json& body, const char* name, std::int64_t fallback) {
@@ -125,8 +125,8 @@
 Json KeyValueStore::Header() const { return {{"revision", std::to_string(revision_)}}; }
 
 Json KeyValueStore::Describe(const std::string& key, const Record& record) {
-  return {{"key", platform::ToBase64(key)},
-          {"value", platform::ToBase64(record.value)},
+  return {{"key", clients::ToBase64(key)},
+          {"value", clients::ToBase64(record.value)},
           {"create_revision", std::to_string(record.create_revision)},
           {"mod_revision", std::to_string(record.mod_revision)},
           {"version", std::to_string(record.version)},
--- a/src/bundle/roll_manager.cc
+++ b/src/bundle/roll_manager.cc
@@ -9,9 +9,9 @@
 namespace martenyard::bundle {
 namespace {
 
+using clients::KeyValueAnswer;
+using clients::KeyValueStatus;
 using nlohmann::json;
-using platform::KeyValueAnswer;
-using platform::KeyValueStatus;
 
 constexpr char kBundlePrefix[] = "/martenyard/bundles/";
 constexpr char kRollPrefix[] = "/martenyard/rolls/";
@@ -59,7 +59,7 @@
   }
 }
 
-RollManager::RollManager(platform::KeyValue& store, std::vector<PartnerKey> partners,
+RollManager::RollManager(clients::KeyValue& store, std::vector<PartnerKey> partners,
                          RollCallback on_roll)
     : store_(store), partners_(std::move(partners)), on_roll_(std::move(on_roll)) {}
 
@@ -225,7 +225,7 @@
     if (answer.status != KeyValueStatus::kDone) {
       return;
     }
-    for (const platform::KeyValueEntry& entry : answer.entries) {
+    for (const clients::KeyValueEntry& entry : answer.entries) {
       if (std::optional<SignedRoll> roll = RollFromJson(entry.value)) {
         on_roll_(*roll);
       }
--- a/src/bundle/roll_manager.h
+++ b/src/bundle/roll_manager.h
@@ -7,7 +7,7 @@
 
 #include "absl/time/time.h"
 #include "bundle/roll.h"
-#include "platform/key_value.h"
+#include "clients/key_value.h"
 
 namespace martenyard::bundle {
 
@@ -33,7 +33,7 @@
   /// Called with every roll found or accepted, newest or not.
   using RollCallback = std::function<void(const SignedRoll&)>;
 
-  RollManager(platform::KeyValue& store, std::vector<PartnerKey> partners, RollCallback on_roll);
+  RollManager(clients::KeyValue& store, std::vector<PartnerKey> partners, RollCallback on_roll);
 
   /// Checks and stores a bundle, so that it can be rolled.
   void Submit(const std::string& text, const std::string& signature, Callback on_answer);
@@ -50,7 +50,7 @@
   void Finish(const RollAttempt& attempt, OperatorAnswer::Code code, const std::string& detail,
               std::uint64_t epoch) const;
 
-  platform::KeyValue& store_;
+  clients::KeyValue& store_;
   std::vector<PartnerKey> partners_;
   RollCallback on_roll_;
 };
--- a/src/platform/backends.h
+++ b/src/clients/backends.h
@@ -10,10 +10,10 @@
 
 #include "absl/time/time.h"
 #include "base/ids.h"
+#include "clients/key_value.h"
 #include "http/client.h"
-#include "platform/key_value.h"
 
-namespace martenyard::platform {
+namespace martenyard::clients {
 
 enum class BackendKind { kEngine, kTool, kApplication };
 
@@ -112,4 +112,4 @@
                                                        std::string machine_list_url,
                                                        Executor executor);
 
-}  // namespace martenyard::platform
+}  // namespace martenyard::clients
--- a/src/platform/base64.cc
+++ b/src/clients/base64.cc
@@ -1,8 +1,8 @@
-#include "platform/base64.h"
+#include "clients/base64.h"
 
 #include "absl/strings/escaping.h"
 
-namespace martenyard::platform {
+namespace martenyard::clients {
 
 std::string ToBase64(std::string_view bytes) {
   return absl::Base64Escape(absl::string_view(bytes.data(), bytes.size()));
@@ -16,4 +16,4 @@
   return bytes;
 }
 
-}  // namespace martenyard::platform
+}  // namespace martenyard::clients
--- a/src/platform/etcd_key_value.cc
+++ b/src/clients/etcd_key_value.cc
@@ -1,10 +1,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/base64.h"
-#include "platform/key_value.h"
+#include "clients/base64.h"
+#include "clients/key_value.h"
 
-namespace martenyard::platform {
+namespace martenyard::clients {
 namespace {
 
 using nlohmann::json;
@@ -142,4 +142,4 @@
   return std::make_unique<EtcdKeyValue>(client, std::move(base_url), std::move(executor));
 }
 
-}  // namespace martenyard::platform
+}  // namespace martenyard::clients
--- a/src/platform/http_backends.cc
+++ b/src/clients/http_backends.cc
@@ -3,10 +3,10 @@
 #include <set>
 #include <utility>
 
-#include "platform/backends.h"
-#include "platform/sse.h"
+#include "clients/backends.h"
+#include "clients/sse.h"
 
-namespace martenyard::platform {
+namespace martenyard::clients {
 namespace {
 
 using nlohmann::json;
@@ -291,4 +291,4 @@
                                              std::move(executor));
 }
 
-}  // namespace martenyard::platform
+}  // namespace martenyard::clients
--- a/src/platform/key_value.h
+++ b/src/clients/key_value.h
@@ -10,7 +10,7 @@
 
 #include "http/client.h"
 
-namespace martenyard::platform {
+namespace martenyard::clients {
 
 struct KeyValueEntry {
   std::string key;
@@ -50,4 +50,4 @@
 std::unique_ptr<KeyValue> CreateEtcdKeyValue(http::Client& client, std::string base_url,
                                              Executor executor);
 
-}  // namespace martenyard::platform
+}  // namespace martenyard::clients
--- a/src/platform/sse.cc
+++ b/src/clients/sse.cc
@@ -1,8 +1,8 @@
-#include "platform/sse.h"
+#include "clients/sse.h"
 
 #include <utility>
 
-namespace martenyard::platform {
+namespace martenyard::clients {
 
 void SseParser::Feed(std::string_view bytes) {
   buffer_.append(bytes);
@@ -50,4 +50,4 @@
   return text;
 }
 
-}  // namespace martenyard::platform
+}  // namespace martenyard::clients
--- a/src/platform/sse.h
+++ b/src/clients/sse.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace martenyard::platform {
+namespace martenyard::clients {
 
 /// Feed bytes as they come; each whole event's `event` name and `data` are handed on.
 class SseParser {
@@ -27,4 +27,4 @@
 /// @return one event in wire form.
 std::string FormatSseEvent(std::string_view event, std::string_view data);
 
-}  // namespace martenyard::platform
+}  // namespace martenyard::clients
--- a/src/daemon/backend_view.cc
+++ b/src/daemon/backend_view.cc
@@ -29,7 +29,7 @@
   return live;
 }
 
-std::optional<NodeId> DispatcherOf(const platform::Backend& engine, const LiveMembers& live) {
+std::optional<NodeId> DispatcherOf(const clients::Backend& engine, const LiveMembers& live) {
   std::optional<NodeId> best;
   std::uint64_t best_rank = 0;
   auto consider = [&](NodeId member) {
@@ -50,10 +50,10 @@
   return best;
 }
 
-void BackendView::SetMachines(absl::Time now, std::vector<platform::Backend> machines) {
+void BackendView::SetMachines(absl::Time now, std::vector<clients::Backend> machines) {
   list_read_ = true;
   machines_.clear();
-  for (platform::Backend& machine : machines) {
+  for (clients::Backend& machine : machines) {
     last_seen_[machine.name] = now;
     machines_[machine.name] = std::move(machine);
   }
@@ -69,7 +69,7 @@
   leaving_until_[engine] = now + kLeavingMemory;
 }
 
-bool BackendView::IsLeaving(absl::Time now, const platform::Backend& backend) const {
+bool BackendView::IsLeaving(absl::Time now, const clients::Backend& backend) const {
   auto found = leaving_until_.find(backend.name);
   return backend.leaving || (found != leaving_until_.end() && now < found->second);
 }
@@ -79,7 +79,7 @@
     const bundle::BundleBook& bundles) const {
   std::vector<gateway::EngineCandidate> candidates;
   for (const auto& [name, backend] : machines_) {
-    bool serves = backend.kind == platform::BackendKind::kEngine && backend.service == service;
+    bool serves = backend.kind == clients::BackendKind::kEngine && backend.service == service;
     if (!serves || IsLeaving(now, backend)) {
       continue;
     }
@@ -109,10 +109,10 @@
   return candidates;
 }
 
-std::vector<platform::Backend> BackendView::ServicesFor(const PartnerName& partner,
-                                                        platform::BackendKind kind,
-                                                        const std::string& service) const {
-  std::vector<platform::Backend> found;
+std::vector<clients::Backend> BackendView::ServicesFor(const PartnerName& partner,
+                                                       clients::BackendKind kind,
+                                                       const std::string& service) const {
+  std::vector<clients::Backend> found;
   for (const auto& [name, backend] : machines_) {
     bool usable = backend.kind == kind && backend.service == service && backend.owner == partner &&
                   !backend.leaving;
@@ -123,7 +123,7 @@
   return found;
 }
 
-const platform::Backend* BackendView::Find(const BackendName& name) const {
+const clients::Backend* BackendView::Find(const BackendName& name) const {
   auto found = machines_.find(name);
   return found == machines_.end() ? nullptr : &found->second;
 }
@@ -140,7 +140,7 @@
     NodeId self, const LiveMembers& live, const bundle::BundleBook& bundles) const {
   std::vector<dispatch::EngineConfig> configs;
   for (const auto& [name, backend] : machines_) {
-    if (backend.kind != platform::BackendKind::kEngine || DispatcherOf(backend, live) != self) {
+    if (backend.kind != clients::BackendKind::kEngine || DispatcherOf(backend, live) != self) {
       continue;
     }
     dispatch::EngineConfig config;
--- a/src/daemon/backend_view.h
+++ b/src/daemon/backend_view.h
@@ -9,11 +9,11 @@
 #include "absl/time/time.h"
 #include "base/ids.h"
 #include "bundle/roll.h"
+#include "clients/backends.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/messages.h"
 #include "gateway/call_host.h"
 #include "membership/membership.h"
-#include "platform/backends.h"
 
 namespace martenyard::daemon {
 
@@ -27,13 +27,13 @@
 
 /// @return the live member that dispatches for the engine: the highest rendezvous hash among the
 /// members of the engine's zone, or of all members when the zone has none.
-std::optional<NodeId> DispatcherOf(const platform::Backend& engine, const LiveMembers& live);
+std::optional<NodeId> DispatcherOf(const clients::Backend& engine, const LiveMembers& live);
 
 class BackendView {
  public:
   explicit BackendView(ZoneName own_zone) : own_zone_(std::move(own_zone)) {}
 
-  void SetMachines(absl::Time now, std::vector<platform::Backend> machines);
+  void SetMachines(absl::Time now, std::vector<clients::Backend> machines);
   void OnLoads(absl::Time now, const std::vector<dispatch::EngineLoad>& loads);
   /// The engine refused as leaving, which the list does not show yet.
   void MarkLeaving(absl::Time now, const BackendName& engine);
@@ -42,26 +42,26 @@
   std::vector<gateway::EngineCandidate> EnginesFor(absl::Time now, const PartnerName& partner,
                                                    const std::string& service,
                                                    const bundle::BundleBook& bundles) const;
-  std::vector<platform::Backend> ServicesFor(const PartnerName& partner, platform::BackendKind kind,
-                                             const std::string& service) const;
-  const platform::Backend* Find(const BackendName& name) const;
+  std::vector<clients::Backend> ServicesFor(const PartnerName& partner, clients::BackendKind kind,
+                                            const std::string& service) const;
+  const clients::Backend* Find(const BackendName& name) const;
   /// @return true when the list was read and has not shown the back end for a while.
   bool IsGone(absl::Time now, const BackendName& name) const;
   /// @return configurations of the engines that `self` dispatches for.
   std::vector<dispatch::EngineConfig> DispatchedBy(NodeId self, const LiveMembers& live,
                                                    const bundle::BundleBook& bundles) const;
-  const std::map<BackendName, platform::Backend>& machines() const { return machines_; }
+  const std::map<BackendName, clients::Backend>& machines() const { return machines_; }
 
  private:
   struct LoadReport {
     dispatch::EngineLoad load;
     absl::Time at;
   };
-  bool IsLeaving(absl::Time now, const platform::Backend& backend) const;
+  bool IsLeaving(absl::Time now, const clients::Backend& backend) const;
 
   ZoneName own_zone_;
   bool list_read_ = false;
-  std::map<BackendName, platform::Backend> machines_;
+  std::map<BackendName, clients::Backend> machines_;
   std::map<BackendName, absl::Time> last_seen_;
   std::map<BackendName, absl::Time> leaving_until_;
   std::map<BackendName, LoadReport> loads_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "absl/time/clock.h"
+#include "base/clock.h"
 #include "base/logging.h"
 #include "gateway/problem.h"
 #include "wire/codec.h"
@@ -35,7 +35,7 @@
       loop_, [this](const std::string& payload) { OnFrame(payload); },
       [this](const std::string& payload) { OnDatagram(payload); },
       [this](const wire::Endpoint& peer, absl::Time checked_at) {
-        node_->OnEndpointDead(absl::Now(), peer, checked_at);
+        node_->OnEndpointDead(SteadyNow(), peer, checked_at);
       });
   BOOST_LEAF_ASSIGN(peer_, TranslateError<wire::TransportError>(
                                [&] { return transport_->Listen(settings_.peer); },
@@ -44,8 +44,8 @@
                                }));
   client_ = http::Client::Create();
   auto on_loop = [this](std::function<void()> task) { loop_.Post(std::move(task)); };
-  key_value_ = platform::CreateEtcdKeyValue(*client_, settings_.key_value_url, on_loop);
-  backends_ = platform::CreateHttpBackendClient(*client_, settings_.machine_list_url, on_loop);
+  key_value_ = clients::CreateEtcdKeyValue(*client_, settings_.key_value_url, on_loop);
+  backends_ = clients::CreateHttpBackendClient(*client_, settings_.machine_list_url, on_loop);
 
   http::ServerOptions options;
   options.address = settings_.callers.address;
@@ -62,7 +62,7 @@
   callers_ = {settings_.callers.address, server_->port()};
   StartNode(identity);
   BOOST_LEAF_CHECK(TranslateError<storage::StorageError>(
-      [&] { return node_->Start(absl::Now()); },
+      [&] { return node_->Start(SteadyNow()); },
       [](const storage::StorageError& error) { return Failed(error.detail); }));
   MARTENYARD_LOG_INFO(kLog, "Node " << identity.value << " in zone " << settings_.zone
                                     << " listens on " << peer_.ToString() << " for peers and "
@@ -128,7 +128,7 @@
   self.durable = store_->IsDurable();
   auto& environment = static_cast<NodeEnvironment&>(*this);
   node_ =
-      std::make_unique<Node>(self, MakeOptions(), environment, *store_, SystemSeed(), absl::Now());
+      std::make_unique<Node>(self, MakeOptions(), environment, *store_, SystemSeed(), SteadyNow());
   gateway::CallerApiOptions api_options;
   api_options.default_deadline = settings_.default_deadline;
   caller_api_ = std::make_unique<gateway::CallerApi>(*node_, node_->coordinator(), node_->bundles(),
@@ -140,7 +140,7 @@
   loop_.SetRoundHook([this] {
     failure_ = Recover<storage::StorageError>(
         [&]() -> Result<std::string> {
-          BOOST_LEAF_CHECK(node_->Settle(absl::Now()));
+          BOOST_LEAF_CHECK(node_->Settle(SteadyNow()));
           return std::string();
         },
         [](const storage::StorageError& error) { return error.detail; });
@@ -162,7 +162,7 @@
 
 void Daemon::ScheduleTick() {
   loop_.After(kTick, [this] {
-    node_->Tick(absl::Now());
+    node_->Tick(SteadyNow());
     if (stopping_) {
       CheckStop();
     }
@@ -177,15 +177,15 @@
       return;
     }
     stopping_ = true;
-    stop_deadline_ = absl::Now() + settings_.stop_limit;
-    node_->BeginStop(absl::Now());
+    stop_deadline_ = SteadyNow() + settings_.stop_limit;
+    node_->BeginStop(SteadyNow());
   });
 }
 
 void Daemon::CheckStop() {
   if (node_->MayExit()) {
     loop_.Stop();
-  } else if (absl::Now() >= stop_deadline_) {
+  } else if (SteadyNow() >= stop_deadline_) {
     MARTENYARD_LOG_WARN(kLog, "The stop limit is over; exiting with "
                                   << node_->coordinator().active() << " calls under way.");
     loop_.Stop();
@@ -200,16 +200,16 @@
     MARTENYARD_LOG_WARN(kLog, "Dropped a frame that can't be read.");
     return;
   }
-  node_->OnEnvelope(absl::Now(), *envelope);
+  node_->OnEnvelope(SteadyNow(), *envelope);
 }
 
 void Daemon::OnDatagram(const std::string& payload) {
   if (auto packet = wire::Decode<membership::Packet>(payload)) {
-    node_->OnPacket(absl::Now(), *packet);
+    node_->OnPacket(SteadyNow(), *packet);
   }
 }
 
-absl::Time Daemon::Now() const { return absl::Now(); }
+absl::Time Daemon::Now() const { return SteadyNow(); }
 
 void Daemon::SendFrame(const wire::Endpoint& to, const Envelope& envelope) {
   transport_->SendFrame(to, wire::Encode(envelope));
@@ -252,7 +252,7 @@
     return;
   }
   if (operator_api_->Handle(request, responder) ||
-      caller_api_->Handle(absl::Now(), request, responder)) {
+      caller_api_->Handle(SteadyNow(), request, responder)) {
     return;
   }
   responder->Send(gateway::Problem(404, "no such path", ledger::CallState::kNotRun));
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -51,8 +51,8 @@
   absl::Time Now() const override;
   void SendFrame(const wire::Endpoint& to, const Envelope& envelope) override;
   void SendDatagram(const wire::Endpoint& to, const membership::Packet& packet) override;
-  platform::KeyValue& KeyValueService() override { return *key_value_; }
-  platform::BackendClient& Backends() override { return *backends_; }
+  clients::KeyValue& KeyValueService() override { return *key_value_; }
+  clients::BackendClient& Backends() override { return *backends_; }
 
   settings::Settings settings_;
   wire::EventLoop loop_;
@@ -60,8 +60,8 @@
   wire::Endpoint callers_;
   std::unique_ptr<storage::LogStore> store_;
   std::unique_ptr<wire::Transport> transport_;
-  std::unique_ptr<platform::KeyValue> key_value_;
-  std::unique_ptr<platform::BackendClient> backends_;
+  std::unique_ptr<clients::KeyValue> key_value_;
+  std::unique_ptr<clients::BackendClient> backends_;
   std::unique_ptr<Node> node_;
   std::unique_ptr<gateway::CallerApi> caller_api_;
   std::unique_ptr<gateway::OperatorApi> operator_api_;
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -338,8 +338,8 @@
   if (!directory_.empty()) {
     return;
   }
-  environment_.KeyValueService().Get(kDirectoryKey, [this](const platform::KeyValueAnswer& answer) {
-    if (answer.status != platform::KeyValueStatus::kDone || !directory_.empty()) {
+  environment_.KeyValueService().Get(kDirectoryKey, [this](const clients::KeyValueAnswer& answer) {
+    if (answer.status != clients::KeyValueStatus::kDone || !directory_.empty()) {
       return;
     }
     if (!answer.entries.empty()) {
@@ -355,13 +355,13 @@
     }
     // Whoever writes first decides; every daemon then reads what is there.
     environment_.KeyValueService().PutIf(kDirectoryKey, 0, wire::Encode(placed),
-                                         [](const platform::KeyValueAnswer&) {});
+                                         [](const clients::KeyValueAnswer&) {});
   });
 }
 
 void Node::PollMachines() {
   environment_.Backends().FetchMachines(
-      [this](std::optional<std::vector<platform::Backend>> machines) {
+      [this](std::optional<std::vector<clients::Backend>> machines) {
         if (machines) {
           backends_.SetMachines(Now(), std::move(*machines));
           RefreshEngines();
@@ -455,7 +455,7 @@
 void Node::SendPermitAsks(const std::vector<dispatch::PermitAsk>& asks) {
   std::map<NodeId, dispatch::PermitSync> by_dispatcher;
   for (const dispatch::PermitAsk& ask : asks) {
-    const platform::Backend* engine = backends_.Find(ask.engine);
+    const clients::Backend* engine = backends_.Find(ask.engine);
     auto dispatcher = engine == nullptr ? std::nullopt : DispatcherOf(*engine, live_);
     if (dispatcher) {
       by_dispatcher[*dispatcher].asks.push_back(ask);
@@ -470,7 +470,7 @@
   if (release.engine_leaves) {
     backends_.MarkLeaving(Now(), release.engine);
   }
-  const platform::Backend* engine = backends_.Find(release.engine);
+  const clients::Backend* engine = backends_.Find(release.engine);
   auto dispatcher = engine == nullptr ? std::nullopt : DispatcherOf(*engine, live_);
   if (dispatcher) {
     Send(*dispatcher, release);
@@ -490,9 +490,9 @@
   return candidates;
 }
 
-std::vector<platform::Backend> Node::ServicesFor(const PartnerName& partner,
-                                                 platform::BackendKind kind,
-                                                 const std::string& service) {
+std::vector<clients::Backend> Node::ServicesFor(const PartnerName& partner,
+                                                clients::BackendKind kind,
+                                                const std::string& service) {
   return backends_.ServicesFor(partner, kind, service);
 }
 
@@ -509,7 +509,7 @@
 void Node::SendReleases() {
   for (const auto& [group, replica] : replica_host_.replicas()) {
     for (const ledger::ReleaseOrder& order : replica->DueReleases(kReleasesPerRound)) {
-      const platform::Backend* engine = backends_.Find(order.engine);
+      const clients::Backend* engine = backends_.Find(order.engine);
       if (engine == nullptr) {
         if (backends_.IsGone(now_, order.engine)) {
           replica->ProposeOwn(ledger::AcknowledgeRelease{{order.id}});
@@ -535,13 +535,13 @@
 void Node::SweepContexts() {
   for (const auto& [name, backend] : backends_.machines()) {
     bool own =
-        backend.kind == platform::BackendKind::kEngine && DispatcherOf(backend, live_) == Self();
+        backend.kind == clients::BackendKind::kEngine && DispatcherOf(backend, live_) == Self();
     if (!own) {
       continue;
     }
     environment_.Backends().ListContexts(
         backend.url,
-        [this, engine = backend](std::optional<std::vector<platform::HeldContext>> contexts) {
+        [this, engine = backend](std::optional<std::vector<clients::HeldContext>> contexts) {
           if (contexts) {
             SweepEngine(engine, *contexts);
           }
@@ -549,10 +549,10 @@
   }
 }
 
-void Node::SweepEngine(const platform::Backend& engine,
-                       const std::vector<platform::HeldContext>& contexts) {
+void Node::SweepEngine(const clients::Backend& engine,
+                       const std::vector<clients::HeldContext>& contexts) {
   std::map<GroupId, ledger::CheckPrograms> by_group;
-  for (const platform::HeldContext& context : contexts) {
+  for (const clients::HeldContext& context : contexts) {
     ProgramId program(context.id);
     by_group[GroupOf(program)].programs.push_back(program);
   }
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -35,8 +35,8 @@
   virtual absl::Time Now() const = 0;
   virtual void SendFrame(const wire::Endpoint& to, const Envelope& envelope) = 0;
   virtual void SendDatagram(const wire::Endpoint& to, const membership::Packet& packet) = 0;
-  virtual platform::KeyValue& KeyValueService() = 0;
-  virtual platform::BackendClient& Backends() = 0;
+  virtual clients::KeyValue& KeyValueService() = 0;
+  virtual clients::BackendClient& Backends() = 0;
 };
 
 struct NodeOptions {
@@ -104,10 +104,10 @@
   void SendPermitRelease(const dispatch::PermitRelease& release) override;
   std::vector<gateway::EngineCandidate> EnginesFor(const PartnerName& partner,
                                                    const std::string& service) override;
-  std::vector<platform::Backend> ServicesFor(const PartnerName& partner, platform::BackendKind kind,
-                                             const std::string& service) override;
+  std::vector<clients::Backend> ServicesFor(const PartnerName& partner, clients::BackendKind kind,
+                                            const std::string& service) override;
   int PriorityOf(const PartnerName& partner, const std::string& program_kind) override;
-  platform::BackendClient& Backends() override { return environment_.Backends(); }
+  clients::BackendClient& Backends() override { return environment_.Backends(); }
 
  private:
   struct Periodic {
@@ -138,8 +138,8 @@
   void ManageGroup(ledger::GroupReplica& replica);
   void SendReleases();
   void SweepContexts();
-  void SweepEngine(const platform::Backend& engine,
-                   const std::vector<platform::HeldContext>& contexts);
+  void SweepEngine(const clients::Backend& engine,
+                   const std::vector<clients::HeldContext>& contexts);
   void RefreshEngines();
   void HandOverLeaderships();
 
--- a/src/gateway/call_coordinator.cc
+++ b/src/gateway/call_coordinator.cc
@@ -36,9 +36,8 @@
     {Verdict::kHistoryFull, 409, "the program's history is as long as its bundle allows"},
 };
 
-platform::BackendKind BackendKindOf(CallKind kind) {
-  return kind == CallKind::kTool ? platform::BackendKind::kTool
-                                 : platform::BackendKind::kApplication;
+clients::BackendKind BackendKindOf(CallKind kind) {
+  return kind == CallKind::kTool ? clients::BackendKind::kTool : clients::BackendKind::kApplication;
 }
 
 CallEnd NotRun(int status, const std::string& title) {
@@ -317,7 +316,7 @@
 void CallCoordinator::RunModel(Call& call) {
   call.stage = Stage::kRunning;
   ++call.dispatches;
-  platform::ModelRequest request;
+  clients::ModelRequest request;
   request.url = call.backend.url;
   request.request_id = call.spec.program.value + "/" + call.spec.key.value + "/" +
                        std::to_string(call.grant.attempt) + "." + std::to_string(call.dispatches);
@@ -339,16 +338,16 @@
           }
         }
       },
-      [this, id](const platform::ModelOutcome& outcome) { OnModelDone(id, outcome); });
+      [this, id](const clients::ModelOutcome& outcome) { OnModelDone(id, outcome); });
 }
 
-void CallCoordinator::OnModelDone(CallId id, const platform::ModelOutcome& outcome) {
+void CallCoordinator::OnModelDone(CallId id, const clients::ModelOutcome& outcome) {
   Call* call = Find(id);
   if (call == nullptr || call->stage != Stage::kRunning) {
     return;
   }
   call->handle = 0;
-  using Status = platform::ModelOutcome::Status;
+  using Status = clients::ModelOutcome::Status;
   LeaveEngine(*call, outcome.status == Status::kLeaving);
   call->may_have_run = call->may_have_run || outcome.status == Status::kBroken;
   switch (outcome.status) {
@@ -398,10 +397,10 @@
 // ---- Tool and application calls ----
 
 void CallCoordinator::RunService(Call& call) {
-  std::vector<platform::Backend> backends =
+  std::vector<clients::Backend> backends =
       host_.ServicesFor(call.spec.partner, BackendKindOf(call.spec.kind), call.spec.service);
-  std::vector<platform::Backend> fresh;
-  for (const platform::Backend& backend : backends) {
+  std::vector<clients::Backend> fresh;
+  for (const clients::Backend& backend : backends) {
     auto avoided = call.avoided.find(backend.name);
     if (avoided == call.avoided.end() || avoided->second <= host_.Now()) {
       fresh.push_back(backend);
@@ -416,23 +415,23 @@
   call.backend = fresh[random_.Below(fresh.size())];
   call.stage = Stage::kRunning;
   ++call.dispatches;
-  platform::ServiceRequest request;
+  clients::ServiceRequest request;
   request.url = call.backend.url;
   request.request_key = call.spec.program.value + "/" + call.spec.key.value;
   request.arguments = call.spec.turn;
   request.timeout = std::max(absl::Milliseconds(1), call.spec.deadline - host_.Now());
   CallId id = call.id;
   call.handle = host_.Backends().StartService(
-      request, [this, id](const platform::ServiceOutcome& outcome) { OnServiceDone(id, outcome); });
+      request, [this, id](const clients::ServiceOutcome& outcome) { OnServiceDone(id, outcome); });
 }
 
-void CallCoordinator::OnServiceDone(CallId id, const platform::ServiceOutcome& outcome) {
+void CallCoordinator::OnServiceDone(CallId id, const clients::ServiceOutcome& outcome) {
   Call* call = Find(id);
   if (call == nullptr || call->stage != Stage::kRunning) {
     return;
   }
   call->handle = 0;
-  using Status = platform::ServiceOutcome::Status;
+  using Status = clients::ServiceOutcome::Status;
   if (outcome.status == Status::kRan) {
     retry_budget_ =
         std::min(options_.retry_budget_cap, retry_budget_ + options_.retry_budget_share);
--- a/src/gateway/call_coordinator.h
+++ b/src/gateway/call_coordinator.h
@@ -89,15 +89,15 @@
     BackendName last_engine;
     std::string messages;  // The whole prompt, JSON.
     ledger::Tokens context_tokens = 0;
-    platform::Backend backend;  // Of the present dispatch.
+    clients::Backend backend;  // Of the present dispatch.
     bool holds_permit = false;
-    platform::BackendClient::Handle handle = 0;
+    clients::BackendClient::Handle handle = 0;
     int dispatches = 0;
     bool may_have_run = false;  // Some back end took it and did not say that it did not run.
     absl::Time resume_at;       // kPlacing and kBackingOff: when to try again.
     std::map<BackendName, absl::Time> avoided;
     std::string text;  // Generated so far.
-    platform::ModelUsage usage;
+    clients::ModelUsage usage;
     int status_if_not_run = 409;
     std::string reason;
   };
@@ -118,12 +118,12 @@
   void Place(Call& call);
   void AskPermit(Call& call);
   void RunModel(Call& call);
-  void OnModelDone(CallId id, const platform::ModelOutcome& outcome);
+  void OnModelDone(CallId id, const clients::ModelOutcome& outcome);
   void LeaveEngine(Call& call, bool engine_leaves);
   void Redispatch(Call& call, const std::string& reason);
 
   void RunService(Call& call);
-  void OnServiceDone(CallId id, const platform::ServiceOutcome& outcome);
+  void OnServiceDone(CallId id, const clients::ServiceOutcome& outcome);
   bool MayRetry();
 
   void Commit(Call& call, ledger::CallState outcome, std::string result);
--- a/src/gateway/call_host.h
+++ b/src/gateway/call_host.h
@@ -6,9 +6,9 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "clients/backends.h"
 #include "dispatch/messages.h"
 #include "ledger/messages.h"
-#include "platform/backends.h"
 #include "scheduling/placement.h"
 
 namespace martenyard::gateway {
@@ -28,7 +28,7 @@
 
 /// An engine that could take a call.
 struct EngineCandidate {
-  platform::Backend backend;
+  clients::Backend backend;
   scheduling::EngineView view;
 };
 
@@ -49,11 +49,11 @@
   virtual std::vector<EngineCandidate> EnginesFor(const PartnerName& partner,
                                                   const std::string& service) = 0;
   /// @return tool or application back ends of the service, leaving ones left out.
-  virtual std::vector<platform::Backend> ServicesFor(const PartnerName& partner,
-                                                     platform::BackendKind kind,
-                                                     const std::string& service) = 0;
+  virtual std::vector<clients::Backend> ServicesFor(const PartnerName& partner,
+                                                    clients::BackendKind kind,
+                                                    const std::string& service) = 0;
   virtual int PriorityOf(const PartnerName& partner, const std::string& program_kind) = 0;
-  virtual platform::BackendClient& Backends() = 0;
+  virtual clients::BackendClient& Backends() = 0;
 };
 
 }  // namespace martenyard::gateway
--- a/src/gateway/caller_api.cc
+++ b/src/gateway/caller_api.cc
@@ -6,9 +6,9 @@
 
 #include "absl/strings/str_split.h"
 #include "bundle/signature.h"
+#include "clients/sse.h"
 #include "gateway/call_request.h"
 #include "gateway/problem.h"
-#include "platform/sse.h"
 
 namespace martenyard::gateway {
 namespace {
@@ -109,7 +109,7 @@
 
   void OnText(const std::string& text) override {
     Open();
-    responder_->Write(platform::FormatSseEvent("", Dump({{"text", text}})));
+    responder_->Write(clients::FormatSseEvent("", Dump({{"text", text}})));
   }
 
   void OnEnd(const CallEnd& end) override {
@@ -119,7 +119,7 @@
     }
     Open();
     http::Response response = EndResponse(end);
-    responder_->Write(platform::FormatSseEvent(end.record ? "done" : "error", response.body));
+    responder_->Write(clients::FormatSseEvent(end.record ? "done" : "error", response.body));
     responder_->Finish();
   }
 
--- a/src/sim/sim_platform.cc
+++ b/src/sim/sim_platform.cc
@@ -26,14 +26,14 @@
 
 // ---- Key-value service ----
 
-class SimKeyValue : public platform::KeyValue {
+class SimKeyValue : public clients::KeyValue {
  public:
   SimKeyValue(SimPlatform& platform, Deliver deliver)
       : platform_(platform), deliver_(std::move(deliver)) {}
 
   void Get(const std::string& key, Callback on_answer) override {
     Run(std::move(on_answer), [this, key] {
-      platform::KeyValueAnswer answer{platform::KeyValueStatus::kDone, {}};
+      clients::KeyValueAnswer answer{clients::KeyValueStatus::kDone, {}};
       auto found = platform_.entries_.find(key);
       if (found != platform_.entries_.end()) {
         answer.entries.push_back(found->second);
@@ -44,7 +44,7 @@
 
   void GetPrefix(const std::string& prefix, Callback on_answer) override {
     Run(std::move(on_answer), [this, prefix] {
-      platform::KeyValueAnswer answer{platform::KeyValueStatus::kDone, {}};
+      clients::KeyValueAnswer answer{clients::KeyValueStatus::kDone, {}};
       for (const auto& [key, entry] : platform_.entries_) {
         if (key.compare(0, prefix.size(), prefix) == 0) {
           answer.entries.push_back(entry);
@@ -57,44 +57,44 @@
   void PutIf(const std::string& key, std::int64_t expected_revision, const std::string& value,
              Callback on_answer) override {
     Run(std::move(on_answer), [this, key, expected_revision, value] {
-      platform::KeyValueAnswer answer;
+      clients::KeyValueAnswer answer;
       auto found = platform_.entries_.find(key);
       std::int64_t revision = found == platform_.entries_.end() ? 0 : found->second.revision;
       if (revision != expected_revision) {
-        answer.status = platform::KeyValueStatus::kConditionFailed;
+        answer.status = clients::KeyValueStatus::kConditionFailed;
         if (found != platform_.entries_.end()) {
           answer.entries.push_back(found->second);
         }
         return answer;
       }
       platform_.entries_[key] = {key, value, ++platform_.revision_};
-      answer.status = platform::KeyValueStatus::kDone;
+      answer.status = clients::KeyValueStatus::kDone;
       return answer;
     });
   }
 
  private:
-  void Run(Callback on_answer, std::function<platform::KeyValueAnswer()> effect) {
+  void Run(Callback on_answer, std::function<clients::KeyValueAnswer()> effect) {
     ++platform_.key_value_requests;
     const PlatformFaults& faults = platform_.key_value_faults;
     if (faults.down) {
-      Answer(kKeyValueDelay, std::move(on_answer), {platform::KeyValueStatus::kRefused, {}});
+      Answer(kKeyValueDelay, std::move(on_answer), {clients::KeyValueStatus::kRefused, {}});
       return;
     }
     bool lost = platform_.random_.Uniform() < faults.lost_answer;
     platform_.queue_.After(
         kKeyValueDelay + faults.extra_delay,
         [this, lost, on_answer = std::move(on_answer), effect = std::move(effect)] {
-          platform::KeyValueAnswer answer = effect();
+          clients::KeyValueAnswer answer = effect();
           if (lost) {
-            Answer(kAnswerLost, on_answer, {platform::KeyValueStatus::kUncertain, {}});
+            Answer(kAnswerLost, on_answer, {clients::KeyValueStatus::kUncertain, {}});
           } else {
             Answer(kKeyValueDelay, on_answer, std::move(answer));
           }
         });
   }
 
-  void Answer(absl::Duration delay, Callback on_answer, platform::KeyValueAnswer answer) {
+  void Answer(absl::Duration delay, Callback on_answer, clients::KeyValueAnswer answer) {
     platform_.queue_.After(
         delay, [deliver = deliver_, on_answer = std::move(on_answer), answer = std::move(answer)] {
           deliver([on_answer, answer] { on_answer(answer); });
@@ -107,15 +107,15 @@
 
 // ---- Back ends ----
 
-class SimBackendClient : public platform::BackendClient {
+class SimBackendClient : public clients::BackendClient {
  public:
   SimBackendClient(SimPlatform& platform, Deliver deliver)
       : platform_(platform),
         deliver_(std::move(deliver)),
         live_(std::make_shared<std::set<Handle>>()) {}
 
-  void FetchMachines(platform::MachineListCallback on_list) override {
-    std::vector<platform::Backend> machines;
+  void FetchMachines(clients::MachineListCallback on_list) override {
+    std::vector<clients::Backend> machines;
     for (const auto& [name, backend] : platform_.backends_) {
       machines.push_back(backend);
     }
@@ -124,19 +124,19 @@
     });
   }
 
-  Handle StartModel(const platform::ModelRequest& request, std::function<void(std::string)> on_text,
-                    std::function<void(platform::ModelOutcome)> on_done) override {
+  Handle StartModel(const clients::ModelRequest& request, std::function<void(std::string)> on_text,
+                    std::function<void(clients::ModelOutcome)> on_done) override {
     Handle handle = ++last_handle_;
     live_->insert(handle);
     BackendName engine(request.url);
-    platform::ModelOutcome outcome;
+    clients::ModelOutcome outcome;
     if (platform_.backend_faults.down) {
-      outcome.status = platform::ModelOutcome::Status::kRefused;
+      outcome.status = clients::ModelOutcome::Status::kRefused;
       Finish(handle, kServiceTime, on_done, outcome);
       return handle;
     }
     if (platform_.IsLeaving(engine) && platform_.engines_refuse_when_leaving) {
-      outcome.status = platform::ModelOutcome::Status::kLeaving;
+      outcome.status = clients::ModelOutcome::Status::kLeaving;
       Finish(handle, kServiceTime, on_done, outcome);
       return handle;
     }
@@ -157,20 +157,20 @@
         });
       });
     }
-    outcome.status = breaks ? platform::ModelOutcome::Status::kBroken
-                            : platform::ModelOutcome::Status::kFinished;
+    outcome.status =
+        breaks ? clients::ModelOutcome::Status::kBroken : clients::ModelOutcome::Status::kFinished;
     outcome.usage.completion_tokens = static_cast<std::int64_t>(rest.size() / 4);
     Finish(handle, delay + kChunkTime, on_done, outcome);
     return handle;
   }
 
-  Handle StartService(const platform::ServiceRequest& request,
-                      std::function<void(platform::ServiceOutcome)> on_done) override {
+  Handle StartService(const clients::ServiceRequest& request,
+                      std::function<void(clients::ServiceOutcome)> on_done) override {
     Handle handle = ++last_handle_;
     live_->insert(handle);
-    platform::ServiceOutcome outcome;
+    clients::ServiceOutcome outcome;
     if (platform_.backend_faults.down) {
-      outcome.status = platform::ServiceOutcome::Status::kNotRun;
+      outcome.status = clients::ServiceOutcome::Status::kNotRun;
       Finish(handle, kServiceTime, on_done, outcome);
       return handle;
     }
@@ -179,7 +179,7 @@
       platform_.service_runs.push_back({key, platform_.queue_.now()});
     });
     outcome.status =
-        lost ? platform::ServiceOutcome::Status::kUnknown : platform::ServiceOutcome::Status::kRan;
+        lost ? clients::ServiceOutcome::Status::kUnknown : clients::ServiceOutcome::Status::kRan;
     outcome.result = R"({"served":")" + request.request_key + "\"}";
     absl::Duration delay = lost ? kAnswerLost : kServiceTime * 2;
     Finish(handle, delay + platform_.backend_faults.extra_delay, on_done, outcome);
@@ -204,8 +204,8 @@
 
   void ListContexts(
       const std::string& engine_url,
-      std::function<void(std::optional<std::vector<platform::HeldContext>>)> on_list) override {
-    std::vector<platform::HeldContext> held;
+      std::function<void(std::optional<std::vector<clients::HeldContext>>)> on_list) override {
+    std::vector<clients::HeldContext> held;
     for (const std::string& id : platform_.contexts[BackendName(engine_url)]) {
       held.push_back({id, 0});
     }
@@ -233,12 +233,12 @@
   std::shared_ptr<std::set<Handle>> live_;
 };
 
-std::unique_ptr<platform::KeyValue> CreateSimKeyValue(SimPlatform& platform, Deliver deliver) {
+std::unique_ptr<clients::KeyValue> CreateSimKeyValue(SimPlatform& platform, Deliver deliver) {
   return std::make_unique<SimKeyValue>(platform, std::move(deliver));
 }
 
-std::unique_ptr<platform::BackendClient> CreateSimBackendClient(SimPlatform& platform,
-                                                                Deliver deliver) {
+std::unique_ptr<clients::BackendClient> CreateSimBackendClient(SimPlatform& platform,
+                                                               Deliver deliver) {
   return std::make_unique<SimBackendClient>(platform, std::move(deliver));
 }
 
--- a/src/sim/sim_platform.h
+++ b/src/sim/sim_platform.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "base/random.h"
-#include "platform/backends.h"
-#include "platform/key_value.h"
+#include "clients/backends.h"
+#include "clients/key_value.h"
 #include "sim/event_queue.h"
 
 namespace martenyard::sim {
@@ -40,7 +40,7 @@
     absl::Time at;
   };
 
-  void AddBackend(const platform::Backend& backend) { backends_[backend.name] = backend; }
+  void AddBackend(const clients::Backend& backend) { backends_[backend.name] = backend; }
   /// The machine leaves now; the list shows it after `list_lag`.
   void MarkLeaving(const BackendName& name);
   bool IsLeaving(const BackendName& name) const { return leaving_.contains(name); }
@@ -65,9 +65,9 @@
 
   EventQueue& queue_;
   Random random_;
-  std::map<BackendName, platform::Backend> backends_;
+  std::map<BackendName, clients::Backend> backends_;
   std::map<BackendName, absl::Time> leaving_;
-  std::map<std::string, platform::KeyValueEntry> entries_;
+  std::map<std::string, clients::KeyValueEntry> entries_;
   std::int64_t revision_ = 0;
 };
 
@@ -77,8 +77,8 @@
 /// Runs callbacks only while the daemon they belong to lives and is not frozen.
 using Deliver = std::function<void(std::function<void()>)>;
 
-std::unique_ptr<platform::KeyValue> CreateSimKeyValue(SimPlatform& platform, Deliver deliver);
-std::unique_ptr<platform::BackendClient> CreateSimBackendClient(SimPlatform& platform,
-                                                                Deliver deliver);
+std::unique_ptr<clients::KeyValue> CreateSimKeyValue(SimPlatform& platform, Deliver deliver);
+std::unique_ptr<clients::BackendClient> CreateSimBackendClient(SimPlatform& platform,
+                                                               Deliver deliver);
 
 }  // namespace martenyard::sim
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -47,14 +47,14 @@
     });
   }
 
-  platform::KeyValue& KeyValueService() override { return *key_value_; }
-  platform::BackendClient& Backends() override { return *backends_; }
+  clients::KeyValue& KeyValueService() override { return *key_value_; }
+  clients::BackendClient& Backends() override { return *backends_; }
 
  private:
   World& world_;
   std::size_t index_;
-  std::unique_ptr<platform::KeyValue> key_value_;
-  std::unique_ptr<platform::BackendClient> backends_;
+  std::unique_ptr<clients::KeyValue> key_value_;
+  std::unique_ptr<clients::BackendClient> backends_;
 };
 
 World::World(const WorldOptions& options, std::uint64_t seed)
--- a/src/wire/event_loop.cc
+++ b/src/wire/event_loop.cc
@@ -1,111 +1,123 @@
 #include "wire/event_loop.h"
 
+#include <poll.h>
 #include <sys/epoll.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
-#include <algorithm>
-#include <array>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <utility>
 
-#include "absl/time/clock.h"
-
 namespace martenyard::wire {
 namespace {
-constexpr int kEventsPerRound = 128;
-constexpr int kLongestWaitMilliseconds = 1000;
-}  // namespace
 
-EventLoop::EventLoop() {
-  epoll_ = epoll_create1(EPOLL_CLOEXEC);
-  wakeup_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-  Watch(wakeup_, EPOLLIN, [this](std::uint32_t) {
-    std::uint64_t count = 0;
-    ssize_t ignored = read(wakeup_, &count, sizeof(count));
-    (void)ignored;
-  });
-}
+namespace asio = boost::asio;
 
-EventLoop::~EventLoop() {
-  close(wakeup_);
-  close(epoll_);
+/// The conditions that hold now, so that a failed connection isn't taken for a writable one.
+std::uint32_t PresentEvents(int file, std::uint32_t event) {
+  pollfd query{file, POLLIN | POLLOUT | POLLRDHUP, 0};
+  if (poll(&query, 1, 0) <= 0) {
+    return event;
+  }
+  auto bits = static_cast<std::uint32_t>(query.revents);
+  std::uint32_t present = event;
+  present |= (bits & POLLERR) != 0 ? EPOLLERR : 0U;
+  present |= (bits & POLLHUP) != 0 ? EPOLLHUP : 0U;
+  present |= (bits & POLLRDHUP) != 0 ? EPOLLRDHUP : 0U;
+  return present;
 }
 
-void EventLoop::Post(std::function<void()> task) {
-  {
-    std::lock_guard lock(mutex_);
-    posted_.push_back(std::move(task));
+}  // namespace
+
+EventLoop::EventLoop() = default;
+
+EventLoop::~EventLoop() {
+  for (auto& [file, watch] : watches_) {
+    watch->descriptor.release();
   }
-  std::uint64_t one = 1;
-  ssize_t ignored = write(wakeup_, &one, sizeof(one));
-  (void)ignored;
 }
 
+void EventLoop::Post(std::function<void()> task) { asio::post(context_, std::move(task)); }
+
 void EventLoop::Stop() {
   stopping_ = true;
-  Post([] {});
+  context_.stop();
 }
 
 void EventLoop::After(absl::Duration delay, std::function<void()> task) {
-  timers_.emplace(absl::Now() + delay, std::move(task));
+  auto timer = std::make_shared<asio::steady_timer>(context_, absl::ToChronoNanoseconds(delay));
+  timer->async_wait([timer, task = std::move(task)](const boost::system::error_code& error) {
+    if (!error) {
+      task();
+    }
+  });
 }
 
 void EventLoop::Watch(int file, std::uint32_t events, std::function<void(std::uint32_t)> on_ready) {
-  epoll_event event{};
-  event.events = events;
-  event.data.fd = file;
-  bool known = watches_.contains(file);
-  watches_[file] = std::move(on_ready);
-  epoll_ctl(epoll_, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, file, &event);
-}
-
-void EventLoop::Unwatch(int file) {
-  watches_.erase(file);
-  epoll_ctl(epoll_, EPOLL_CTL_DEL, file, nullptr);
+  auto& watch = watches_[file];
+  if (!watch) {
+    watch = std::make_shared<FileWatch>(context_, file);
+  }
+  watch->events = events;
+  watch->on_ready = std::move(on_ready);
+  Arm(watch);
 }
 
-void EventLoop::RunPosted() {
-  std::vector<std::function<void()>> tasks;
-  {
-    std::lock_guard lock(mutex_);
-    tasks.swap(posted_);
+void EventLoop::Arm(const std::shared_ptr<FileWatch>& watch) {
+  std::weak_ptr<FileWatch> weak = watch;
+  auto wait_for = [this, weak](bool FileWatch::*waits, std::uint32_t event) {
+    return [this, weak, waits, event](const boost::system::error_code& error) {
+      auto present = weak.lock();
+      if (error || !present) {
+        return;
+      }
+      (*present).*waits = false;
+      OnReady(present, event);
+    };
+  };
+  bool wants_read = (watch->events & (EPOLLIN | EPOLLRDHUP)) != 0;
+  if (wants_read && !watch->waits_to_read) {
+    watch->waits_to_read = true;
+    watch->descriptor.async_wait(asio::posix::descriptor_base::wait_read,
+                                 wait_for(&FileWatch::waits_to_read, EPOLLIN));
   }
-  for (auto& task : tasks) {
-    task();
+  bool wants_write = (watch->events & EPOLLOUT) != 0;
+  if (wants_write && !watch->waits_to_write) {
+    watch->waits_to_write = true;
+    watch->descriptor.async_wait(asio::posix::descriptor_base::wait_write,
+                                 wait_for(&FileWatch::waits_to_write, EPOLLOUT));
   }
 }
 
-void EventLoop::RunTimers() {
-  absl::Time now = absl::Now();
-  while (!timers_.empty() && timers_.begin()->first <= now) {
-    std::function<void()> task = std::move(timers_.begin()->second);
-    timers_.erase(timers_.begin());
-    task();
+void EventLoop::OnReady(const std::shared_ptr<FileWatch>& watch, std::uint32_t event) {
+  if ((watch->events & event) == 0) {
+    return;  // A wait from before the watch was changed.
+  }
+  std::uint32_t present = (watch->events & EPOLLOUT) != 0
+                              ? PresentEvents(watch->descriptor.native_handle(), event)
+                              : event;
+  std::function<void(std::uint32_t)> on_ready = watch->on_ready;
+  on_ready(present);
+  if (watch->descriptor.is_open()) {
+    Arm(watch);
   }
 }
 
-int EventLoop::WaitMilliseconds() const {
-  if (timers_.empty()) {
-    return kLongestWaitMilliseconds;
+void EventLoop::Unwatch(int file) {
+  auto found = watches_.find(file);
+  if (found == watches_.end()) {
+    return;
   }
-  absl::Duration left = timers_.begin()->first - absl::Now();
-  std::int64_t milliseconds = absl::ToInt64Milliseconds(left + absl::Microseconds(999));
-  return static_cast<int>(std::clamp<std::int64_t>(milliseconds, 0, kLongestWaitMilliseconds));
+  found->second->descriptor.release();  // Cancels the waits; the file stays its owner's.
+  watches_.erase(found);
 }
 
 void EventLoop::Run() {
-  std::array<epoll_event, kEventsPerRound> events{};
+  auto guard = asio::make_work_guard(context_);
   while (!stopping_) {
-    int count = epoll_wait(epoll_, events.data(), kEventsPerRound, WaitMilliseconds());
-    for (int i = 0; i < count; ++i) {
-      auto found = watches_.find(events[i].data.fd);
-      if (found != watches_.end()) {
-        std::function<void(std::uint32_t)> on_ready = found->second;
-        on_ready(events[i].events);
-      }
-    }
-    RunPosted();
-    RunTimers();
+    context_.run_one();
+    context_.poll();
     if (round_hook_) {
       round_hook_();
     }
--- a/src/wire/event_loop.h
+++ b/src/wire/event_loop.h
@@ -1,13 +1,13 @@
-// One thread's event loop over epoll: socket readiness, timers, and tasks posted by other threads.
+// One thread's event loop over Asio: socket readiness, timers, and tasks posted by other threads.
 #pragma once
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <mutex>
+#include <memory>
 #include <unordered_map>
-#include <vector>
 
 #include "absl/time/time.h"
 
@@ -25,26 +25,33 @@
   void Stop();
   /// Runs `task` on the loop's thread, in the order posted.
   void Post(std::function<void()> task);
-  /// Runs `task` once after `delay`.
+  /// Runs `task` once after `delay`, counted by the steady clock.
   void After(absl::Duration delay, std::function<void()> task);
   /// Calls `on_ready` with epoll's event bits while `file` is watched. Replaces an earlier watch.
   void Watch(int file, std::uint32_t events, std::function<void(std::uint32_t)> on_ready);
   void Unwatch(int file);
   /// `hook` runs after every round of callbacks, before the loop waits again.
   void SetRoundHook(std::function<void()> hook) { round_hook_ = std::move(hook); }
+  /// For code that uses Asio itself; its handlers run on the loop's thread too.
+  boost::asio::io_context& context() { return context_; }
 
  private:
-  void RunPosted();
-  void RunTimers();
-  int WaitMilliseconds() const;
-
-  int epoll_ = -1;
-  int wakeup_ = -1;
+  /// One watched file. Handlers hold it weakly: an unwatched file's callbacks are never called.
+  struct FileWatch {
+    explicit FileWatch(boost::asio::io_context& context, int file) : descriptor(context, file) {}
+    boost::asio::posix::stream_descriptor descriptor;
+    std::uint32_t events = 0;
+    std::function<void(std::uint32_t)> on_ready;
+    bool waits_to_read = false;
+    bool waits_to_write = false;
+  };
+
+  void Arm(const std::shared_ptr<FileWatch>& watch);
+  void OnReady(const std::shared_ptr<FileWatch>& watch, std::uint32_t event);
+
+  boost::asio::io_context context_{1};
   std::atomic<bool> stopping_{false};
-  std::mutex mutex_;
-  std::vector<std::function<void()>> posted_;
-  std::multimap<absl::Time, std::function<void()>> timers_;
-  std::unordered_map<int, std::function<void(std::uint32_t)>> watches_;
+  std::unordered_map<int, std::shared_ptr<FileWatch>> watches_;
   std::function<void()> round_hook_;
 };
 
--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "absl/time/clock.h"
+#include "base/clock.h"
 
 namespace martenyard::wire {
 namespace {
@@ -24,6 +24,8 @@
 constexpr std::size_t kReadBytes = std::size_t{256} << 10;
 constexpr int kBacklog = 512;
 constexpr int kBindAttempts = 20;
+/// A peer behind a cut says nothing: bytes that it didn't take in this time break the connection.
+constexpr unsigned kUserTimeoutMilliseconds = 1000;
 /// A refused connection says that a peer is dead only while the news is this young.
 constexpr absl::Duration kDeathCheckLifetime = absl::Milliseconds(200);
 
@@ -177,6 +179,8 @@
   }
   int yes = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMilliseconds,
+             sizeof(kUserTimeoutMilliseconds));
   sockaddr_in address = SocketAddress(peer);
   int status = connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   if (status != 0 && errno != EINPROGRESS) {
@@ -188,7 +192,7 @@
   auto connection = std::make_unique<Connection>();
   connection->socket = socket;
   connection->connecting = status != 0;
-  connection->opened_at = absl::Now();
+  connection->opened_at = SteadyNow();
   peers_[peer] = std::move(connection);
   loop_.Watch(socket, EPOLLOUT | EPOLLIN | EPOLLRDHUP,
               [this, peer](std::uint32_t events) { OnPeerReady(peer, events); });
@@ -260,7 +264,7 @@
     if (Connect(peer)) {
       peers_[peer]->checks_death = true;
     } else if (errno == ECONNREFUSED) {
-      ReportDead(peer, absl::Now());
+      ReportDead(peer, SteadyNow());
     }
     return;
   }
@@ -273,7 +277,7 @@
   // Later: this may run amid the owner's own sending.
   loop_.Post([this, peer, checked_at] {
     // If this process slept since it checked, the peer may have come back meanwhile.
-    if (absl::Now() - checked_at < kDeathCheckLifetime) {
+    if (SteadyNow() - checked_at < kDeathCheckLifetime) {
       on_dead_(peer, checked_at);
     }
   });
--- a/tests/platform/key_value_test.cc
+++ b/tests/clients/key_value_test.cc
@@ -1,6 +1,6 @@
-// The contract of platform::KeyValue, against the etcd client with the emulator and against the
+// The contract of clients::KeyValue, against the etcd client with the emulator and against the
 // simulator's own; and what only the emulator has: leases, watches, the rate limit.
-#include "platform/key_value.h"
+#include "clients/key_value.h"
 
 #include <gtest/gtest.h>
 
@@ -9,12 +9,12 @@
 #include <optional>
 
 #include "absl/synchronization/notification.h"
+#include "clients/base64.h"
 #include "emulator/emulator.h"
 #include "emulator/key_value_store.h"
-#include "platform/base64.h"
 #include "sim/sim_platform.h"
 
-namespace martenyard::platform {
+namespace martenyard::clients {
 namespace {
 
 /// One implementation under test, with its faults.
@@ -188,4 +188,4 @@
 }
 
 }  // namespace
-}  // namespace martenyard::platform
+}  // namespace martenyard::clients
--- a/tests/support/proof_world.cc
+++ b/tests/support/proof_world.cc
@@ -12,9 +12,9 @@
 
 constexpr absl::Duration kPatience = absl::Seconds(10);
 
-platform::Backend MakeBackend(const std::string& name, platform::BackendKind kind,
-                              const std::string& service, const std::string& zone) {
-  platform::Backend backend;
+clients::Backend MakeBackend(const std::string& name, clients::BackendKind kind,
+                             const std::string& service, const std::string& zone) {
+  clients::Backend backend;
   backend.name = BackendName(name);
   backend.kind = kind;
   backend.service = service;
@@ -45,7 +45,7 @@
     for (int number = 0; number < options.daemons_per_zone; ++number) {
       world_.AddDaemon(ZoneName(name), options.durable, node);
     }
-    using platform::BackendKind;
+    using clients::BackendKind;
     world_.platform().AddBackend(
         MakeBackend("engine-" + std::to_string(zone), BackendKind::kEngine, kModel, name));
     world_.platform().AddBackend(
