--- /dev/null
+++ b/src/async_http/connection.cc
@@ -0,0 +1,157 @@
+#include "async_http/connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace martenyard::async_http {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadBytes = std::size_t{16} << 10;
+constexpr std::uint64_t kBodyLimit = std::uint64_t{64} << 20;
+constexpr std::uint32_t kHeaderLimit = std::uint32_t{64} << 10;
+/// Bytes that the peer doesn't take in this time break the connection.
+constexpr unsigned kUserTimeoutMilliseconds = 1000;
+
+}  // namespace
+
+Connection::Connection(asio::io_context& context, const wire::Endpoint& peer)
+    : socket_(context), peer_(peer) {}
+
+Task<bool> Connection::Connect() {
+  error_code error;
+  auto address = asio::ip::make_address(peer_.address, error);
+  if (error) {
+    co_return false;
+  }
+  socket_.open(asio::ip::tcp::v4(), error);
+  if (error) {
+    co_return false;
+  }
+  socket_.set_option(asio::ip::tcp::no_delay(true), error);
+  setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMilliseconds,
+             sizeof(kUserTimeoutMilliseconds));
+  auto [failure] =
+      co_await socket_.async_connect(asio::ip::tcp::endpoint(address, peer_.port), kAwait);
+  if (failure) {
+    Close();
+    co_return false;
+  }
+  co_return socket_.is_open();
+}
+
+Task<bool> Connection::Send(absl::string_view bytes) {
+  if (!socket_.is_open()) {
+    co_return false;
+  }
+  any_sent_ = true;
+  auto [error, count] =
+      co_await asio::async_write(socket_, asio::buffer(bytes.data(), bytes.size()), kAwait);
+  co_return !error;
+}
+
+void Connection::BeginAnswer(bool head_request) {
+  any_sent_ = false;
+  ended_by_close_ = false;
+  ++uses_;
+  parser_ = std::make_unique<ResponseParser>();
+  parser_->eager(true);
+  parser_->header_limit(kHeaderLimit);
+  parser_->body_limit(kBodyLimit);
+  parser_->skip(head_request);
+}
+
+Task<ReadStep> Connection::ReadHead() { return Parse(/*head_only=*/true); }
+
+Task<ReadStep> Connection::ReadBody() { return Parse(/*head_only=*/false); }
+
+Task<ReadStep> Connection::Parse(bool head_only) {
+  if (parser_->is_done()) {
+    co_return ReadStep::kWhole;
+  }
+  while (true) {
+    bool parsed = false;
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+      error_code error;
+      std::size_t used = parser_->put(buffer_.data(), error);
+      buffer_.consume(used);
+      if (error && error != http::error::need_more) {
+        co_return ReadStep::kMalformed;
+      }
+      parsed = parsed || used > 0;
+      if (error == http::error::need_more || used == 0) {
+        break;
+      }
+    }
+    if (parser_->is_done()) {
+      NoteKeepAlive();
+      co_return ReadStep::kWhole;
+    }
+    if (parsed && (!head_only || parser_->is_header_done())) {
+      co_return ReadStep::kProgress;
+    }
+    if (!socket_.is_open()) {
+      co_return ReadStep::kClosed;
+    }
+    auto [error, count] = co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAwait);
+    if (error == asio::error::eof) {
+      bool had_head = parser_->is_header_done();
+      error_code end_error;
+      if (had_head && parser_->need_eof()) {
+        parser_->put_eof(end_error);
+        ended_by_close_ = true;
+        co_return end_error ? ReadStep::kClosed : ReadStep::kWhole;
+      }
+      co_return ReadStep::kClosed;
+    }
+    if (error) {
+      co_return ReadStep::kClosed;
+    }
+    buffer_.commit(count);
+  }
+}
+
+void Connection::NoteKeepAlive() {
+  auto field = parser_->get().find(http::field::keep_alive);
+  if (field == parser_->get().end()) {
+    return;
+  }
+  absl::string_view text(field->value().data(), field->value().size());
+  for (absl::string_view item : absl::StrSplit(text, ',')) {
+    item = absl::StripAsciiWhitespace(item);
+    int seconds = 0;
+    if (absl::ConsumePrefix(&item, "timeout=") && absl::SimpleAtoi(item, &seconds)) {
+      peer_keeps_ = absl::Seconds(seconds);
+    }
+  }
+}
+
+void Connection::Close() {
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+bool Connection::IsStale() {
+  if (!socket_.is_open() || buffer_.size() > 0) {
+    return true;
+  }
+  char byte = 0;
+  ssize_t count = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+bool Connection::MayBeReused() const {
+  return socket_.is_open() && parser_ != nullptr && parser_->is_done() && !ended_by_close_ &&
+         parser_->keep_alive() && buffer_.size() == 0;
+}
+
+}  // namespace martenyard::async_http
--- /dev/null
+++ b/src/async_http/server.cc
@@ -0,0 +1,434 @@
+#include "async_http/server.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+
+namespace martenyard::async_http {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kBacklog = 4096;
+constexpr std::size_t kReadBytes = std::size_t{16} << 10;
+/// Bytes that a client doesn't take in this time break the connection.
+constexpr unsigned kUserTimeoutMilliseconds = 5000;
+/// Seconds until a refused client may come again.
+constexpr absl::string_view kOverloadRetryAfter = "0.3";
+constexpr absl::Duration kAcceptPause = absl::Milliseconds(20);
+
+using RequestParser = http::request_parser<http::string_body>;
+
+std::string HeadText(const HttpHead& head) {
+  std::string reason(head.reason());
+  if (reason.empty()) {
+    reason = std::string(http::obsolete_reason(head.result()));
+  }
+  std::string text = absl::StrCat("HTTP/1.1 ", head.result_int(), " ", reason, "\r\n");
+  for (const auto& field : head) {
+    absl::StrAppend(&text,
+                    absl::string_view(field.name_string().data(), field.name_string().size()), ": ",
+                    absl::string_view(field.value().data(), field.value().size()), "\r\n");
+  }
+  return text;
+}
+
+bool MayHaveBody(unsigned status) { return status >= 200 && status != 204 && status != 304; }
+
+}  // namespace
+
+struct Server::Shared {
+  explicit Shared(asio::io_context& io, ExchangeHandler on_exchange)
+      : context(io), handler(std::move(on_exchange)), acceptor(io) {}
+
+  asio::io_context& context;
+  ExchangeHandler handler;
+  asio::ip::tcp::acceptor acceptor;
+  ServerLimits limits;
+  ServerStats stats;
+  bool draining = false;
+};
+
+/// One client connection: reads requests one after the other and lets the handler answer them.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(std::shared_ptr<Server::Shared> shared, Socket socket)
+      : shared_(std::move(shared)), socket_(std::move(socket)) {
+    ++shared_->stats.open_connections;
+  }
+  ~ServerConnection() { --shared_->stats.open_connections; }
+
+  Task<void> Run();
+
+  Task<bool> SendBytes(absl::string_view bytes);
+  void Close();
+  /// Keeps an eye on the client while its request is worked on.
+  void Watch(std::shared_ptr<Exchange> exchange);
+  std::string ConnectionFields(bool* closes) const;
+  const HttpRequest* current() const { return current_; }
+  void set_keep_open(bool keep) { keep_open_ = keep; }
+  bool draining() const { return shared_->draining; }
+
+ private:
+  enum class ReadEnd { kWhole, kClosed, kAnswered };
+
+  Task<ReadEnd> ReadRequest(Exchange& exchange);
+  Task<bool> FillBuffer(absl::Duration patience);
+  Task<ReadEnd> Refuse(unsigned status, absl::string_view reason);
+  bool ReserveBody(std::uint64_t bytes);
+  void ReleaseBody();
+  void OnReadable();
+  void ArmWatch();
+
+  std::shared_ptr<Server::Shared> shared_;
+  Socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::weak_ptr<Exchange> watched_;
+  bool watch_armed_ = false;
+  bool keep_open_ = true;
+  std::uint64_t reserved_body_ = 0;
+  const HttpRequest* current_ = nullptr;
+};
+
+// ---- Reading ----
+
+Task<bool> ServerConnection::FillBuffer(absl::Duration patience) {
+  std::weak_ptr<ServerConnection> self = weak_from_this();
+  Alarm alarm(shared_->context, patience, [self] {
+    if (auto present = self.lock()) {
+      present->Close();
+    }
+  });
+  auto [error, count] = co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAwait);
+  if (error) {
+    co_return false;
+  }
+  buffer_.commit(count);
+  co_return true;
+}
+
+bool ServerConnection::ReserveBody(std::uint64_t bytes) {
+  ServerStats& stats = shared_->stats;
+  if (bytes <= reserved_body_) {
+    return true;
+  }
+  std::uint64_t more = bytes - reserved_body_;
+  if (stats.buffered_body_bytes + more > shared_->limits.buffered_body_bytes) {
+    ++stats.refused_bodies;
+    return false;
+  }
+  stats.buffered_body_bytes += more;
+  reserved_body_ = bytes;
+  return true;
+}
+
+void ServerConnection::ReleaseBody() {
+  shared_->stats.buffered_body_bytes -= reserved_body_;
+  reserved_body_ = 0;
+}
+
+Task<ServerConnection::ReadEnd> ServerConnection::Refuse(unsigned status,
+                                                         absl::string_view reason) {
+  std::string retry =
+      status == 503 ? absl::StrCat("Retry-After: ", kOverloadRetryAfter, "\r\n") : std::string();
+  std::string body = absl::StrCat("{\"error\":\"", reason, "\"}");
+  co_await SendBytes(absl::StrCat("HTTP/1.1 ", status, " ", reason, "\r\n", retry,
+                                  "Content-Type: application/json\r\nConnection: close\r\n",
+                                  "Content-Length: ", body.size(), "\r\n\r\n", body));
+  co_return ReadEnd::kAnswered;
+}
+
+Task<ServerConnection::ReadEnd> ServerConnection::ReadRequest(Exchange& exchange) {
+  const ServerLimits& limits = shared_->limits;
+  if (buffer_.size() == 0 && !co_await FillBuffer(limits.idle_timeout)) {
+    co_return ReadEnd::kClosed;
+  }
+  RequestParser parser;
+  parser.eager(true);
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
+  absl::Time began = SteadyNow();
+  bool continue_sent = false;
+  while (!parser.is_done()) {
+    error_code error;
+    std::size_t used = parser.put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == http::error::need_more) {
+      error = {};
+    } else if (error == http::error::header_limit) {
+      co_return co_await Refuse(431, "Request Header Fields Too Large");
+    } else if (error == http::error::body_limit) {
+      co_return co_await Refuse(413, "Payload Too Large");
+    } else if (error) {
+      co_return co_await Refuse(400, "Bad Request");
+    }
+    if (parser.is_done()) {
+      break;
+    }
+    if (parser.is_header_done()) {
+      std::uint64_t expected = parser.content_length().value_or(parser.get().body().size());
+      if (!ReserveBody(expected)) {
+        co_return co_await Refuse(503, "Service Unavailable");
+      }
+      auto expectation = parser.get().find(http::field::expect);
+      if (!continue_sent && expectation != parser.get().end()) {
+        continue_sent = true;
+        co_await SendBytes("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+    }
+    if (used > 0 && buffer_.size() > 0) {
+      continue;
+    }
+    absl::Duration allowed =
+        parser.is_header_done() ? limits.body_timeout : began + limits.header_timeout - SteadyNow();
+    if (allowed <= absl::ZeroDuration()) {
+      co_return co_await Refuse(408, "Request Timeout");
+    }
+    if (!co_await FillBuffer(allowed)) {
+      co_return ReadEnd::kClosed;
+    }
+  }
+  keep_open_ = parser.keep_alive();
+  exchange.request_ = parser.release();
+  exchange.received_at_ = SteadyNow();
+  co_return ReadEnd::kWhole;
+}
+
+Task<void> ServerConnection::Run() {
+  auto self = shared_from_this();
+  while (socket_.is_open()) {
+    auto exchange = std::make_shared<Exchange>(*this);
+    ReadEnd end = co_await ReadRequest(*exchange);
+    if (end != ReadEnd::kWhole) {
+      ReleaseBody();
+      break;
+    }
+    current_ = &exchange->request_;
+    ++shared_->stats.active_exchanges;
+    Watch(exchange);
+    co_await shared_->handler(exchange);
+    --shared_->stats.active_exchanges;
+    current_ = nullptr;
+    exchange->ClearOnClientGone();
+    watched_.reset();
+    ReleaseBody();
+    if (exchange->broken_ || !exchange->answered_ || !keep_open_) {
+      break;
+    }
+  }
+  if (socket_.is_open()) {
+    error_code ignored;
+    socket_.shutdown(Socket::shutdown_send, ignored);
+    Close();
+  }
+}
+
+// ---- Watching the client ----
+
+void ServerConnection::Watch(std::shared_ptr<Exchange> exchange) {
+  watched_ = exchange;
+  ArmWatch();
+}
+
+void ServerConnection::ArmWatch() {
+  if (watch_armed_ || !socket_.is_open()) {
+    return;
+  }
+  watch_armed_ = true;
+  std::weak_ptr<ServerConnection> self = weak_from_this();
+  socket_.async_wait(Socket::wait_read, [self](const error_code& error) {
+    auto present = self.lock();
+    if (!present) {
+      return;
+    }
+    present->watch_armed_ = false;
+    if (!error) {
+      present->OnReadable();
+    }
+  });
+}
+
+void ServerConnection::OnReadable() {
+  auto exchange = watched_.lock();
+  if (!exchange || !socket_.is_open()) {
+    return;
+  }
+  char byte = 0;
+  ssize_t count = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) {
+    return;  // The next request came early; it is read when this one is answered.
+  }
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+    ArmWatch();
+    return;
+  }
+  exchange->client_gone_ = true;
+  if (exchange->on_gone_) {
+    std::function<void()> on_gone = std::move(exchange->on_gone_);
+    exchange->on_gone_ = nullptr;
+    on_gone();
+  }
+}
+
+// ---- Writing ----
+
+Task<bool> ServerConnection::SendBytes(absl::string_view bytes) {
+  if (!socket_.is_open()) {
+    co_return false;
+  }
+  auto [error, count] =
+      co_await asio::async_write(socket_, asio::buffer(bytes.data(), bytes.size()), kAwait);
+  if (error) {
+    Close();
+    co_return false;
+  }
+  co_return true;
+}
+
+void ServerConnection::Close() {
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+std::string ServerConnection::ConnectionFields(bool* closes) const {
+  *closes = !keep_open_ || shared_->draining;
+  if (*closes) {
+    return "Connection: close\r\n";
+  }
+  auto seconds = absl::ToInt64Seconds(shared_->limits.idle_timeout);
+  return absl::StrCat("Connection: keep-alive\r\nKeep-Alive: timeout=", seconds, "\r\n");
+}
+
+void Exchange::OnClientGone(std::function<void()> on_gone) {
+  if (client_gone_) {
+    on_gone();
+    return;
+  }
+  on_gone_ = std::move(on_gone);
+}
+
+Task<bool> Exchange::Send(HttpHead head, std::string body) {
+  answered_ = true;
+  bool closes = false;
+  std::string text = absl::StrCat(HeadText(head), connection_.ConnectionFields(&closes));
+  connection_.set_keep_open(!closes);
+  bool has_body = MayHaveBody(head.result_int());
+  if (has_body) {
+    absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n");
+  }
+  text.append("\r\n");
+  if (has_body && request_.method() != http::verb::head) {
+    text.append(body);
+  }
+  co_return co_await connection_.SendBytes(text);
+}
+
+Task<bool> Exchange::StartStream(HttpHead head) {
+  stream_started_ = true;
+  bool closes = false;
+  std::string text = absl::StrCat(HeadText(head), connection_.ConnectionFields(&closes),
+                                  "Transfer-Encoding: chunked\r\n\r\n");
+  connection_.set_keep_open(!closes);
+  co_return co_await connection_.SendBytes(text);
+}
+
+Task<bool> Exchange::Write(absl::string_view bytes) {
+  if (bytes.empty()) {
+    co_return true;
+  }
+  std::string chunk = absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
+  co_return co_await connection_.SendBytes(chunk);
+}
+
+Task<bool> Exchange::Finish() {
+  answered_ = true;
+  co_return co_await connection_.SendBytes("0\r\n\r\n");
+}
+
+void Exchange::Break() {
+  broken_ = true;
+  connection_.Close();
+}
+
+// ---- Listening ----
+
+namespace {
+
+Task<void> AcceptAll(std::shared_ptr<Server::Shared> shared) {
+  while (shared->acceptor.is_open()) {
+    auto [error, socket] = co_await shared->acceptor.async_accept(kAwait);
+    if (error == asio::error::operation_aborted || !shared->acceptor.is_open()) {
+      co_return;
+    }
+    if (error) {
+      co_await Sleep(shared->context, kAcceptPause);  // Out of descriptors, for a while.
+      continue;
+    }
+    if (shared->stats.open_connections >= shared->limits.connections) {
+      continue;  // Closed unread: the client knows that nothing was taken.
+    }
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMilliseconds,
+               sizeof(kUserTimeoutMilliseconds));
+    auto connection = std::make_shared<ServerConnection>(shared, std::move(socket));
+    asio::co_spawn(
+        shared->context, [connection]() -> Task<void> { return connection->Run(); },
+        asio::detached);
+  }
+}
+
+}  // namespace
+
+Server::Server(asio::io_context& context, ExchangeHandler handler)
+    : shared_(std::make_shared<Shared>(context, std::move(handler))) {}
+
+Server::~Server() {
+  error_code ignored;
+  shared_->acceptor.close(ignored);
+}
+
+Result<void> Server::Listen(const wire::Endpoint& endpoint) {
+  error_code error;
+  auto address = asio::ip::make_address(endpoint.address, error);
+  asio::ip::tcp::endpoint local(address, endpoint.port);
+  auto& acceptor = shared_->acceptor;
+  if (!error) {
+    acceptor.open(local.protocol(), error);
+  }
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(local, error);
+  }
+  if (!error) {
+    acceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return leaf::new_error(
+        ServerError{absl::StrCat("cannot listen on ", endpoint.ToString(), ": ", error.message())});
+  }
+  asio::co_spawn(shared_->context, AcceptAll(shared_), asio::detached);
+  return {};
+}
+
+std::uint16_t Server::port() const { return shared_->acceptor.local_endpoint().port(); }
+void Server::BeginDrain() { shared_->draining = true; }
+ServerLimits& Server::limits() { return shared_->limits; }
+const ServerStats& Server::stats() const { return shared_->stats; }
+
+}  // namespace martenyard::async_http
--- /dev/null
+++ b/src/async_http/task.h
@@ -0,0 +1,66 @@
+// Coroutines over Asio: the types that all asynchronous HTTP code uses.
+//
+// Boost.Beast and Asio stand here in place of libmicrohttpd and libcurl: those can neither report
+// that a waiting client has left, nor break an answer off so that it can't look complete, nor show
+// the bytes after a whole answer. See docs/design/0004-users-platform.md.
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "absl/time/time.h"
+
+namespace martenyard::async_http {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using Socket = asio::ip::tcp::socket;
+
+template <typename Value>
+using Task = asio::awaitable<Value>;
+
+/// Completion token: the coroutine receives the error code with the result.
+inline constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+/// Runs `on_expiry` on the loop's thread unless it is destroyed or stopped before.
+class Alarm {
+ public:
+  Alarm(asio::io_context& context, absl::Duration delay, std::function<void()> on_expiry);
+  ~Alarm() { Stop(); }
+  Alarm(const Alarm&) = delete;
+  Alarm& operator=(const Alarm&) = delete;
+  void Stop();
+
+ private:
+  std::shared_ptr<asio::steady_timer> timer_;
+};
+
+/// Waits by the steady clock.
+Task<void> Sleep(asio::io_context& context, absl::Duration delay);
+
+/// Wakes coroutines that wait for a condition which others change.
+class Signal {
+ public:
+  explicit Signal(asio::io_context& context) : context_(context) {}
+  /// Wakes every coroutine that waits now.
+  void Notify();
+  /// @return true when `Notify` was called, false after `patience`.
+  Task<bool> Wait(absl::Duration patience);
+
+ private:
+  asio::io_context& context_;
+  std::set<asio::steady_timer*> waiting_;
+};
+
+}  // namespace martenyard::async_http
--- /dev/null
+++ b/src/discovery/runner.h
@@ -0,0 +1,26 @@
+// A runner: a server that works on the requests of one service.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "absl/time/time.h"
+#include "base/ids.h"
+#include "forwarding/service_configuration.h"
+#include "wire/endpoint.h"
+
+namespace martenyard::discovery {
+
+/// One start of a runner; addresses are reused, ids are not.
+using RunnerId = TypedId<struct RunnerTag, std::string>;
+
+struct Runner {
+  RunnerId id;
+  forwarding::ServiceName service;
+  wire::Endpoint endpoint;
+  ZoneName zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+};
+
+}  // namespace martenyard::discovery
--- /dev/null
+++ b/src/discovery/runner_table.cc
@@ -0,0 +1,83 @@
+#include "discovery/runner_table.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace martenyard::discovery {
+
+void RunnerTable::Upsert(absl::Time now, const Runner& runner) {
+  RunnerState& state = runners_[runner.id];
+  state.runner = runner;
+  state.short_id = static_cast<std::uint32_t>(StableHash(runner.id.value));
+  state.gone = false;
+  if (runner.draining) {
+    state.left_at = std::min(state.left_at, now);
+  } else {
+    state.left_at = absl::InfiniteFuture();
+  }
+}
+
+void RunnerTable::Remove(absl::Time now, const RunnerId& id) {
+  auto found = runners_.find(id);
+  if (found != runners_.end()) {
+    found->second.gone = true;
+    found->second.left_at = std::min(found->second.left_at, now);
+  }
+}
+
+void RunnerTable::Note(absl::Time now, const RunnerId& id, RunnerSignal signal) {
+  RunnerState* state = Find(id);
+  if (state == nullptr) {
+    return;
+  }
+  switch (signal) {
+    case RunnerSignal::kServed:
+      state->failures_in_a_row = 0;
+      state->avoid_until = absl::InfinitePast();
+      return;
+    case RunnerSignal::kTurnedAway:
+      state->full_until = now + options_.full_pause;
+      return;
+    case RunnerSignal::kLeaves:
+      state->left_at = std::min(state->left_at, now);
+      return;
+    case RunnerSignal::kUnreachable:
+      state->failures_in_a_row = std::max(state->failures_in_a_row, options_.failures_to_avoid - 1);
+      break;
+    case RunnerSignal::kFailed:
+      break;
+  }
+  ++state->failures_in_a_row;
+  int excess = state->failures_in_a_row - options_.failures_to_avoid;
+  if (excess < 0) {
+    return;
+  }
+  absl::Duration avoidance = options_.first_avoidance * (1 << std::min(excess, 4));
+  state->avoid_until = now + std::min(avoidance, options_.longest_avoidance);
+}
+
+void RunnerTable::Prune(absl::Time now, absl::Duration keep) {
+  for (auto entry = runners_.begin(); entry != runners_.end();) {
+    const RunnerState& state = entry->second;
+    bool over = state.gone && state.own_active == 0 && state.left_at + keep < now;
+    entry = over ? runners_.erase(entry) : std::next(entry);
+  }
+}
+
+RunnerState* RunnerTable::Find(const RunnerId& id) {
+  auto found = runners_.find(id);
+  return found == runners_.end() ? nullptr : &found->second;
+}
+
+std::vector<RunnerState*> RunnerTable::OfService(const forwarding::ServiceName& service) {
+  std::vector<RunnerState*> found;
+  for (auto& [id, state] : runners_) {
+    if (state.runner.service == service) {
+      found.push_back(&state);
+    }
+  }
+  return found;
+}
+
+}  // namespace martenyard::discovery
--- /dev/null
+++ b/src/forwarding/attempt.cc
@@ -0,0 +1,247 @@
+#include "forwarding/attempt.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+
+namespace martenyard::forwarding {
+
+using async_http::Alarm;
+using async_http::Connection;
+using async_http::ReadStep;
+using async_http::Task;
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Larger requests are sent while the answer is read: a runner may answer before it has read all.
+constexpr std::size_t kInlineSendBytes = 4096;
+constexpr int kForeignAnswers = 4;  ///< Skipped on one connection before it is given up.
+
+absl::string_view FieldOf(const async_http::HttpHead& head, const std::string& name) {
+  auto found = head.find(name);
+  if (found == head.end()) {
+    return {};
+  }
+  return {found->value().data(), found->value().size()};
+}
+
+bool IsEventStream(const async_http::HttpHead& head) {
+  return http::to_status_class(head.result()) == http::status_class::successful;
+}
+
+}  // namespace
+
+void Attempt::Abort(AttemptEnd end) {
+  if (aborted_) {
+    return;
+  }
+  aborted_ = true;
+  abort_end_ = end;
+  if (connection_) {
+    connection_->Close();
+  }
+}
+
+AttemptEnd Attempt::FailureEnd(AttemptEnd otherwise) const {
+  return aborted_ ? abort_end_ : otherwise;
+}
+
+Task<AttemptResult> Attempt::Run(StreamSink& sink) {
+  AttemptResult result;
+  absl::Time began = SteadyNow();
+  if (!co_await Connect(result)) {
+    // Nothing left: whatever ended it, the request has not run.
+    bool gone = aborted_ && abort_end_ == AttemptEnd::kClientGone;
+    result.end = gone ? AttemptEnd::kClientGone : AttemptEnd::kNotSent;
+    co_return result;
+  }
+  state_.metrics.Observe(Stage::kConnect, SteadyNow() - began);
+  Alarm deadline(state_.context, plan_.deadline - SteadyNow(),
+                 [this] { Abort(AttemptEnd::kTimedOut); });
+  std::unique_ptr<Alarm> silence;
+  if (plan_.first_byte_by < plan_.deadline) {
+    silence = std::make_unique<Alarm>(state_.context, plan_.first_byte_by - SteadyNow(),
+                                      [this] { Abort(AttemptEnd::kNoAnswer); });
+  }
+  result.sent = true;
+  bool sent = co_await SendRequest();
+  HeadEnd head = HeadEnd::kFailed;
+  if (sent) {
+    head = co_await ReadOwnHead(result);
+  }
+  silence.reset();
+  if (head == HeadEnd::kFailed) {
+    result.end = FailureEnd(AttemptEnd::kNoAnswer);
+    Finish(result);
+    co_return result;
+  }
+  state_.metrics.Observe(Stage::kFirstByte, SteadyNow() - began);
+  const async_http::HttpHead& answer = connection_->parser().get().base();
+  bool not_run = !FieldOf(answer, state_.names.not_run).empty();
+  result.wrong_runner = answer.result_int() == 421;
+  result.runner_leaves = !connection_->parser().keep_alive();
+  bool streams = plan_.stream && IsEventStream(answer) && !not_run;
+  if (streams) {
+    co_await PassStream(result, sink);
+  } else {
+    co_await ReadWhole(result);
+    bool whole = result.end == AttemptEnd::kAnswered;
+    if (whole && (not_run || result.wrong_runner)) {
+      result.end = AttemptEnd::kNotRun;
+    }
+  }
+  Finish(result);
+  co_return result;
+}
+
+Task<bool> Attempt::Connect(AttemptResult& result) {
+  if (auto kept = state_.pool.Take(plan_.runner.id, SteadyNow())) {
+    connection_ = std::move(kept);
+    result.reused = true;
+    co_return true;
+  }
+  connection_ = std::make_shared<Connection>(state_.context, plan_.runner.endpoint);
+  state_.pool.NoteOpened(plan_.runner.id);
+  absl::Duration patience = std::min(state_.options.connect_timeout, plan_.deadline - SteadyNow());
+  std::weak_ptr<Connection> weak = connection_;
+  Alarm alarm(state_.context, patience, [weak] {
+    if (auto connection = weak.lock()) {
+      connection->Close();
+    }
+  });
+  bool connected = co_await connection_->Connect();
+  if (!connected || aborted_) {
+    result.detail = "no connection";
+    connection_->Close();
+    state_.pool.NoteClosed(plan_.runner.id);
+    co_return false;
+  }
+  co_return true;
+}
+
+Task<bool> Attempt::SendRequest() {
+  connection_->BeginAnswer(plan_.head_request);
+  bool small = plan_.head.size() + plan_.body->size() <= kInlineSendBytes;
+  if (small) {
+    std::string whole = plan_.head + *plan_.body;
+    co_return co_await connection_->Send(whole);
+  }
+  if (!co_await connection_->Send(plan_.head)) {
+    co_return false;
+  }
+  sending_ = true;
+  // Holds what it uses: the attempt may end before the body has left.
+  auto done = std::make_shared<bool*>(&sending_);
+  sending_done_ = done;
+  async_http::asio::co_spawn(
+      state_.context,
+      [connection = connection_, body = plan_.body, done]() -> Task<void> {
+        bool sent = co_await connection->Send(*body);
+        if (sent && *done != nullptr) {
+          **done = false;
+        }
+      },
+      async_http::asio::detached);
+  co_return true;
+}
+
+Task<Attempt::HeadEnd> Attempt::ReadOwnHead(AttemptResult& result) {
+  for (int foreign = 0; foreign <= kForeignAnswers; ++foreign) {
+    ReadStep step = ReadStep::kProgress;
+    while (step == ReadStep::kProgress && !connection_->parser().is_header_done()) {
+      step = co_await connection_->ReadHead();
+    }
+    if (step == ReadStep::kClosed || step == ReadStep::kMalformed) {
+      result.detail = step == ReadStep::kClosed ? "closed without an answer" : "no HTTP answer";
+      co_return HeadEnd::kFailed;
+    }
+    const async_http::HttpHead& head = connection_->parser().get().base();
+    absl::string_view id = FieldOf(head, state_.names.request_id);
+    bool explains = !FieldOf(head, state_.names.not_run).empty() || head.result_int() == 421;
+    bool ours = id == plan_.request_id.value || (id.empty() && explains);
+    if (ours) {
+      co_return HeadEnd::kOurs;
+    }
+    if (id.empty()) {
+      result.detail = "an answer without an id";
+      co_return HeadEnd::kFailed;
+    }
+    // A late answer to an earlier request; ours may follow.
+    if (!co_await SkipForeignAnswer()) {
+      result.detail = "a foreign answer";
+      co_return HeadEnd::kFailed;
+    }
+  }
+  result.detail = "foreign answers";
+  co_return HeadEnd::kFailed;
+}
+
+Task<bool> Attempt::SkipForeignAnswer() {
+  ReadStep step = ReadStep::kProgress;
+  while (step == ReadStep::kProgress) {
+    step = co_await connection_->ReadBody();
+  }
+  if (step != ReadStep::kWhole || !connection_->is_open()) {
+    co_return false;
+  }
+  connection_->BeginAnswer(plan_.head_request);
+  co_return true;
+}
+
+Task<void> Attempt::ReadWhole(AttemptResult& result) {
+  ReadStep step = ReadStep::kProgress;
+  while (step == ReadStep::kProgress) {
+    step = co_await connection_->ReadBody();
+  }
+  if (step != ReadStep::kWhole) {
+    result.detail = "the answer broke off";
+    result.end = FailureEnd(AttemptEnd::kNoAnswer);
+    co_return;
+  }
+  auto& message = connection_->parser().get();
+  result.answer.head = message.base();
+  result.answer.body = std::move(message.body());
+  result.end = AttemptEnd::kAnswered;
+}
+
+Task<void> Attempt::PassStream(AttemptResult& result, StreamSink& sink) {
+  result.streamed = true;
+  sink.OnHead(connection_->parser().get().base());
+  ReadStep step = connection_->parser().is_done() ? ReadStep::kWhole : ReadStep::kProgress;
+  while (true) {
+    std::string bytes = std::exchange(connection_->parser().get().body(), std::string());
+    if (!bytes.empty() && !co_await sink.OnBytes(std::move(bytes))) {
+      Abort(AttemptEnd::kClientGone);
+      result.end = AttemptEnd::kClientGone;
+      co_return;
+    }
+    if (step != ReadStep::kProgress) {
+      break;
+    }
+    step = co_await connection_->ReadBody();
+  }
+  if (step != ReadStep::kWhole) {
+    result.detail = "the stream broke off";
+    result.end = FailureEnd(AttemptEnd::kBrokeOff);
+    co_return;
+  }
+  result.end = AttemptEnd::kAnswered;
+}
+
+void Attempt::Finish(AttemptResult& result) {
+  if (sending_done_) {
+    *sending_done_ = nullptr;
+  }
+  bool good = result.end == AttemptEnd::kAnswered || result.end == AttemptEnd::kNotRun;
+  if (good && !sending_ && !aborted_ && connection_->MayBeReused()) {
+    state_.pool.Return(plan_.runner.id, connection_, SteadyNow());
+    return;
+  }
+  connection_->Close();
+  state_.pool.NoteClosed(plan_.runner.id);
+}
+
+}  // namespace martenyard::forwarding
--- /dev/null
+++ b/src/forwarding/gateway_metrics.h
@@ -0,0 +1,42 @@
+// Counters and latency histograms of a gateway, in Prometheus' text format.
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/time/time.h"
+
+namespace martenyard::forwarding {
+
+/// A request's stages, timed one by one.
+enum class Stage { kLedger, kConnect, kFirstByte, kWhole };
+
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  /// @param outcome one of docs/LOGS.md's outcomes.
+  void CountRequest(const std::string& outcome);
+  void CountAttempt(const std::string& end);
+  void Observe(Stage stage, absl::Duration took);
+  void Set(const std::string& name, double value);
+  std::string Text() const;
+
+ private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Histogram>& stages_;
+  prometheus::Family<prometheus::Gauge>& gauges_;
+  std::map<std::string, prometheus::Counter*> request_counters_;
+  std::map<std::string, prometheus::Counter*> attempt_counters_;
+  std::map<Stage, prometheus::Histogram*> histograms_;
+};
+
+}  // namespace martenyard::forwarding
--- /dev/null
+++ b/src/forwarding/gateway_state.h
@@ -0,0 +1,64 @@
+// What a gateway knows and uses while it forwards: shared by all requests of the process.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "async_http/task.h"
+#include "base/random.h"
+#include "discovery/runner_table.h"
+#include "event_log/event_log.h"
+#include "forwarding/connection_pool.h"
+#include "forwarding/gateway_metrics.h"
+#include "forwarding/header_names.h"
+#include "forwarding/prefix_index.h"
+#include "forwarding/route_table.h"
+#include "forwarding/runner_choice.h"
+#include "forwarding/turn_cache.h"
+#include "turn_ledger/ledger_client.h"
+
+namespace martenyard::forwarding {
+
+/// Tunables of forwarding.
+struct ForwardingOptions {
+  ChoiceOptions choice;
+  absl::Duration connect_timeout = absl::Milliseconds(250);
+  /// Kept over from the deadline for the answer's way back.
+  absl::Duration answer_margin = absl::Milliseconds(10);
+  absl::Duration retry_after = absl::Milliseconds(200);      ///< Told with a refusal.
+  absl::Duration ledger_patience = absl::Milliseconds(900);  ///< Then the turn is refused.
+  absl::Duration commit_patience = absl::Seconds(2);         ///< For a kept turn's commit.
+  absl::Duration settle_patience = absl::Seconds(20);
+  /// A repeatable request without a first byte for this many target latencies goes elsewhere.
+  double silence_targets = 4;
+  absl::Duration least_silence = absl::Milliseconds(600);
+  absl::Duration gone_usable = absl::Milliseconds(1200);  ///< Leaving runners, if no other.
+};
+
+struct GatewayState {
+  GatewayState(async_http::asio::io_context& io, event_log::EventLog& event_log,
+               const HeaderNames& header_names, const std::string& own_zone)
+      : context(io), log(event_log), names(header_names), zone(own_zone) {}
+
+  async_http::asio::io_context& context;
+  event_log::EventLog& log;
+  HeaderNames names;
+  std::string zone;
+  ForwardingOptions options;
+  GatewayMetrics metrics;
+  Random random{SystemSeed()};
+
+  std::shared_ptr<const RouteTable> routes;  ///< Null until a configuration is known.
+  bool store_reachable = false;              ///< The configuration is known to be the newest.
+  discovery::RunnerTable runners;
+  PrefixIndex prefixes{absl::Seconds(30), 40000};
+  ConnectionPool pool;
+  TurnCache turns{std::uint64_t{12} << 20};
+  std::unique_ptr<turn_ledger::LedgerClient> ledger;
+  std::uint32_t gateways = 1;  ///< That share the runners' connections.
+  /// Told of each piece of a prompt that a runner is about to read, for the other gateways.
+  std::function<void(std::uint64_t part, std::uint32_t runner)> on_placement;
+};
+
+}  // namespace martenyard::forwarding
--- /dev/null
+++ b/src/forwarding/header_names.h
@@ -0,0 +1,27 @@
+// The names of the headers that requests and answers carry, as data: the adapter of a platform
+// gives its own, the product's defaults stand here.
+#pragma once
+
+#include <string>
+
+namespace martenyard::forwarding {
+
+struct HeaderNames {
+  std::string request_id = "Request-Id";
+  std::string deadline_ms = "Deadline";       ///< Milliseconds the client still waits.
+  std::string affinity_cookie = "Affinity";   ///< A cookie: requests on the same object.
+  std::string prompt_parts = "Prompt-Parts";  ///< ID:TOKENS, separated by commas.
+  std::string last_event_id = "Last-Event-Id";
+  std::string expected_runner = "Expected-Runner";
+  std::string runner_id = "Runner-Id";
+  std::string not_run = "Not-Run";  ///< The runner did not run the request.
+  std::string retry_after = "Retry-After";
+  std::string token_usage = "Tokens";  ///< "PROMPT,MOST OUT".
+  std::string priority = "Priority-Rank";
+  std::string program = "Program";
+  std::string program_deadline_ms = "Program-Deadline";
+  std::string token_budget = "Budget";
+  std::string previous_turn = "Previous";
+};
+
+}  // namespace martenyard::forwarding
--- /dev/null
+++ b/src/forwarding/request_run.h
@@ -0,0 +1,76 @@
+// One client request on its way: its route, its deadline, its tries, and what the client got.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "async_http/server.h"
+#include "forwarding/attempt.h"
+#include "forwarding/gateway_state.h"
+
+namespace martenyard::forwarding {
+
+class RequestRun : public StreamSink {
+ public:
+  RequestRun(std::shared_ptr<GatewayState> state, std::shared_ptr<async_http::Exchange> exchange);
+
+  /// Handles the request to its end.
+  async_http::Task<void> Run();
+
+  void OnHead(const async_http::HttpHead& head) override;
+  async_http::Task<bool> OnBytes(std::string bytes) override;
+
+ private:
+  /// Finds the route; answers itself when there is none. @return false when it answered.
+  async_http::Task<bool> FindRoute();
+  /// Reserves the turn's tokens and fetches its history. @return false when it answered.
+  async_http::Task<bool> AdmitTurn();
+  async_http::Task<void> TryRunners();
+  std::optional<discovery::Runner> Choose();
+  std::vector<Candidate> Candidates();
+  AttemptPlan MakePlan(const discovery::Runner& runner);
+  std::string RequestHead(const discovery::Runner& runner) const;
+  async_http::Task<AttemptResult> RunOnce(const discovery::Runner& runner);
+  void NoteResult(const discovery::Runner& runner, const AttemptResult& result, absl::Time began);
+  RequestSituation Situation() const;
+  async_http::Task<void> PassOn(AttemptResult& result);
+  async_http::Task<void> FinishStream();
+  /// Commits a kept turn. @return false when it is not known to be committed.
+  async_http::Task<bool> CommitTurn();
+  void SettleLater(std::uint64_t tokens);
+  async_http::Task<void> AnswerOwn(unsigned status, absl::string_view reason,
+                                   std::optional<absl::Duration> retry_after);
+  async_http::Task<void> Refuse(absl::string_view reason);
+  void Close(absl::string_view outcome);
+  absl::Duration TimeLeft() const;
+  std::uint64_t TokensDelivered() const;
+  std::uint64_t ConnectionShare(const ServiceName& service) const;
+
+  std::shared_ptr<GatewayState> state_;
+  std::shared_ptr<async_http::Exchange> exchange_;
+  std::shared_ptr<const RouteTable> routes_;
+  const Route* route_ = nullptr;
+  const Service* service_ = nullptr;
+  ServiceName service_name_;
+  RequestInfo info_;
+  absl::Time deadline_;
+  std::shared_ptr<const std::string> body_;
+
+  bool reserved_ = false;
+  bool settled_ = false;
+  std::shared_ptr<const std::string> history_;  // Of a kept turn's chain.
+
+  std::set<std::string> tried_;
+  int sent_to_ = 0;  // Runners that the request was sent to.
+  bool may_have_run_ = false;
+  Attempt* attempt_ = nullptr;
+  EventStream events_;
+  std::optional<async_http::HttpHead> stream_head_;
+  std::string last_detail_;
+  Choice last_choice_;
+};
+
+}  // namespace martenyard::forwarding
--- /dev/null
+++ b/src/forwarding/runner_choice.cc
@@ -0,0 +1,62 @@
+#include "forwarding/runner_choice.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace martenyard::forwarding {
+namespace {
+
+/// A uniform value in [0, 1) that all gateways draw alike.
+double Draw(const Candidate& candidate, std::uint64_t key) {
+  constexpr double kRange = 18446744073709551616.0;  // 2^64.
+  return static_cast<double>(StableHash(candidate.id, key)) / kRange;
+}
+
+double Cost(const Candidate& candidate, const ChoiceRequest& request,
+            const ChoiceOptions& options) {
+  bool engine = request.prompt_tokens > 0;
+  double waiting = std::max(
+      0.0, static_cast<double>(candidate.active) + 1 - static_cast<double>(candidate.slots));
+  double cost = waiting * (engine ? options.engine_wait_ms : options.plain_wait_ms);
+  cost += static_cast<double>(std::min(candidate.active, candidate.slots)) *
+          (engine ? options.active_cost_ms : options.plain_active_cost_ms);
+  if (engine) {
+    double missing = std::max(0.0, static_cast<double>(request.prompt_tokens) -
+                                       static_cast<double>(candidate.kept_tokens));
+    cost += missing / options.tokens_per_ms;
+  }
+  cost += candidate.same_zone ? 0.0 : options.other_zone_ms;
+  cost += request.home_key == 0 ? 0.0 : (1.0 - Draw(candidate, request.home_key)) * options.home_ms;
+  return cost;
+}
+
+/// Worse classes are used only when better ones are empty.
+int ClassOf(const Candidate& candidate) {
+  return (candidate.leaving ? 2 : 0) + (candidate.avoided ? 1 : 0);
+}
+
+}  // namespace
+
+std::optional<Choice> ChooseRunner(const std::vector<Candidate>& candidates,
+                                   const ChoiceRequest& request, const ChoiceOptions& options) {
+  std::optional<Choice> best;
+  int best_class = 0;
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const Candidate& candidate = candidates[index];
+    if (candidate.tried || candidate.no_connection) {
+      continue;
+    }
+    int own_class = ClassOf(candidate);
+    double cost = Cost(candidate, request, options);
+    bool better =
+        !best || own_class < best_class || (own_class == best_class && cost < best->cost_ms);
+    if (better) {
+      best = Choice{index, cost};
+      best_class = own_class;
+    }
+  }
+  return best;
+}
+
+}  // namespace martenyard::forwarding
--- /dev/null
+++ b/src/roles/gateway_role.cc
@@ -0,0 +1,351 @@
+#include "roles/gateway_role.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+#include "base/clock.h"
+#include "forwarding/forwarder.h"
+#include "wire/codec.h"
+
+namespace martenyard::roles {
+
+using async_http::Task;
+using event_log::Line;
+using turn_ledger::Machine;
+
+namespace {
+
+constexpr absl::Duration kTick = absl::Milliseconds(100);
+constexpr absl::Duration kQuietReportInterval = absl::Seconds(1);
+constexpr absl::Duration kPeerLifetime = absl::Milliseconds(1600);
+constexpr absl::Duration kHousekeepingInterval = absl::Seconds(1);
+constexpr absl::Duration kKeepGoneRunners = absl::Seconds(10);
+constexpr absl::Duration kRegisterPause = absl::Seconds(1);
+constexpr std::size_t kMostPlacements = 400;
+/// A stopping gateway still gets new connections until its readiness was asked for twice.
+constexpr absl::Duration kLeastDrain = absl::Seconds(4);
+/// Kept free between the process's own end and the platform's SIGKILL.
+constexpr absl::Duration kStopMargin = absl::Milliseconds(700);
+/// A tick this late means that the process stood still; it is logged.
+constexpr absl::Duration kStandstill = absl::Milliseconds(500);
+constexpr std::uint64_t kMemoryShareForBodies = 4;
+constexpr std::size_t kDescriptorsKept = 1200;  // For runners, peers, files and the store.
+
+}  // namespace
+
+GatewayRole::GatewayRole(wire::EventLoop& loop, const RoleSettings& settings,
+                         const PlatformFormats& formats, store::MetadataStore& store,
+                         event_log::EventLog& log)
+    : loop_(loop),
+      settings_(settings),
+      formats_(formats),
+      store_(store),
+      log_(log),
+      state_(std::make_shared<forwarding::GatewayState>(loop.context(), log, formats.headers(),
+                                                        settings.zone)),
+      transport_(
+          loop, [this](const std::string& payload) { OnFrame(payload); },
+          [this](const std::string& payload) { OnDatagram(payload); },
+          [this](const wire::Endpoint& peer, absl::Time) { state_->ledger->OnDead(peer); }),
+      frontend_(loop.context(),
+                [state = state_](std::shared_ptr<async_http::Exchange> exchange) {
+                  return forwarding::Forward(state, std::move(exchange));
+                }),
+      readiness_(loop.context(),
+                 [this](std::shared_ptr<async_http::Exchange> exchange) {
+                   return AnswerReadiness(std::move(exchange));
+                 }),
+      metrics_(loop.context(),
+               [this](std::shared_ptr<async_http::Exchange> exchange) {
+                 return AnswerMetrics(std::move(exchange));
+               }),
+      configuration_(
+          loop.context(), store, formats.ConfigurationKey(),
+          [this](const store::StoreChange& change) { OnConfigurationChange(change); },
+          [this](bool reachable, store::StoreStatus status) {
+            state_->store_reachable = reachable;
+            OnContact("configuration", reachable, status);
+          }),
+      runners_(
+          loop.context(), store, formats.RunnersPrefix(),
+          [this](const store::StoreChange& change) { OnRunnerChange(change); },
+          [this](bool reachable, store::StoreStatus status) {
+            OnContact("runners", reachable, status);
+          }),
+      directory_(
+          loop.context(), store, kDirectoryPrefix,
+          [this](const store::StoreChange& change) { OnDirectoryChange(change); },
+          [this](bool reachable, store::StoreStatus status) {
+            OnContact("directory", reachable, status);
+          }),
+      peer_loads_(kPeerLifetime) {
+  state_->ledger = std::make_unique<turn_ledger::LedgerClient>(
+      loop.context(),
+      [this](const wire::Endpoint& to, const turn_ledger::LedgerRequest& request) {
+        SendToLedger(to, request);
+      },
+      turn_ledger::LedgerClientOptions{}, state_->random.NextId() >> 16U);
+  state_->on_placement = [this](std::uint64_t part, std::uint32_t runner) {
+    if (placements_.size() < kMostPlacements) {
+      placements_.push_back({part, runner});
+    }
+  };
+}
+
+Result<void> GatewayRole::Start() {
+  BOOST_LEAF_CHECK(transport_.Listen({settings_.address, settings_.internal_port}));
+  frontend_.limits().buffered_body_bytes = settings_.memory_bytes / kMemoryShareForBodies;
+  frontend_.limits().connections = settings_.descriptors > 2 * kDescriptorsKept
+                                       ? settings_.descriptors - kDescriptorsKept
+                                       : settings_.descriptors / 2;
+  BOOST_LEAF_CHECK(frontend_.Listen(settings_.frontend));
+  BOOST_LEAF_CHECK(readiness_.Listen(settings_.readiness));
+  if (settings_.metrics) {
+    BOOST_LEAF_CHECK(metrics_.Listen(*settings_.metrics));
+  }
+  configuration_.Start();
+  runners_.Start();
+  directory_.Start();
+  async_http::asio::co_spawn(loop_.context(), Register(), async_http::asio::detached);
+  last_tick_ = SteadyNow();
+  ScheduleTick();
+  return {};
+}
+
+Machine GatewayRole::Self() const {
+  Machine self;
+  self.name = settings_.node;
+  self.endpoint = {settings_.address, settings_.internal_port};
+  self.zone = ZoneName(settings_.zone);
+  return self;
+}
+
+// ---- What the store tells ----
+
+void GatewayRole::OnContact(const char* what, bool reachable, store::StoreStatus status) {
+  log_.Write(Line(reachable ? "store_regained" : "store_lost")
+                 .Text("for", what)
+                 .Number("status", static_cast<std::int64_t>(status)));
+}
+
+void GatewayRole::OnConfigurationChange(const store::StoreChange& change) {
+  if (!change.value || change.key != formats_.ConfigurationKey()) {
+    return;
+  }
+  auto configuration = formats_.ReadConfiguration(*change.value);
+  if (!configuration) {
+    log_.Write(Line("configuration_unreadable")
+                   .Number("revision", static_cast<std::int64_t>(change.revision)));
+    return;
+  }
+  std::uint64_t present = state_->routes ? state_->routes->configuration().version : 0;
+  if (state_->routes && configuration->version < present) {
+    log_.Write(Line("configuration_older")
+                   .Number("version", static_cast<std::int64_t>(configuration->version)));
+    return;
+  }
+  async_http::ServerLimits& limits = frontend_.limits();
+  limits.header_bytes = configuration->limits.header_bytes;
+  limits.body_bytes = configuration->limits.body_bytes;
+  limits.header_timeout = configuration->limits.header_timeout;
+  limits.idle_timeout = configuration->limits.idle_timeout;
+  log_.Write(Line("configuration_applied")
+                 .Number("version", static_cast<std::int64_t>(configuration->version))
+                 .Number("routes", static_cast<std::int64_t>(configuration->routes.size()))
+                 .Number("revision", static_cast<std::int64_t>(change.revision)));
+  state_->routes = std::make_shared<forwarding::RouteTable>(std::move(*configuration));
+}
+
+void GatewayRole::OnRunnerChange(const store::StoreChange& change) {
+  absl::Time now = SteadyNow();
+  if (!change.value) {
+    absl::string_view id = change.key;
+    absl::ConsumePrefix(&id, formats_.RunnersPrefix());
+    discovery::RunnerId runner{std::string(id)};
+    state_->runners.Remove(now, runner);
+    state_->pool.CloseAll(runner);
+    log_.Write(Line("runner_gone").Text("runner", id));
+    return;
+  }
+  auto runner = formats_.ReadRunner(change.key, *change.value);
+  if (!runner) {
+    log_.Write(Line("runner_unreadable").Text("key", change.key));
+    return;
+  }
+  const discovery::RunnerState* known = state_->runners.Find(runner->id);
+  bool news = known == nullptr || known->runner.draining != runner->draining || known->gone;
+  if (news) {
+    log_.Write(Line("runner_known")
+                   .Text("runner", runner->id.value)
+                   .Text("service", runner->service.value)
+                   .Text("address", runner->endpoint.ToString())
+                   .Flag("draining", runner->draining));
+  }
+  state_->runners.Upsert(now, *runner);
+}
+
+void GatewayRole::OnDirectoryChange(const store::StoreChange&) {
+  std::vector<wire::Endpoint> replicas;
+  std::vector<wire::Endpoint> gateways;
+  for (const auto& [key, item] : directory_.items()) {
+    auto machine = wire::Decode<Machine>(item.value);
+    if (!machine || machine->name.empty()) {
+      continue;
+    }
+    if (absl::StartsWith(key, kLedgerMachines)) {
+      replicas.push_back(machine->endpoint);
+    } else if (absl::StartsWith(key, kGatewayMachines) && machine->name != settings_.node) {
+      gateways.push_back(machine->endpoint);
+    }
+  }
+  log_.Write(Line("directory_changed")
+                 .Number("ledger_machines", static_cast<std::int64_t>(replicas.size()))
+                 .Number("other_gateways", static_cast<std::int64_t>(gateways.size())));
+  state_->ledger->SetReplicas(std::move(replicas));
+  state_->gateways = static_cast<std::uint32_t>(gateways.size()) + 1;
+  peers_ = std::move(gateways);
+}
+
+Task<void> GatewayRole::Register() {
+  std::string key = absl::StrCat(kGatewayMachines, settings_.node);
+  std::string wanted = wire::Encode(Self());
+  while (!stopping_) {
+    auto present = directory_.items().find(key);
+    bool known = present != directory_.items().end();
+    if (directory_.complete() && (!known || present->second.value != wanted)) {
+      store::Transaction transaction;
+      transaction.conditions.push_back({key, known ? present->second.revision : 0});
+      transaction.puts.push_back({key, wanted, 0});
+      co_await store_.Commit(std::move(transaction));
+    }
+    co_await async_http::Sleep(loop_.context(), kRegisterPause);
+  }
+}
+
+// ---- Peers and the ledger ----
+
+void GatewayRole::SendToLedger(const wire::Endpoint& to,
+                               const turn_ledger::LedgerRequest& request) {
+  transport_.SendFrame(to, wire::Encode(turn_ledger::Envelope{Self(), request}));
+}
+
+void GatewayRole::OnFrame(const std::string& payload) {
+  auto envelope = wire::Decode<turn_ledger::Envelope>(payload);
+  if (!envelope) {
+    log_.Write(Line("frame_unreadable").Number("bytes", static_cast<std::int64_t>(payload.size())));
+    return;
+  }
+  if (const auto* reply = std::get_if<turn_ledger::LedgerReply>(&envelope->body)) {
+    state_->ledger->OnReply(*reply);
+  }
+}
+
+void GatewayRole::OnDatagram(const std::string& payload) {
+  auto report = wire::Decode<LoadReport>(payload);
+  if (!report) {
+    return;
+  }
+  absl::Time now = SteadyNow();
+  peer_loads_.Take(now, *report);
+  peer_loads_.Apply(now, state_->runners);
+  for (const Placement& placement : report->placements) {
+    state_->prefixes.Note(now, placement.part, placement.runner);
+  }
+}
+
+void GatewayRole::ReportLoad() {
+  absl::Time now = SteadyNow();
+  LoadReport report;
+  report.gateway = settings_.node;
+  report.loads = OwnLoads(state_->runners);
+  bool news = report.loads != reported_ || !placements_.empty();
+  if (!news && now < next_report_) {
+    return;
+  }
+  next_report_ = now + kQuietReportInterval;
+  reported_ = report.loads;
+  report.placements = std::exchange(placements_, {});
+  std::string payload = wire::Encode(report);
+  for (const wire::Endpoint& peer : peers_) {
+    transport_.SendDatagram(peer, payload);
+  }
+}
+
+// ---- Time ----
+
+void GatewayRole::ScheduleTick() {
+  loop_.After(kTick, [this] {
+    Tick();
+    ScheduleTick();
+  });
+}
+
+void GatewayRole::Tick() {
+  absl::Time now = SteadyNow();
+  if (now - last_tick_ > kStandstill) {
+    log_.Write(Line("standstill").Number("ms", absl::ToInt64Milliseconds(now - last_tick_)));
+  }
+  last_tick_ = now;
+  ReportLoad();
+  if (now >= next_housekeeping_) {
+    next_housekeeping_ = now + kHousekeepingInterval;
+    peer_loads_.Apply(now, state_->runners);
+    state_->runners.Prune(now, kKeepGoneRunners);
+    state_->pool.Prune(now);
+  }
+  log_.Flush();
+  if (stopping_) {
+    CheckStop(now);
+  }
+}
+
+void GatewayRole::RequestStop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_asked_at_ = SteadyNow();
+  frontend_.BeginDrain();
+  log_.Write(Line("stopping")
+                 .Number("active", static_cast<std::int64_t>(frontend_.stats().active_exchanges)));
+}
+
+void GatewayRole::CheckStop(absl::Time now) {
+  absl::Duration elapsed = now - stop_asked_at_;
+  bool idle = frontend_.stats().active_exchanges == 0 && state_->ledger->pending() == 0;
+  bool over = elapsed >= settings_.stop_grace - kStopMargin;
+  if ((idle && elapsed >= std::min(kLeastDrain, settings_.stop_grace / 2)) || over) {
+    log_.Write(Line("stopped").Number(
+        "active", static_cast<std::int64_t>(frontend_.stats().active_exchanges)));
+    loop_.Stop();
+  }
+}
+
+bool GatewayRole::ready() const { return state_->routes != nullptr && !stopping_; }
+
+// ---- Questions ----
+
+Task<void> GatewayRole::AnswerReadiness(std::shared_ptr<async_http::Exchange> exchange) {
+  async_http::HttpHead head;
+  head.result(ready() ? 200U : 503U);
+  co_await exchange->Send(std::move(head), ready() ? "ready" : "not ready");
+}
+
+Task<void> GatewayRole::AnswerMetrics(std::shared_ptr<async_http::Exchange> exchange) {
+  forwarding::GatewayMetrics& metrics = state_->metrics;
+  metrics.Set("open_connections", static_cast<double>(frontend_.stats().open_connections));
+  metrics.Set("active_requests", static_cast<double>(frontend_.stats().active_exchanges));
+  metrics.Set("log_lines_dropped", static_cast<double>(log_.stats().dropped_lines));
+  metrics.Set("ledger_retries", static_cast<double>(state_->ledger->retries()));
+  metrics.Set("store_calls", static_cast<double>(store_.calls()));
+  metrics.Set("known_runners", static_cast<double>(state_->runners.all().size()));
+  async_http::HttpHead head;
+  head.result(200U);
+  head.set("Content-Type", "text/plain; version=0.0.4");
+  co_await exchange->Send(std::move(head), metrics.Text());
+}
+
+}  // namespace martenyard::roles
--- /dev/null
+++ b/src/roles/gateway_role.h
@@ -0,0 +1,81 @@
+// The gateway role: takes client requests and forwards them; keeps nothing that must last.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "async_http/server.h"
+#include "event_log/event_log.h"
+#include "forwarding/gateway_state.h"
+#include "roles/directory_keys.h"
+#include "roles/load_report.h"
+#include "roles/platform_formats.h"
+#include "roles/role_settings.h"
+#include "store/metadata_store.h"
+#include "store/prefix_mirror.h"
+#include "turn_ledger/messages.h"
+#include "wire/event_loop.h"
+#include "wire/transport.h"
+
+namespace martenyard::roles {
+
+class GatewayRole {
+ public:
+  GatewayRole(wire::EventLoop& loop, const RoleSettings& settings, const PlatformFormats& formats,
+              store::MetadataStore& store, event_log::EventLog& log);
+
+  /// Errors: wire::TransportError, async_http::ServerError.
+  Result<void> Start();
+  /// A planned stop: no longer ready at once, serves on, and ends the loop when all is answered.
+  void RequestStop();
+  bool ready() const;
+  forwarding::GatewayState& state() { return *state_; }
+  /// @return the port that clients connect to.
+  std::uint16_t frontend_port() const { return frontend_.port(); }
+
+ private:
+  void OnConfigurationChange(const store::StoreChange& change);
+  void OnRunnerChange(const store::StoreChange& change);
+  void OnDirectoryChange(const store::StoreChange& change);
+  void OnContact(const char* what, bool reachable, store::StoreStatus status);
+  async_http::Task<void> Register();
+
+  void OnFrame(const std::string& payload);
+  void OnDatagram(const std::string& payload);
+  void SendToLedger(const wire::Endpoint& to, const turn_ledger::LedgerRequest& request);
+  void ReportLoad();
+
+  void ScheduleTick();
+  void Tick();
+  void CheckStop(absl::Time now);
+  async_http::Task<void> AnswerReadiness(std::shared_ptr<async_http::Exchange> exchange);
+  async_http::Task<void> AnswerMetrics(std::shared_ptr<async_http::Exchange> exchange);
+  turn_ledger::Machine Self() const;
+
+  wire::EventLoop& loop_;
+  RoleSettings settings_;
+  const PlatformFormats& formats_;
+  store::MetadataStore& store_;
+  event_log::EventLog& log_;
+  std::shared_ptr<forwarding::GatewayState> state_;
+  wire::Transport transport_;
+  async_http::Server frontend_;
+  async_http::Server readiness_;
+  async_http::Server metrics_;
+  store::PrefixMirror configuration_;
+  store::PrefixMirror runners_;
+  store::PrefixMirror directory_;
+
+  std::vector<wire::Endpoint> peers_;  // The other gateways.
+  PeerLoads peer_loads_;
+  std::vector<RunnerLoad> reported_;
+  std::vector<Placement> placements_;
+  absl::Time next_report_;
+  absl::Time next_housekeeping_;
+  absl::Time last_tick_;
+  bool stopping_ = false;
+  absl::Time stop_asked_at_;
+};
+
+}  // namespace martenyard::roles
--- /dev/null
+++ b/src/roles/ledger_role.h
@@ -0,0 +1,96 @@
+// The ledger role: a storage machine's replica of the turn ledger, wired to its disk, its peers and
+// the platform's store.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "event_log/event_log.h"
+#include "roles/directory_keys.h"
+#include "roles/platform_formats.h"
+#include "roles/role_settings.h"
+#include "storage/log_store.h"
+#include "store/metadata_store.h"
+#include "store/prefix_mirror.h"
+#include "turn_ledger/turn_replica.h"
+#include "wire/event_loop.h"
+#include "wire/transport.h"
+
+namespace martenyard::roles {
+
+/// The log store's folder within the data folder.
+inline constexpr char kLogFolder[] = "log";
+
+/// Opens the log store; given so that tests bring their own disks.
+using OpenLogStore = std::function<Result<std::unique_ptr<storage::LogStore>>()>;
+
+class LedgerRole {
+ public:
+  LedgerRole(wire::EventLoop& loop, const RoleSettings& settings, const PlatformFormats& formats,
+             store::MetadataStore& store, event_log::EventLog& log, OpenLogStore open_log_store);
+
+  /// Errors: wire::TransportError.
+  Result<void> Start();
+  /// A planned stop: hands leadership on, then ends the loop.
+  void RequestStop();
+  const turn_ledger::TurnReplica* replica() const { return replica_.get(); }
+
+ private:
+  void OpenDisk();
+  Result<void> LoadDisk();
+  void SetDamagedLogAside();
+  void StartReplica(consensus::RestoredState restored);
+  void ScheduleTick();
+  void Tick();
+  /// Stores, sends and applies whatever the replica has to do.
+  void Settle();
+  bool SettleOnce();
+  void OnDiskFailed(const std::string& detail);
+
+  void OnFrame(const std::string& payload);
+  void OnLogMessage(const turn_ledger::Machine& from, const turn_ledger::LogMessage& message);
+  void OnHello(const turn_ledger::Hello& hello);
+  void OnDead(const wire::Endpoint& peer);
+  void NoteMachine(const turn_ledger::Machine& machine, bool heard_now);
+  void SayHello();
+  void SendTo(const wire::Endpoint& to, turn_ledger::Body body);
+  void SendRaft(const consensus::Outbound& outbound);
+
+  void OnDirectoryChange(const store::StoreChange& change);
+  void OnRetireChange(const store::StoreChange& change);
+  async_http::Task<void> Register();
+  async_http::Task<void> FoundWhenPossible();
+  async_http::Task<void> ReportRetirements();
+  bool FoundFromRecord();
+
+  void LoadPeers();
+  void SavePeers() const;
+  void LogLeadership();
+  turn_ledger::Machine Self() const;
+
+  wire::EventLoop& loop_;
+  RoleSettings settings_;
+  const PlatformFormats& formats_;
+  store::MetadataStore& store_;
+  event_log::EventLog& log_;
+  OpenLogStore open_log_store_;
+  wire::Transport transport_;
+  store::PrefixMirror directory_;
+  store::PrefixMirror retirements_;
+
+  NodeId identity_;
+  std::unique_ptr<storage::LogStore> disk_;
+  std::unique_ptr<turn_ledger::TurnReplica> replica_;
+  std::map<std::string, turn_ledger::Machine> peers_;  // By name, this machine left out.
+  bool stopping_ = false;
+  absl::Time stop_deadline_;
+  absl::Time next_hello_;
+  absl::Time last_tick_;
+  std::string logged_role_;
+  std::uint64_t synced_writes_ = 0;
+};
+
+}  // namespace martenyard::roles
--- /dev/null
+++ b/src/roles/load_report.h
@@ -0,0 +1,69 @@
+// What gateways tell each other about the runners, in small datagrams. Losing one costs speed only.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "discovery/runner_table.h"
+
+namespace martenyard::roles {
+
+struct RunnerLoad {
+  std::uint32_t runner = 0;  ///< Short id.
+  std::uint16_t active = 0;  ///< The sender's requests at it.
+  friend bool operator==(const RunnerLoad&, const RunnerLoad&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(runner, active);
+  }
+};
+
+/// The runner reads this piece of a prompt now.
+struct Placement {
+  std::uint64_t part = 0;
+  std::uint32_t runner = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(part, runner);
+  }
+};
+
+struct LoadReport {
+  std::string gateway;
+  std::vector<RunnerLoad> loads;  ///< Runners without a request of the sender are left out.
+  std::vector<Placement> placements;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(gateway, loads, placements);
+  }
+};
+
+/// Sums the other gateways' latest reports into the runner table.
+class PeerLoads {
+ public:
+  /// A gateway that said nothing for `lifetime` counts as having no requests.
+  explicit PeerLoads(absl::Duration lifetime) : lifetime_(lifetime) {}
+
+  void Take(absl::Time now, const LoadReport& report);
+  void Apply(absl::Time now, discovery::RunnerTable& runners);
+
+ private:
+  struct Heard {
+    absl::Time at;
+    std::vector<RunnerLoad> loads;
+  };
+
+  absl::Duration lifetime_;
+  std::map<std::string, Heard> heard_;
+};
+
+/// @return this gateway's own loads.
+std::vector<RunnerLoad> OwnLoads(discovery::RunnerTable& runners);
+
+}  // namespace martenyard::roles
--- /dev/null
+++ b/src/roles/role_settings.h
@@ -0,0 +1,35 @@
+// What a role's process needs to know to start, whatever file it was read from.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "wire/endpoint.h"
+
+namespace martenyard::roles {
+
+struct RoleSettings {
+  std::string node;  ///< This machine's name.
+  std::string zone;
+  std::vector<std::string> zones;         ///< All zones of the deployment.
+  std::string address;                    ///< This machine's IP address.
+  wire::Endpoint frontend;                ///< Where clients connect; port 0: not this role's.
+  wire::Endpoint readiness;               ///< Where readiness is asked for.
+  std::optional<wire::Endpoint> metrics;  ///< Where figures are told.
+  std::string metrics_path = "/metrics";
+  std::uint16_t internal_port = 0;     ///< For messages between the system's processes.
+  wire::Endpoint store;                ///< The platform's store.
+  std::string data_folder;             ///< Empty on machines without a disk.
+  bool first_start = false;            ///< The whole system starts for the first time.
+  std::size_t tolerated_machines = 1;  ///< Storage machines that may be lost at once.
+  std::uint64_t memory_bytes = std::uint64_t{220} << 20;
+  std::size_t descriptors = 4000;
+  absl::Duration stop_grace = absl::Seconds(8);  ///< From SIGTERM to SIGKILL.
+  absl::Duration drain = absl::Seconds(2);       ///< Leaving runners take work this long.
+  absl::Duration pass_limit = absl::Milliseconds(120);
+};
+
+}  // namespace martenyard::roles
--- /dev/null
+++ b/src/store/prefix_mirror.cc
@@ -0,0 +1,118 @@
+#include "store/prefix_mirror.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/clock.h"
+
+namespace martenyard::store {
+namespace {
+
+using async_http::Task;
+
+constexpr absl::Duration kWatchPatience = absl::Seconds(20);
+constexpr absl::Duration kFirstBackoff = absl::Milliseconds(100);
+constexpr absl::Duration kLongestBackoff = absl::Milliseconds(800);
+/// Changes that come in quick succession are fetched together.
+constexpr absl::Duration kWatchSpacing = absl::Milliseconds(60);
+
+}  // namespace
+
+PrefixMirror::PrefixMirror(async_http::asio::io_context& context, MetadataStore& store,
+                           std::string prefix, ChangeHandler on_change, ContactHandler on_contact)
+    : context_(context),
+      store_(store),
+      prefix_(std::move(prefix)),
+      on_change_(std::move(on_change)),
+      on_contact_(std::move(on_contact)),
+      backoff_(kFirstBackoff) {}
+
+void PrefixMirror::Start() {
+  async_http::asio::co_spawn(context_, Follow(), async_http::asio::detached);
+}
+
+absl::Duration PrefixMirror::Staleness() const { return SteadyNow() - confirmed_; }
+
+Task<void> PrefixMirror::Follow() {
+  while (true) {
+    bool done = complete_ ? co_await WatchOnce() : co_await ReadAll();
+    if (done) {
+      backoff_ = kFirstBackoff;
+      continue;
+    }
+    co_await async_http::Sleep(context_, backoff_);
+    backoff_ = std::min(backoff_ * 2, kLongestBackoff);
+  }
+}
+
+Task<bool> PrefixMirror::ReadAll() {
+  ReadAnswer answer = co_await store_.Range(prefix_);
+  NoteContact(answer.status == StoreStatus::kDone, answer.status);
+  if (answer.status != StoreStatus::kDone) {
+    co_return false;
+  }
+  std::set<std::string> present;
+  for (StoreItem& item : answer.items) {
+    present.insert(item.key);
+    Take({item.key, std::move(item.value), item.revision});
+  }
+  std::vector<std::string> gone;
+  for (const auto& [key, item] : items_) {
+    if (!present.contains(key)) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    Take({key, std::nullopt, answer.revision});
+  }
+  revision_ = answer.revision;
+  complete_ = true;
+  co_return true;
+}
+
+Task<bool> PrefixMirror::WatchOnce() {
+  WatchAnswer answer = co_await store_.Watch(prefix_, revision_, kWatchPatience);
+  if (answer.status == StoreStatus::kHistoryGone) {
+    complete_ = false;
+    co_return true;
+  }
+  NoteContact(answer.status == StoreStatus::kDone, answer.status);
+  if (answer.status != StoreStatus::kDone) {
+    co_return false;
+  }
+  for (const StoreChange& change : answer.changes) {
+    Take(change);
+  }
+  revision_ = std::max(revision_, answer.revision);
+  co_await async_http::Sleep(context_, kWatchSpacing);
+  co_return true;
+}
+
+void PrefixMirror::Take(const StoreChange& change) {
+  auto known = items_.find(change.key);
+  if (!change.value) {
+    if (known != items_.end() && known->second.revision <= change.revision) {
+      items_.erase(known);
+      on_change_(change);
+    }
+    return;
+  }
+  if (known != items_.end() && known->second.revision >= change.revision) {
+    return;  // A page may be older than what a watch told.
+  }
+  items_[change.key] = {change.key, *change.value, change.revision};
+  on_change_(change);
+}
+
+void PrefixMirror::NoteContact(bool reachable, StoreStatus status) {
+  if (reachable) {
+    confirmed_ = SteadyNow();
+  }
+  if (reachable != reachable_) {
+    reachable_ = reachable;
+    on_contact_(reachable, status);
+  }
+}
+
+}  // namespace martenyard::store
--- /dev/null
+++ b/src/turn_ledger/ledger_client.h
@@ -0,0 +1,62 @@
+// A gateway's way to the turn ledger: finds the leader, asks again after lost answers.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "async_http/task.h"
+#include "turn_ledger/messages.h"
+
+namespace martenyard::turn_ledger {
+
+struct LedgerClientOptions {
+  absl::Duration try_timeout = absl::Milliseconds(200);  ///< Then another replica is asked.
+  absl::Duration pause = absl::Milliseconds(25);         ///< Between tries without a leader.
+};
+
+/// On the loop's thread only.
+class LedgerClient {
+ public:
+  using Send = std::function<void(const wire::Endpoint& to, const LedgerRequest& request)>;
+
+  LedgerClient(async_http::asio::io_context& context, Send send, const LedgerClientOptions& options,
+               std::uint64_t first_request);
+
+  /// Replaces the replicas known; order doesn't matter.
+  void SetReplicas(std::vector<wire::Endpoint> replicas);
+  /// Asks until it is committed. @return nothing when `deadline` passed first: the operation may
+  /// then be committed or not, or later.
+  async_http::Task<std::optional<OperationResult>> Call(Operation operation, absl::Time deadline);
+  void OnReply(const LedgerReply& reply);
+  /// Nothing listens at `replica` any more.
+  void OnDead(const wire::Endpoint& replica);
+  std::size_t pending() const { return waiting_.size(); }
+  bool has_replicas() const { return !replicas_.empty(); }
+  /// Tries beyond the first, over all calls.
+  std::uint64_t retries() const { return retries_; }
+
+ private:
+  struct Waiting {
+    explicit Waiting(async_http::asio::io_context& context) : arrived(context) {}
+    async_http::Signal arrived;
+    std::optional<LedgerReply> reply;
+    wire::Endpoint target;
+  };
+
+  std::optional<wire::Endpoint> NextTarget(const std::optional<wire::Endpoint>& failed);
+
+  async_http::asio::io_context& context_;
+  Send send_;
+  LedgerClientOptions options_;
+  std::uint64_t last_request_;
+  std::vector<wire::Endpoint> replicas_;
+  std::optional<wire::Endpoint> leader_;
+  std::size_t next_replica_ = 0;
+  std::map<std::uint64_t, Waiting*> waiting_;
+  std::uint64_t retries_ = 0;
+};
+
+}  // namespace martenyard::turn_ledger
--- /dev/null
+++ b/src/turn_ledger/membership_planner.cc
@@ -0,0 +1,164 @@
+#include "turn_ledger/membership_planner.h"
+
+#include <algorithm>
+#include <set>
+
+namespace martenyard::turn_ledger {
+namespace {
+
+using consensus::Configuration;
+
+const MachineView* Find(const GroupView& view, NodeId identity) {
+  for (const MachineView& machine : view.machines) {
+    if (machine.identity == identity) {
+      return &machine;
+    }
+  }
+  return nullptr;
+}
+
+/// A voter that nobody needs to replace.
+bool IsSound(const GroupView& view, NodeId voter, const PlannerOptions& options) {
+  if (voter == view.leader) {
+    const MachineView* self = Find(view, voter);
+    return self == nullptr || !self->retiring;
+  }
+  const MachineView* machine = Find(view, voter);
+  return machine != nullptr && !machine->retiring && machine->silent_for < options.replace_after;
+}
+
+std::size_t SoundVoters(const GroupView& view, const PlannerOptions& options) {
+  return static_cast<std::size_t>(
+      std::count_if(view.configuration.voters.begin(), view.configuration.voters.end(),
+                    [&](NodeId voter) { return IsSound(view, voter, options); }));
+}
+
+bool IsLive(const MachineView& machine, const PlannerOptions& options) {
+  return machine.silent_for < options.live_within;
+}
+
+std::set<ZoneName> SoundZones(const GroupView& view, const PlannerOptions& options) {
+  std::set<ZoneName> zones;
+  for (NodeId voter : view.configuration.voters) {
+    const MachineView* machine = Find(view, voter);
+    if (machine != nullptr && IsSound(view, voter, options)) {
+      zones.insert(machine->zone);
+    }
+  }
+  return zones;
+}
+
+/// @return the machine to add next: one in a zone without a replica first.
+const MachineView* BestSpare(const GroupView& view, const PlannerOptions& options) {
+  std::set<ZoneName> covered = SoundZones(view, options);
+  const MachineView* best = nullptr;
+  for (const MachineView& machine : view.machines) {
+    bool in_use = view.configuration.IsVoter(machine.identity) ||
+                  view.configuration.IsLearner(machine.identity);
+    if (in_use || machine.retiring || !IsLive(machine, options)) {
+      continue;
+    }
+    bool better =
+        best == nullptr || (covered.contains(best->zone) && !covered.contains(machine.zone));
+    best = better ? &machine : best;
+  }
+  return best;
+}
+
+void Erase(std::vector<NodeId>& list, NodeId item) {
+  list.erase(std::remove(list.begin(), list.end(), item), list.end());
+}
+
+/// Learners whose machine is gone, or that are no longer needed.
+std::optional<Configuration> DropLearner(const GroupView& view, const PlannerOptions& options) {
+  bool enough = SoundVoters(view, options) >= options.replicas;
+  for (NodeId learner : view.configuration.learners) {
+    const MachineView* machine = Find(view, learner);
+    bool gone =
+        machine == nullptr || machine->retiring || machine->silent_for >= options.replace_after;
+    if (gone || enough) {
+      Configuration next = view.configuration;
+      Erase(next.learners, learner);
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Configuration> PromoteLearner(const GroupView& view, const PlannerOptions& options) {
+  for (NodeId learner : view.configuration.learners) {
+    const MachineView* machine = Find(view, learner);
+    bool caught_up = machine != nullptr && IsLive(*machine, options) && machine->match > 0 &&
+                     machine->match + options.learner_lag >= view.commit;
+    if (caught_up) {
+      Configuration next = view.configuration;
+      Erase(next.learners, learner);
+      next.voters.push_back(learner);
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Configuration> RemoveVoter(const GroupView& view, const PlannerOptions& options) {
+  if (SoundVoters(view, options) < options.replicas ||
+      view.configuration.voters.size() <= options.replicas) {
+    return std::nullopt;
+  }
+  NodeId worst = kNoNode;
+  for (NodeId voter : view.configuration.voters) {
+    if (voter != view.leader && !IsSound(view, voter, options)) {
+      worst = voter;
+    }
+  }
+  if (worst == kNoNode && !IsSound(view, view.leader, options)) {
+    worst = view.leader;  // The leader steps down once its own removal is committed.
+  }
+  if (worst == kNoNode) {
+    for (NodeId voter : view.configuration.voters) {
+      worst = voter == view.leader ? worst : voter;
+    }
+  }
+  Configuration next = view.configuration;
+  Erase(next.voters, worst);
+  return next;
+}
+
+}  // namespace
+
+std::optional<Configuration> PlanMembership(const GroupView& view, const PlannerOptions& options) {
+  if (auto next = RemoveVoter(view, options)) {
+    return next;
+  }
+  if (auto next = DropLearner(view, options)) {
+    return next;
+  }
+  if (SoundVoters(view, options) >= options.replicas) {
+    return std::nullopt;
+  }
+  if (auto next = PromoteLearner(view, options)) {
+    return next;
+  }
+  if (!view.configuration.learners.empty()) {
+    return std::nullopt;  // It still catches up.
+  }
+  if (const MachineView* spare = BestSpare(view, options)) {
+    Configuration next = view.configuration;
+    next.learners.push_back(spare->identity);
+    return next;
+  }
+  return std::nullopt;
+}
+
+bool MayTakeAway(const GroupView& view, const std::string& machine, const PlannerOptions& options) {
+  for (const MachineView& candidate : view.machines) {
+    bool holds = view.configuration.IsVoter(candidate.identity) ||
+                 view.configuration.IsLearner(candidate.identity);
+    if (candidate.name == machine && holds) {
+      return false;
+    }
+  }
+  return SoundVoters(view, options) >= options.replicas;
+}
+
+}  // namespace martenyard::turn_ledger
--- /dev/null
+++ b/src/turn_ledger/turn_replica.cc
@@ -0,0 +1,264 @@
+#include "turn_ledger/turn_replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace martenyard::turn_ledger {
+namespace {
+
+constexpr absl::Duration kPlanInterval = absl::Milliseconds(100);
+
+}  // namespace
+
+TurnReplica::TurnReplica(const Machine& self, const ReplicaOptions& options,
+                         consensus::RestoredState restored, std::uint64_t seed, absl::Time now)
+    : self_(self),
+      options_(options),
+      raft_(self.identity, options.raft, restored, seed, now),
+      now_(now) {
+  const consensus::Snapshot& snapshot = restored.snapshot;
+  if (snapshot.index > 0) {
+    state_.Restore(snapshot.data);
+    snapshot_bytes_ = snapshot.data.size();
+  }
+  applied_ = snapshot.index;
+  applied_term_ = snapshot.term;
+  OnMachine(now, self);
+}
+
+// ---- Inputs ----
+
+void TurnReplica::Tick(absl::Time now) {
+  now_ = std::max(now_, now);
+  raft_.Tick(now_);
+  WatchLeadership();
+  if (raft_.LeaderIsCurrent() && now_ >= next_plan_) {
+    next_plan_ = now_ + kPlanInterval;
+    Plan();
+  }
+}
+
+void TurnReplica::OnLogMessage(absl::Time now, NodeId from, const consensus::RaftMessage& message) {
+  now_ = std::max(now_, now);
+  raft_.Step(now_, from, message);
+  WatchLeadership();
+}
+
+void TurnReplica::OnMachine(absl::Time now, const Machine& machine) {
+  now_ = std::max(now_, now);
+  if (superseded_.contains(machine.identity)) {
+    return;  // Old news.
+  }
+  // A machine has one identity at a time: an older one is gone for good, with its disk.
+  for (auto known = machines_.begin(); known != machines_.end();) {
+    bool superseded = known->second.name == machine.name && known->first != machine.identity;
+    if (!superseded) {
+      ++known;
+      continue;
+    }
+    superseded_.insert(known->first);
+    heard_.erase(known->first);
+    known = machines_.erase(known);
+  }
+  machines_[machine.identity] = machine;
+  heard_[machine.identity] = now_;
+}
+
+void TurnReplica::OnDead(absl::Time now, NodeId identity) {
+  now_ = std::max(now_, now);
+  raft_.OnMemberDead(now_, identity);
+}
+
+void TurnReplica::HandOver() {
+  if (!raft_.IsLeader()) {
+    return;
+  }
+  NodeId best = kNoNode;
+  for (NodeId voter : raft_.configuration().voters) {
+    bool recent = raft_.LastContact(voter) + options_.raft.election_timeout >= now_;
+    bool better = best == kNoNode || raft_.MatchIndex(voter) > raft_.MatchIndex(best);
+    best = voter != self_.identity && recent && better ? voter : best;
+  }
+  if (best != kNoNode) {
+    raft_.TransferLeadership(best);
+  }
+}
+
+void TurnReplica::OnRequest(absl::Time now, const wire::Endpoint& gateway,
+                            const LedgerRequest& request) {
+  now_ = std::max(now_, now);
+  Requester requester{gateway, request.request};
+  if (!raft_.IsLeader()) {
+    Answer(requester, ReplyStatus::kNotLeader);
+    return;
+  }
+  if (proposals_.size() >= options_.max_pending) {
+    Answer(requester, ReplyStatus::kOverloaded);
+    return;
+  }
+  Command command{LedgerNow(), request.operation};
+  auto index = raft_.Propose(consensus::EntryKind::kCommand, wire::Encode(command));
+  if (!index) {
+    Answer(requester, ReplyStatus::kNotLeader);
+    return;
+  }
+  proposals_[*index] = {raft_.term(), requester};
+}
+
+// ---- Leading ----
+
+LedgerMillis TurnReplica::LedgerNow() const {
+  return ledger_time_at_start_ + absl::ToInt64Milliseconds(now_ - led_since_);
+}
+
+void TurnReplica::WatchLeadership() {
+  if (raft_.IsLeader() == was_leader_) {
+    return;
+  }
+  was_leader_ = raft_.IsLeader();
+  if (was_leader_) {
+    led_since_ = now_;
+    ledger_time_at_start_ = state_.now();
+    next_plan_ = now_;
+    configuration_logged_ = false;
+    return;
+  }
+  for (const auto& [index, proposal] : proposals_) {
+    Answer(proposal.requester, ReplyStatus::kUncertain);
+  }
+  proposals_.clear();
+}
+
+GroupView TurnReplica::View() const {
+  GroupView view;
+  view.leader = self_.identity;
+  view.configuration = raft_.configuration();
+  view.commit = raft_.commit_index();
+  for (const auto& [identity, machine] : machines_) {
+    MachineView seen;
+    seen.name = machine.name;
+    seen.identity = identity;
+    seen.zone = machine.zone;
+    seen.retiring = std::find(retiring_.begin(), retiring_.end(), machine.name) != retiring_.end();
+    auto heard = heard_.find(identity);
+    absl::Time last = heard == heard_.end() ? absl::InfinitePast() : heard->second;
+    last = std::max(last, raft_.LastContact(identity));
+    // A new leader gives every member the time to be heard of.
+    bool member = view.configuration.IsVoter(identity) || view.configuration.IsLearner(identity);
+    last = member ? std::max(last, led_since_) : last;
+    seen.silent_for = identity == self_.identity ? absl::ZeroDuration() : now_ - last;
+    seen.match = raft_.MatchIndex(identity);
+    view.machines.push_back(std::move(seen));
+  }
+  for (NodeId member : view.configuration.Members()) {
+    if (!machines_.contains(member) && !superseded_.contains(member)) {
+      MachineView unheard;
+      unheard.identity = member;
+      unheard.silent_for = now_ - std::max(raft_.LastContact(member), led_since_);
+      unheard.match = raft_.MatchIndex(member);
+      view.machines.push_back(std::move(unheard));
+    }
+  }
+  return view;
+}
+
+void TurnReplica::Plan() {
+  if (!raft_.ConfigurationIsCommitted()) {
+    return;
+  }
+  if (!configuration_logged_) {
+    // A founder that first hears of the group through its log must find the configuration there.
+    configuration_logged_ = raft_.ProposeConfiguration(raft_.configuration());
+    return;
+  }
+  if (auto next = PlanMembership(View(), options_.planner)) {
+    raft_.ProposeConfiguration(*next);
+  }
+}
+
+bool TurnReplica::MayTakeAway(const std::string& machine) const {
+  return raft_.LeaderIsCurrent() && raft_.ConfigurationIsCommitted() &&
+         turn_ledger::MayTakeAway(View(), machine, options_.planner);
+}
+
+// ---- Applying ----
+
+std::optional<consensus::Snapshot> TurnReplica::Apply(const consensus::Ready& ready) {
+  if (ready.snapshot_to_install) {
+    const consensus::Snapshot& snapshot = *ready.snapshot_to_install;
+    state_.Restore(snapshot.data);
+    applied_ = snapshot.index;
+    applied_term_ = snapshot.term;
+    log_bytes_ = 0;
+    snapshot_bytes_ = snapshot.data.size();
+  }
+  for (const consensus::Entry& entry : ready.committed) {
+    ApplyEntry(entry);
+  }
+  return SnapshotIfDue();
+}
+
+void TurnReplica::ApplyEntry(const consensus::Entry& entry) {
+  applied_ = entry.index;
+  applied_term_ = entry.term;
+  log_bytes_ += entry.payload.size();
+  auto proposal = proposals_.extract(entry.index);
+  if (entry.kind != consensus::EntryKind::kCommand) {
+    return;
+  }
+  auto command = wire::Decode<Command>(entry.payload);
+  if (!command) {
+    return;  // Every replica skips it alike.
+  }
+  OperationResult result = state_.Apply(*command);
+  // A leader's clock starts at its log's end, which it may only have applied now.
+  if (raft_.IsLeader()) {
+    ledger_time_at_start_ = std::max(ledger_time_at_start_,
+                                     state_.now() - absl::ToInt64Milliseconds(now_ - led_since_));
+  }
+  if (proposal.empty()) {
+    return;
+  }
+  bool own = proposal.mapped().term == entry.term;
+  Answer(proposal.mapped().requester, own ? ReplyStatus::kDone : ReplyStatus::kUncertain,
+         own ? std::move(result) : OperationResult{});
+}
+
+std::optional<consensus::Snapshot> TurnReplica::SnapshotIfDue() {
+  // Waiting for as many log bytes as the state has keeps the cost per command constant.
+  bool due = log_bytes_ >= std::max(options_.snapshot_log_bytes, snapshot_bytes_);
+  if (!due || !raft_.ConfigurationIsCommitted()) {
+    return std::nullopt;
+  }
+  consensus::Snapshot snapshot;
+  snapshot.index = applied_;
+  snapshot.term = applied_term_;
+  snapshot.configuration = raft_.configuration();
+  snapshot.data = state_.Serialize();
+  log_bytes_ = 0;
+  snapshot_bytes_ = snapshot.data.size();
+  raft_.Compact(snapshot);
+  return snapshot;
+}
+
+std::vector<ReplyTo> TurnReplica::TakeReplies() {
+  std::vector<ReplyTo> taken = std::move(replies_);
+  replies_.clear();
+  return taken;
+}
+
+void TurnReplica::Answer(const Requester& requester, ReplyStatus status, OperationResult result) {
+  LedgerReply reply;
+  reply.request = requester.request;
+  reply.status = status;
+  reply.result = std::move(result);
+  auto leader = machines_.find(raft_.leader());
+  if (leader != machines_.end()) {
+    reply.leader = leader->second.endpoint;
+  }
+  replies_.push_back({requester.gateway, std::move(reply)});
+}
+
+}  // namespace martenyard::turn_ledger
--- /dev/null
+++ b/src/turn_ledger/turn_replica.h
@@ -0,0 +1,109 @@
+// One replica of the turn ledger: the replicated log, the state it yields, and the leader's duties.
+// Decision code only: no I/O, clock or threads.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "consensus/raft.h"
+#include "turn_ledger/membership_planner.h"
+#include "turn_ledger/messages.h"
+#include "turn_ledger/turn_state.h"
+
+namespace martenyard::turn_ledger {
+
+/// Tunables of a replica.
+struct ReplicaOptions {
+  consensus::RaftOptions raft;
+  PlannerOptions planner;
+  std::size_t max_pending = 4000;  ///< Requests under way at one leader; more are refused.
+  std::uint64_t snapshot_log_bytes = std::uint64_t{24} << 20;  ///< Or the last snapshot's size.
+};
+
+/// Where a request came from, and so where its reply goes.
+struct Requester {
+  wire::Endpoint gateway;
+  std::uint64_t request = 0;
+};
+
+struct ReplyTo {
+  wire::Endpoint gateway;
+  LedgerReply reply;
+};
+
+class TurnReplica {
+ public:
+  TurnReplica(const Machine& self, const ReplicaOptions& options, consensus::RestoredState restored,
+              std::uint64_t seed, absl::Time now);
+
+  void Tick(absl::Time now);
+  void OnLogMessage(absl::Time now, NodeId from, const consensus::RaftMessage& message);
+  void OnRequest(absl::Time now, const wire::Endpoint& gateway, const LedgerRequest& request);
+  /// Something was heard of `machine`, whose identity is the present one.
+  void OnMachine(absl::Time now, const Machine& machine);
+  /// The process behind `identity` is known to be dead.
+  void OnDead(absl::Time now, NodeId identity);
+  /// Machines that the operator wants emptied.
+  void SetRetiring(std::vector<std::string> names) { retiring_ = std::move(names); }
+  /// A planned stop: hands leadership on, if it leads.
+  void HandOver();
+
+  bool HasWork() const { return raft_.HasReady() || !replies_.empty(); }
+  consensus::Ready TakeReady() { return raft_.TakeReady(); }
+  /// Applies what `ready` committed, after it was stored. @return a snapshot to store, if due.
+  std::optional<consensus::Snapshot> Apply(const consensus::Ready& ready);
+  std::vector<ReplyTo> TakeReplies();
+
+  /// @return true when this leader knows that `machine` may be taken away.
+  bool MayTakeAway(const std::string& machine) const;
+  bool LeadsCurrent() const { return raft_.LeaderIsCurrent(); }
+  const consensus::Raft& raft() const { return raft_; }
+  const TurnState& state() const { return state_; }
+  const std::map<NodeId, Machine>& machines() const { return machines_; }
+  const Machine& self() const { return self_; }
+
+ private:
+  struct Proposal {
+    consensus::Term term = 0;
+    Requester requester;
+  };
+
+  LedgerMillis LedgerNow() const;
+  void WatchLeadership();
+  void Plan();
+  GroupView View() const;
+  void ApplyEntry(const consensus::Entry& entry);
+  std::optional<consensus::Snapshot> SnapshotIfDue();
+  void Answer(const Requester& requester, ReplyStatus status, OperationResult result = {});
+
+  Machine self_;
+  ReplicaOptions options_;
+  consensus::Raft raft_;
+  TurnState state_;
+  absl::Time now_;
+
+  bool was_leader_ = false;
+  bool configuration_logged_ = false;  ///< By this leader, in its term.
+  absl::Time led_since_;
+  LedgerMillis ledger_time_at_start_ = 0;
+  absl::Time next_plan_;
+
+  consensus::LogIndex applied_ = 0;
+  consensus::Term applied_term_ = 0;
+  std::uint64_t log_bytes_ = 0;
+  std::uint64_t snapshot_bytes_ = 0;
+
+  std::map<NodeId, Machine> machines_;
+  std::map<NodeId, absl::Time> heard_;
+  std::set<NodeId> superseded_;  ///< Identities whose disk is known to be gone.
+  std::vector<std::string> retiring_;
+  std::map<consensus::LogIndex, Proposal> proposals_;
+  std::vector<ReplyTo> replies_;
+};
+
+}  // namespace martenyard::turn_ledger
