Probe before sending ahead in the replicated log; close resting connections in a planned stop

The leader sent ahead of an unknown match; refusals of old appends moved `next` back and forth, appends and refusals multiplied, and after the last fault the group had no second replica to commit with. Ruled out: elections (one leader within 1 s), the disk (entries loaded whole), identities (a stale directory record did name the old disk; mended too, but the two survivors were a quorum without it). Change: a follower whose match is unknown is probed with one append at a time; refusals name the append that they answer, late ones are ignored, and hint past the whole conflicting term.

Change: 3 s after SIGTERM the gateway stops listening and closes connections that rest; what is under way goes on.

--- a/src/async_http/server.cc
+++ b/src/async_http/server.cc
@@ -9,8 +9,9 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
-#include <sstream>
+#include <set>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -20,6 +21,8 @@
 
 namespace http = boost::beast::http;
 
+class ServerConnection;
+
 namespace {
 
 constexpr int kBacklog = 4096;
@@ -60,6 +63,7 @@
   ServerLimits limits;
   ServerStats stats;
   bool draining = false;
+  std::set<ServerConnection*> connections;
 };
 
 /// One client connection: reads requests one after the other and lets the handler answer them.
@@ -68,13 +72,19 @@
   ServerConnection(std::shared_ptr<Server::Shared> shared, Socket socket)
       : shared_(std::move(shared)), socket_(std::move(socket)) {
     ++shared_->stats.open_connections;
+    shared_->connections.insert(this);
+  }
+  ~ServerConnection() {
+    --shared_->stats.open_connections;
+    shared_->connections.erase(this);
   }
-  ~ServerConnection() { --shared_->stats.open_connections; }
 
   Task<void> Run();
 
   Task<bool> SendBytes(absl::string_view bytes);
   void Close();
+  /// Closes the connection if it rests and no byte of a request has come.
+  void CloseIfIdle();
   /// Keeps an eye on the client while its request is worked on.
   void Watch(std::shared_ptr<Exchange> exchange);
   std::string ConnectionFields(bool* closes) const;
@@ -99,6 +109,7 @@
   std::weak_ptr<Exchange> watched_;
   bool watch_armed_ = false;
   bool keep_open_ = true;
+  bool rests_ = false;  // No byte of the next request has been read.
   std::uint64_t reserved_body_ = 0;
   const HttpRequest* current_ = nullptr;
 };
@@ -153,9 +164,11 @@
 
 Task<ServerConnection::ReadEnd> ServerConnection::ReadRequest(Exchange& exchange) {
   const ServerLimits& limits = shared_->limits;
-  if (buffer_.size() == 0 && !co_await FillBuffer(limits.idle_timeout)) {
+  rests_ = buffer_.size() == 0;
+  if (rests_ && !co_await FillBuffer(limits.idle_timeout)) {
     co_return ReadEnd::kClosed;
   }
+  rests_ = false;
   RequestParser parser;
   parser.eager(true);
   parser.header_limit(limits.header_bytes);
@@ -303,6 +316,17 @@
   socket_.close(ignored);
 }
 
+void ServerConnection::CloseIfIdle() {
+  if (!rests_ || !socket_.is_open()) {
+    return;
+  }
+  char byte = 0;
+  ssize_t count = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count <= 0) {
+    Close();
+  }
+}
+
 std::string ServerConnection::ConnectionFields(bool* closes) const {
   *closes = !keep_open_ || shared_->draining;
   if (*closes) {
@@ -428,6 +452,16 @@
 
 std::uint16_t Server::port() const { return shared_->acceptor.local_endpoint().port(); }
 void Server::BeginDrain() { shared_->draining = true; }
+
+void Server::CloseIdle() {
+  error_code ignored;
+  shared_->acceptor.close(ignored);
+  std::vector<ServerConnection*> open(shared_->connections.begin(), shared_->connections.end());
+  for (ServerConnection* connection : open) {
+    connection->CloseIfIdle();
+  }
+}
+
 ServerLimits& Server::limits() { return shared_->limits; }
 const ServerStats& Server::stats() const { return shared_->stats; }
 
--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -267,6 +267,7 @@
 void Raft::OnAppendRequest(NodeId from, const AppendRequest& request) {
   AppendReply reply;
   reply.round = request.round;
+  reply.previous = request.previous_index;
   if (request.term < hard_state_.term) {
     reply.term = hard_state_.term;
     reply.match = last_index();
@@ -285,8 +286,7 @@
   }
   std::optional<Term> previous = TermAt(request.previous_index);
   if (previous != request.previous_term) {
-    reply.match = std::min(last_index(), request.previous_index - 1);
-    reply.match = std::max(reply.match, commit_);
+    reply.match = ConflictHint(request.previous_index);
     Reply(from, reply);
     return;
   }
@@ -312,9 +312,7 @@
   progress.acknowledged_round = std::max(progress.acknowledged_round, reply.round);
   AdvanceReads();
   if (!reply.success) {
-    progress.next = std::max(progress.match, std::min(reply.match, last_index())) + 1;
-    progress.inflight = 0;
-    SendAppend(from, /*even_if_empty=*/true);
+    OnAppendRefused(from, progress, reply);
     return;
   }
   if (reply.match > progress.match) {
@@ -322,6 +320,7 @@
     progress.last_progress = now_;
     progress.snapshot_sent = false;
   }
+  progress.probing = false;
   progress.next = std::max(progress.next, progress.match + 1);
   bool all_acknowledged = progress.match + 1 == progress.next;
   progress.inflight = all_acknowledged || progress.inflight == 0 ? 0 : progress.inflight - 1;
@@ -333,6 +332,29 @@
   MaybeFinishTransfer(from);
 }
 
+void Raft::OnAppendRefused(NodeId from, Progress& progress, const AppendReply& reply) {
+  bool late = reply.previous <= progress.match ||
+              (progress.probing && reply.previous != progress.next - 1);
+  if (late) {
+    return;  // It answers an append from before the present probe.
+  }
+  progress.probing = true;
+  progress.probe_sent = false;
+  progress.inflight = 0;
+  LogIndex hint = std::min({reply.match, reply.previous - 1, last_index()});
+  progress.next = std::max(progress.match, hint) + 1;
+  SendAppend(from, /*even_if_empty=*/true);
+}
+
+LogIndex Raft::ConflictHint(LogIndex previous) const {
+  LogIndex hint = std::min(last_index(), previous - 1);
+  std::optional<Term> conflicting = TermAt(previous);
+  while (conflicting && hint > commit_ && TermAt(hint) == conflicting) {
+    --hint;
+  }
+  return std::max(hint, commit_);
+}
+
 void Raft::OnSnapshotRequest(NodeId from, const SnapshotRequest& request) {
   AppendReply reply;
   reply.round = request.round;
@@ -430,6 +452,9 @@
     SendSnapshot(to, progress);
     return;
   }
+  if (progress.probing && progress.probe_sent && !even_if_empty) {
+    return;
+  }
   AppendRequest request;
   request.term = hard_state_.term;
   request.previous_index = progress.next - 1;
@@ -438,13 +463,20 @@
   request.round = round_;
   std::size_t bytes = 0;
   bool window_open = progress.inflight < options_.max_inflight_appends;
-  while (window_open && progress.next <= last_index() &&
+  LogIndex next = progress.next;
+  while (window_open && next <= last_index() &&
          request.entries.size() < options_.max_entries_per_append &&
          bytes < options_.max_bytes_per_append) {
-    request.entries.push_back(EntryAt(progress.next));
+    request.entries.push_back(EntryAt(next));
     bytes += request.entries.back().payload.size();
-    ++progress.next;
+    ++next;
+  }
+  if (progress.probing) {
+    progress.probe_sent = true;
+    ready_.messages_before_store.push_back({to, std::move(request)});
+    return;
   }
+  progress.next = next;
   if (request.entries.empty() && !even_if_empty) {
     return;
   }
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -103,6 +103,10 @@
   struct Progress {
     LogIndex match = 0;
     LogIndex next = 1;
+    /// Where the logs part is not known yet: one append at a time, and `next` waits for its reply.
+    /// Sending ahead here makes refusals and appends cross and multiply without end.
+    bool probing = true;
+    bool probe_sent = false;  ///< Until its reply, or until the next heartbeat repeats it.
     std::size_t inflight = 0;
     bool snapshot_sent = false;
     std::uint64_t acknowledged_round = 0;
@@ -128,6 +132,7 @@
   void OnVoteReply(NodeId from, const VoteReply& reply);
   void OnAppendRequest(NodeId from, const AppendRequest& request);
   void OnAppendReply(NodeId from, const AppendReply& reply);
+  void OnAppendRefused(NodeId from, Progress& progress, const AppendReply& reply);
   void OnSnapshotRequest(NodeId from, const SnapshotRequest& request);
   void OnTimeoutNow(const TimeoutNow& request);
 
@@ -141,6 +146,9 @@
   void MaybeFinishTransfer(NodeId to);
 
   LogIndex AppendToLog(EntryKind kind, std::string payload);
+  /// @return where a leader should try next after a refusal at `previous`: before the whole term
+  /// that conflicts there, or at the log's end.
+  LogIndex ConflictHint(LogIndex previous) const;
   void AppendReceived(const std::vector<Entry>& entries);
   void TruncateFrom(LogIndex index);
   const Entry& EntryAt(LogIndex index) const { return log_[index - snapshot_.index - 1]; }
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -112,10 +112,11 @@
   Term term = 0;
   bool success = false;
   LogIndex match = 0;  ///< On success the last index known equal; else where to try next.
+  LogIndex previous = 0;  ///< The append's `previous_index`, so that late refusals are known.
   std::uint64_t round = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(term, success, match, round);
+    archive(term, success, match, previous, round);
   }
 };
 
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -26,7 +26,7 @@
 constexpr absl::Duration kRegisterPause = absl::Seconds(1);
 constexpr std::size_t kMostPlacements = 400;
 /// A stopping gateway still gets new connections until its readiness was asked for twice.
-constexpr absl::Duration kLeastDrain = absl::Seconds(4);
+constexpr absl::Duration kLeastDrain = absl::Seconds(3);
 /// Kept free between the process's own end and the platform's SIGKILL.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(700);
 /// A tick this late means that the process stood still; it is logged.
@@ -315,9 +315,14 @@
 
 void GatewayRole::CheckStop(absl::Time now) {
   absl::Duration elapsed = now - stop_asked_at_;
+  bool left_out = elapsed >= std::min(kLeastDrain, settings_.stop_grace / 2);
+  if (left_out) {
+    // Nobody is sent here any more; a request that crosses the close was not taken.
+    frontend_.CloseIdle();
+  }
   bool idle = frontend_.stats().active_exchanges == 0 && state_->ledger->pending() == 0;
   bool over = elapsed >= settings_.stop_grace - kStopMargin;
-  if ((idle && elapsed >= std::min(kLeastDrain, settings_.stop_grace / 2)) || over) {
+  if ((idle && left_out) || over) {
     log_.Write(Line("stopped").Number(
         "active", static_cast<std::int64_t>(frontend_.stats().active_exchanges)));
     loop_.Stop();
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -33,6 +33,7 @@
 constexpr absl::Duration kFoundingPatience = absl::Seconds(4);
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(600);
 constexpr absl::Duration kRetireReportInterval = absl::Milliseconds(250);
+constexpr absl::Duration kProgressInterval = absl::Seconds(2);
 /// A tick this late means that the process stood still; it is logged.
 constexpr absl::Duration kStandstill = absl::Milliseconds(500);
 constexpr char kPeersFile[] = "peers";
@@ -275,6 +276,7 @@
   if (now >= next_hello_) {
     next_hello_ = now + kHelloInterval;
     SayHello();
+    LogProgress(now);
     log_.Flush();
   }
   if (stopping_) {
@@ -295,6 +297,29 @@
   }
 }
 
+void LedgerRole::LogProgress(absl::Time now) {
+  if (replica_ == nullptr || now < next_progress_) {
+    return;
+  }
+  next_progress_ = now + kProgressInterval;
+  const consensus::Raft& raft = replica_->raft();
+  Line line("replica_progress");
+  line.Text("role", RoleName(raft.role()))
+      .Number("term", static_cast<std::int64_t>(raft.term()))
+      .Number("last", static_cast<std::int64_t>(raft.last_index()))
+      .Number("commit", static_cast<std::int64_t>(raft.commit_index()))
+      .Number("synced_writes", static_cast<std::int64_t>(synced_writes_))
+      .Number("programs", static_cast<std::int64_t>(replica_->state().programs()))
+      .Number("turn_bytes", static_cast<std::int64_t>(replica_->state().turn_bytes()));
+  for (NodeId member : raft.configuration().Members()) {
+    if (raft.IsLeader()) {
+      line.Number(absl::StrCat("match_", absl::Hex(member.value)),
+                  static_cast<std::int64_t>(raft.MatchIndex(member)));
+    }
+  }
+  log_.Write(line);
+}
+
 void LedgerRole::LogLeadership() {
   if (replica_ == nullptr) {
     return;
@@ -376,6 +401,9 @@
   if (machine.name == settings_.node || machine.name.empty()) {
     return;
   }
+  if (heard_now) {
+    heard_.insert(machine.name);
+  }
   auto known = peers_.find(machine.name);
   bool changed = known == peers_.end() || !(known->second == machine);
   if (changed) {
@@ -437,11 +465,8 @@
     return;
   }
   if (auto machine = wire::Decode<Machine>(*change.value)) {
-    // What the store says may be older than what the machine itself said.
-    auto known = peers_.find(machine->name);
-    bool heard = known != peers_.end() && replica_ != nullptr &&
-                 replica_->raft().LastContact(known->second.identity) > absl::InfinitePast();
-    if (!heard) {
+    // What the store says may be older than what the machine itself said in this life.
+    if (!heard_.contains(machine->name)) {
       NoteMachine(*machine, /*heard_now=*/false);
     }
   }
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,7 @@
   void LoadPeers();
   void SavePeers() const;
   void LogLeadership();
+  void LogProgress(absl::Time now);
   turn_ledger::Machine Self() const;
 
   wire::EventLoop& loop_;
@@ -85,9 +87,11 @@
   std::unique_ptr<storage::LogStore> disk_;
   std::unique_ptr<turn_ledger::TurnReplica> replica_;
   std::map<std::string, turn_ledger::Machine> peers_;  // By name, this machine left out.
+  std::set<std::string> heard_;  // Machines that spoke for themselves since this process began.
   bool stopping_ = false;
   absl::Time stop_deadline_;
   absl::Time next_hello_;
+  absl::Time next_progress_;
   absl::Time last_tick_;
   std::string logged_role_;
   std::uint64_t synced_writes_ = 0;
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <utility>
 
 #include "storage/log_store.h"
 
@@ -64,6 +65,23 @@
     }
   }
 
+  /// Delivers what is on the wire now; answers to it travel until the next round, 2 ms later.
+  void DeliverRound() {
+    now_ += absl::Milliseconds(2);
+    for (auto& [id, replica] : replicas_) {
+      replica->Tick(now_);
+      Pump(id);
+    }
+    auto arriving = std::exchange(wire_, {});
+    for (auto& [from, outbound] : arriving) {
+      bool open = !cut_.contains(from) && !cut_.contains(outbound.to);
+      if (open && replicas_[outbound.to] != nullptr) {
+        replicas_[outbound.to]->Step(now_, from, outbound.message);
+        Pump(outbound.to);
+      }
+    }
+  }
+
   void Pump(NodeId id) {
     Raft& raft = *replicas_[id];
     while (raft.HasReady()) {
@@ -217,6 +235,34 @@
   EXPECT_EQ(cluster.AppliedAt(old.value), cluster.agreed().size());
 }
 
+TEST(RaftTest, DeposedLeaderWithALongTailCatchesUpWhileNewEntriesKeepComing) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  NodeId old = cluster.LeaderId();
+  cluster.Cut(old);
+  for (int number = 0; number < 400; ++number) {
+    cluster.replica(old.value).Propose(EntryKind::kCommand, "lost" + std::to_string(number));
+  }
+  cluster.Pump(old);
+  cluster.Run(absl::Seconds(2));
+  ASSERT_NE(cluster.Leader(), nullptr);
+  for (int number = 0; number < 1500; ++number) {
+    cluster.Leader()->Propose(EntryKind::kCommand, "kept" + std::to_string(number));
+  }
+  cluster.Run(absl::Milliseconds(200));
+  cluster.Heal();
+  // A message takes a while; meanwhile more is proposed, so that appends and refusals cross.
+  NodeId leader = cluster.LeaderId();
+  constexpr int kRounds = 150;
+  for (int round = 0; round < kRounds; ++round) {
+    cluster.replica(leader.value).Propose(EntryKind::kCommand, "more" + std::to_string(round));
+    cluster.Pump(leader);
+    cluster.DeliverRound();
+  }
+  EXPECT_GE(cluster.replica(leader.value).MatchIndex(old),
+            cluster.replica(leader.value).last_index() - 10);
+}
+
 TEST(RaftTest, LeadershipTransferMovesTheLeadWithoutWaitingForATimeout) {
   Cluster cluster(3);
   cluster.Run(absl::Seconds(2));
