--- /dev/null
+++ b/emulator/platform/runner_stand_in.h
@@ -0,0 +1,82 @@
+// A stand-in of a runner that can misbehave in every way the platform's pages tell of.
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "async_http/server.h"
+#include "async_http/task.h"
+
+namespace martenyard::emulator {
+
+/// What a runner does with a request.
+enum class RunnerBehavior {
+  kServe,             ///< A whole answer; events on request.
+  kServeUnframed,     ///< Without a length; the end of the connection ends it.
+  kServeThenSurplus,  ///< Sends a second, foreign answer after the whole one.
+  kForeignFirst,      ///< A late answer to another request, then its own.
+  kShed,              ///< 503: full, not run.
+  kWrongInstance,     ///< 421: another runner has the address.
+  kFail,              ///< 500 of its own, run.
+  kReset,             ///< Reads the request and resets.
+  kClose,             ///< Reads the request and closes.
+  kCutAnswer,         ///< Half of the promised length, then a close.
+  kGarbage,           ///< Bytes that are no answer.
+  kNoId,              ///< A whole answer that carries no id.
+  kHang,              ///< Never answers.
+  kBreakMidEvent,     ///< Some events, half of the next, then a close.
+  kResetUnframed,     ///< Part of an unframed answer, then a reset.
+  kEarly,             ///< Answers before the body is read, and reads on later.
+};
+
+/// A request as a runner saw it.
+struct SeenRequest {
+  std::string id;
+  std::string method;
+  std::string target;
+  std::string body;
+  std::map<std::string, std::string> headers;  ///< Names in lower case.
+  bool ran = false;
+};
+
+/// On the loop's thread only.
+class RunnerStandIn {
+ public:
+  RunnerStandIn(async_http::asio::io_context& context, std::string id);
+  ~RunnerStandIn();
+
+  /// What is done with the requests to come, one each; the last one stays.
+  void Script(std::deque<RunnerBehavior> script) { script_ = std::move(script); }
+  std::uint16_t port() const;
+  const std::string& id() const { return id_; }
+  const std::vector<SeenRequest>& seen() const { return seen_; }
+  int runs() const;
+  /// Connections whose peer left while a request hung.
+  int abandoned() const { return abandoned_; }
+  int events = 4;            ///< Of a stream.
+  absl::Duration event_gap;  ///< Between two events.
+
+ private:
+  async_http::Task<void> AcceptAll();
+  async_http::Task<void> Serve(async_http::Socket socket);
+  async_http::Task<bool> AnswerOne(async_http::Socket& socket, SeenRequest request,
+                                   RunnerBehavior behavior);
+  async_http::Task<void> SendStream(async_http::Socket& socket, const SeenRequest& request,
+                                    bool breaks);
+  async_http::Task<void> WaitForClose(async_http::Socket& socket);
+  RunnerBehavior NextBehavior();
+
+  async_http::asio::io_context& context_;
+  std::string id_;
+  async_http::asio::ip::tcp::acceptor acceptor_;
+  std::deque<RunnerBehavior> script_{RunnerBehavior::kServe};
+  std::vector<SeenRequest> seen_;
+  int abandoned_ = 0;
+};
+
+}  // namespace martenyard::emulator
--- /dev/null
+++ b/emulator/platform/store_stand_in.h
@@ -0,0 +1,74 @@
+// A stand-in of the platform's metadata store, by its published calls, with faults.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "async_http/server.h"
+#include "async_http/task.h"
+
+namespace martenyard::emulator {
+
+/// What goes wrong from now on.
+struct StoreFaults {
+  bool down = false;          ///< Answers 503 to everything.
+  bool silent = false;        ///< Takes calls and never answers.
+  bool lose_answers = false;  ///< Does what is asked and closes without an answer.
+  bool throttle = false;      ///< 429.
+  bool garble = false;        ///< 200 with bytes that are no document.
+};
+
+/// On the loop's thread only.
+class StoreStandIn {
+ public:
+  explicit StoreStandIn(async_http::asio::io_context& context);
+
+  StoreFaults& faults() { return faults_; }
+  std::uint16_t port() const { return server_.port(); }
+  /// As the operator or a runner writes. @return the revision.
+  std::uint64_t Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  /// Forgets all history: watches from before are told that it is gone.
+  void Compact();
+  /// @return the key's value; empty when it is not there.
+  std::string Value(const std::string& key) const;
+  std::uint64_t calls() const { return calls_; }
+  /// Stops answering for good.
+  void Listen(std::uint16_t port);
+
+ private:
+  struct Record {
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t created = 0;
+  };
+  struct Change {
+    std::string key;
+    std::uint64_t revision = 0;
+    bool removed = false;
+    std::string value;
+  };
+
+  async_http::Task<void> Answer(std::shared_ptr<async_http::Exchange> exchange);
+  async_http::Task<void> Watch(async_http::Exchange& exchange,
+                               std::map<std::string, std::string> query);
+  std::string ChangesAfter(std::uint64_t after, const std::string& prefix, bool* any) const;
+  std::string Get(const std::string& key, unsigned* status) const;
+  std::string Range(const std::string& prefix, const std::string& after) const;
+  std::string Commit(const std::string& body, unsigned* status);
+
+  async_http::asio::io_context& context_;
+  async_http::Server server_;
+  async_http::Signal changed_;
+  StoreFaults faults_;
+  std::map<std::string, Record> records_;
+  std::vector<Change> history_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t forgotten_ = 0;  // Changes up to this revision are gone.
+  std::uint64_t calls_ = 0;
+};
+
+}  // namespace martenyard::emulator
--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -42,6 +42,7 @@
   stored_index_ = last_index();
   RecomputeConfiguration();
   ResetElectionTimer();
+  election_deadline_ = now_ + (election_deadline_ - now_) * options_.start_wait_share;
 }
 
 // ---- Time ----
@@ -333,8 +334,8 @@
 }
 
 void Raft::OnAppendRefused(NodeId from, Progress& progress, const AppendReply& reply) {
-  bool late = reply.previous <= progress.match ||
-              (progress.probing && reply.previous != progress.next - 1);
+  bool late =
+      reply.previous <= progress.match || (progress.probing && reply.previous != progress.next - 1);
   if (late) {
     return;  // It answers an append from before the present probe.
   }
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -20,6 +20,9 @@
 struct RaftOptions {
   absl::Duration heartbeat_interval = absl::Milliseconds(60);
   absl::Duration election_timeout = absl::Milliseconds(300);  ///< Drawn from [1, 2) times this.
+  /// A replica that just started stands for election after this share of the usual wait: when all
+  /// were killed together nobody leads, and a leader that lives keeps the others from voting.
+  double start_wait_share = 1.0;
   std::size_t max_entries_per_append = 256;
   std::size_t max_bytes_per_append = std::size_t{1} << 20;
   std::size_t max_inflight_appends = 16;  ///< Appends sent to one follower but not acknowledged.
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -96,7 +96,8 @@
 }
 
 Result<void> GatewayRole::Start() {
-  BOOST_LEAF_CHECK(transport_.Listen({settings_.address, settings_.internal_port}));
+  BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
+  settings_.internal_port = bound.port;
   frontend_.limits().buffered_body_bytes = settings_.memory_bytes / kMemoryShareForBodies;
   frontend_.limits().connections = settings_.descriptors > 2 * kDescriptorsKept
                                        ? settings_.descriptors - kDescriptorsKept
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -40,8 +40,9 @@
 
 turn_ledger::ReplicaOptions MakeReplicaOptions(const RoleSettings& settings) {
   turn_ledger::ReplicaOptions options;
-  options.raft.heartbeat_interval = absl::Milliseconds(100);
-  options.raft.election_timeout = absl::Milliseconds(450);
+  options.raft.heartbeat_interval = absl::Milliseconds(60);
+  options.raft.election_timeout = absl::Milliseconds(220);
+  options.raft.start_wait_share = 0.4;
   options.planner.replicas = 2 * settings.tolerated_machines + 1;
   return options;
 }
@@ -101,7 +102,8 @@
           [](bool, store::StoreStatus) {}) {}
 
 Result<void> LedgerRole::Start() {
-  BOOST_LEAF_CHECK(transport_.Listen({settings_.address, settings_.internal_port}));
+  BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
+  settings_.internal_port = bound.port;
   LoadPeers();
   OpenDisk();
   directory_.Start();
--- a/src/wire/event_loop.cc
+++ b/src/wire/event_loop.cc
@@ -113,6 +113,14 @@
   watches_.erase(found);
 }
 
+void EventLoop::RunRound(absl::Duration patience) {
+  context_.run_one_for(absl::ToChronoNanoseconds(patience));
+  context_.poll();
+  if (round_hook_) {
+    round_hook_();
+  }
+}
+
 void EventLoop::Run() {
   auto guard = asio::make_work_guard(context_);
   while (!stopping_) {
--- a/src/wire/event_loop.h
+++ b/src/wire/event_loop.h
@@ -23,6 +23,8 @@
 
   void Run();
   void Stop();
+  /// One round: waits up to `patience` for something to do, and does it. For tests and tools.
+  void RunRound(absl::Duration patience);
   /// Runs `task` on the loop's thread, in the order posted.
   void Post(std::function<void()> task);
   /// Runs `task` once after `delay`, counted by the steady clock.
--- /dev/null
+++ b/tests/forwarding/forwarding_units_test.cc
@@ -0,0 +1,250 @@
+// The pure parts of forwarding: routes, request headers, event streams, choices and outcomes.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "forwarding/attempt_outcome.h"
+#include "forwarding/event_stream.h"
+#include "forwarding/prefix_index.h"
+#include "forwarding/request_info.h"
+#include "forwarding/route_table.h"
+#include "forwarding/runner_choice.h"
+#include "forwarding/turn_cache.h"
+
+namespace martenyard::forwarding {
+namespace {
+
+Route MakeRoute(const std::string& host, const std::string& prefix, const std::string& service) {
+  Route route;
+  route.name = prefix;
+  route.host = host;
+  route.path_prefix = prefix;
+  route.services.push_back({ServiceName(service), 1});
+  return route;
+}
+
+TEST(RouteTableTest, LongestPrefixOfTheHostWins) {
+  ServiceConfiguration configuration;
+  configuration.routes = {MakeRoute("a.example", "/x/", "short"),
+                          MakeRoute("a.example", "/x/y/", "long"),
+                          MakeRoute("b.example", "/x/y/z/", "other")};
+  RouteTable table(configuration);
+  EXPECT_EQ(table.Match("a.example", "/x/y/z/1")->name, "/x/y/");
+  EXPECT_EQ(table.Match("A.Example:80", "/x/q?path=/x/y/")->name, "/x/");
+  EXPECT_EQ(table.Match("a.example", "/x"), nullptr) << "the prefix ends with a slash";
+  EXPECT_EQ(table.Match("c.example", "/x/y/"), nullptr);
+  EXPECT_EQ(table.Match("", "/x/y/"), nullptr);
+}
+
+RC_GTEST_PROP(RouteSplitTest, SharesFollowTheWeights, ()) {
+  auto first = *rc::gen::inRange<std::uint32_t>(1, 100);
+  auto second = *rc::gen::inRange<std::uint32_t>(1, 100);
+  Route route = MakeRoute("h", "/", "one");
+  route.services = {{ServiceName("one"), first}, {ServiceName("two"), second}};
+  constexpr int kPoints = 2000;
+  int ones = 0;
+  for (int point = 0; point < kPoints; ++point) {
+    ones += ChooseService(route, (point + 0.5) / kPoints).value == "one" ? 1 : 0;
+  }
+  double share = static_cast<double>(ones) / kPoints;
+  RC_ASSERT(std::abs(share - static_cast<double>(first) / (first + second)) < 0.01);
+}
+
+TEST(RequestInfoTest, ReadsEveryHeaderAndPassesOverUnreadableOnes) {
+  HeaderNames names;
+  boost::beast::http::fields fields;
+  fields.set(names.request_id, "abc");
+  fields.set(names.deadline_ms, "1500");
+  fields.set("Cookie", "a=b; " + names.affinity_cookie + "=17; c=d");
+  fields.set(names.prompt_parts, "5c1e:800, 91bd:410");
+  fields.set(names.token_usage, "1460,80");
+  fields.set(names.token_budget, "4600");
+  fields.set(names.previous_turn, "earlier");
+  RequestInfo info = ReadRequestInfo(fields, names);
+  EXPECT_EQ(info.id.value, "abc");
+  EXPECT_EQ(info.deadline, absl::Milliseconds(1500));
+  EXPECT_EQ(info.affinity, "17");
+  ASSERT_EQ(info.prompt.size(), 2U);
+  EXPECT_EQ(info.prompt[1].tokens, 410U);
+  EXPECT_NE(info.prompt[0].id, info.prompt[1].id);
+  EXPECT_EQ(info.prompt_tokens, 1460U);
+  EXPECT_EQ(info.most_output_tokens, 80U);
+  EXPECT_EQ(info.token_budget, 4600U);
+  EXPECT_EQ(info.previous_turn->value, "earlier");
+
+  fields.set(names.deadline_ms, "soon");
+  fields.set(names.token_budget, "-3");
+  info = ReadRequestInfo(fields, names);
+  EXPECT_FALSE(info.deadline.has_value());
+  EXPECT_FALSE(info.token_budget.has_value());
+}
+
+RC_GTEST_PROP(EventStreamTest, AnyCutOfTheBytesGivesTheSameEvents, ()) {
+  auto count = *rc::gen::inRange(0, 8);
+  bool carriage = *rc::gen::arbitrary<bool>();
+  std::string end = carriage ? "\r\n" : "\n";
+  std::string bytes;
+  std::string data;
+  for (int number = 1; number <= count; ++number) {
+    bytes += "id: " + std::to_string(number) + end + "data: e" + std::to_string(number) + end + end;
+    data += "e" + std::to_string(number) + "\n";
+  }
+  std::string tail = "id: 99" + end + "dat";
+  std::string whole = bytes + tail;
+  EventStream stream;
+  std::string passed;
+  std::size_t at = 0;
+  while (at < whole.size()) {
+    auto piece = *rc::gen::inRange<std::size_t>(1, 12);
+    passed += stream.Feed(whole.substr(at, piece));
+    at += piece;
+  }
+  RC_ASSERT(passed == bytes);
+  RC_ASSERT(stream.partial() == tail);
+  RC_ASSERT(stream.data() == data);
+  RC_ASSERT(stream.events() == static_cast<std::uint64_t>(count));
+  RC_ASSERT(stream.last_event_id() == (count == 0 ? "" : std::to_string(count)));
+}
+
+TEST(EventStreamTest, VersionLinesAreNoDataAndSeveralDataLinesAreOneEvent) {
+  EventStream stream;
+  stream.Feed("weight-versions: 2\nid: 1\ndata: a\ndata: b\n\n: comment\n\n");
+  EXPECT_EQ(stream.events(), 1U);
+  EXPECT_EQ(stream.data(), "a\nb\n");
+}
+
+TEST(PrefixIndexTest, CountsLeadingPartsOnlyAndForgets) {
+  PrefixIndex index(absl::Seconds(10), 100);
+  absl::Time now = absl::FromUnixSeconds(100);
+  std::vector<PromptPart> prompt = {{1, 100}, {2, 50}, {3, 7}};
+  index.Note(now, 1, 5);
+  index.Note(now, 3, 5);
+  EXPECT_EQ(index.KeptTokens(now, prompt, 5), 100U) << "part 2 is missing: part 3 is of no use";
+  index.Note(now, 2, 5);
+  EXPECT_EQ(index.KeptTokens(now, prompt, 5), 157U);
+  EXPECT_EQ(index.KeptTokens(now, prompt, 6), 0U);
+  EXPECT_EQ(index.KeptTokens(now + absl::Seconds(11), prompt, 5), 0U);
+}
+
+TEST(PrefixIndexTest, StaysWithinItsCapacity) {
+  PrefixIndex index(absl::Seconds(10), 64);
+  absl::Time now = absl::FromUnixSeconds(100);
+  for (std::uint64_t part = 0; part < 1000; ++part) {
+    index.Note(now, part, 1);
+    ASSERT_LE(index.size(), 64U);
+  }
+}
+
+Candidate MakeCandidate(const std::string& id) {
+  Candidate candidate;
+  candidate.id = id;
+  candidate.slots = 4;
+  candidate.same_zone = true;
+  return candidate;
+}
+
+TEST(RunnerChoiceTest, KeptPromptsDrawUntilTheRunnerIsFull) {
+  std::vector<Candidate> candidates = {MakeCandidate("a"), MakeCandidate("b")};
+  candidates[0].kept_tokens = 10000;
+  candidates[0].active = 3;
+  ChoiceRequest request;
+  request.prompt_tokens = 12000;
+  EXPECT_EQ(ChooseRunner(candidates, request, {})->index, 0U);
+  candidates[0].active = 9;
+  EXPECT_EQ(ChooseRunner(candidates, request, {})->index, 1U);
+}
+
+TEST(RunnerChoiceTest, LeavingAndAvoidedOnesOnlyWhenThereIsNoOther) {
+  std::vector<Candidate> candidates = {MakeCandidate("a"), MakeCandidate("b"), MakeCandidate("c")};
+  candidates[0].leaving = true;
+  candidates[1].avoided = true;
+  candidates[1].active = 100;
+  candidates[2].tried = true;
+  EXPECT_EQ(ChooseRunner(candidates, {}, {})->index, 1U);
+  candidates[1].no_connection = true;
+  EXPECT_EQ(ChooseRunner(candidates, {}, {})->index, 0U);
+  candidates[0].tried = true;
+  EXPECT_FALSE(ChooseRunner(candidates, {}, {}).has_value());
+}
+
+TEST(RunnerChoiceTest, GatewaysAgreeOnTheHomeOfAnUnknownPrompt) {
+  std::vector<Candidate> candidates;
+  for (int number = 0; number < 6; ++number) {
+    candidates.push_back(MakeCandidate("runner-" + std::to_string(number)));
+  }
+  ChoiceRequest request;
+  request.prompt_tokens = 100;
+  request.home_key = 77;
+  std::string home = candidates[ChooseRunner(candidates, request, {})->index].id;
+  std::reverse(candidates.begin(), candidates.end());
+  EXPECT_EQ(candidates[ChooseRunner(candidates, request, {})->index].id, home);
+}
+
+struct OutcomeCase {
+  const char* name;
+  AttemptEnd end;
+  bool repeatable;
+  bool can_resume;
+  bool answer_started;
+  bool may_have_run;
+  int attempts_left;
+  int time_left_ms;
+  NextStep expected;
+};
+
+class AttemptOutcomeTest : public ::testing::TestWithParam<OutcomeCase> {};
+
+TEST_P(AttemptOutcomeTest, DecidesAsTheTableSays) {
+  const OutcomeCase& test = GetParam();
+  RequestSituation situation{test.repeatable,     test.can_resume,
+                             test.answer_started, test.may_have_run,
+                             test.attempts_left,  absl::Milliseconds(test.time_left_ms)};
+  EXPECT_EQ(DecideNextStep(test.end, situation), test.expected);
+}
+
+constexpr OutcomeCase kOutcomes[] = {
+    // clang-format off
+    // name                       end                       rep.   resume started ran   left ms   then
+    {"NotSentGoesElsewhere",      AttemptEnd::kNotSent,     false, false, false, false, 1, 900, NextStep::kTryAnother},
+    {"NotSentLastIsRefused",      AttemptEnd::kNotSent,     false, false, false, false, 0, 900, NextStep::kRefuse},
+    {"NotRunGoesElsewhere",       AttemptEnd::kNotRun,      false, false, false, false, 1, 900, NextStep::kTryAnother},
+    {"NotRunTooLateIsRefused",    AttemptEnd::kNotRun,      true,  false, false, false, 1, 5,   NextStep::kRefuse},
+    {"NotRunAfterARunIsNoRefusal",AttemptEnd::kNotRun,      true,  false, false, true,  0, 900, NextStep::kFail},
+    {"NotSentAfterARunIsNoRefusal",AttemptEnd::kNotSent,    true,  false, false, true,  0, 900, NextStep::kFail},
+    {"LostUnsafeNeverRepeats",    AttemptEnd::kNoAnswer,    false, false, false, true,  3, 900, NextStep::kFail},
+    {"LostSafeRepeats",           AttemptEnd::kNoAnswer,    true,  false, false, true,  1, 900, NextStep::kTryAnother},
+    {"LostSafeWithoutAttempts",   AttemptEnd::kNoAnswer,    true,  false, false, true,  0, 900, NextStep::kFail},
+    {"LostSafeTooLate",           AttemptEnd::kNoAnswer,    true,  false, false, true,  1, 5,   NextStep::kFail},
+    {"BrokenStreamBreaks",        AttemptEnd::kBrokeOff,    false, false, true,  true,  1, 900, NextStep::kBreak},
+    {"BrokenStreamResumes",       AttemptEnd::kBrokeOff,    true,  true,  true,  true,  1, 900, NextStep::kResume},
+    {"BrokenStreamNoAttempts",    AttemptEnd::kBrokeOff,    true,  true,  true,  true,  0, 900, NextStep::kBreak},
+    {"BrokenBeforeFirstEvent",    AttemptEnd::kBrokeOff,    true,  false, false, true,  1, 900, NextStep::kTryAnother},
+    {"BrokenUnsafeBeforeEvent",   AttemptEnd::kBrokeOff,    false, false, false, true,  1, 900, NextStep::kFail},
+    {"ResumeTurnedAwayResumes",   AttemptEnd::kNotRun,      true,  true,  true,  true,  1, 900, NextStep::kResume},
+    {"ResumeTurnedAwayBreaks",    AttemptEnd::kNotRun,      true,  true,  true,  true,  0, 900, NextStep::kBreak},
+    {"TimeOverIs504",             AttemptEnd::kTimedOut,    true,  false, false, true,  1, 0,   NextStep::kTimeOut},
+    {"TimeOverMidStreamBreaks",   AttemptEnd::kTimedOut,    true,  true,  true,  true,  1, 0,   NextStep::kBreak},
+    {"WholeAnswerPasses",         AttemptEnd::kAnswered,    false, false, false, true,  0, 0,   NextStep::kPassOn},
+    {"ClientGoneEnds",            AttemptEnd::kClientGone,  true,  true,  true,  true,  1, 900, NextStep::kNothing},
+    // clang-format on
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, AttemptOutcomeTest, ::testing::ValuesIn(kOutcomes),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+TEST(TurnCacheTest, KeepsTheLatestWithinItsBytes) {
+  TurnCache cache(100);
+  auto chain = std::make_shared<std::string>(std::string(40, 'x'));
+  cache.Put(RequestId("a"), chain);
+  cache.Put(RequestId("b"), chain);
+  ASSERT_NE(cache.Find(RequestId("a")), nullptr);
+  cache.Put(RequestId("c"), chain);
+  EXPECT_EQ(cache.Find(RequestId("b")), nullptr) << "the least recently used goes first";
+  EXPECT_NE(cache.Find(RequestId("a")), nullptr);
+  EXPECT_LE(cache.bytes(), 100U);
+}
+
+}  // namespace
+}  // namespace martenyard::forwarding
--- /dev/null
+++ b/tests/platform/formats_test.cc
@@ -0,0 +1,105 @@
+#include "platform/formats.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/settings_file.h"
+
+namespace martenyard::platform {
+namespace {
+
+constexpr char kConfiguration[] = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","pathPrefix":"/x/","type":"streaming","timeoutMs":3000,
+   "targetLatencyMs":200,"priority":0,"service":"s1","maxAttempts":2,"retentionEnabled":true,
+   "retentionS":60.0,"sticky":true,"resumable":false,"targetGapMs":300},
+  {"name":"r2","host":"a.example","pathPrefix":"/y/","type":"idempotent","timeoutMs":1200,
+   "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}],
+  "services":[{"name":"s1","healthPath":"/h","maxConnections":160,"protocol":"h1","tls":false,
+    "engine":{"slots":12,"kvCapacityTokens":490370,"tokensPerEvent":25}},
+   {"name":"s2","maxConnections":110}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+            "idleTimeoutMs":15000},"somethingNew":{"a":1}})";
+
+TEST(FormatsTest, ReadsTheWholeConfiguration) {
+  auto configuration = Formats().ReadConfiguration(kConfiguration);
+  ASSERT_TRUE(configuration.has_value());
+  EXPECT_EQ(configuration->version, 7U);
+  ASSERT_EQ(configuration->routes.size(), 2U);
+  const forwarding::Route& kept = configuration->routes[0];
+  EXPECT_EQ(kept.kind, forwarding::RouteKind::kStream);
+  EXPECT_TRUE(kept.keeps_turns);
+  EXPECT_EQ(kept.turn_retention, absl::Seconds(60));
+  EXPECT_EQ(kept.max_attempts, 2);
+  EXPECT_FALSE(kept.Repeatable());
+  const forwarding::Route& split = configuration->routes[1];
+  ASSERT_EQ(split.services.size(), 2U);
+  EXPECT_EQ(split.services[0].weight, 90U);
+  EXPECT_TRUE(split.Repeatable());
+  const auto* service = configuration->FindService(forwarding::ServiceName("s1"));
+  ASSERT_NE(service, nullptr);
+  EXPECT_EQ(service->engine->tokens_per_event, 25U);
+  EXPECT_EQ(configuration->limits.idle_timeout, absl::Seconds(15));
+}
+
+TEST(FormatsTest, RefusesWhatIsNoConfiguration) {
+  for (const char* text : {"", "{", "[]", "{\"version\":1}", "{\"version\":\"x\",\"routes\":[]}",
+                           "{\"version\":1,\"routes\":[{}],\"services\":[]}"}) {
+    EXPECT_FALSE(Formats().ReadConfiguration(text).has_value()) << text;
+  }
+}
+
+TEST(FormatsTest, ReadsRunnersAndTheirLeaving) {
+  Formats formats;
+  auto runner = formats.ReadRunner("servers/i-1",
+                                   R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":12,
+                         "state":"ready","sequence":4,"new":true})");
+  ASSERT_TRUE(runner.has_value());
+  EXPECT_EQ(runner->id.value, "i-1");
+  EXPECT_EQ(runner->endpoint.port, 80);
+  EXPECT_FALSE(runner->draining);
+  runner = formats.ReadRunner("servers/i-1",
+                              R"({"service":"s","address":"10.1.2.3:80","state":"draining"})");
+  EXPECT_TRUE(runner->draining);
+  EXPECT_FALSE(formats.ReadRunner("servers/i-1", R"({"service":"s"})").has_value());
+  EXPECT_FALSE(formats.ReadRunner("servers/", R"({"service":"s","address":"1.2.3.4:5"})"));
+  EXPECT_FALSE(formats.ReadRunner("servers/i-1", R"({"service":"s","address":"nowhere"})"));
+}
+
+constexpr char kSettings[] =
+    "nodeName=edge-1\nmachineClass=edge\nip=10.1.0.38\nzone=a\nzones.a=r\nzones.b=r\n"
+    "listen.frontend=10.1.0.38:8149\nlisten.readiness=10.1.0.38:8141\ninternalPorts=7380,7395\n"
+    "bootstrap=true\nlimits.memoryMb=220\nlimits.maxFds=4100\nfaultTolerance.machines=1\n"
+    "bounds.graceS=8\nplatform.address=10.200.1.7:8142\nsomething.new=1\nmetrics=9100/metrics\n";
+
+Result<std::string> FaultsOf(const std::string& text) {
+  return leaf::try_handle_some(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(ReadSettings(text));
+        return std::string();
+      },
+      [](const SettingsError& error) -> Result<std::string> { return error.detail; });
+}
+
+TEST(SettingsFileTest, ReadsWhatIsKnownAndPassesOverTheRest) {
+  roles::RoleSettings settings = ReadSettings(kSettings).value();
+  EXPECT_EQ(settings.node, "edge-1");
+  EXPECT_EQ(settings.frontend.port, 8149);
+  EXPECT_EQ(settings.internal_port, 7380);
+  EXPECT_EQ(settings.zones.size(), 2U);
+  EXPECT_TRUE(settings.first_start);
+  EXPECT_EQ(settings.metrics->port, 9100);
+  EXPECT_EQ(settings.stop_grace, absl::Seconds(8));
+}
+
+TEST(SettingsFileTest, NamesEveryFaultOnItsOwnLine) {
+  std::string text = kSettings;
+  text += "listen.frontend=nowhere\nlimits.maxFds=many\ninternalPorts=x\n";
+  std::string faults = FaultsOf(text).value();
+  EXPECT_NE(faults.find("listen.frontend"), std::string::npos);
+  EXPECT_NE(faults.find("limits.maxFds"), std::string::npos);
+  EXPECT_NE(faults.find("internalPorts"), std::string::npos);
+  EXPECT_EQ(std::count(faults.begin(), faults.end(), '\n'), 2);
+  EXPECT_NE(FaultsOf("").value().find("nodeName is missing"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace martenyard::platform
--- /dev/null
+++ b/tests/platform/gateway_contract_test.cc
@@ -0,0 +1,271 @@
+// The contract towards clients and runners, end to end over sockets: every way an attempt can end,
+// by kind of request, with the fault cases in tables.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "support/platform_world.h"
+
+namespace martenyard::testing {
+namespace {
+
+using emulator::RunnerBehavior;
+
+/// What a request must come to when runner `a` misbehaves once and runner `b` is sound.
+struct FaultCase {
+  const char* name;
+  const char* target;
+  RunnerBehavior behavior;
+  unsigned status;  ///< 0: broken, or no answer.
+  int runs_at_a;
+  int runs_at_b;
+  int deadline_ms = 4000;
+};
+
+class AttemptFaultTest : public ::testing::TestWithParam<FaultCase> {};
+
+TEST_P(AttemptFaultTest, EndsAsTheTableSays) {
+  const FaultCase& test = GetParam();
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({test.behavior, RunnerBehavior::kServe});
+  ClientRequest request;
+  request.target = test.target;
+  request.body = std::string(20000, 'b');  // Longer than what is sent in one piece.
+  request.deadline_ms = test.deadline_ms;
+  ClientAnswer answer = world.Ask(request);
+  EXPECT_EQ(answer.whole ? answer.status : 0U, test.status);
+  EXPECT_EQ(world.a().runs(), test.runs_at_a);
+  EXPECT_EQ(world.b().runs(), test.runs_at_b);
+  if (answer.whole && answer.status == 200) {
+    std::string body = "answer to attempt-1";
+    EXPECT_EQ(answer.body, body);
+    EXPECT_EQ(answer.headers["server-signature"], "sig-attempt-1");
+    EXPECT_EQ(answer.headers["attempt-id"], "attempt-1");
+  }
+  if (answer.status == 503) {
+    EXPECT_FALSE(answer.headers["retry-after"].empty());
+    EXPECT_EQ(test.runs_at_a + test.runs_at_b, 0) << "503 promises that nothing ran";
+  }
+  // The connections left behind serve the next request as if nothing had been.
+  request.id = "attempt-2";
+  request.deadline_ms = 4000;
+  answer = world.Ask(request);
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, "answer to attempt-2");
+}
+
+constexpr FaultCase kFaultCases[] = {
+    {"SafeServed", "/safe/1", RunnerBehavior::kServe, 200, 1, 0},
+    {"SafeUnframed", "/safe/1", RunnerBehavior::kServeUnframed, 200, 1, 0},
+    {"SafeSurplus", "/safe/1", RunnerBehavior::kServeThenSurplus, 200, 1, 0},
+    {"SafeForeignFirst", "/safe/1", RunnerBehavior::kForeignFirst, 200, 1, 0},
+    {"SafeShed", "/safe/1", RunnerBehavior::kShed, 200, 0, 1},
+    {"SafeWrongInstance", "/safe/1", RunnerBehavior::kWrongInstance, 200, 0, 1},
+    {"SafeFailure", "/safe/1", RunnerBehavior::kFail, 500, 1, 0},
+    {"SafeReset", "/safe/1", RunnerBehavior::kReset, 200, 1, 1},
+    {"SafeClose", "/safe/1", RunnerBehavior::kClose, 200, 1, 1},
+    {"SafeCut", "/safe/1", RunnerBehavior::kCutAnswer, 200, 1, 1},
+    {"SafeGarbage", "/safe/1", RunnerBehavior::kGarbage, 200, 1, 1},
+    {"SafeNoId", "/safe/1", RunnerBehavior::kNoId, 200, 1, 1},
+    {"SafeResetUnframed", "/safe/1", RunnerBehavior::kResetUnframed, 200, 1, 1},
+    {"SafeHang", "/safe/1", RunnerBehavior::kHang, 200, 1, 1},
+    {"SafeEarly", "/safe/1", RunnerBehavior::kEarly, 200, 0, 1},
+    {"UnsafeServed", "/unsafe/1", RunnerBehavior::kServe, 200, 1, 0},
+    {"UnsafeForeignFirst", "/unsafe/1", RunnerBehavior::kForeignFirst, 200, 1, 0},
+    {"UnsafeShed", "/unsafe/1", RunnerBehavior::kShed, 200, 0, 1},
+    {"UnsafeWrongInstance", "/unsafe/1", RunnerBehavior::kWrongInstance, 200, 0, 1},
+    {"UnsafeEarly", "/unsafe/1", RunnerBehavior::kEarly, 200, 0, 1},
+    {"UnsafeFailure", "/unsafe/1", RunnerBehavior::kFail, 500, 1, 0},
+    {"UnsafeReset", "/unsafe/1", RunnerBehavior::kReset, 502, 1, 0},
+    {"UnsafeClose", "/unsafe/1", RunnerBehavior::kClose, 502, 1, 0},
+    {"UnsafeCut", "/unsafe/1", RunnerBehavior::kCutAnswer, 502, 1, 0},
+    {"UnsafeGarbage", "/unsafe/1", RunnerBehavior::kGarbage, 502, 1, 0},
+    {"UnsafeNoId", "/unsafe/1", RunnerBehavior::kNoId, 502, 1, 0},
+    {"UnsafeResetUnframed", "/unsafe/1", RunnerBehavior::kResetUnframed, 502, 1, 0},
+    {"UnsafeHang", "/unsafe/1", RunnerBehavior::kHang, 504, 1, 0, 300},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, AttemptFaultTest, ::testing::ValuesIn(kFaultCases),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+std::string Events(int first, int last) {
+  std::string text;
+  for (int number = first; number <= last; ++number) {
+    absl::StrAppend(&text, "id: ", number, "\ndata: event-", number, "\n\n");
+  }
+  return text;
+}
+
+TEST(StreamContractTest, BrokenResumableStreamGoesOnWithoutGapOrDouble) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kBreakMidEvent});
+  ClientRequest request;
+  request.target = "/stream/1";
+  ClientAnswer answer = world.Ask(request);
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Events(1, 4));
+  ASSERT_EQ(world.b().seen().size(), 1U);
+  EXPECT_EQ(world.b().seen()[0].headers.at("last-event-id"), "2");
+}
+
+TEST(StreamContractTest, BrokenStreamThatCannotGoOnNeverLooksComplete) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kBreakMidEvent});
+  ClientRequest request;
+  request.target = "/streamkept/1";
+  ClientAnswer answer = world.Ask(request);
+  EXPECT_TRUE(answer.got_head);
+  EXPECT_FALSE(answer.whole);
+  EXPECT_EQ(world.b().runs(), 0);
+}
+
+TEST(StreamContractTest, ClientThatLeavesEndsTheRunAtOnce) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kHang});
+  ClientRequest request;
+  request.target = "/streamkept/1";
+  world.AskAndLeave(request, [&] { return world.a().runs() == 1; });
+  EXPECT_TRUE(world.RunUntil([&] { return world.a().abandoned() == 1; }));
+}
+
+TEST(TurnContractTest, RunnerGetsTheWholeChainAndUnknownTurnsAre404) {
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request;
+  request.target = "/streamkept/1";
+  request.body = "first|";
+  request.headers = {"Program-Id: p", "Token-Budget: 100000", "Token-Usage: 10,200"};
+  ASSERT_TRUE(world.Ask(request).whole);
+  std::string said = "event-1\nevent-2\nevent-3\nevent-4\n";
+  request.id = "attempt-2";
+  request.body = "second|";
+  request.headers.push_back("Previous-Turn: attempt-1");
+  ASSERT_TRUE(world.Ask(request).whole);
+  EXPECT_EQ(world.a().seen().back().body, "first|" + said + "second|");
+
+  // A gateway that forgot everything gets the chain from the ledger.
+  world.gateway().state().turns = forwarding::TurnCache(0);
+  request.id = "attempt-3";
+  request.body = "third|";
+  request.headers.back() = "Previous-Turn: attempt-2";
+  ASSERT_TRUE(world.Ask(request).whole);
+  EXPECT_EQ(world.a().seen().back().body, "first|" + said + "second|" + said + "third|");
+
+  request.id = "attempt-4";
+  request.headers.back() = "Previous-Turn: nobody";
+  EXPECT_EQ(world.Ask(request).status, 404U);
+}
+
+TEST(TurnContractTest, BudgetIsNeverExceededAnd402MeansNotRun) {
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request;
+  request.target = "/stream/1";
+  request.headers = {"Program-Id: p", "Token-Budget: 250", "Token-Usage: 10,100"};
+  int served = 0;
+  unsigned last = 0;
+  for (int turn = 0; turn < 5; ++turn) {
+    request.id = absl::StrCat("turn-", turn);
+    last = world.Ask(request).status;
+    served += last == 200 ? 1 : 0;
+  }
+  EXPECT_EQ(served, 2) << "each turn makes 4 events of 25 tokens";
+  EXPECT_EQ(last, 402U);
+  EXPECT_EQ(world.a().runs() + world.b().runs(), 2);
+}
+
+TEST(TurnContractTest, WithoutTheLedgerATurnIsRefusedAndOtherRequestsAreServed) {
+  PlatformWorld world;
+  world.Start();
+  world.gateway().state().ledger->SetReplicas({});
+  world.gateway().state().ledger->OnDead({"127.0.0.1", 1});
+  ClientRequest request;
+  request.target = "/stream/1";
+  request.headers = {"Program-Id: p", "Token-Budget: 250", "Token-Usage: 10,100"};
+  ClientAnswer answer = world.Ask(request);
+  EXPECT_EQ(answer.status, 503U);
+  EXPECT_FALSE(answer.headers["retry-after"].empty());
+  EXPECT_EQ(world.a().runs() + world.b().runs(), 0);
+  request.target = "/safe/1";
+  request.headers.clear();
+  EXPECT_EQ(world.Ask(request).status, 200U);
+}
+
+TEST(ConfigurationContractTest, AppliesNewVersionsAndNeverAnOlderOne) {
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request;
+  request.target = "/nowhere/1";
+  EXPECT_EQ(world.Ask(request).status, 404U);
+  auto version = [&] { return world.gateway().state().routes->configuration().version; };
+  world.store().Put("op/config", StandardConfiguration(5));
+  ASSERT_TRUE(world.RunUntil([&] { return version() == 5; }));
+  world.store().Put("op/config", StandardConfiguration(4));
+  world.store().Put("op/config", "{broken");
+  world.store().Put("op/config", StandardConfiguration(6));
+  ASSERT_TRUE(world.RunUntil([&] { return version() != 5; }));
+  EXPECT_EQ(version(), 6U);
+}
+
+TEST(ConfigurationContractTest, UnknownRouteIsNo404WhileTheStoreIsLost) {
+  PlatformWorld world;
+  world.Start();
+  world.store().faults().down = true;
+  world.store().Compact();  // Ends the watches under way.
+  ASSERT_TRUE(world.RunUntil([&] { return !world.gateway().state().store_reachable; }));
+  ClientRequest request;
+  request.target = "/nowhere/1";
+  EXPECT_EQ(world.Ask(request).status, 503U) << "a newer configuration may have it";
+  request.target = "/safe/1";
+  EXPECT_EQ(world.Ask(request).status, 200U) << "what was known goes on";
+}
+
+TEST(RunnerContractTest, DrainingRunnerGetsNoNewWork) {
+  PlatformWorld world;
+  world.Start();
+  world.ListRunner(world.a(), "near", "draining");
+  discovery::RunnerId near("i-near");
+  ASSERT_TRUE(
+      world.RunUntil([&] { return world.gateway().state().runners.Find(near)->Leaving(); }));
+  ClientRequest request;
+  EXPECT_EQ(world.Ask(request).status, 200U);
+  EXPECT_EQ(world.a().seen().size(), 0U);
+}
+
+TEST(RunnerContractTest, RequestPassesUnalteredButForTheHopsOwnHeaders) {
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request;
+  request.target = "/safe/1?q=%20x&y";
+  request.body = "body";
+  request.headers = {"X-Other: kept", "Connection: X-Hop", "X-Hop: dropped",
+                     "Target-Instance: forged"};
+  EXPECT_EQ(world.Ask(request).status, 200U);
+  const emulator::SeenRequest& seen = world.a().seen().back();
+  EXPECT_EQ(seen.target, request.target);
+  EXPECT_EQ(seen.body, "body");
+  EXPECT_EQ(seen.headers.at("x-other"), "kept");
+  EXPECT_EQ(seen.headers.count("x-hop"), 0U);
+  EXPECT_EQ(seen.headers.at("target-instance"), "i-near");
+  EXPECT_EQ(seen.headers.at("attempt-id"), "attempt-1");
+  EXPECT_LE(std::stoi(seen.headers.at("deadline-ms")), request.deadline_ms);
+}
+
+TEST(StopContractTest, StoppingGatewayIsNotReadyAndFinishesWhatItHas) {
+  PlatformWorld world;
+  world.Start();
+  EXPECT_TRUE(world.Ready());
+  world.gateway().RequestStop();
+  EXPECT_FALSE(world.Ready());
+  ClientAnswer answer = world.Ask({});
+  EXPECT_EQ(answer.status, 200U);
+  EXPECT_EQ(answer.headers["connection"], "close");
+}
+
+}  // namespace
+}  // namespace martenyard::testing
--- /dev/null
+++ b/tests/store/prefix_mirror_test.cc
@@ -0,0 +1,106 @@
+// The mirror over the real store client and the stand-in of the platform's store, with its faults.
+#include "store/prefix_mirror.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "base/clock.h"
+#include "emulator/platform/store_stand_in.h"
+#include "platform/store_client.h"
+#include "wire/event_loop.h"
+
+namespace martenyard::store {
+namespace {
+
+constexpr absl::Duration kPatience = absl::Seconds(20);
+
+class PrefixMirrorTest : public ::testing::Test {
+ protected:
+  PrefixMirrorTest() : stand_in_(loop_.context()) {
+    stand_in_.Listen(0);
+    client_ = std::make_unique<platform::StoreClient>(
+        loop_.context(), wire::Endpoint{"127.0.0.1", stand_in_.port()});
+    mirror_ = std::make_unique<PrefixMirror>(
+        loop_.context(), *client_, "p/",
+        [this](const StoreChange& change) { changes_.push_back(change); },
+        [this](bool reachable, StoreStatus) { reachable_ = reachable; });
+  }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    for (absl::Time end = SteadyNow() + kPatience; SteadyNow() < end;) {
+      if (condition()) {
+        return true;
+      }
+      loop_.RunRound(absl::Milliseconds(10));
+    }
+    return condition();
+  }
+  bool Holds(const std::string& key, const std::string& value) {
+    auto found = mirror_->items().find(key);
+    return found != mirror_->items().end() && found->second.value == value;
+  }
+
+  wire::EventLoop loop_;
+  emulator::StoreStandIn stand_in_;
+  std::unique_ptr<platform::StoreClient> client_;
+  std::unique_ptr<PrefixMirror> mirror_;
+  std::vector<StoreChange> changes_;
+  bool reachable_ = false;
+};
+
+TEST_F(PrefixMirrorTest, ReadsAllPagesAndFollowsChanges) {
+  for (int number = 0; number < 120; ++number) {
+    stand_in_.Put("p/" + std::to_string(number), "v");
+  }
+  stand_in_.Put("other/1", "v");
+  mirror_->Start();
+  ASSERT_TRUE(RunUntil([&] { return mirror_->complete(); }));
+  EXPECT_EQ(mirror_->items().size(), 120U);
+  stand_in_.Put("p/7", "changed");
+  stand_in_.Remove("p/8");
+  EXPECT_TRUE(
+      RunUntil([&] { return Holds("p/7", "changed") && !mirror_->items().contains("p/8"); }));
+}
+
+TEST_F(PrefixMirrorTest, ForgottenHistoryIsReadAnewAndWhatIsMissingIsGone) {
+  stand_in_.Put("p/a", "1");
+  stand_in_.Put("p/b", "1");
+  mirror_->Start();
+  ASSERT_TRUE(RunUntil([&] { return mirror_->items().size() == 2; }));
+  stand_in_.faults().down = true;
+  ASSERT_TRUE(RunUntil([&] { return !reachable_; }));
+  stand_in_.Put("p/a", "2");
+  stand_in_.Remove("p/b");
+  stand_in_.Compact();
+  EXPECT_EQ(mirror_->items().size(), 2U) << "silence is no removal";
+  stand_in_.faults().down = false;
+  EXPECT_TRUE(RunUntil([&] { return Holds("p/a", "2") && mirror_->items().size() == 1; }));
+}
+
+TEST_F(PrefixMirrorTest, EveryFaultEndsAndTheLatestValueArrives) {
+  struct FaultCase {
+    const char* name;
+    bool emulator::StoreFaults::*fault;
+  };
+  constexpr FaultCase kFaults[] = {{"down", &emulator::StoreFaults::down},
+                                   {"throttle", &emulator::StoreFaults::throttle},
+                                   {"garble", &emulator::StoreFaults::garble},
+                                   {"lose answers", &emulator::StoreFaults::lose_answers}};
+  stand_in_.Put("p/a", "0");
+  mirror_->Start();
+  ASSERT_TRUE(RunUntil([&] { return Holds("p/a", "0"); }));
+  int version = 0;
+  for (const FaultCase& test : kFaults) {
+    stand_in_.faults().*test.fault = true;
+    std::string value = std::to_string(++version);
+    std::uint64_t calls = stand_in_.calls();
+    stand_in_.Put("p/a", value);
+    RunUntil([&] { return stand_in_.calls() > calls + 1; });
+    stand_in_.faults().*test.fault = false;
+    EXPECT_TRUE(RunUntil([&] { return Holds("p/a", value); })) << test.name;
+  }
+}
+
+}  // namespace
+}  // namespace martenyard::store
--- /dev/null
+++ b/tests/support/platform_world.h
@@ -0,0 +1,81 @@
+// The platform's roles in one process against the platform's stand-ins, for contract tests.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "emulator/platform/runner_stand_in.h"
+#include "emulator/platform/store_stand_in.h"
+#include "event_log/event_log.h"
+#include "platform/formats.h"
+#include "platform/store_client.h"
+#include "roles/gateway_role.h"
+#include "roles/ledger_role.h"
+#include "wire/event_loop.h"
+
+namespace martenyard::testing {
+
+/// What a client got.
+struct ClientAnswer {
+  bool whole = false;  ///< The answer ended properly.
+  bool got_head = false;
+  unsigned status = 0;
+  std::string body;
+  std::map<std::string, std::string> headers;  ///< Names in lower case.
+};
+
+/// A client's request.
+struct ClientRequest {
+  std::string method = "POST";
+  std::string target = "/safe/1";
+  std::string id = "attempt-1";
+  std::string body;
+  std::vector<std::string> headers;  ///< Whole lines.
+  int deadline_ms = 4000;
+};
+
+/// One gateway, one ledger replica, a store, and runners `a` (near) and `b` (far).
+class PlatformWorld {
+ public:
+  PlatformWorld();
+  ~PlatformWorld();
+
+  /// Puts the standard configuration in force and waits until the gateway serves.
+  void Start();
+  bool RunUntil(const std::function<bool()>& condition);
+  ClientAnswer Ask(const ClientRequest& request);
+  /// Sends a request and leaves as soon as `condition` holds.
+  void AskAndLeave(const ClientRequest& request, const std::function<bool()>& condition);
+  bool Ready();
+  void ListRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
+                  const std::string& state = "ready");
+
+  emulator::StoreStandIn& store() { return store_; }
+  emulator::RunnerStandIn& a() { return near_; }
+  emulator::RunnerStandIn& b() { return far_; }
+  roles::GatewayRole& gateway() { return *gateway_; }
+  roles::LedgerRole& ledger() { return *ledger_; }
+  wire::EventLoop& loop() { return loop_; }
+
+ private:
+  wire::EventLoop loop_;
+  emulator::StoreStandIn store_;
+  emulator::RunnerStandIn near_;
+  emulator::RunnerStandIn far_;
+  platform::Formats formats_;
+  int log_file_ = -1;
+  std::unique_ptr<event_log::EventLog> log_;
+  std::unique_ptr<platform::StoreClient> client_;
+  std::unique_ptr<roles::LedgerRole> ledger_;
+  std::unique_ptr<roles::GatewayRole> gateway_;
+  std::uint16_t readiness_port_ = 0;
+};
+
+/// The standard configuration's document.
+std::string StandardConfiguration(int version);
+
+}  // namespace martenyard::testing
--- /dev/null
+++ b/tests/turn_ledger/ledger_cluster_test.cc
@@ -0,0 +1,406 @@
+// Whole groups of ledger replicas in virtual time, over a network and disks with faults: what was
+// acknowledged is never lost, and no budget is granted twice.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/random.h"
+#include "storage/log_store.h"
+#include "turn_ledger/turn_replica.h"
+
+namespace martenyard::turn_ledger {
+namespace {
+
+const wire::Endpoint kGateway{"10.0.0.99", 1};
+constexpr std::uint32_t kRetention = 600000;
+
+ReplicaOptions Options() {
+  ReplicaOptions options;
+  options.raft.heartbeat_interval = absl::Milliseconds(60);
+  options.raft.election_timeout = absl::Milliseconds(220);
+  options.snapshot_log_bytes = 4000;  // Small: snapshots are part of every history.
+  return options;
+}
+
+/// Storage machines by number; each has one disk at a time.
+class LedgerCluster {
+ public:
+  LedgerCluster(std::size_t machines, std::uint64_t seed) : random_(seed) {
+    consensus::Configuration founders;
+    for (std::size_t number = 0; number < machines; ++number) {
+      disks_.push_back({NodeId(random_.NextId()), {}});
+      if (number < 3) {
+        founders.voters.push_back(disks_[number].identity);
+      }
+    }
+    replicas_.resize(machines);
+    for (std::size_t number = 0; number < machines; ++number) {
+      if (number < 3) {
+        disks_[number].group = storage::StoredGroup{};
+        disks_[number].group->snapshot.configuration = founders;
+      }
+      Start(number);
+    }
+  }
+
+  void Start(std::size_t number) {
+    Disk& disk = disks_[number];
+    up_.insert(number);
+    replicas_[number].reset();
+    if (disk.group) {
+      Open(number, {disk.group->hard_state, disk.group->snapshot, disk.group->entries});
+    }
+  }
+  void Kill(std::size_t number) {
+    replicas_[number].reset();
+    up_.erase(number);
+  }
+  /// The disk is lost: the machine comes back under a new identity.
+  void Wipe(std::size_t number) {
+    Kill(number);
+    disks_[number] = {NodeId(random_.NextId()), {}};
+    Start(number);
+  }
+  void Cut(std::size_t number) { cut_.insert(number); }
+  void Heal() { cut_.clear(); }
+  bool IsUp(std::size_t number) const { return up_.contains(number); }
+  std::size_t size() const { return disks_.size(); }
+  void SetRetiring(const std::vector<std::string>& names) { retiring_ = names; }
+  double drop = 0.0;
+
+  void Run(absl::Duration time) {
+    for (absl::Time end = now_ + time; now_ < end; now_ += absl::Milliseconds(5)) {
+      for (std::size_t number = 0; number < size(); ++number) {
+        if (replicas_[number]) {
+          replicas_[number]->SetRetiring(retiring_);
+          replicas_[number]->Tick(now_);
+          Pump(number);
+        }
+      }
+      SayHello();
+      Deliver();
+    }
+  }
+
+  /// Sends `operation` to the leader until it is acknowledged. @return nothing if it never is.
+  std::optional<OperationResult> Do(const Operation& operation, absl::Duration patience) {
+    std::uint64_t request = ++last_request_;
+    absl::Time end = now_ + patience;
+    while (now_ < end) {
+      for (std::size_t number = 0; number < size(); ++number) {
+        if (replicas_[number] && !cut_.contains(number)) {
+          replicas_[number]->OnRequest(now_, kGateway, {request, operation});
+          Pump(number);
+        }
+      }
+      Run(absl::Milliseconds(30));
+      auto found = replies_.find(request);
+      if (found != replies_.end()) {
+        return found->second;
+      }
+    }
+    return std::nullopt;
+  }
+
+  TurnReplica* Leader() {
+    for (auto& replica : replicas_) {
+      if (replica && replica->LeadsCurrent()) {
+        return replica.get();
+      }
+    }
+    return nullptr;
+  }
+  /// True when a leader's committed group is three present, reachable disks.
+  bool IsWhole() {
+    TurnReplica* leader = Leader();
+    if (leader == nullptr || !leader->raft().ConfigurationIsCommitted() ||
+        leader->raft().configuration().voters.size() != 3) {
+      return false;
+    }
+    for (NodeId voter : leader->raft().configuration().voters) {
+      std::optional<std::size_t> holder = Find(voter);
+      bool caught_up = leader->raft().MatchIndex(voter) + 5 >= leader->raft().commit_index();
+      if (!holder || !IsUp(*holder) || cut_.contains(*holder) || !caught_up) {
+        return false;
+      }
+    }
+    return true;
+  }
+  std::string NameOf(std::size_t number) const { return "m" + std::to_string(number); }
+  absl::Time now() const { return now_; }
+
+ private:
+  struct Disk {
+    NodeId identity;
+    std::optional<storage::StoredGroup> group;
+  };
+  struct InFlight {
+    std::size_t from;
+    NodeId to;
+    consensus::RaftMessage message;
+  };
+
+  Machine MachineOf(std::size_t number) const {
+    Machine machine;
+    machine.name = NameOf(number);
+    machine.identity = disks_[number].identity;
+    machine.endpoint = {"10.0.0." + std::to_string(number), 1};
+    machine.zone = ZoneName("z" + std::to_string(number % 3));
+    return machine;
+  }
+
+  void Open(std::size_t number, consensus::RestoredState restored) {
+    replicas_[number] = std::make_unique<TurnReplica>(MachineOf(number), Options(),
+                                                      std::move(restored), random_.NextId(), now_);
+  }
+
+  std::optional<std::size_t> Find(NodeId identity) const {
+    for (std::size_t number = 0; number < disks_.size(); ++number) {
+      if (disks_[number].identity == identity) {
+        return number;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Pump(std::size_t number) {
+    TurnReplica& replica = *replicas_[number];
+    while (replica.HasWork()) {
+      consensus::Ready ready = replica.TakeReady();
+      storage::GroupWrite write;
+      write.hard_state = ready.hard_state;
+      write.snapshot = ready.snapshot_to_install;
+      write.snapshot_replaces_log = ready.snapshot_to_install.has_value();
+      write.entries = ready.entries_to_store;
+      Store(number, write);
+      for (auto* list : {&ready.messages_before_store, &ready.messages_after_store}) {
+        for (consensus::Outbound& outbound : *list) {
+          wire_.push_back({number, outbound.to, std::move(outbound.message)});
+        }
+      }
+      if (auto snapshot = replica.Apply(ready)) {
+        storage::GroupWrite compaction;
+        compaction.snapshot = std::move(*snapshot);
+        Store(number, compaction);
+      }
+      for (ReplyTo& reply : replica.TakeReplies()) {
+        if (reply.reply.status == ReplyStatus::kDone && !cut_.contains(number)) {
+          replies_[reply.reply.request] = reply.reply.result;
+        }
+      }
+    }
+  }
+
+  void Store(std::size_t number, const storage::GroupWrite& write) {
+    if (!disks_[number].group) {
+      disks_[number].group = storage::StoredGroup{};
+    }
+    storage::ApplyWrite(write, *disks_[number].group);
+  }
+
+  void SayHello() {
+    for (std::size_t from = 0; from < size(); ++from) {
+      for (std::size_t to = 0; to < size(); ++to) {
+        bool open =
+            from != to && IsUp(from) && replicas_[to] && !cut_.contains(from) && !cut_.contains(to);
+        if (open) {
+          replicas_[to]->OnMachine(now_, MachineOf(from));
+        }
+      }
+    }
+  }
+
+  void Deliver() {
+    auto arriving = std::exchange(wire_, {});
+    for (InFlight& sent : arriving) {
+      std::optional<std::size_t> to = Find(sent.to);
+      bool lost = !to || !IsUp(*to) || cut_.contains(*to) || cut_.contains(sent.from) ||
+                  random_.Uniform() < drop;
+      if (lost) {
+        continue;
+      }
+      if (!replicas_[*to]) {
+        Open(*to, {});
+      }
+      replicas_[*to]->OnLogMessage(now_, disks_[sent.from].identity, sent.message);
+      Pump(*to);
+    }
+  }
+
+  Random random_;
+  absl::Time now_ = absl::FromUnixSeconds(1000);
+  std::vector<Disk> disks_;
+  std::vector<std::unique_ptr<TurnReplica>> replicas_;
+  std::set<std::size_t> up_;
+  std::set<std::size_t> cut_;
+  std::vector<std::string> retiring_;
+  std::deque<InFlight> wire_;
+  std::map<std::uint64_t, OperationResult> replies_;
+  std::uint64_t last_request_ = 0;
+};
+
+Operation Keep(const std::string& turn, const std::string& text) {
+  SettleTurn settle;
+  settle.program = ProgramId("p");
+  settle.turn = TurnId(turn);
+  settle.retention_ms = kRetention;
+  settle.completed = CompletedTurn{std::nullopt, text, ""};
+  return settle;
+}
+
+Operation GoOnFrom(const std::string& turn, const std::string& previous) {
+  ReserveTurn reserve;
+  reserve.program = ProgramId("q");
+  reserve.turn = TurnId(turn);
+  reserve.tokens = 1;
+  reserve.previous = TurnId(previous);
+  reserve.retention_ms = kRetention;
+  return reserve;
+}
+
+bool WaitUntilWhole(LedgerCluster& cluster, absl::Duration patience) {
+  for (absl::Time end = cluster.now() + patience; cluster.now() < end;) {
+    if (cluster.IsWhole()) {
+      return true;
+    }
+    cluster.Run(absl::Milliseconds(50));
+  }
+  return cluster.IsWhole();
+}
+
+TEST(LedgerClusterTest, EveryDiskIsLostInTurnAndNothingKeptIsGone) {
+  LedgerCluster cluster(3, 1);
+  ASSERT_TRUE(WaitUntilWhole(cluster, absl::Seconds(5)));
+  for (int round = 0; round < 9; ++round) {
+    std::string turn = "t" + std::to_string(round);
+    ASSERT_TRUE(cluster.Do(Keep(turn, "said " + turn), absl::Seconds(5)).has_value());
+    cluster.Wipe(static_cast<std::size_t>(round % 3));
+    ASSERT_TRUE(WaitUntilWhole(cluster, absl::Seconds(4))) << "round " << round;
+  }
+  for (int round = 0; round < 9; ++round) {
+    std::string turn = "t" + std::to_string(round);
+    auto result = cluster.Do(GoOnFrom("after " + turn, turn), absl::Seconds(5));
+    ASSERT_TRUE(result.has_value());
+    EXPECT_EQ(result->history, "said " + turn);
+  }
+}
+
+TEST(LedgerClusterTest, MinorityThatMissedChangesAndAnEmptyDiskDoNotMakeAGroup) {
+  LedgerCluster cluster(3, 2);
+  ASSERT_TRUE(WaitUntilWhole(cluster, absl::Seconds(5)));
+  cluster.Cut(0);
+  cluster.Run(absl::Seconds(1));
+  ASSERT_TRUE(cluster.Do(Keep("late", "x"), absl::Seconds(5)).has_value());
+  cluster.Kill(1);  // Dark, with its disk.
+  cluster.Wipe(2);
+  cluster.Heal();
+  cluster.Run(absl::Seconds(5));
+  EXPECT_EQ(cluster.Leader(), nullptr) << "0 is behind and 2 is empty: they must wait for 1";
+  cluster.Start(1);
+  ASSERT_TRUE(WaitUntilWhole(cluster, absl::Seconds(6)));
+  auto result = cluster.Do(GoOnFrom("next", "late"), absl::Seconds(5));
+  ASSERT_TRUE(result.has_value());
+  EXPECT_EQ(result->history, "x");
+}
+
+TEST(LedgerClusterTest, AllProcessesKilledAtOnceServeAgainSoon) {
+  LedgerCluster cluster(3, 3);
+  ASSERT_TRUE(WaitUntilWhole(cluster, absl::Seconds(5)));
+  ASSERT_TRUE(cluster.Do(Keep("t", "x"), absl::Seconds(5)).has_value());
+  for (std::size_t number = 0; number < 3; ++number) {
+    cluster.Kill(number);
+  }
+  for (std::size_t number = 0; number < 3; ++number) {
+    cluster.Start(number);
+  }
+  EXPECT_TRUE(cluster.Do(GoOnFrom("next", "t"), absl::Seconds(1)).has_value());
+}
+
+TEST(LedgerClusterTest, EmptiedMachineIsReplacedByTheSpareAndMayThenGo) {
+  LedgerCluster cluster(4, 4);
+  ASSERT_TRUE(WaitUntilWhole(cluster, absl::Seconds(5)));
+  ASSERT_TRUE(cluster.Do(Keep("t", "x"), absl::Seconds(5)).has_value());
+  cluster.SetRetiring({cluster.NameOf(1)});
+  bool may_go = false;
+  for (int step = 0; step < 100 && !may_go; ++step) {
+    cluster.Run(absl::Milliseconds(50));
+    may_go = cluster.Leader() != nullptr && cluster.Leader()->MayTakeAway(cluster.NameOf(1));
+  }
+  ASSERT_TRUE(may_go);
+  cluster.Kill(1);
+  cluster.Wipe(2);  // Right after: the rest must hold everything.
+  ASSERT_TRUE(WaitUntilWhole(cluster, absl::Seconds(5)));
+  EXPECT_EQ(cluster.Do(GoOnFrom("next", "t"), absl::Seconds(5))->history, "x");
+}
+
+RC_GTEST_PROP(LedgerClusterPropertyTest, AcknowledgedTurnsAndBudgetsSurviveAnyHistory, ()) {
+  constexpr std::uint64_t kBudget = 200;
+  auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  auto machines = *rc::gen::inRange<std::size_t>(3, 5);
+  LedgerCluster cluster(machines, seed);
+  cluster.drop = 0.01 * *rc::gen::inRange(0, 4);
+  std::set<std::string> kept;
+  std::uint64_t granted = 0;
+  auto steps = *rc::gen::inRange(4, 14);
+  for (int step = 0; step < steps; ++step) {
+    auto number = *rc::gen::inRange<std::size_t>(0, machines);
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        // One disk at a time, as the deployment says: the next only when all are whole again.
+        if (WaitUntilWhole(cluster, absl::Seconds(8))) {
+          cluster.Wipe(number);
+        }
+        break;
+      case 1:
+        cluster.Kill(number);
+        break;
+      case 2:
+        cluster.Cut(number);
+        break;
+      case 3:
+        for (std::size_t each = 0; each < machines; ++each) {
+          cluster.Kill(each);
+          cluster.Start(each);
+        }
+        break;
+      default:
+        break;
+    }
+    std::string turn = "t" + std::to_string(step);
+    if (cluster.Do(Keep(turn, turn), absl::Milliseconds(400))) {
+      kept.insert(turn);
+    }
+    ReserveTurn reserve;
+    reserve.program = ProgramId("budgeted");
+    reserve.turn = TurnId("b" + std::to_string(step));
+    reserve.tokens = 60;
+    reserve.budget = kBudget;
+    reserve.retention_ms = kRetention;
+    auto result = cluster.Do(reserve, absl::Milliseconds(400));
+    granted += result && result->verdict == Verdict::kDone ? reserve.tokens : 0;
+    RC_ASSERT(granted <= kBudget);
+    cluster.Heal();
+    for (std::size_t each = 0; each < machines; ++each) {
+      if (!cluster.IsUp(each)) {
+        cluster.Start(each);
+      }
+    }
+    cluster.Run(absl::Milliseconds(*rc::gen::inRange(0, 600)));
+  }
+  cluster.drop = 0.0;
+  RC_ASSERT(WaitUntilWhole(cluster, absl::Seconds(10)));
+  for (const std::string& turn : kept) {
+    auto result = cluster.Do(GoOnFrom("after " + turn, turn), absl::Seconds(5));
+    RC_ASSERT(result.has_value());
+    RC_ASSERT(result->history == turn);
+  }
+}
+
+}  // namespace
+}  // namespace martenyard::turn_ledger
