--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -1,7 +1,8 @@
 // Key layout (big-endian numbers, so that RocksDB's order is the log's):
 //   "identity"                       -> NodeId
 //   'h' group                        -> HardState
-//   's' group                        -> Snapshot
+//   's' group                        -> SnapshotRecord: a snapshot without its data
+//   'p' group generation part        -> one part of the snapshot's data
 //   'e' group index                  -> Entry
 //   'x' group                        -> "" (this node left the group)
 #include <rocksdb/db.h>
@@ -22,7 +23,21 @@
 
 constexpr char kIdentityKey[] = "identity";
 constexpr std::size_t kChecksumBytes = 8;
-constexpr std::size_t kWriteBufferBytes = std::size_t{8} << 20;
+constexpr std::size_t kWriteBufferBytes = std::size_t{4} << 20;
+/// A snapshot is written in parts of this size: whole, it would stand in memory several times.
+constexpr std::size_t kPartBytes = std::size_t{256} << 10;
+
+/// A snapshot's place in the store. Its parts count only once this record names their generation.
+struct SnapshotRecord {
+  consensus::Snapshot snapshot;  ///< Without its data.
+  std::uint64_t generation = 0;
+  std::uint64_t parts = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(snapshot, generation, parts);
+  }
+};
 
 std::string BigEndian(std::uint64_t value, int bytes) {
   std::string text;
@@ -48,6 +63,10 @@
   return GroupKey('e', group) + BigEndian(index, 8);
 }
 
+std::string PartKey(GroupId group, std::uint64_t generation, std::uint64_t part) {
+  return GroupKey('p', group) + BigEndian(generation, 8) + BigEndian(part, 8);
+}
+
 /// A value with a checksum in front, so that damage is found here and not served.
 template <typename Value>
 std::string Seal(const Value& value) {
@@ -87,7 +106,10 @@
     if (!cursor->status().ok()) {
       return Damaged("data folder " + folder_ + ": " + cursor->status().ToString());
     }
-    for (const auto& [group, stored] : node.groups) {
+    for (auto& [group, stored] : node.groups) {
+      if (!LoadSnapshotParts(group, stored)) {
+        return Damaged("data folder " + folder_ + " lacks a snapshot's part");
+      }
       if (!LogIsContiguous(stored)) {
         return Damaged("data folder " + folder_ + " lacks entries of group " +
                        std::to_string(group.value));
@@ -115,6 +137,9 @@
   Result<void> Write(const std::vector<GroupWrite>& writes) override {
     rocksdb::WriteBatch batch;
     for (const GroupWrite& write : writes) {
+      if (write.snapshot) {
+        BOOST_LEAF_CHECK(WriteSnapshotParts(write.group, write.snapshot->data));
+      }
       AddToBatch(write, batch);
     }
     return Commit(batch);
@@ -134,7 +159,42 @@
     return true;
   }
 
-  static bool LoadRecord(const std::string& key, const std::string& value, StoredNode& node) {
+  /// Writes the data under a new generation, which nothing names yet: a crash leaves it unread.
+  Result<void> WriteSnapshotParts(GroupId group, const std::string& data) {
+    SnapshotRecord& present = snapshots_[group];
+    ++present.generation;
+    std::uint64_t part = 0;
+    for (std::size_t at = 0; at < data.size(); at += kPartBytes) {
+      std::string key = PartKey(group, present.generation, part++);
+      rocksdb::Status status =
+          db_->Put(rocksdb::WriteOptions(), key, Seal(data.substr(at, kPartBytes)));
+      if (!status.ok()) {
+        return leaf::new_error(StorageError{StorageError::Code::kWriteFailed,
+                                            "data folder " + folder_ + ": " + status.ToString()});
+      }
+    }
+    present.parts = part;
+    return {};
+  }
+
+  bool LoadSnapshotParts(GroupId group, StoredGroup& stored) {
+    const SnapshotRecord& record = snapshots_[group];
+    for (std::uint64_t part = 0; part < record.parts; ++part) {
+      std::string sealed;
+      std::string key = PartKey(group, record.generation, part);
+      if (!db_->Get(rocksdb::ReadOptions(), key, &sealed).ok()) {
+        return false;
+      }
+      std::optional<std::string> data = Unseal<std::string>(sealed);
+      if (!data) {
+        return false;
+      }
+      stored.snapshot.data += *data;
+    }
+    return true;
+  }
+
+  bool LoadRecord(const std::string& key, const std::string& value, StoredNode& node) {
     if (key == kIdentityKey) {
       auto identity = Unseal<NodeId>(value);
       node.identity = identity.value_or(kNoNode);
@@ -149,10 +209,13 @@
         return state.has_value();
       }
       case 's': {
-        auto snapshot = Unseal<consensus::Snapshot>(value);
-        stored.snapshot = snapshot.value_or(consensus::Snapshot{});
-        return snapshot.has_value();
+        auto record = Unseal<SnapshotRecord>(value);
+        snapshots_[group] = record.value_or(SnapshotRecord{});
+        stored.snapshot = snapshots_[group].snapshot;
+        return record.has_value();
       }
+      case 'p':
+        return true;  // Read once the record that names its generation is known.
       case 'e': {
         auto entry = Unseal<consensus::Entry>(value);
         if (entry) {
@@ -224,6 +287,7 @@
       DropBelow(group, range.end, range, batch);
       batch.Delete(GroupKey('h', group));
       batch.Delete(GroupKey('s', group));
+      batch.DeleteRange(PartKey(group, dropped_below_[group], 0), PartKey(group, UINT64_MAX, 0));
       batch.Put(GroupKey('x', group), "");
       return;
     }
@@ -233,7 +297,14 @@
     if (write.snapshot) {
       DropBelow(group, write.snapshot_replaces_log ? range.end : write.snapshot->index + 1, range,
                 batch);
-      batch.Put(GroupKey('s', group), Seal(*write.snapshot));
+      SnapshotRecord& record = snapshots_[group];
+      const consensus::Snapshot& snapshot = *write.snapshot;
+      record.snapshot = {snapshot.index, snapshot.term, snapshot.configuration, ""};
+      batch.Put(GroupKey('s', group), Seal(record));
+      // Generations only grow: these ranges never overlap one another's live parts.
+      batch.DeleteRange(PartKey(group, dropped_below_[group], 0),
+                        PartKey(group, record.generation, 0));
+      dropped_below_[group] = record.generation;
     }
     if (!write.entries.empty()) {
       AddEntries(write, range, batch);
@@ -254,6 +325,8 @@
   std::unique_ptr<rocksdb::DB> db_;
   std::string folder_;
   std::map<GroupId, StoredRange> ranges_;
+  std::map<GroupId, SnapshotRecord> snapshots_;
+  std::map<GroupId, std::uint64_t> dropped_below_;  // Generations whose parts are deleted.
 };
 
 }  // namespace
--- a/tests/storage/log_store_test.cc
+++ b/tests/storage/log_store_test.cc
@@ -144,6 +144,29 @@
   EXPECT_EQ(store->Load()->groups[GroupId(1)].entries.size(), kWrites);
 }
 
+TEST(RocksDbLogStoreTest, LargeSnapshotsReplaceEachOtherAndAreReadBackWhole) {
+  Folder folder;
+  const GroupId kGroup(1);
+  std::string last;
+  for (std::size_t round = 1; round <= 3; ++round) {
+    auto store = OpenRocksDbLogStore(folder.path()).value();
+    StoredNode before = store->Load().value();
+    EXPECT_EQ(before.groups[kGroup].snapshot.data, last);
+    last.clear();
+    while (last.size() < round * 700000) {
+      last += "round " + std::to_string(round) + " byte " + std::to_string(last.size());
+    }
+    GroupWrite write;
+    write.group = kGroup;
+    write.snapshot = consensus::Snapshot{};
+    write.snapshot->index = round;
+    write.snapshot->data = last;
+    ASSERT_TRUE(store->Write({write}));
+  }
+  auto store = OpenRocksDbLogStore(folder.path()).value();
+  EXPECT_EQ(store->Load().value().groups[kGroup].snapshot.data, last);
+}
+
 TEST(RocksDbLogStoreTest, FolderInUseIsRefused) {
   Folder folder;
   auto first = std::move(*OpenRocksDbLogStore(folder.path()));
