--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -11,11 +11,11 @@
 
 using async_http::Task;
 
-constexpr absl::Duration kWatchPatience = absl::Seconds(20);
+constexpr absl::Duration kWatchPatience = absl::Seconds(28);
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(100);
 constexpr absl::Duration kLongestBackoff = absl::Milliseconds(800);
 /// Changes that come in quick succession are fetched together.
-constexpr absl::Duration kWatchSpacing = absl::Milliseconds(60);
+constexpr absl::Duration kWatchSpacing = absl::Milliseconds(200);
 
 }  // namespace
 
