martenyard explain: one account of a request from several processes' logs

Change: src/explain (pure: lines in, account out) and the command; what surrounds a request (store, disk, leadership, restarts) is told with it; whatever a collector writes before a line's JSON is passed over.

--- a/apps/cli/cli.h
+++ b/apps/cli/cli.h
@@ -33,6 +33,7 @@
 std::vector<Command> LocalCommands();
 std::vector<Command> BundleCommands();
 std::vector<Command> ProgramCommands();
+std::vector<Command> ExplainCommands();
 
 /// Flags that several commands read.
 struct CommonFlags {
--- a/apps/cli/main.cc
+++ b/apps/cli/main.cc
@@ -16,7 +16,8 @@
 
 std::vector<Command> AllCommands() {
   std::vector<Command> all = martenyard::cli::LocalCommands();
-  for (auto& more : {martenyard::cli::BundleCommands(), martenyard::cli::ProgramCommands()}) {
+  for (auto& more : {martenyard::cli::BundleCommands(), martenyard::cli::ProgramCommands(),
+                     martenyard::cli::ExplainCommands()}) {
     all.insert(all.end(), more.begin(), more.end());
   }
   return all;
--- /dev/null
+++ b/src/explain/explain.cc
@@ -0,0 +1,188 @@
+#include "explain/explain.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace martenyard::explain {
+namespace {
+
+using nlohmann::json;
+
+/// Lines of other subjects this long before a request's first and after its last are told too.
+constexpr std::int64_t kSurroundingMicros = 1500000;
+
+/// Events that say what a process believed, whatever the request.
+bool IsSurrounding(const std::string& event) {
+  static const std::set<std::string> kEvents = {"started",           "stopping",
+                                                "stopped",           "standstill",
+                                                "store_lost",        "store_regained",
+                                                "disk_failed",       "disk_opened",
+                                                "replica_role",      "configuration_applied",
+                                                "directory_changed", "machine_refuses",
+                                                "log_set_aside",     "settings_reloaded"};
+  return kEvents.contains(event);
+}
+
+std::string Field(const json& object, const char* key) {
+  auto found = object.find(key);
+  if (found == object.end()) {
+    return "";
+  }
+  return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+/// A line in words: its event and every field that is not common to all lines.
+std::string Describe(const LogLine& line, std::int64_t start_us) {
+  json object = json::parse(line.text, nullptr, /*allow_exceptions=*/false);
+  double ms = static_cast<double>(line.time_us - start_us) / 1000.0;
+  std::ostringstream text;
+  text.precision(3);
+  text << std::fixed << (ms >= 0 ? "+" : "") << ms << " ms  " << line.node << "  " << line.event;
+  for (const auto& [key, value] : object.items()) {
+    bool common = key == "time_us" || key == "sequence" || key == "node" || key == "event" ||
+                  key == "request";
+    if (!common) {
+      text << "  " << key << "=" << (value.is_string() ? value.get<std::string>() : value.dump());
+    }
+  }
+  return text.str();
+}
+
+/// What the last attempt and the surroundings say of a refusal or a break.
+std::string CauseOf(const std::vector<LogLine>& own, const std::vector<LogLine>& around) {
+  json last;
+  json attempt;
+  json admission;
+  for (const LogLine& line : own) {
+    json object = json::parse(line.text, nullptr, /*allow_exceptions=*/false);
+    last = line.event == "request_ended" ? object : last;
+    attempt = line.event == "attempt_ended" ? object : attempt;
+    admission = line.event == "turn_admission" ? object : admission;
+  }
+  std::string outcome = last.is_object() ? Field(last, "outcome") : "unknown";
+  std::string verdict = admission.is_object() ? Field(admission, "verdict") : "";
+  if (outcome == "unknown") {
+    return "its gateway wrote no end: the process was killed, or the line was dropped";
+  }
+  if (verdict == "budget_spent") {
+    return absl::StrCat("the program's budget of ", Field(admission, "budget"),
+                        " tokens did not hold this turn's ", Field(admission, "most"), ": ",
+                        Field(admission, "spent"), " were spent and ", Field(admission, "reserved"),
+                        " reserved by turns not settled yet");
+  }
+  if (verdict == "unknown_previous") {
+    return absl::StrCat("the ledger, asked by its quorum, knows no turn ",
+                        Field(admission, "previous"));
+  }
+  if (verdict == "no_answer") {
+    std::string changes;
+    for (const LogLine& line : around) {
+      bool tells = line.event == "replica_role" || line.event == "disk_failed" ||
+                   line.event == "started" || line.event == "machine_refuses";
+      if (tells) {
+        absl::StrAppend(&changes, changes.empty() ? "; around it: " : ", ", line.node, " ",
+                        line.event);
+      }
+    }
+    return absl::StrCat("the turn ledger did not commit within ", Field(admission, "ms"),
+                        " ms, so the turn was refused and not run", changes);
+  }
+  if (outcome == "answered") {
+    return "it was answered; its runner's answer was passed on unchanged";
+  }
+  if (outcome == "client_gone") {
+    return "the client left before its answer was whole";
+  }
+  if (attempt.is_object()) {
+    return absl::StrCat("runner ", Field(attempt, "runner"), " ended the last attempt with ",
+                        Field(attempt, "end"), " (", Field(attempt, "detail"), ") after ",
+                        Field(attempt, "ms"), " ms; ", Field(last, "sent_to"),
+                        " runners had it, and the route allowed no other");
+  }
+  return Field(last, "detail");
+}
+
+}  // namespace
+
+std::vector<LogLine> ReadLines(const std::string& text) {
+  std::vector<LogLine> lines;
+  std::istringstream stream(text);
+  std::string raw;
+  while (std::getline(stream, raw)) {
+    std::size_t start = raw.find("{\"time_us\"");
+    if (start == std::string::npos) {
+      continue;
+    }
+    json object = json::parse(raw.substr(start), nullptr, /*allow_exceptions=*/false);
+    if (!object.is_object()) {
+      continue;
+    }
+    LogLine line;
+    line.node = Field(object, "node");
+    line.time_us = object.value("time_us", std::int64_t{0});
+    line.sequence = object.value("sequence", std::int64_t{0});
+    line.event = Field(object, "event");
+    line.request = Field(object, "request");
+    line.text = raw.substr(start);
+    lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+Account Explain(const std::vector<LogLine>& lines, const std::string& request) {
+  std::vector<LogLine> own;
+  for (const LogLine& line : lines) {
+    if (line.request == request) {
+      own.push_back(line);
+    }
+  }
+  Account account;
+  account.outcome = "unknown";
+  if (own.empty()) {
+    account.cause = "no line of these logs names it";
+    return account;
+  }
+  account.found = true;
+  // A process's own order counts: its clock may have been set between its lives.
+  auto earlier = [](const LogLine& left, const LogLine& right) {
+    if (left.node == right.node && left.sequence != right.sequence &&
+        std::abs(left.time_us - right.time_us) < kSurroundingMicros) {
+      return left.sequence < right.sequence;
+    }
+    return left.time_us < right.time_us;
+  };
+  std::stable_sort(own.begin(), own.end(), earlier);
+  std::int64_t first = own.front().time_us;
+  std::int64_t last = own.back().time_us;
+  std::vector<LogLine> around;
+  for (const LogLine& line : lines) {
+    bool near = line.time_us >= first - kSurroundingMicros && line.time_us <= last;
+    if (line.request.empty() && near && IsSurrounding(line.event)) {
+      around.push_back(line);
+    }
+  }
+  for (const LogLine& line : own) {
+    if (line.event == "request_ended") {
+      json object = json::parse(line.text, nullptr, /*allow_exceptions=*/false);
+      account.outcome = Field(object, "outcome");
+    }
+  }
+  account.cause = CauseOf(own, around);
+  std::vector<LogLine> all = own;
+  all.insert(all.end(), around.begin(), around.end());
+  std::stable_sort(all.begin(), all.end(), [](const LogLine& left, const LogLine& right) {
+    return left.time_us < right.time_us;
+  });
+  for (const LogLine& line : all) {
+    account.steps.push_back(Describe(line, first));
+  }
+  return account;
+}
+
+}  // namespace martenyard::explain
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -247,7 +247,8 @@
     storage::GroupWrite compaction;
     compaction.group = kGroup;
     compaction.snapshot = std::move(*snapshot);
-    writes.assign(1, std::move(compaction));
+    writes.clear();
+    writes.push_back(std::move(compaction));
     std::string failure = store_all();
     if (!failure.empty()) {
       OnDiskFailed(failure);
--- /dev/null
+++ b/tests/explain/explain_test.cc
@@ -0,0 +1,84 @@
+// Failing requests are played on the stand-ins, and the account must name the cause.
+#include "explain/explain.h"
+
+#include <gtest/gtest.h>
+
+#include "absl/strings/match.h"
+#include "support/platform_world.h"
+
+namespace martenyard::explain {
+namespace {
+
+using emulator::RunnerBehavior;
+using testing::ClientRequest;
+using testing::PlatformWorld;
+
+Account ExplainIn(PlatformWorld& world, const std::string& request) {
+  return Explain(ReadLines(world.Log()), request);
+}
+
+TEST(ExplainTest, SpentBudgetIsNamedWithItsFigures) {
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request;
+  request.target = "/stream/1";
+  request.headers = {"Program-Id: p", "Token-Budget: 150", "Token-Usage: 10,100"};
+  world.Ask(request);
+  request.id = "attempt-2";
+  ASSERT_EQ(world.Ask(request).status, 402U);
+  Account account = ExplainIn(world, "attempt-2");
+  EXPECT_EQ(account.outcome, "own_402");
+  EXPECT_TRUE(absl::StrContains(account.cause, "budget of 150")) << account.cause;
+  EXPECT_TRUE(absl::StrContains(account.cause, "100 were spent")) << account.cause;
+}
+
+TEST(ExplainTest, LedgerWithoutADiskIsNamed) {
+  PlatformWorld world;
+  world.Start();
+  world.disk().fails = true;
+  ClientRequest request;
+  request.target = "/stream/1";
+  request.headers = {"Program-Id: p", "Token-Budget: 150", "Token-Usage: 10,100"};
+  ASSERT_EQ(world.Ask(request).status, 503U);
+  Account account = ExplainIn(world, "attempt-1");
+  EXPECT_TRUE(absl::StrContains(account.cause, "did not commit")) << account.cause;
+  EXPECT_TRUE(absl::StrContains(account.cause, "disk_failed")) << account.cause;
+}
+
+TEST(ExplainTest, UnknownTurnIsNamed) {
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request;
+  request.target = "/streamkept/1";
+  request.headers = {"Program-Id: p", "Previous-Turn: nobody"};
+  ASSERT_EQ(world.Ask(request).status, 404U);
+  EXPECT_TRUE(absl::StrContains(ExplainIn(world, "attempt-1").cause, "no turn nobody"));
+}
+
+TEST(ExplainTest, RunnerThatBrokeOffIsNamedWithEveryAttempt) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kReset});
+  world.b().Script({RunnerBehavior::kReset});
+  ASSERT_EQ(world.Ask({}).status, 502U);
+  Account account = ExplainIn(world, "attempt-1");
+  EXPECT_TRUE(absl::StrContains(account.cause, "i-far")) << account.cause;
+  EXPECT_TRUE(absl::StrContains(account.cause, "closed without an answer")) << account.cause;
+  int attempts = 0;
+  for (const std::string& step : account.steps) {
+    attempts += absl::StrContains(step, "attempt_ended") ? 1 : 0;
+  }
+  EXPECT_EQ(attempts, 2);
+}
+
+TEST(ExplainTest, RequestWithoutALineAndWithoutAnEndAreSaidSo) {
+  EXPECT_FALSE(Explain({}, "x").found);
+  std::vector<LogLine> lines = ReadLines(
+      "  12.5 edge-1 {\"time_us\":5,\"sequence\":1,\"node\":\"n\",\"event\":\"runner_chosen\","
+      "\"request\":\"x\"}\nnot a line\n{\"time_us\":broken\n");
+  ASSERT_EQ(lines.size(), 1U);
+  EXPECT_TRUE(absl::StrContains(Explain(lines, "x").cause, "no end"));
+}
+
+}  // namespace
+}  // namespace martenyard::explain
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -108,7 +108,7 @@
 PlatformWorld::PlatformWorld()
     : store_(loop_.context()), near_(loop_.context(), "i-near"), far_(loop_.context(), "i-far") {
   store_.Listen(0);
-  log_file_ = open("/dev/null", O_WRONLY | O_CLOEXEC);
+  log_file_ = open("/tmp", O_TMPFILE | O_RDWR | O_CLOEXEC, 0600);
   log_ = std::make_unique<event_log::EventLog>(log_file_, "test");
   client_ = std::make_unique<platform::StoreClient>(loop_.context(),
                                                     wire::Endpoint{"127.0.0.1", store_.port()});
@@ -193,6 +193,14 @@
   RunUntil([&] { return dialogue->done; });
 }
 
+std::string PlatformWorld::Log() {
+  log_->Flush();
+  std::string text(static_cast<std::size_t>(lseek(log_file_, 0, SEEK_END)), '\0');
+  ssize_t count = pread(log_file_, text.data(), text.size(), 0);
+  text.resize(count < 0 ? 0 : static_cast<std::size_t>(count));
+  return text;
+}
+
 bool PlatformWorld::Ready() {
   auto dialogue = std::make_shared<Dialogue>();
   dialogue->connection =
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -58,6 +58,8 @@
   /// Sends a request and leaves as soon as `condition` holds.
   void AskAndLeave(const ClientRequest& request, const std::function<bool()>& condition);
   bool Ready();
+  /// What the processes have logged so far.
+  std::string Log();
   void ListRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
                   const std::string& state = "ready");
 
