--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -60,7 +60,7 @@
 Result<Settings> LoadSettings(const std::string& path);
 /// Checks what only the machine knows: that `data_dir` exists. Errors: SettingsError.
 Result<void> CheckMachine(const Settings& settings, const std::string& name);
-/// @return the reference of all keys as a Markdown table; docs/operations.md holds the same text.
+/// @return the reference of all keys as a Markdown table; docs/OPERATIONS.md holds the same text.
 std::string SettingsReference();
 
 }  // namespace martenyard::settings
--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -94,11 +94,11 @@
 }
 
 TEST(SettingsTest, OperationsPageHoldsTheReference) {
-  std::ifstream page(std::string(MARTENYARD_SOURCES) + "/docs/operations.md");
+  std::ifstream page(std::string(MARTENYARD_SOURCES) + "/docs/OPERATIONS.md");
   std::ostringstream text;
   text << page.rdbuf();
   EXPECT_NE(text.str().find(SettingsReference()), std::string::npos)
-      << "run 'martenyard settings reference' and put it into docs/operations.md";
+      << "run 'martenyard settings reference' and put it into docs/OPERATIONS.md";
 }
 
 }  // namespace
