Soak of the platform's real processes under random kills, lost disks, freezes and store outages

Cause: the roles were tested in one process only; what is told to clients must hold across real ones. Change: tests/system/platform_soak_test.cc: three ledgers and two gateways as processes on loopback, stand-ins in the test, twelve random faults from a seed, a chain of kept turns and a budget checked by what the runners saw and the client got. First run failed: the test itself lost a second disk before the first one's machine held the log again, which is beyond what the deployment bears; it now waits until the group is whole (read from the logs).

--- /dev/null
+++ b/tests/support/platform_client.h
@@ -0,0 +1,53 @@
+// A client of the platform's gateways, for tests: one request at a time, each on a new connection.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "async_http/connection.h"
+#include "wire/endpoint.h"
+#include "wire/event_loop.h"
+
+namespace martenyard::testing {
+
+/// What a client got.
+struct ClientAnswer {
+  bool whole = false;  ///< The answer ended properly.
+  bool got_head = false;
+  unsigned status = 0;
+  std::string body;
+  std::map<std::string, std::string> headers;  ///< Names in lower case.
+};
+
+/// A client's request.
+struct ClientRequest {
+  std::string method = "POST";
+  std::string target = "/safe/1";
+  std::string id = "attempt-1";
+  std::string body;
+  std::vector<std::string> headers;  ///< Whole lines.
+  int deadline_ms = 4000;
+};
+
+/// A request under way.
+struct Dialogue {
+  std::shared_ptr<async_http::Connection> connection;
+  ClientAnswer answer;
+  bool done = false;
+};
+
+/// @return the request's bytes.
+std::string RequestText(const ClientRequest& request);
+/// Starts a request; `Dialogue::done` tells when it has ended.
+std::shared_ptr<Dialogue> StartDialogue(wire::EventLoop& loop, const wire::Endpoint& gateway,
+                                        std::string text);
+/// Runs the loop until the condition holds. @return false after half a minute.
+bool RunLoopUntil(wire::EventLoop& loop, const std::function<bool()>& condition);
+
+/// The standard configuration's document: routes /safe/, /unsafe/, /stream/ and /streamkept/.
+std::string StandardConfiguration(int version);
+
+}  // namespace martenyard::testing
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -3,20 +3,12 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
-#include "base/clock.h"
 
 namespace martenyard::testing {
 
-using async_http::Connection;
-using async_http::ReadStep;
-using async_http::Task;
-
 namespace {
 
-constexpr absl::Duration kPatience = absl::Seconds(30);
-
 /// A port that is free now. (The role's server is given it at once.)
 std::uint16_t FreePort(wire::EventLoop& loop) {
   async_http::asio::ip::tcp::acceptor probe(loop.context(),
@@ -47,64 +39,8 @@
   std::shared_ptr<FaultyDisk> disk_;
 };
 
-std::string Text(const ClientRequest& request) {
-  std::string text =
-      absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\nHost: h.example\r\n",
-                   "Attempt-Id: ", request.id, "\r\nDeadline-Ms: ", request.deadline_ms, "\r\n");
-  for (const std::string& line : request.headers) {
-    absl::StrAppend(&text, line, "\r\n");
-  }
-  absl::StrAppend(&text, "Content-Length: ", request.body.size(), "\r\n\r\n", request.body);
-  return text;
-}
-
-struct Dialogue {
-  std::shared_ptr<Connection> connection;
-  ClientAnswer answer;
-  bool done = false;
-};
-
-Task<void> Talk(std::shared_ptr<Dialogue> dialogue, std::string text) {
-  Connection& connection = *dialogue->connection;
-  if (co_await connection.Connect()) {
-    connection.BeginAnswer(false);
-    if (co_await connection.Send(text)) {
-      ReadStep step = ReadStep::kProgress;
-      while (step == ReadStep::kProgress) {
-        step = co_await connection.ReadBody();
-      }
-      const auto& message = connection.parser().get();
-      dialogue->answer.whole = step == ReadStep::kWhole;
-      dialogue->answer.got_head = connection.parser().is_header_done();
-      dialogue->answer.status = message.result_int();
-      dialogue->answer.body = message.body();
-      for (const auto& field : message) {
-        std::string name = absl::AsciiStrToLower(std::string(field.name_string()));
-        dialogue->answer.headers[name] = std::string(field.value());
-      }
-    }
-  }
-  dialogue->done = true;
-}
-
 }  // namespace
 
-std::string StandardConfiguration(int version) {
-  return absl::StrCat(R"({"version":)", version, R"(,"routes":[
-    {"name":"safe","host":"h.example","pathPrefix":"/safe/","type":"idempotent","timeoutMs":4000,
-     "targetLatencyMs":80,"service":"s","maxAttempts":2},
-    {"name":"unsafe","host":"h.example","pathPrefix":"/unsafe/","type":"non_idempotent",
-     "timeoutMs":4000,"targetLatencyMs":80,"service":"s","maxAttempts":2},
-    {"name":"resumable","host":"h.example","pathPrefix":"/stream/","type":"streaming",
-     "timeoutMs":4000,"targetLatencyMs":80,"service":"s","maxAttempts":2,"resumable":true},
-    {"name":"kept","host":"h.example","pathPrefix":"/streamkept/","type":"streaming",
-     "timeoutMs":4000,"targetLatencyMs":80,"service":"s","maxAttempts":2,"resumable":false,
-     "retentionEnabled":true,"retentionS":60}],
-    "services":[{"name":"s","maxConnections":64,"engine":{"slots":8,"tokensPerEvent":25}}],
-    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
-              "idleTimeoutMs":15000}})");
-}
-
 PlatformWorld::PlatformWorld()
     : store_(loop_.context()), near_(loop_.context(), "i-near"), far_(loop_.context(), "i-far") {
   store_.Listen(0);
@@ -162,32 +98,20 @@
 }
 
 bool PlatformWorld::RunUntil(const std::function<bool()>& condition) {
-  for (absl::Time end = SteadyNow() + kPatience; SteadyNow() < end;) {
-    if (condition()) {
-      return true;
-    }
-    loop_.RunRound(absl::Milliseconds(5));
-  }
-  return condition();
+  return RunLoopUntil(loop_, condition);
 }
 
 ClientAnswer PlatformWorld::Ask(const ClientRequest& request) {
-  auto dialogue = std::make_shared<Dialogue>();
-  dialogue->connection = std::make_shared<Connection>(
-      loop_.context(), wire::Endpoint{"127.0.0.1", gateway_->frontend_port()});
-  async_http::asio::co_spawn(loop_.context(), Talk(dialogue, Text(request)),
-                             async_http::asio::detached);
+  auto dialogue =
+      StartDialogue(loop_, {"127.0.0.1", gateway_->frontend_port()}, RequestText(request));
   RunUntil([&] { return dialogue->done; });
   return dialogue->answer;
 }
 
 void PlatformWorld::AskAndLeave(const ClientRequest& request,
                                 const std::function<bool()>& condition) {
-  auto dialogue = std::make_shared<Dialogue>();
-  dialogue->connection = std::make_shared<Connection>(
-      loop_.context(), wire::Endpoint{"127.0.0.1", gateway_->frontend_port()});
-  async_http::asio::co_spawn(loop_.context(), Talk(dialogue, Text(request)),
-                             async_http::asio::detached);
+  auto dialogue =
+      StartDialogue(loop_, {"127.0.0.1", gateway_->frontend_port()}, RequestText(request));
   RunUntil(condition);
   dialogue->connection->Close();
   RunUntil([&] { return dialogue->done; });
@@ -202,12 +126,8 @@
 }
 
 bool PlatformWorld::Ready() {
-  auto dialogue = std::make_shared<Dialogue>();
-  dialogue->connection =
-      std::make_shared<Connection>(loop_.context(), wire::Endpoint{"127.0.0.1", readiness_port_});
-  async_http::asio::co_spawn(loop_.context(),
-                             Talk(dialogue, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n"),
-                             async_http::asio::detached);
+  auto dialogue = StartDialogue(loop_, {"127.0.0.1", readiness_port_},
+                                "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
   RunUntil([&] { return dialogue->done; });
   return dialogue->answer.status == 200;
 }
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -2,9 +2,7 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,29 +13,11 @@
 #include "platform/store_client.h"
 #include "roles/gateway_role.h"
 #include "roles/ledger_role.h"
+#include "support/platform_client.h"
 #include "wire/event_loop.h"
 
 namespace martenyard::testing {
 
-/// What a client got.
-struct ClientAnswer {
-  bool whole = false;  ///< The answer ended properly.
-  bool got_head = false;
-  unsigned status = 0;
-  std::string body;
-  std::map<std::string, std::string> headers;  ///< Names in lower case.
-};
-
-/// A client's request.
-struct ClientRequest {
-  std::string method = "POST";
-  std::string target = "/safe/1";
-  std::string id = "attempt-1";
-  std::string body;
-  std::vector<std::string> headers;  ///< Whole lines.
-  int deadline_ms = 4000;
-};
-
 /// A disk that can refuse writes. What was written before stays.
 struct FaultyDisk {
   bool fails = false;
@@ -86,7 +66,4 @@
   std::uint16_t readiness_port_ = 0;
 };
 
-/// The standard configuration's document.
-std::string StandardConfiguration(int version);
-
 }  // namespace martenyard::testing
--- /dev/null
+++ b/tests/system/platform_soak_test.cc
@@ -0,0 +1,262 @@
+// Real processes of the platform's roles on loopback, against the stand-ins, under random kills,
+// lost disks and freezes. What a client was told must stay true.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "base/random.h"
+#include "bench/local_system.h"
+#include "emulator/platform/runner_stand_in.h"
+#include "emulator/platform/store_stand_in.h"
+#include "explain/explain.h"
+#include "support/platform_client.h"
+
+namespace martenyard::testing {
+namespace {
+
+constexpr std::uint16_t kFrontendPort = 18149;
+constexpr std::uint16_t kReadinessPort = 18141;
+constexpr std::uint16_t kInternalPort = 17380;
+constexpr int kLedgers = 3;
+constexpr int kGateways = 2;
+
+/// One machine with at most one process. Each has a loopback address of its own.
+class Machine {
+ public:
+  Machine(const std::string& folder, bool storage, int number, std::uint16_t store_port)
+      : folder_(absl::StrCat(folder, storage ? "/storage-" : "/edge-", number)),
+        storage_(storage),
+        address_(absl::StrCat("127.0.", storage ? 71 : 72, ".", number + 1)) {
+    std::filesystem::create_directories(folder_ + "/data");
+    std::ofstream settings(folder_ + "/node.conf");
+    settings << "nodeName=" << (storage ? "storage-" : "edge-") << number
+             << "\nmachineClass=" << (storage ? "storage" : "edge") << "\nip=" << address_
+             << "\nzone=z" << number << "\ninternalPorts=" << kInternalPort << "," << kInternalPort
+             << "\nbootstrap=true\nfaultTolerance.machines=1\nbounds.graceS=4\n"
+             << "platform.address=127.0.0.1:" << store_port << "\n";
+    if (storage) {
+      settings << "dataDir=" << folder_ << "/data\n";
+    } else {
+      settings << "listen.frontend=" << address_ << ":" << kFrontendPort
+               << "\nlisten.readiness=" << address_ << ":" << kReadinessPort << "\n";
+    }
+  }
+
+  void Start() {
+    setenv("MARTENYARD_BOOT", (folder_ + "/node.conf").c_str(), 1);
+    process_ = std::make_unique<bench::Process>(
+        std::vector<std::string>{bench::ProgramPath("martenyard-node"),
+                                 storage_ ? "ledger" : "gateway"},
+        absl::StrCat(folder_, "/log-", ++starts_));
+  }
+  void Kill() { process_.reset(); }
+  void LoseDisk() {
+    Kill();
+    std::filesystem::remove_all(folder_ + "/data");
+    std::filesystem::create_directories(folder_ + "/data");
+    Start();
+  }
+  void Signal(int signal) { process_->Signal(signal); }
+  /// All that this machine's processes have logged.
+  std::string Log() const {
+    std::string text;
+    for (int start = 1; start <= starts_; ++start) {
+      std::ifstream file(absl::StrCat(folder_, "/log-", start));
+      std::stringstream lines;
+      lines << file.rdbuf();
+      text += lines.str();
+    }
+    return text;
+  }
+  wire::Endpoint frontend() const { return {address_, kFrontendPort}; }
+  wire::Endpoint readiness() const { return {address_, kReadinessPort}; }
+
+ private:
+  std::string folder_;
+  bool storage_;
+  std::string address_;
+  std::unique_ptr<bench::Process> process_;
+  int starts_ = 0;
+};
+
+class PlatformSoakTest : public ::testing::Test {
+ protected:
+  PlatformSoakTest()
+      : store_(loop_.context()), near_(loop_.context(), "i-1"), far_(loop_.context(), "i-2") {
+    store_.Listen(0);
+    for (const auto* runner : {&near_, &far_}) {
+      store_.Put("servers/" + runner->id(),
+                 absl::StrCat(R"({"service":"s","address":"127.0.0.1:)", runner->port(),
+                              R"(","zone":"z0","slots":8,"state":"ready"})"));
+    }
+    store_.Put("op/config", StandardConfiguration(1));
+    for (int number = 0; number < kLedgers; ++number) {
+      ledgers_.push_back(std::make_unique<Machine>(folder_.path(), true, number, store_.port()));
+    }
+    for (int number = 0; number < kGateways; ++number) {
+      gateways_.push_back(std::make_unique<Machine>(folder_.path(), false, number, store_.port()));
+    }
+    for (auto* machines : {&ledgers_, &gateways_}) {
+      for (auto& machine : *machines) {
+        machine->Start();
+      }
+    }
+  }
+
+  ClientAnswer Ask(Machine& gateway, const ClientRequest& request) {
+    auto dialogue = StartDialogue(loop_, gateway.frontend(), RequestText(request));
+    RunLoopUntil(loop_, [&] { return dialogue->done; });
+    return dialogue->answer;
+  }
+
+  /// Takes a kept turn until it is whole, as a patient client would. @return the whole try's id.
+  std::string TakeTurn(const std::string& name, const std::string& previous) {
+    for (int attempt = 0; attempt < 400; ++attempt) {
+      ClientRequest request;
+      request.id = absl::StrCat(name, "-", attempt);
+      request.target = "/streamkept/1";
+      request.body = absl::StrCat("[", name, "]");
+      request.headers = {"Program-Id: chain", "Token-Usage: 1,100"};
+      if (!previous.empty()) {
+        request.headers.push_back("Previous-Turn: " + previous);
+      }
+      ClientAnswer answer = Ask(*gateways_[attempt % kGateways], request);
+      if (answer.whole && answer.status == 200) {
+        return request.id;
+      }
+      EXPECT_NE(answer.status, 404U) << "a whole turn is never unknown";
+      loop_.RunRound(absl::Milliseconds(50));
+    }
+    return "";
+  }
+
+  /// True when the latest leader's group consists of the disks that are there now.
+  bool IsWhole() {
+    std::set<std::string> identities;
+    std::string members;
+    std::int64_t latest = 0;
+    for (auto& ledger : ledgers_) {
+      std::string identity;
+      for (const explain::LogLine& line : explain::ReadLines(ledger->Log())) {
+        auto object = nlohmann::json::parse(line.text);
+        if (line.event == "disk_opened") {
+          identity = object["identity"].get<std::string>();
+        }
+        if (line.event == "replica_role" && object["role"] == "leader" && line.time_us > latest) {
+          latest = line.time_us;
+          members = object["members"].get<std::string>();
+        }
+      }
+      identities.insert(identity);
+    }
+    std::vector<std::string> listed = absl::StrSplit(members, ' ', absl::SkipEmpty());
+    return std::set<std::string>(listed.begin(), listed.end()) == identities;
+  }
+
+  /// The deployment bears one lost disk at a time: the next goes only when all hold the log again.
+  void LoseDisk(Machine& ledger) {
+    ASSERT_TRUE(RunLoopUntil(loop_, [&] { return IsWhole(); }));
+    ledger.LoseDisk();
+  }
+
+  /// Lets one thing go wrong.
+  void Break(Random& random) {
+    Machine& ledger = *ledgers_[random.Below(kLedgers)];
+    Machine& gateway = *gateways_[random.Below(kGateways)];
+    switch (random.Below(6)) {
+      case 0:
+        LoseDisk(ledger);
+        break;
+      case 1:
+        ledger.Kill();
+        ledger.Start();
+        break;
+      case 2:
+        gateway.Kill();
+        gateway.Start();
+        break;
+      case 3:
+        for (auto& each : ledgers_) {
+          each->Kill();
+        }
+        for (auto& each : ledgers_) {
+          each->Start();
+        }
+        break;
+      case 4:
+        store_.faults().down = !store_.faults().down;
+        break;
+      default:
+        ledger.Signal(SIGSTOP);
+        TakeTurn(absl::StrCat("frozen", random.NextId()), "");
+        ledger.Signal(SIGCONT);
+        break;
+    }
+  }
+
+  bench::TemporaryFolder folder_;
+  wire::EventLoop loop_;
+  emulator::StoreStandIn store_;
+  emulator::RunnerStandIn near_;
+  emulator::RunnerStandIn far_;
+  std::vector<std::unique_ptr<Machine>> ledgers_;
+  std::vector<std::unique_ptr<Machine>> gateways_;
+};
+
+TEST_F(PlatformSoakTest, ChainsAndBudgetsStayTrueUnderRandomFaults) {
+  Random random(20261202);
+  std::string said = "event-1\nevent-2\nevent-3\nevent-4\n";
+  std::string previous = TakeTurn("first", "");
+  ASSERT_FALSE(previous.empty());
+  std::string chain = "[first]" + said;
+  constexpr int kRounds = 12;
+  for (int round = 0; round < kRounds; ++round) {
+    Break(random);
+    std::string name = absl::StrCat("turn", round);
+    std::string next = TakeTurn(name, previous);
+    ASSERT_FALSE(next.empty()) << "round " << round;
+    bool found = false;
+    for (const auto* runner : {&near_, &far_}) {
+      for (const emulator::SeenRequest& seen : runner->seen()) {
+        found = found || (seen.id == next && seen.body == absl::StrCat(chain, "[", name, "]"));
+      }
+    }
+    EXPECT_TRUE(found) << "round " << round << ": the runner got the whole chain";
+    absl::StrAppend(&chain, "[", name, "]", said);
+    previous = next;
+  }
+
+  // A budget that holds two turns of 100 tokens, asked for until it is refused for good.
+  store_.faults().down = false;
+  int served = 0;
+  unsigned status = 0;
+  for (int attempt = 0; attempt < 200 && status != 402; ++attempt) {
+    ClientRequest request;
+    request.id = absl::StrCat("budget-", attempt);
+    request.target = "/stream/1";
+    request.headers = {"Program-Id: spender", "Token-Usage: 1,100", "Token-Budget: 250"};
+    if (attempt == 1) {
+      LoseDisk(*ledgers_[0]);
+    }
+    ClientAnswer answer = Ask(*gateways_[attempt % kGateways], request);
+    status = answer.status;
+    served += answer.whole && status == 200 ? 1 : 0;
+  }
+  EXPECT_EQ(status, 402U);
+  EXPECT_LE(served, 2);
+}
+
+}  // namespace
+}  // namespace martenyard::testing
