Tests for closing resting connections and for stale directory entries

Change: StopContractTest.RestingConnectionsAreClosedAndBusyOnesAnswered, LedgerContractTest.StaleDirectoryEntryDoesNotHideAMachinesNewDisk; both pass, and the second fails when the directory is believed over the machine itself (the code before the mend).

--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -31,6 +31,7 @@
   void RequestStop();
   bool ready() const;
   forwarding::GatewayState& state() { return *state_; }
+  async_http::Server& frontend() { return frontend_; }
   /// @return the port that clients connect to.
   std::uint16_t frontend_port() const { return frontend_.port(); }
 
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -38,6 +38,8 @@
   /// A planned stop: hands leadership on, then ends the loop.
   void RequestStop();
   const turn_ledger::TurnReplica* replica() const { return replica_.get(); }
+  /// A peer's message came.
+  void OnFrame(const std::string& payload);
 
  private:
   void OpenDisk();
@@ -51,7 +53,6 @@
   bool SettleOnce();
   void OnDiskFailed(const std::string& detail);
 
-  void OnFrame(const std::string& payload);
   void OnLogMessage(const turn_ledger::Machine& from, const turn_ledger::LogMessage& message);
   void OnHello(const turn_ledger::Hello& hello);
   void OnDead(const wire::Endpoint& peer);
--- a/tests/platform/gateway_contract_test.cc
+++ b/tests/platform/gateway_contract_test.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "support/platform_world.h"
+#include "wire/codec.h"
 
 namespace martenyard::testing {
 namespace {
@@ -260,6 +261,48 @@
   EXPECT_LE(std::stoi(seen.headers.at("deadline-ms")), request.deadline_ms);
 }
 
+TEST(StopContractTest, RestingConnectionsAreClosedAndBusyOnesAnswered) {
+  PlatformWorld world;
+  world.Start();
+  wire::Endpoint frontend{"127.0.0.1", world.gateway().frontend_port()};
+  auto resting = StartDialogue(world.loop(), frontend, "");  // Connects and says nothing.
+  world.a().Script({RunnerBehavior::kServe});
+  world.a().event_gap = absl::Milliseconds(100);
+  ClientRequest stream;
+  stream.target = "/stream/1";
+  auto busy = StartDialogue(world.loop(), frontend, RequestText(stream));
+  ASSERT_TRUE(world.RunUntil([&] { return world.a().runs() == 1; }));
+  async_http::Server& server = world.gateway().frontend();
+  server.BeginDrain();
+  server.CloseIdle();
+  ASSERT_TRUE(world.RunUntil([&] { return resting->done && busy->done; }));
+  EXPECT_FALSE(resting->answer.got_head);
+  EXPECT_TRUE(busy->answer.whole);
+  EXPECT_EQ(busy->answer.body, Events(1, 4));
+  auto late = StartDialogue(world.loop(), frontend, RequestText({}));
+  ASSERT_TRUE(world.RunUntil([&] { return late->done; }));
+  EXPECT_FALSE(late->answer.got_head) << "nothing listens any more";
+}
+
+TEST(LedgerContractTest, StaleDirectoryEntryDoesNotHideAMachinesNewDisk) {
+  PlatformWorld world;
+  world.Start();
+  turn_ledger::Machine peer{"storage-2", NodeId(222), {"127.0.0.1", 1}, ZoneName("z")};
+  turn_ledger::Machine stale = peer;
+  stale.identity = NodeId(111);
+  world.HearAsLedger(peer);
+  ASSERT_TRUE(
+      world.RunUntil([&] { return world.ledger().replica()->machines().contains(NodeId(222)); }));
+  world.store().Put("martenyard/ledger/machines/storage-2", wire::Encode(stale));
+  world.store().Put("martenyard/ledger/machines/storage-3",
+                    wire::Encode(turn_ledger::Machine{
+                        "storage-3", NodeId(333), {"127.0.0.1", 2}, ZoneName("z")}));
+  ASSERT_TRUE(
+      world.RunUntil([&] { return world.ledger().replica()->machines().contains(NodeId(333)); }));
+  EXPECT_TRUE(world.ledger().replica()->machines().contains(NodeId(222)));
+  EXPECT_FALSE(world.ledger().replica()->machines().contains(NodeId(111)));
+}
+
 TEST(StopContractTest, StoppingGatewayIsNotReadyAndFinishesWhatItHas) {
   PlatformWorld world;
   world.Start();
--- a/tests/support/platform_world.cc
+++ b/tests/support/platform_world.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "absl/strings/str_cat.h"
+#include "wire/codec.h"
 
 namespace martenyard::testing {
 
@@ -125,6 +126,10 @@
   return text;
 }
 
+void PlatformWorld::HearAsLedger(const turn_ledger::Machine& peer) {
+  ledger_->OnFrame(wire::Encode(turn_ledger::Envelope{peer, turn_ledger::Hello{}}));
+}
+
 bool PlatformWorld::Ready() {
   auto dialogue = StartDialogue(loop_, {"127.0.0.1", readiness_port_},
                                 "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -38,6 +38,8 @@
   /// Sends a request and leaves as soon as `condition` holds.
   void AskAndLeave(const ClientRequest& request, const std::function<bool()>& condition);
   bool Ready();
+  /// Lets the ledger hear from a peer as if it had sent a frame.
+  void HearAsLedger(const turn_ledger::Machine& peer);
   /// What the processes have logged so far.
   std::string Log();
   void ListRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
