--- /dev/null
+++ b/src/consensus/snapshot_schedule.cc
@@ -0,0 +1,43 @@
+#include "consensus/snapshot_schedule.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace martenyard::consensus {
+
+SnapshotSchedule::SnapshotSchedule(std::uint64_t log_bytes, const Snapshot& restored)
+    : least_log_bytes_(log_bytes) {
+  NoteInstalled(restored);
+}
+
+void SnapshotSchedule::NoteApplied(const Entry& entry) {
+  applied_ = entry.index;
+  applied_term_ = entry.term;
+  log_bytes_ += entry.payload.size();
+}
+
+void SnapshotSchedule::NoteInstalled(const Snapshot& snapshot) {
+  applied_ = snapshot.index;
+  applied_term_ = snapshot.term;
+  log_bytes_ = 0;
+  snapshot_bytes_ = snapshot.data.size();
+}
+
+bool SnapshotSchedule::Due(const Raft& raft) const {
+  return log_bytes_ >= std::max(least_log_bytes_, snapshot_bytes_) &&
+         raft.ConfigurationIsCommitted();
+}
+
+Snapshot SnapshotSchedule::Take(Raft& raft, std::string data) {
+  Snapshot snapshot;
+  snapshot.index = applied_;
+  snapshot.term = applied_term_;
+  snapshot.configuration = raft.configuration();
+  snapshot.data = std::move(data);
+  log_bytes_ = 0;
+  snapshot_bytes_ = snapshot.data.size();
+  raft.Compact(snapshot);
+  return snapshot;
+}
+
+}  // namespace martenyard::consensus
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -111,7 +111,7 @@
 struct AppendReply {
   Term term = 0;
   bool success = false;
-  LogIndex match = 0;  ///< On success the last index known equal; else where to try next.
+  LogIndex match = 0;     ///< On success the last index known equal; else where to try next.
   LogIndex previous = 0;  ///< The append's `previous_index`, so that late refusals are known.
   std::uint64_t round = 0;
   template <class Archive>
--- a/src/ledger/group_replica.cc
+++ b/src/ledger/group_replica.cc
@@ -19,14 +19,12 @@
       self_(self),
       options_(options),
       raft_(self, options.raft, restored, seed, now),
-      now_(now) {
+      now_(now),
+      snapshots_(options.snapshot_log_bytes, restored.snapshot) {
   const consensus::Snapshot& snapshot = restored.snapshot;
   if (snapshot.index > 0) {
     ledger_.Restore(snapshot.data);
-    snapshot_bytes_ = snapshot.data.size();
   }
-  applied_ = snapshot.index;
-  applied_term_ = snapshot.term;
 }
 
 void GroupReplica::Tick(absl::Time now) {
@@ -85,7 +83,7 @@
 }
 
 bool GroupReplica::LedgerIsCurrent() const {
-  return raft_.LeaderIsCurrent() && applied_ == raft_.commit_index();
+  return raft_.LeaderIsCurrent() && snapshots_.applied() == raft_.commit_index();
 }
 
 void GroupReplica::FailPendingAfterLosingLead() {
@@ -288,10 +286,7 @@
   if (ready.snapshot_to_install) {
     const consensus::Snapshot& snapshot = *ready.snapshot_to_install;
     ledger_.Restore(snapshot.data);
-    applied_ = snapshot.index;
-    applied_term_ = snapshot.term;
-    log_bytes_ = 0;
-    snapshot_bytes_ = snapshot.data.size();
+    snapshots_.NoteInstalled(snapshot);
   }
   for (const consensus::Entry& entry : ready.committed) {
     ApplyEntry(entry);
@@ -307,9 +302,7 @@
 }
 
 void GroupReplica::ApplyEntry(const consensus::Entry& entry) {
-  applied_ = entry.index;
-  applied_term_ = entry.term;
-  log_bytes_ += entry.payload.size();
+  snapshots_.NoteApplied(entry);
   auto proposal = proposals_.extract(entry.index);
   if (entry.kind != consensus::EntryKind::kCommand) {
     return;
@@ -396,7 +389,7 @@
 void GroupReplica::ServeQueries() {
   for (auto pending = queries_.begin(); pending != queries_.end();) {
     const PendingQuery& waiting = pending->second;
-    if (!waiting.serve_at || *waiting.serve_at > applied_) {
+    if (!waiting.serve_at || *waiting.serve_at > snapshots_.applied()) {
       ++pending;
       continue;
     }
@@ -408,22 +401,10 @@
 }
 
 std::optional<consensus::Snapshot> GroupReplica::SnapshotIfDue() {
-  // Waiting for as many log bytes as the state has keeps the cost per command constant.
-  if (log_bytes_ < std::max(options_.snapshot_log_bytes, snapshot_bytes_)) {
+  if (!snapshots_.Due(raft_)) {
     return std::nullopt;
   }
-  if (!raft_.ConfigurationIsCommitted()) {
-    return std::nullopt;
-  }
-  consensus::Snapshot snapshot;
-  snapshot.index = applied_;
-  snapshot.term = applied_term_;
-  snapshot.configuration = raft_.configuration();
-  snapshot.data = ledger_.Serialize();
-  log_bytes_ = 0;
-  snapshot_bytes_ = snapshot.data.size();
-  raft_.Compact(snapshot);
-  return snapshot;
+  return snapshots_.Take(raft_, ledger_.Serialize());
 }
 
 std::vector<ReplyTo> GroupReplica::TakeReplies() {
--- a/src/ledger/group_replica.h
+++ b/src/ledger/group_replica.h
@@ -12,6 +12,7 @@
 
 #include "absl/time/time.h"
 #include "consensus/raft.h"
+#include "consensus/snapshot_schedule.h"
 #include "ledger/ledger.h"
 #include "ledger/messages.h"
 #include "storage/log_store.h"
@@ -117,10 +118,7 @@
   Ledger ledger_;
   absl::Time now_;
 
-  consensus::LogIndex applied_ = 0;
-  consensus::Term applied_term_ = 0;
-  std::uint64_t log_bytes_ = 0;       // Applied since the last snapshot.
-  std::uint64_t snapshot_bytes_ = 0;  // The last snapshot's size.
+  consensus::SnapshotSchedule snapshots_;
 
   bool was_leader_ = false;
   absl::Time next_expiry_check_;
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -29,8 +29,6 @@
 constexpr absl::Duration kLeastDrain = absl::Seconds(3);
 /// Kept free between the process's own end and the platform's SIGKILL.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(700);
-/// A tick this late means that the process stood still; it is logged.
-constexpr absl::Duration kStandstill = absl::Milliseconds(500);
 constexpr std::uint64_t kMemoryShareForBodies = 4;
 constexpr std::size_t kDescriptorsKept = 1200;  // For runners, peers, files and the store.
 
@@ -81,7 +79,8 @@
           [this](bool reachable, store::StoreStatus status) {
             OnContact("directory", reachable, status);
           }),
-      peer_loads_(kPeerLifetime) {
+      peer_loads_(kPeerLifetime),
+      ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }) {
   state_->ledger = std::make_unique<turn_ledger::LedgerClient>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::LedgerRequest& request) {
@@ -111,8 +110,7 @@
   runners_.Start();
   directory_.Start();
   async_http::asio::co_spawn(loop_.context(), Register(), async_http::asio::detached);
-  last_tick_ = SteadyNow();
-  ScheduleTick();
+  ticker_.Start();
   return {};
 }
 
@@ -277,19 +275,7 @@
 
 // ---- Time ----
 
-void GatewayRole::ScheduleTick() {
-  loop_.After(kTick, [this] {
-    Tick();
-    ScheduleTick();
-  });
-}
-
-void GatewayRole::Tick() {
-  absl::Time now = SteadyNow();
-  if (now - last_tick_ > kStandstill) {
-    log_.Write(Line("standstill").Number("ms", absl::ToInt64Milliseconds(now - last_tick_)));
-  }
-  last_tick_ = now;
+void GatewayRole::Tick(absl::Time now) {
   ReportLoad();
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeepingInterval;
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -12,6 +12,7 @@
 #include "roles/load_report.h"
 #include "roles/platform_formats.h"
 #include "roles/role_settings.h"
+#include "roles/ticker.h"
 #include "store/metadata_store.h"
 #include "store/prefix_mirror.h"
 #include "turn_ledger/messages.h"
@@ -47,8 +48,7 @@
   void SendToLedger(const wire::Endpoint& to, const turn_ledger::LedgerRequest& request);
   void ReportLoad();
 
-  void ScheduleTick();
-  void Tick();
+  void Tick(absl::Time now);
   void CheckStop(absl::Time now);
   async_http::Task<void> AnswerReadiness(std::shared_ptr<async_http::Exchange> exchange);
   async_http::Task<void> AnswerMetrics(std::shared_ptr<async_http::Exchange> exchange);
@@ -70,11 +70,11 @@
 
   std::vector<wire::Endpoint> peers_;  // The other gateways.
   PeerLoads peer_loads_;
+  Ticker ticker_;
   std::vector<RunnerLoad> reported_;
   std::vector<Placement> placements_;
   absl::Time next_report_;
   absl::Time next_housekeeping_;
-  absl::Time last_tick_;
   bool stopping_ = false;
   absl::Time stop_asked_at_;
 };
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -1,12 +1,7 @@
 #include "roles/ledger_role.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -34,8 +29,6 @@
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(600);
 constexpr absl::Duration kRetireReportInterval = absl::Milliseconds(250);
 constexpr absl::Duration kProgressInterval = absl::Seconds(2);
-/// A tick this late means that the process stood still; it is logged.
-constexpr absl::Duration kStandstill = absl::Milliseconds(500);
 constexpr char kPeersFile[] = "peers";
 
 turn_ledger::ReplicaOptions MakeReplicaOptions(const RoleSettings& settings) {
@@ -60,22 +53,6 @@
   return "unknown";
 }
 
-/// Replaces a small file so that it is whole after any loss of power.
-void ReplaceFile(const std::string& path, const std::string& bytes) {
-  std::string fresh = path + ".new";
-  int file = open(fresh.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0644);
-  if (file < 0) {
-    return;
-  }
-  bool written = write(file, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size());
-  written = written && fdatasync(file) == 0;
-  close(file);
-  if (written) {
-    std::error_code ignored;
-    std::filesystem::rename(fresh, path, ignored);
-  }
-}
-
 }  // namespace
 
 LedgerRole::LedgerRole(wire::EventLoop& loop, const RoleSettings& settings,
@@ -99,12 +76,13 @@
       retirements_(
           loop.context(), store, formats.RetirePrefix(),
           [this](const store::StoreChange& change) { OnRetireChange(change); },
-          [](bool, store::StoreStatus) {}) {}
+          [](bool, store::StoreStatus) {}),
+      peers_(settings.data_folder + "/" + kPeersFile),
+      ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }) {}
 
 Result<void> LedgerRole::Start() {
   BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
   settings_.internal_port = bound.port;
-  LoadPeers();
   OpenDisk();
   directory_.Start();
   retirements_.Start();
@@ -112,8 +90,7 @@
   async_http::asio::co_spawn(loop_.context(), FoundWhenPossible(), async_http::asio::detached);
   async_http::asio::co_spawn(loop_.context(), ReportRetirements(), async_http::asio::detached);
   loop_.SetRoundHook([this] { Settle(); });
-  last_tick_ = SteadyNow();
-  ScheduleTick();
+  ticker_.Start();
   return {};
 }
 
@@ -191,7 +168,7 @@
 void LedgerRole::StartReplica(consensus::RestoredState restored) {
   replica_ = std::make_unique<turn_ledger::TurnReplica>(
       Self(), MakeReplicaOptions(settings_), std::move(restored), SystemSeed(), SteadyNow());
-  for (const auto& [name, machine] : peers_) {
+  for (const auto& [name, machine] : peers_.machines()) {
     replica_->OnMachine(SteadyNow(), machine);
   }
 }
@@ -260,19 +237,7 @@
 
 // ---- Time ----
 
-void LedgerRole::ScheduleTick() {
-  loop_.After(kTick, [this] {
-    Tick();
-    ScheduleTick();
-  });
-}
-
-void LedgerRole::Tick() {
-  absl::Time now = SteadyNow();
-  if (now - last_tick_ > kStandstill) {
-    log_.Write(Line("standstill").Number("ms", absl::ToInt64Milliseconds(now - last_tick_)));
-  }
-  last_tick_ = now;
+void LedgerRole::Tick(absl::Time now) {
   if (replica_ != nullptr) {
     replica_->Tick(now);
   }
@@ -394,7 +359,7 @@
 
 void LedgerRole::OnHello(const turn_ledger::Hello& hello) {
   for (const Machine& machine : hello.known) {
-    if (!peers_.contains(machine.name)) {
+    if (!peers_.Knows(machine.name)) {
       NoteMachine(machine, /*heard_now=*/false);
     }
   }
@@ -405,13 +370,10 @@
     return;
   }
   if (heard_now) {
-    heard_.insert(machine.name);
+    peers_.NoteHeard(machine.name);
   }
-  auto known = peers_.find(machine.name);
-  bool changed = known == peers_.end() || !(known->second == machine);
+  bool changed = peers_.Note(machine);
   if (changed) {
-    peers_[machine.name] = machine;
-    SavePeers();
     log_.Write(Line("machine_known")
                    .Text("machine", machine.name)
                    .Text("identity", absl::StrCat(absl::Hex(machine.identity.value)))
@@ -430,16 +392,16 @@
     return;
   }
   turn_ledger::Hello hello;
-  for (const auto& [name, machine] : peers_) {
+  for (const auto& [name, machine] : peers_.machines()) {
     hello.known.push_back(machine);
   }
-  for (const auto& [name, machine] : peers_) {
+  for (const auto& [name, machine] : peers_.machines()) {
     SendTo(machine.endpoint, hello);
   }
 }
 
 void LedgerRole::OnDead(const wire::Endpoint& peer) {
-  for (const auto& [name, machine] : peers_) {
+  for (const auto& [name, machine] : peers_.machines()) {
     if (machine.endpoint == peer && replica_ != nullptr) {
       log_.Write(Line("machine_refuses").Text("machine", name));
       replica_->OnDead(SteadyNow(), machine.identity);
@@ -452,11 +414,8 @@
 }
 
 void LedgerRole::SendRaft(const consensus::Outbound& outbound) {
-  for (const auto& [name, machine] : peers_) {
-    if (machine.identity == outbound.to) {
-      SendTo(machine.endpoint, turn_ledger::LogMessage{outbound.to, outbound.message});
-      return;
-    }
+  if (const Machine* machine = peers_.Find(outbound.to)) {
+    SendTo(machine->endpoint, turn_ledger::LogMessage{outbound.to, outbound.message});
   }
 }
 
@@ -469,7 +428,7 @@
   }
   if (auto machine = wire::Decode<Machine>(*change.value)) {
     // What the store says may be older than what the machine itself said in this life.
-    if (!heard_.contains(machine->name)) {
+    if (!peers_.HasHeard(machine->name)) {
       NoteMachine(*machine, /*heard_now=*/false);
     }
   }
@@ -620,28 +579,4 @@
   }
 }
 
-// ---- What is known of peers outlives the process ----
-
-void LedgerRole::LoadPeers() {
-  std::ifstream file(settings_.data_folder + "/" + kPeersFile, std::ios::binary);
-  std::stringstream bytes;
-  bytes << file.rdbuf();
-  auto machines = wire::Decode<std::vector<Machine>>(bytes.str());
-  if (!machines) {
-    return;
-  }
-  for (Machine& machine : *machines) {
-    std::string name = machine.name;
-    peers_[name] = std::move(machine);
-  }
-}
-
-void LedgerRole::SavePeers() const {
-  std::vector<Machine> machines;
-  for (const auto& [name, machine] : peers_) {
-    machines.push_back(machine);
-  }
-  ReplaceFile(settings_.data_folder + "/" + kPeersFile, wire::Encode(machines));
-}
-
 }  // namespace martenyard::roles
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -5,14 +5,15 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "event_log/event_log.h"
 #include "roles/directory_keys.h"
+#include "roles/peer_book.h"
 #include "roles/platform_formats.h"
 #include "roles/role_settings.h"
+#include "roles/ticker.h"
 #include "storage/log_store.h"
 #include "store/metadata_store.h"
 #include "store/prefix_mirror.h"
@@ -46,8 +47,7 @@
   Result<void> LoadDisk();
   void SetDamagedLogAside();
   void StartReplica(consensus::RestoredState restored);
-  void ScheduleTick();
-  void Tick();
+  void Tick(absl::Time now);
   /// Stores, sends and applies whatever the replica has to do.
   void Settle();
   bool SettleOnce();
@@ -68,8 +68,6 @@
   async_http::Task<void> ReportRetirements();
   bool FoundFromRecord();
 
-  void LoadPeers();
-  void SavePeers() const;
   void LogLeadership();
   void LogProgress(absl::Time now);
   turn_ledger::Machine Self() const;
@@ -83,17 +81,16 @@
   wire::Transport transport_;
   store::PrefixMirror directory_;
   store::PrefixMirror retirements_;
+  PeerBook peers_;
+  Ticker ticker_;
 
   NodeId identity_;
   std::unique_ptr<storage::LogStore> disk_;
   std::unique_ptr<turn_ledger::TurnReplica> replica_;
-  std::map<std::string, turn_ledger::Machine> peers_;  // By name, this machine left out.
-  std::set<std::string> heard_;  // Machines that spoke for themselves since this process began.
   bool stopping_ = false;
   absl::Time stop_deadline_;
   absl::Time next_hello_;
   absl::Time next_progress_;
-  absl::Time last_tick_;
   std::string logged_role_;
   std::uint64_t synced_writes_ = 0;
 };
--- /dev/null
+++ b/src/roles/ticker.cc
@@ -0,0 +1,37 @@
+#include "roles/ticker.h"
+
+#include <utility>
+
+#include "base/clock.h"
+
+namespace martenyard::roles {
+namespace {
+
+/// A tick this late means that the process stood still; it is logged.
+constexpr absl::Duration kStandstill = absl::Milliseconds(500);
+
+}  // namespace
+
+Ticker::Ticker(wire::EventLoop& loop, absl::Duration period, event_log::EventLog& log,
+               std::function<void(absl::Time now)> on_tick)
+    : loop_(loop), period_(period), log_(log), on_tick_(std::move(on_tick)) {}
+
+void Ticker::Start() {
+  last_ = SteadyNow();
+  Schedule();
+}
+
+void Ticker::Schedule() {
+  loop_.After(period_, [this] {
+    absl::Time now = SteadyNow();
+    if (now - last_ > kStandstill) {
+      event_log::Line line("standstill");
+      log_.Write(line.Number("ms", absl::ToInt64Milliseconds(now - last_)));
+    }
+    last_ = now;
+    on_tick_(now);
+    Schedule();
+  });
+}
+
+}  // namespace martenyard::roles
--- /dev/null
+++ b/src/roles/ticker.h
@@ -0,0 +1,30 @@
+// Calls a role's housekeeping at regular times and tells when the process stood still.
+#pragma once
+
+#include <functional>
+
+#include "absl/time/time.h"
+#include "event_log/event_log.h"
+#include "wire/event_loop.h"
+
+namespace martenyard::roles {
+
+class Ticker {
+ public:
+  /// @param on_tick receives the time, by the steady clock.
+  Ticker(wire::EventLoop& loop, absl::Duration period, event_log::EventLog& log,
+         std::function<void(absl::Time now)> on_tick);
+  /// Runs until the loop ends.
+  void Start();
+
+ private:
+  void Schedule();
+
+  wire::EventLoop& loop_;
+  absl::Duration period_;
+  event_log::EventLog& log_;
+  std::function<void(absl::Time now)> on_tick_;
+  absl::Time last_;
+};
+
+}  // namespace martenyard::roles
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -17,14 +17,12 @@
     : self_(self),
       options_(options),
       raft_(self.identity, options.raft, restored, seed, now),
-      now_(now) {
+      now_(now),
+      snapshots_(options.snapshot_log_bytes, restored.snapshot) {
   const consensus::Snapshot& snapshot = restored.snapshot;
   if (snapshot.index > 0) {
     state_.Restore(snapshot.data);
-    snapshot_bytes_ = snapshot.data.size();
   }
-  applied_ = snapshot.index;
-  applied_term_ = snapshot.term;
   OnMachine(now, self);
 }
 
@@ -189,10 +187,7 @@
   if (ready.snapshot_to_install) {
     const consensus::Snapshot& snapshot = *ready.snapshot_to_install;
     state_.Restore(snapshot.data);
-    applied_ = snapshot.index;
-    applied_term_ = snapshot.term;
-    log_bytes_ = 0;
-    snapshot_bytes_ = snapshot.data.size();
+    snapshots_.NoteInstalled(snapshot);
   }
   for (const consensus::Entry& entry : ready.committed) {
     ApplyEntry(entry);
@@ -201,9 +196,7 @@
 }
 
 void TurnReplica::ApplyEntry(const consensus::Entry& entry) {
-  applied_ = entry.index;
-  applied_term_ = entry.term;
-  log_bytes_ += entry.payload.size();
+  snapshots_.NoteApplied(entry);
   auto proposal = proposals_.extract(entry.index);
   if (entry.kind != consensus::EntryKind::kCommand) {
     return;
@@ -227,20 +220,10 @@
 }
 
 std::optional<consensus::Snapshot> TurnReplica::SnapshotIfDue() {
-  // Waiting for as many log bytes as the state has keeps the cost per command constant.
-  bool due = log_bytes_ >= std::max(options_.snapshot_log_bytes, snapshot_bytes_);
-  if (!due || !raft_.ConfigurationIsCommitted()) {
+  if (!snapshots_.Due(raft_)) {
     return std::nullopt;
   }
-  consensus::Snapshot snapshot;
-  snapshot.index = applied_;
-  snapshot.term = applied_term_;
-  snapshot.configuration = raft_.configuration();
-  snapshot.data = state_.Serialize();
-  log_bytes_ = 0;
-  snapshot_bytes_ = snapshot.data.size();
-  raft_.Compact(snapshot);
-  return snapshot;
+  return snapshots_.Take(raft_, state_.Serialize());
 }
 
 std::vector<ReplyTo> TurnReplica::TakeReplies() {
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -11,6 +11,7 @@
 
 #include "absl/time/time.h"
 #include "consensus/raft.h"
+#include "consensus/snapshot_schedule.h"
 #include "turn_ledger/membership_planner.h"
 #include "turn_ledger/messages.h"
 #include "turn_ledger/turn_state.h"
@@ -93,10 +94,7 @@
   LedgerMillis ledger_time_at_start_ = 0;
   absl::Time next_plan_;
 
-  consensus::LogIndex applied_ = 0;
-  consensus::Term applied_term_ = 0;
-  std::uint64_t log_bytes_ = 0;
-  std::uint64_t snapshot_bytes_ = 0;
+  consensus::SnapshotSchedule snapshots_;
 
   std::map<NodeId, Machine> machines_;
   std::map<NodeId, absl::Time> heard_;
