--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PRESET ?= release
 BUILD := build/$(PRESET)
 
-.PHONY: all dependencies configure build test demo bench format format-check lint
+.PHONY: all dependencies configure build test demo demo-platform bench format format-check lint
 
 all: build
 
@@ -21,6 +21,9 @@
 demo: build
 	@scripts/demo.sh $(BUILD)
 
+demo-platform: build
+	@emulator/platform/demo.sh $(BUILD)
+
 bench: build
 	@$(BUILD)/martenyard-bench experiment --out build/bench
 
--- a/scripts/check_platform_names.sh
+++ b/scripts/check_platform_names.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 
 names='Attempt-Id|Deadline-Ms|Affinity-Key|Prompt-Prefix|Server-Signature|Target-Instance|Not-Executed|Instance-Id|Token-Usage|Token-Budget|Request-Priority|Weight-Versions|Program-Id|Session-Id|Previous-Turn|kv-key|kv-range|kv-watch|kv-txn|kv-lease|trafficSplit|pathPrefix|targetLatencyMs|maxAttempts|retentionEnabled|tokensPerEvent|privateKey|expectedRevision|op/config|op/retire|status/retire|MARTENYARD_BOOT|faultTolerance|lossCounts|internalPorts'
-allowed='^(platform/|deploy/|emulator/platform/|tests/platform/|tests/support/platform_world|tests/sites/|docs/|journal/|scripts/check_platform_names.sh|README.md|CONTRIBUTING.md)'
+allowed='^(platform/|deploy/|emulator/platform/|tests/platform/|tests/sites/|docs/|journal/|scripts/check_platform_names.sh|README.md|CONTRIBUTING.md)'
 
 found="$(git grep -nIE "$names" -- . | grep -vE "$allowed" || true)"
 if [ -n "$found" ]; then
--- a/tests/explain/explain_test.cc
+++ b/tests/platform/explain_test.cc
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "absl/strings/match.h"
-#include "support/platform_world.h"
+#include "platform/support/platform_world.h"
 
 namespace martenyard::explain {
 namespace {
--- a/tests/platform/gateway_contract_test.cc
+++ b/tests/platform/gateway_contract_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
-#include "support/platform_world.h"
+#include "platform/support/platform_world.h"
 #include "wire/codec.h"
 
 namespace martenyard::testing {
--- a/tests/support/platform_client.cc
+++ b/tests/platform/support/platform_client.cc
@@ -1,4 +1,4 @@
-#include "support/platform_client.h"
+#include "platform/support/platform_client.h"
 
 #include <utility>
 
--- a/tests/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -1,4 +1,4 @@
-#include "support/platform_world.h"
+#include "platform/support/platform_world.h"
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/tests/support/platform_world.h
+++ b/tests/platform/support/platform_world.h
@@ -11,9 +11,9 @@
 #include "event_log/event_log.h"
 #include "platform/formats.h"
 #include "platform/store_client.h"
+#include "platform/support/platform_client.h"
 #include "roles/gateway_role.h"
 #include "roles/ledger_role.h"
-#include "support/platform_client.h"
 #include "wire/event_loop.h"
 
 namespace martenyard::testing {
--- a/tests/system/platform_soak_test.cc
+++ b/tests/platform/system/platform_soak_test.cc
@@ -21,7 +21,7 @@
 #include "emulator/platform/runner_stand_in.h"
 #include "emulator/platform/store_stand_in.h"
 #include "explain/explain.h"
-#include "support/platform_client.h"
+#include "platform/support/platform_client.h"
 
 namespace martenyard::testing {
 namespace {
