--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -25,6 +25,6 @@
 }
 export -f lint_one
 
-git ls-files 'src/*.cc' 'apps/*.cc' 'emulator/*.cc' 'bench/*.cc' |
+git ls-files 'src/*.cc' 'platform/*.cc' 'apps/*.cc' 'emulator/*.cc' 'bench/*.cc' |
   xargs -P "$(nproc)" -I{} bash -c 'lint_one "$@"' _ {}
 echo "lint: clean"
