Chains of turns are read from any replica; repeated requests are proposed once; an overloaded ledger says so

The ledger's leader sends each turn's whole chain with its verdict: some 130 MB in 35 s on a link of 47 Mbit/s, growing with the programs' length. From second 18 on its answers took over 200 ms; each gateway then asked again, and every repetition became an entry of the log (5,000 entries in 2 s without one more turn kept): a retry storm that never ended. Ruled out: processor (0.05 of 0.12 of a core), disk (260 syncs a second of 1 ms). Change: (1) a kept turn never changes, so gateways read chains from any replica, their own zone's first, while the leader admits the turn; only "no such turn" is the leader's to say. A gateway that holds an ancestor asks for the rest (`turn_ledger/chain`, `forwarding/history`). (2) A request under way is not proposed again. (3) While its oldest request is older than 350 ms a leader refuses reservations, which the gateway answers at once with 503 and when to come back; settlements are always taken. (4) Tries of a call wait 200, 400, 800 ms. Tests: TurnReplicaTest (proposed once; reservations refused while the log lags), TurnStateTest (chain after a known turn), TurnCacheTest.

--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -16,6 +16,7 @@
 #include "forwarding/route_table.h"
 #include "forwarding/runner_choice.h"
 #include "forwarding/turn_cache.h"
+#include "turn_ledger/chain/chain_reader.h"
 #include "turn_ledger/ledger_client.h"
 
 namespace martenyard::forwarding {
@@ -56,6 +57,7 @@
   ConnectionPool pool;
   TurnCache turns{std::uint64_t{12} << 20};
   std::unique_ptr<turn_ledger::LedgerClient> ledger;
+  std::unique_ptr<turn_ledger::chain_reader> chains;
   std::uint32_t gateways = 1;  ///< That share the runners' connections.
   /// Told of each piece of a prompt that a runner is about to read, for the other gateways.
   std::function<void(std::uint64_t part, std::uint32_t runner)> on_placement;
--- /dev/null
+++ b/src/forwarding/history/history_fetch.cc
@@ -0,0 +1,97 @@
+#include "forwarding/history/history_fetch.h"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace martenyard::forwarding
+{
+namespace
+{
+
+using async_http::Task;
+
+/// a reader ends by itself long before; this only bounds one wake-up
+constexpr std::chrono::seconds wait_bound{1};
+
+std::optional<turn_ledger::TurnId> turn_of(const std::optional<RequestId>& request)
+{
+    return request ? std::make_optional(turn_ledger::TurnId(request->value)) : std::nullopt;
+}
+
+}  // namespace
+
+const char* name_of(history_source source)
+{
+    switch (source)
+    {
+        case history_source::none:
+            return "none";
+        case history_source::cache:
+            return "cache";
+        case history_source::cache_and_replica:
+            return "cache_and_replica";
+        case history_source::replica:
+            return "replica";
+        case history_source::leader:
+            return "leader";
+    }
+    return "unknown";
+}
+
+history_fetch::history_fetch(const std::shared_ptr<GatewayState>& state, const ProgramId& program,
+                             const RequestId& previous)
+    : m_part(std::make_shared<shared_part>(state->context))
+{
+    m_part->m_chain = state->turns.Find(previous);
+    if (m_part->m_chain != nullptr)
+    {
+        m_part->m_source = history_source::cache;
+        m_part->m_done = true;
+        return;
+    }
+    async_http::asio::co_spawn(state->context, read(state, m_part, program, previous), async_http::asio::detached);
+}
+
+Task<void> history_fetch::read(std::shared_ptr<GatewayState> state, std::shared_ptr<shared_part> part,
+                               ProgramId program, RequestId previous)
+{
+    std::optional<RequestId> known = state->turns.LatestOf(program);
+    // Held from now on: the cache may drop it meanwhile.
+    std::shared_ptr<const std::string> known_chain = known ? state->turns.Find(*known) : nullptr;
+    auto reply = co_await state->chains->read(turn_ledger::TurnId(previous.value), turn_of(known));
+    if (reply && reply->m_after_known && known_chain != nullptr)
+    {
+        part->m_chain = std::make_shared<std::string>(absl::StrCat(*known_chain, reply->m_text));
+        part->m_source = history_source::cache_and_replica;
+    }
+    else if (reply && !reply->m_after_known)
+    {
+        part->m_chain = std::make_shared<std::string>(std::move(reply->m_text));
+        part->m_source = history_source::replica;
+    }
+    if (part->m_chain != nullptr)
+    {
+        state->turns.Put(program, previous, part->m_chain);
+    }
+    part->m_done = true;
+    part->m_arrived.Notify();
+}
+
+Task<std::shared_ptr<const std::string>> history_fetch::wait()
+{
+    while (!m_part->m_done)
+    {
+        co_await m_part->m_arrived.Wait(absl::FromChrono(wait_bound));
+    }
+    co_return m_part->m_chain;
+}
+
+history_source history_fetch::source() const
+{
+    return m_part->m_source;
+}
+
+}  // namespace martenyard::forwarding
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -150,10 +150,11 @@
   reserve.budget = info_.token_budget;
   reserve.retention_ms =
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
+  std::optional<history_fetch> fetch;
   if (keeps && info_.previous_turn) {
     reserve.previous = turn_ledger::TurnId(info_.previous_turn->value);
-    history_ = state_->turns.Find(*info_.previous_turn);
-    reserve.has_previous = history_ != nullptr;
+    reserve.has_previous = true;
+    fetch.emplace(state_, info_.program, *info_.previous_turn);
   }
   absl::Time began = SteadyNow();
   absl::Time patience =
@@ -164,6 +165,12 @@
   Line line("turn_admission");
   line.Text("request", info_.id.value).Text("program", info_.program.value);
   line.Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began));
+  if (result.end == turn_ledger::CallEnd::kOverloaded) {
+    reserved_ = false;
+    state_->log.Write(line.Text("verdict", "overloaded"));
+    co_await Refuse("the turn ledger is overloaded");
+    co_return false;
+  }
   if (!result) {
     state_->log.Write(line.Text("verdict", "no_answer"));
     SettleLater(0);
@@ -193,14 +200,34 @@
       co_await Refuse("this try was given up before");
       co_return false;
   }
+  if (fetch && !co_await TakeHistory(*fetch, reserve, patience, line)) {
+    co_return false;
+  }
   state_->log.Write(line.Text("verdict", "admitted"));
-  if (reserve.previous) {
-    if (history_ == nullptr) {
-      history_ = std::make_shared<std::string>(std::move(result->history));
-      state_->turns.Put(*info_.previous_turn, history_);
+  co_return true;
+}
+
+Task<bool> RequestRun::TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
+                                   absl::Time patience, Line& line) {
+  history_ = co_await fetch.wait();
+  history_source source = fetch.source();
+  if (history_ == nullptr) {
+    // No replica asked had it yet. The same reservation again is no second one.
+    reserve.has_previous = false;
+    auto result = co_await state_->ledger->Call(reserve, patience);
+    if (!result || result->verdict != turn_ledger::Verdict::kDone) {
+      state_->log.Write(line.Text("verdict", "no_history"));
+      SettleLater(0);
+      co_await Refuse("the turn's history could not be read");
+      co_return false;
     }
-    body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+    history_ = std::make_shared<std::string>(std::move(result->history));
+    state_->turns.Put(info_.program, *info_.previous_turn, history_);
+    source = history_source::leader;
   }
+  line.Text("history", name_of(source));
+  line.Number("history_bytes", static_cast<std::int64_t>(history_->size()));
+  body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
   co_return true;
 }
 
@@ -534,12 +561,13 @@
   state_->log.Write(Line("turn_committed")
                         .Text("request", info_.id.value)
                         .Number("events", static_cast<std::int64_t>(events_.events()))
-                        .Flag("known", result.has_value())
+                        .Flag("known", static_cast<bool>(result))
                         .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began)));
   if (!result) {
     co_return false;
   }
-  state_->turns.Put(info_.id, std::make_shared<std::string>(absl::StrCat(*body_, events_.data())));
+  state_->turns.Put(info_.program, info_.id,
+                    std::make_shared<std::string>(absl::StrCat(*body_, events_.data())));
   co_return true;
 }
 
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -10,6 +10,7 @@
 #include "async_http/server.h"
 #include "forwarding/attempt.h"
 #include "forwarding/gateway_state.h"
+#include "forwarding/history/history_fetch.h"
 
 namespace martenyard::forwarding {
 
@@ -28,6 +29,9 @@
   async_http::Task<bool> FindRoute();
   /// Reserves the turn's tokens and fetches its history. @return false when it answered.
   async_http::Task<bool> AdmitTurn();
+  /// Puts the chain before the turn's own input. @return false when it answered.
+  async_http::Task<bool> TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
+                                     absl::Time patience, event_log::Line& line);
   async_http::Task<void> TryRunners();
   std::optional<discovery::Runner> Choose();
   std::vector<Candidate> Candidates();
--- a/src/forwarding/turn_cache.cc
+++ b/src/forwarding/turn_cache.cc
@@ -13,18 +13,34 @@
   return found->second->chain;
 }
 
-void TurnCache::Put(const RequestId& turn, std::shared_ptr<const std::string> chain) {
+std::optional<RequestId> TurnCache::LatestOf(const ProgramId& program) const {
+  auto found = latest_.find(program);
+  return found == latest_.end() ? std::nullopt : std::make_optional(found->second);
+}
+
+void TurnCache::Put(const ProgramId& program, const RequestId& turn,
+                    std::shared_ptr<const std::string> chain) {
   if (by_turn_.contains(turn)) {
     return;
   }
   bytes_ += chain->size();
-  recent_.push_front({turn, std::move(chain)});
+  recent_.push_front({program, turn, std::move(chain)});
   by_turn_[turn] = recent_.begin();
+  latest_[program] = turn;
   while (bytes_ > capacity_bytes_ && !recent_.empty()) {
-    bytes_ -= recent_.back().chain->size();
-    by_turn_.erase(recent_.back().turn);
-    recent_.pop_back();
+    DropOldest();
+  }
+}
+
+void TurnCache::DropOldest() {
+  const Entry& oldest = recent_.back();
+  bytes_ -= oldest.chain->size();
+  by_turn_.erase(oldest.turn);
+  auto latest = latest_.find(oldest.program);
+  if (latest != latest_.end() && latest->second == oldest.turn) {
+    latest_.erase(latest);
   }
+  recent_.pop_back();
 }
 
 }  // namespace martenyard::forwarding
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -87,6 +87,12 @@
         SendToLedger(to, request);
       },
       turn_ledger::LedgerClientOptions{}, state_->random.NextId() >> 16U);
+  state_->chains = std::make_unique<turn_ledger::chain_reader>(
+      loop.context(),
+      [this](const wire::Endpoint& to, const turn_ledger::chain_request& request) {
+        transport_.SendFrame(to, wire::Encode(turn_ledger::Envelope{Self(), request}));
+      },
+      ZoneName(settings.zone), state_->random.NextId() >> 16U);
   state_->on_placement = [this](std::uint64_t part, std::uint32_t runner) {
     if (placements_.size() < kMostPlacements) {
       placements_.push_back({part, runner});
@@ -188,6 +194,7 @@
 
 void GatewayRole::OnDirectoryChange(const store::StoreChange&) {
   std::vector<wire::Endpoint> replicas;
+  std::vector<Machine> ledger_machines;
   std::vector<wire::Endpoint> gateways;
   for (const auto& [key, item] : directory_.items()) {
     auto machine = wire::Decode<Machine>(item.value);
@@ -196,6 +203,7 @@
     }
     if (absl::StartsWith(key, kLedgerMachines)) {
       replicas.push_back(machine->endpoint);
+      ledger_machines.push_back(*machine);
     } else if (absl::StartsWith(key, kGatewayMachines) && machine->name != settings_.node) {
       gateways.push_back(machine->endpoint);
     }
@@ -204,6 +212,7 @@
                  .Number("ledger_machines", static_cast<std::int64_t>(replicas.size()))
                  .Number("other_gateways", static_cast<std::int64_t>(gateways.size())));
   state_->ledger->SetReplicas(std::move(replicas));
+  state_->chains->set_machines(std::move(ledger_machines));
   state_->gateways = static_cast<std::uint32_t>(gateways.size()) + 1;
   peers_ = std::move(gateways);
 }
@@ -239,6 +248,8 @@
   }
   if (const auto* reply = std::get_if<turn_ledger::LedgerReply>(&envelope->body)) {
     state_->ledger->OnReply(*reply);
+  } else if (auto* chain = std::get_if<turn_ledger::chain_reply>(&envelope->body)) {
+    state_->chains->on_reply(std::move(*chain));
   }
 }
 
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -358,6 +358,11 @@
       reply.status = turn_ledger::ReplyStatus::kNotLeader;
       SendTo(envelope->from.endpoint, reply);
     }
+  } else if (const auto* read = std::get_if<turn_ledger::chain_request>(&envelope->body)) {
+    turn_ledger::chain_reply reply;
+    reply.m_request = read->m_request;
+    SendTo(envelope->from.endpoint,
+           replica_ == nullptr ? std::move(reply) : replica_->state().ReadChain(*read));
   } else if (const auto* hello = std::get_if<turn_ledger::Hello>(&envelope->body)) {
     OnHello(*hello);
   }
--- /dev/null
+++ b/src/turn_ledger/chain/chain_reader.h
@@ -0,0 +1,135 @@
+// Reads chains of kept turns from the replicas, the near ones first.
+//
+// The leader already orders every reservation; were it to send every chain as well, its link would be
+// full long before its disk or processor is.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "async_http/task.h"
+#include "base/clock.h"
+#include "turn_ledger/chain/chain_messages.h"
+#include "turn_ledger/messages.h"
+
+namespace martenyard::turn_ledger
+{
+
+/// @brief something that takes a request to a replica; it may be lost on the way
+template <typename Send>
+concept chain_sender = std::invocable<Send&, const wire::Endpoint&, const chain_request&>;
+
+/// @brief how patient a reader is
+struct chain_reader_options
+{
+    /// then another replica is asked
+    std::chrono::milliseconds m_try_timeout{120};
+    /// replicas asked at most for one chain
+    std::size_t m_most_tries = 3;
+    /// for how long a machine that was silent, or is no replica, is asked last
+    std::chrono::milliseconds m_avoidance{3000};
+};
+
+/// @brief asks replicas for chains; on the loop's thread only
+template <chain_sender Send>
+class basic_chain_reader
+{
+  public:
+    /// @param[in] zone  replicas of this zone are asked first
+    basic_chain_reader(async_http::asio::io_context& context, Send send, ZoneName zone, std::uint64_t first_request,
+                       const chain_reader_options& options = {})
+        : m_context(context), m_send(std::move(send)), m_zone(std::move(zone)), m_last_request(first_request),
+          m_options(options)
+    {
+    }
+
+    /// @brief replaces the machines that may have a replica; their order doesn't matter
+    void set_machines(std::vector<Machine> machines)
+    {
+        std::stable_partition(machines.begin(), machines.end(),
+                              [this](const Machine& machine) { return machine.zone == m_zone; });
+        m_machines = std::move(machines);
+    }
+
+    /// @param[in] known  see @ref chain_request
+    /// @return the first reply that has the turn, or nothing when the replicas asked did not know it or
+    ///         did not answer: then only the leader can tell
+    async_http::Task<std::optional<chain_reply>> read(TurnId turn, std::optional<TurnId> known)
+    {
+        std::vector<wire::Endpoint> targets = choose_targets();
+        for (const wire::Endpoint& target : targets)
+        {
+            chain_request request{++m_last_request, turn, known};
+            waiting_read waiting(m_context);
+            m_waiting[request.m_request] = &waiting;
+            m_send(target, request);
+            co_await waiting.m_arrived.Wait(absl::FromChrono(m_options.m_try_timeout));
+            m_waiting.erase(request.m_request);
+            bool useful = waiting.m_reply && waiting.m_reply->m_has_state;
+            m_avoided_until[target] = useful ? absl::InfinitePast() : SteadyNow() + absl::FromChrono(m_options.m_avoidance);
+            if (waiting.m_reply && waiting.m_reply->m_found)
+            {
+                co_return std::move(waiting.m_reply);
+            }
+        }
+        co_return std::nullopt;
+    }
+
+    /// @brief a replica answered
+    void on_reply(chain_reply reply)
+    {
+        auto found = m_waiting.find(reply.m_request);
+        if (found != m_waiting.end())
+        {
+            found->second->m_reply = std::move(reply);
+            found->second->m_arrived.Notify();
+        }
+    }
+
+  private:
+    struct waiting_read
+    {
+        explicit waiting_read(async_http::asio::io_context& context) : m_arrived(context) {}
+        async_http::Signal m_arrived;
+        std::optional<chain_reply> m_reply;
+    };
+
+    std::vector<wire::Endpoint> choose_targets()
+    {
+        std::vector<wire::Endpoint> targets;
+        std::vector<wire::Endpoint> avoided;
+        absl::Time now = SteadyNow();
+        for (const Machine& machine : m_machines)
+        {
+            auto entry = m_avoided_until.find(machine.endpoint);
+            bool avoid = entry != m_avoided_until.end() && entry->second > now;
+            (avoid ? avoided : targets).push_back(machine.endpoint);
+        }
+        targets.insert(targets.end(), avoided.begin(), avoided.end());
+        targets.resize(std::min(targets.size(), m_options.m_most_tries));
+        return targets;
+    }
+
+    async_http::asio::io_context& m_context;
+    Send m_send;
+    ZoneName m_zone;
+    std::uint64_t m_last_request;
+    chain_reader_options m_options;
+    std::vector<Machine> m_machines;
+    std::map<wire::Endpoint, absl::Time> m_avoided_until;
+    std::map<std::uint64_t, waiting_read*> m_waiting;
+};
+
+/// @brief the reader that gateways use
+using chain_reader = basic_chain_reader<std::function<void(const wire::Endpoint&, const chain_request&)>>;
+
+}  // namespace martenyard::turn_ledger
--- a/src/turn_ledger/image/state_image.cc
+++ b/src/turn_ledger/image/state_image.cc
@@ -79,7 +79,9 @@
     return total;
 }
 
-state_image_encoder::state_image_encoder(state_image image) : m_image(std::move(image)) {}
+state_image_encoder::state_image_encoder(state_image image) : m_image(std::move(image))
+{
+}
 
 std::string state_image_encoder::next(std::size_t most_bytes)
 {
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -42,13 +42,16 @@
   return replicas_[next_replica_++ % replicas_.size()];
 }
 
-Task<std::optional<OperationResult>> LedgerClient::Call(Operation operation, absl::Time deadline) {
+Task<CallResult> LedgerClient::Call(Operation operation, absl::Time deadline) {
+  bool reservation = std::holds_alternative<ReserveTurn>(operation);
   LedgerRequest request{++last_request_, std::move(operation)};
   Waiting waiting(context_);
   waiting_[request.request] = &waiting;
   std::optional<wire::Endpoint> failed;
-  std::optional<OperationResult> result;
+  CallResult result;
+  absl::Duration try_timeout = options_.try_timeout;
   bool first = true;
+  bool may_be_committed = false;
   while (SteadyNow() < deadline) {
     retries_ += first ? 0 : 1;
     first = false;
@@ -61,17 +64,29 @@
     }
     waiting.target = *target;
     send_(*target, request);
-    co_await waiting.arrived.Wait(std::min(options_.try_timeout, deadline - SteadyNow()));
+    co_await waiting.arrived.Wait(std::min(try_timeout, deadline - SteadyNow()));
     if (!waiting.reply) {
+      may_be_committed = true;
       failed = target;
+      try_timeout = std::min(try_timeout * 2, options_.longest_try);
       continue;
     }
     const LedgerReply& reply = *waiting.reply;
     if (reply.status == ReplyStatus::kDone) {
       leader_ = target;
-      result = std::move(waiting.reply->result);
+      result = {CallEnd::kDone, std::move(waiting.reply->result)};
       break;
     }
+    may_be_committed = may_be_committed || reply.status == ReplyStatus::kUncertain;
+    if (reply.status == ReplyStatus::kOverloaded) {
+      leader_ = target;
+      if (reservation && !may_be_committed) {
+        result.end = CallEnd::kOverloaded;
+        break;
+      }
+      co_await async_http::Sleep(context_, std::min(try_timeout, deadline - SteadyNow()));
+      continue;
+    }
     bool hint = reply.leader.port != 0 && reply.leader != *target;
     if (hint) {
       leader_ = reply.leader;
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -13,8 +13,27 @@
 namespace martenyard::turn_ledger {
 
 struct LedgerClientOptions {
-  absl::Duration try_timeout = absl::Milliseconds(200);  ///< Then another replica is asked.
-  absl::Duration pause = absl::Milliseconds(25);         ///< Between tries without a leader.
+  /// Then another replica is asked; doubled with each try of a call.
+  absl::Duration try_timeout = absl::Milliseconds(200);
+  absl::Duration longest_try = absl::Milliseconds(800);
+  absl::Duration pause = absl::Milliseconds(25);  ///< Between tries without a leader.
+};
+
+/// How a call ended.
+enum class CallEnd {
+  kDone,        ///< Committed: the result holds.
+  kNoAnswer,    ///< The deadline passed: it may be committed or not, or later.
+  kOverloaded,  ///< The leader has more than it can do, and no try was taken up: it never will be.
+};
+
+/// A call's end, with its result when it is done.
+struct CallResult {
+  CallEnd end = CallEnd::kNoAnswer;
+  OperationResult result;
+
+  explicit operator bool() const { return end == CallEnd::kDone; }
+  OperationResult* operator->() { return &result; }
+  const OperationResult* operator->() const { return &result; }
 };
 
 /// On the loop's thread only.
@@ -27,9 +46,9 @@
 
   /// Replaces the replicas known; order doesn't matter.
   void SetReplicas(std::vector<wire::Endpoint> replicas);
-  /// Asks until it is committed. @return nothing when `deadline` passed first: the operation may
-  /// then be committed or not, or later.
-  async_http::Task<std::optional<OperationResult>> Call(Operation operation, absl::Time deadline);
+  /// Asks until it is committed, `deadline` has passed, or an overloaded leader refuses the first
+  /// try of a reservation.
+  async_http::Task<CallResult> Call(Operation operation, absl::Time deadline);
   void OnReply(const LedgerReply& reply);
   /// Nothing listens at `replica` any more.
   void OnDead(const wire::Endpoint& replica);
--- a/src/turn_ledger/messages.h
+++ b/src/turn_ledger/messages.h
@@ -8,6 +8,7 @@
 
 #include "base/ids.h"
 #include "consensus/types.h"
+#include "turn_ledger/chain/chain_messages.h"
 #include "turn_ledger/types.h"
 #include "wire/endpoint.h"
 
@@ -74,7 +75,8 @@
   }
 };
 
-using Body = std::variant<Hello, LogMessage, LedgerRequest, LedgerReply>;
+using Body =
+    std::variant<Hello, LogMessage, LedgerRequest, LedgerReply, chain_request, chain_reply>;
 
 /// What travels in one frame.
 struct Envelope {
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -92,7 +92,11 @@
     Answer(requester, ReplyStatus::kNotLeader);
     return;
   }
-  if (proposals_.size() >= options_.max_pending) {
+  if (under_way_.contains(requester)) {
+    return;  // Asked again out of impatience: one entry in the log answers both.
+  }
+  bool reservation = std::holds_alternative<ReserveTurn>(request.operation);
+  if (proposals_.size() >= options_.max_pending || (reservation && Overloaded())) {
     Answer(requester, ReplyStatus::kOverloaded);
     return;
   }
@@ -102,7 +106,8 @@
     Answer(requester, ReplyStatus::kNotLeader);
     return;
   }
-  proposals_[*index] = {raft_.term(), requester};
+  proposals_[*index] = {raft_.term(), requester, now_};
+  under_way_.insert(requester);
 }
 
 // ---- Leading ----
@@ -111,6 +116,10 @@
   return ledger_time_at_start_ + absl::ToInt64Milliseconds(now_ - led_since_);
 }
 
+bool TurnReplica::Overloaded() const {
+  return !proposals_.empty() && proposals_.begin()->second.at + options_.overload_after < now_;
+}
+
 void TurnReplica::WatchLeadership() {
   if (raft_.IsLeader() == was_leader_) {
     return;
@@ -127,6 +136,7 @@
     Answer(proposal.requester, ReplyStatus::kUncertain);
   }
   proposals_.clear();
+  under_way_.clear();
 }
 
 GroupView TurnReplica::View() const {
@@ -215,6 +225,7 @@
   if (proposal.empty()) {
     return;
   }
+  under_way_.erase(proposal.mapped().requester);
   bool own = proposal.mapped().term == entry.term;
   Answer(proposal.mapped().requester, own ? ReplyStatus::kDone : ReplyStatus::kUncertain,
          own ? std::move(result) : OperationResult{});
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -23,6 +23,8 @@
   consensus::RaftOptions raft;
   PlannerOptions planner;
   std::size_t max_pending = 4000;  ///< Requests under way at one leader; more are refused.
+  /// Reservations are refused while the oldest request under way is older than this.
+  absl::Duration overload_after = absl::Milliseconds(350);
   std::uint64_t snapshot_log_bytes = std::uint64_t{24} << 20;  ///< Or the last snapshot's size.
 };
 
@@ -30,6 +32,7 @@
 struct Requester {
   wire::Endpoint gateway;
   std::uint64_t request = 0;
+  friend auto operator<=>(const Requester&, const Requester&) = default;
 };
 
 /// One step of a snapshot: what to store of it next.
@@ -86,9 +89,12 @@
   struct Proposal {
     consensus::Term term = 0;
     Requester requester;
+    absl::Time at;
   };
 
   LedgerMillis LedgerNow() const;
+  /// True when a new reservation would wait so long that its requester gives it up.
+  bool Overloaded() const;
   void WatchLeadership();
   void Plan();
   GroupView View() const;
@@ -123,6 +129,7 @@
   std::set<NodeId> superseded_;  ///< Identities whose disk is known to be gone.
   std::vector<std::string> retiring_;
   std::map<consensus::LogIndex, Proposal> proposals_;
+  std::set<Requester> under_way_;  ///< Of `proposals_`.
   std::vector<ReplyTo> replies_;
 };
 
--- a/src/turn_ledger/turn_state.cc
+++ b/src/turn_ledger/turn_state.cc
@@ -13,6 +13,15 @@
 constexpr LedgerMillis kRetentionMargin = 15000;
 constexpr LedgerMillis kExpiryInterval = 2000;
 
+std::string JoinTexts(const std::vector<const kept_turn*>& chain) {
+  std::string text;
+  for (const kept_turn* kept : chain) {
+    text.append(kept->m_text->m_input);
+    text.append(kept->m_text->m_output);
+  }
+  return text;
+}
+
 }  // namespace
 
 OperationResult TurnState::Apply(const Command& command) {
@@ -97,10 +106,17 @@
   }
 }
 
-std::string TurnState::HistoryOf(const TurnId& turn) const {
+std::vector<const kept_turn*> TurnState::ChainOf(const TurnId& turn,
+                                                 const std::optional<TurnId>& known,
+                                                 bool& met_known) const {
   std::vector<const kept_turn*> chain;
   std::optional<TurnId> next = turn;
+  met_known = false;
   while (next) {
+    if (next == known) {
+      met_known = true;
+      break;
+    }
     auto found = turns_.find(*next);
     if (found == turns_.end()) {
       break;
@@ -108,12 +124,24 @@
     chain.push_back(&found->second);
     next = found->second.m_previous;
   }
-  std::string history;
-  for (auto kept = chain.rbegin(); kept != chain.rend(); ++kept) {
-    history.append((*kept)->m_text->m_input);
-    history.append((*kept)->m_text->m_output);
+  std::reverse(chain.begin(), chain.end());
+  return chain;
+}
+
+std::string TurnState::HistoryOf(const TurnId& turn) const {
+  bool met_known = false;
+  return JoinTexts(ChainOf(turn, std::nullopt, met_known));
+}
+
+chain_reply TurnState::ReadChain(const chain_request& request) const {
+  chain_reply reply;
+  reply.m_request = request.m_request;
+  reply.m_has_state = true;
+  reply.m_found = turns_.contains(request.m_turn);
+  if (reply.m_found) {
+    reply.m_text = JoinTexts(ChainOf(request.m_turn, request.m_known, reply.m_after_known));
   }
-  return history;
+  return reply;
 }
 
 void TurnState::Expire() {
--- a/src/turn_ledger/turn_state.h
+++ b/src/turn_ledger/turn_state.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "turn_ledger/chain/chain_messages.h"
 #include "turn_ledger/image/state_image.h"
 #include "turn_ledger/types.h"
 
@@ -22,6 +24,9 @@
   /// @return false when `bytes` are no state; the state is then empty.
   bool Restore(const std::string& bytes);
 
+  /// @return what the request asks for; the reply's `m_found` tells whether the turn is kept here.
+  chain_reply ReadChain(const chain_request& request) const;
+
   LedgerMillis now() const { return now_; }
   std::size_t programs() const { return accounts_.size(); }
   std::size_t turns() const { return turns_.size(); }
@@ -34,6 +39,9 @@
   /// Keeps a turn and its whole chain at least until `until`.
   void Prolong(const std::optional<TurnId>& turn, LedgerMillis until);
   std::string HistoryOf(const TurnId& turn) const;
+  /// @return the turns of the chain, oldest first, from the one after `known` on (or all).
+  std::vector<const kept_turn*> ChainOf(const TurnId& turn, const std::optional<TurnId>& known,
+                                        bool& met_known) const;
   void Expire();
 
   absl::flat_hash_map<ProgramId, account> accounts_;
--- a/tests/forwarding/forwarding_units_test.cc
+++ b/tests/forwarding/forwarding_units_test.cc
@@ -237,10 +237,13 @@
 TEST(TurnCacheTest, KeepsTheLatestWithinItsBytes) {
   TurnCache cache(100);
   auto chain = std::make_shared<std::string>(std::string(40, 'x'));
-  cache.Put(RequestId("a"), chain);
-  cache.Put(RequestId("b"), chain);
+  const ProgramId program("p");
+  cache.Put(program, RequestId("a"), chain);
+  cache.Put(program, RequestId("b"), chain);
+  EXPECT_EQ(cache.LatestOf(program), RequestId("b"));
   ASSERT_NE(cache.Find(RequestId("a")), nullptr);
-  cache.Put(RequestId("c"), chain);
+  cache.Put(ProgramId("q"), RequestId("c"), chain);
+  EXPECT_EQ(cache.LatestOf(program), std::nullopt) << "its chain is gone";
   EXPECT_EQ(cache.Find(RequestId("b")), nullptr) << "the least recently used goes first";
   EXPECT_NE(cache.Find(RequestId("a")), nullptr);
   EXPECT_LE(cache.bytes(), 100U);
--- a/tests/turn_ledger/turn_replica_test.cc
+++ b/tests/turn_ledger/turn_replica_test.cc
@@ -58,7 +58,8 @@
 };
 
 TEST_F(TurnReplicaTest, LargeStateIsStoredInSmallStepsAndRequestsAreAnsweredBetweenThem) {
-  // A snapshot taken at one go stopped every replica for a second, all at the same entry of the log.
+  // A snapshot taken at one go stopped every replica for a second, all at the same entry of the
+  // log.
   ASSERT_TRUE(replica_->LeadsCurrent());
   int number = 0;
   std::optional<SnapshotStep> step;
@@ -104,5 +105,36 @@
   EXPECT_GE(replica_->raft().log_size(), static_cast<std::size_t>(number));
 }
 
+TEST_F(TurnReplicaTest, ReservationsAreRefusedWhileTheLogLagsAndSettlementsAreNot) {
+  // A disk that stalls: what is proposed is not stored.
+  auto ask = [&](std::uint64_t request, const Operation& operation) {
+    replica_->OnRequest(now_, kGateway, {request, operation});
+    std::vector<ReplyTo> replies = replica_->TakeReplies();
+    return replies.empty() ? std::nullopt : std::make_optional(replies.front().reply.status);
+  };
+  ReserveTurn reserve;
+  reserve.program = ProgramId("p");
+  reserve.turn = TurnId("t");
+  EXPECT_EQ(ask(1, reserve), std::nullopt) << "taken up";
+  now_ += absl::Seconds(1);
+  EXPECT_EQ(ask(2, reserve), ReplyStatus::kOverloaded);
+  EXPECT_EQ(ask(3, Keep(3)), std::nullopt) << "what ended must be charged";
+  Pump();
+  EXPECT_EQ(ask(4, reserve), std::nullopt) << "the log moves again";
+}
+
+TEST_F(TurnReplicaTest, RequestAskedAgainWhileItIsUnderWayIsProposedOnce) {
+  // Every impatient repetition once became an entry of its own: a slow group grew slower by them.
+  consensus::LogIndex before = replica_->raft().last_index();
+  for (int repetition = 0; repetition < 5; ++repetition) {
+    replica_->OnRequest(now_, kGateway, {1, Keep(1)});
+  }
+  EXPECT_EQ(replica_->raft().last_index(), before + 1);
+  Pump();
+  EXPECT_EQ(answered_, 1);
+  Do(1);  // Answered before: its reply may have been lost.
+  EXPECT_EQ(answered_, 2);
+}
+
 }  // namespace
 }  // namespace martenyard::turn_ledger
--- a/tests/turn_ledger/turn_state_test.cc
+++ b/tests/turn_ledger/turn_state_test.cc
@@ -59,6 +59,24 @@
   return parts;
 }
 
+TEST(TurnStateTest, ChainIsToldFromTheTurnThatTheRequesterHoldsOn) {
+  TurnState state;
+  state.Apply(Complete("one", "a", "b"));
+  state.Apply(Complete("two", "c", "d", "one"));
+  state.Apply(Complete("three", "e", "f", "two"));
+  auto read = [&](const std::string& turn, const std::optional<TurnId>& known) {
+    return state.ReadChain({1, TurnId(turn), known});
+  };
+  EXPECT_EQ(read("three", std::nullopt).m_text, "abcdef");
+  chain_reply after = read("three", TurnId("one"));
+  EXPECT_TRUE(after.m_after_known);
+  EXPECT_EQ(after.m_text, "cdef");
+  chain_reply elsewhere = read("three", TurnId("not an ancestor"));
+  EXPECT_FALSE(elsewhere.m_after_known);
+  EXPECT_EQ(elsewhere.m_text, "abcdef");
+  EXPECT_FALSE(read("four", std::nullopt).m_found);
+}
+
 TEST(TurnStateTest, BudgetHoldsReservedAndSpentTokensTogether) {
   TurnState state;
   EXPECT_EQ(state.Apply(Reserve("a", 60, 100)).verdict, Verdict::kDone);
