--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -7,6 +7,7 @@
 //   'x' group                        -> "" (this node left the group)
 #include <rocksdb/db.h>
 #include <rocksdb/options.h>
+#include <rocksdb/rate_limiter.h>
 #include <rocksdb/write_batch.h>
 
 #include <algorithm>
@@ -24,6 +25,11 @@
 constexpr char kIdentityKey[] = "identity";
 constexpr std::size_t kChecksumBytes = 8;
 constexpr std::size_t kWriteBufferBytes = std::size_t{4} << 20;
+/// Flushes and compactions share the machine's processor with the replica itself. At full speed one
+/// compaction takes a small machine's whole share for longer than an election's timeout.
+constexpr std::int64_t kBackgroundBytesPerSecond = std::int64_t{5} << 20;
+/// Most of the log is dropped before it would be worth compacting.
+constexpr int kFilesBeforeCompaction = 10;
 /// A snapshot is written in parts of this size: whole, it would stand in memory several times.
 constexpr std::size_t kPartBytes = std::size_t{256} << 10;
 
@@ -343,6 +349,8 @@
   options.create_if_missing = true;
   options.write_buffer_size = kWriteBufferBytes;
   options.keep_log_file_num = 2;
+  options.rate_limiter.reset(rocksdb::NewGenericRateLimiter(kBackgroundBytesPerSecond));
+  options.level0_file_num_compaction_trigger = kFilesBeforeCompaction;
   options.paranoid_checks = true;
   // A torn last record is an unsynced write, which nobody was told of; any other damage is refused.
   options.wal_recovery_mode = rocksdb::WALRecoveryMode::kTolerateCorruptedTailRecords;
