--- a/src/forwarding/history/history_fetch.cc
+++ b/src/forwarding/history/history_fetch.cc
@@ -52,7 +52,8 @@
         m_part->m_done = true;
         return;
     }
-    async_http::asio::co_spawn(state->context, read(state, m_part, program, previous), async_http::asio::detached);
+    async_http::asio::co_spawn(state->context, read(state, m_part, program, previous),
+                               async_http::asio::detached);
 }
 
 Task<void> history_fetch::read(std::shared_ptr<GatewayState> state, std::shared_ptr<shared_part> part,
--- a/src/forwarding/history/history_fetch.h
+++ b/src/forwarding/history/history_fetch.h
@@ -29,7 +29,8 @@
 {
   public:
     /// begins at once: in this gateway's cache, else at the replicas
-    history_fetch(const std::shared_ptr<GatewayState>& state, const ProgramId& program, const RequestId& previous);
+    history_fetch(const std::shared_ptr<GatewayState>& state, const ProgramId& program,
+                  const RequestId& previous);
 
     /// @brief waits until the cache or the replicas have told
     /// @return the chain up to and with the previous turn, or null: then only the leader can tell
@@ -42,7 +43,9 @@
     /// Shared with the reading coroutine, which may outlive the request.
     struct shared_part
     {
-        explicit shared_part(async_http::asio::io_context& context) : m_arrived(context) {}
+        explicit shared_part(async_http::asio::io_context& context) : m_arrived(context)
+        {
+        }
         async_http::Signal m_arrived;
         bool m_done = false;
         history_source m_source = history_source::none;
--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -28,6 +28,7 @@
 /// Flushes and compactions share the machine's processor with the replica itself. At full speed one
 /// compaction takes a small machine's whole share for longer than an election's timeout.
 constexpr std::int64_t kBackgroundBytesPerSecond = std::int64_t{5} << 20;
+constexpr std::int64_t kOpeningBytesPerSecond = std::int64_t{1} << 30;
 /// Most of the log is dropped before it would be worth compacting.
 constexpr int kFilesBeforeCompaction = 10;
 /// A snapshot is written in parts of this size: whole, it would stand in memory several times.
@@ -349,7 +350,9 @@
   options.create_if_missing = true;
   options.write_buffer_size = kWriteBufferBytes;
   options.keep_log_file_num = 2;
-  options.rate_limiter.reset(rocksdb::NewGenericRateLimiter(kBackgroundBytesPerSecond));
+  // Opening is not paced: nobody is served before it is done.
+  options.rate_limiter.reset(rocksdb::NewGenericRateLimiter(kOpeningBytesPerSecond));
+  options.avoid_flush_during_recovery = true;
   options.level0_file_num_compaction_trigger = kFilesBeforeCompaction;
   options.paranoid_checks = true;
   // A torn last record is an unsynced write, which nobody was told of; any other damage is refused.
@@ -361,6 +364,7 @@
         status.IsCorruption() ? StorageError::Code::kDamaged : StorageError::Code::kCannotOpen;
     return leaf::new_error(StorageError{code, "data folder " + folder + ": " + status.ToString()});
   }
+  options.rate_limiter->SetBytesPerSecond(kBackgroundBytesPerSecond);
   return std::unique_ptr<LogStore>(
       std::make_unique<RocksDbLogStore>(std::unique_ptr<rocksdb::DB>(opened), folder));
 }
--- a/src/turn_ledger/chain/chain_reader.h
+++ b/src/turn_ledger/chain/chain_reader.h
@@ -45,9 +45,12 @@
 {
   public:
     /// @param[in] zone  replicas of this zone are asked first
-    basic_chain_reader(async_http::asio::io_context& context, Send send, ZoneName zone, std::uint64_t first_request,
-                       const chain_reader_options& options = {})
-        : m_context(context), m_send(std::move(send)), m_zone(std::move(zone)), m_last_request(first_request),
+    basic_chain_reader(async_http::asio::io_context& context, Send send, ZoneName zone,
+                       std::uint64_t first_request, const chain_reader_options& options = {})
+        : m_context(context),
+          m_send(std::move(send)),
+          m_zone(std::move(zone)),
+          m_last_request(first_request),
           m_options(options)
     {
     }
@@ -56,7 +59,10 @@
     void set_machines(std::vector<Machine> machines)
     {
         std::stable_partition(machines.begin(), machines.end(),
-                              [this](const Machine& machine) { return machine.zone == m_zone; });
+                              [this](const Machine& machine)
+                              {
+                                  return machine.zone == m_zone;
+                              });
         m_machines = std::move(machines);
     }
 
@@ -75,7 +81,8 @@
             co_await waiting.m_arrived.Wait(absl::FromChrono(m_options.m_try_timeout));
             m_waiting.erase(request.m_request);
             bool useful = waiting.m_reply && waiting.m_reply->m_has_state;
-            m_avoided_until[target] = useful ? absl::InfinitePast() : SteadyNow() + absl::FromChrono(m_options.m_avoidance);
+            m_avoided_until[target] =
+                useful ? absl::InfinitePast() : SteadyNow() + absl::FromChrono(m_options.m_avoidance);
             if (waiting.m_reply && waiting.m_reply->m_found)
             {
                 co_return std::move(waiting.m_reply);
@@ -98,7 +105,9 @@
   private:
     struct waiting_read
     {
-        explicit waiting_read(async_http::asio::io_context& context) : m_arrived(context) {}
+        explicit waiting_read(async_http::asio::io_context& context) : m_arrived(context)
+        {
+        }
         async_http::Signal m_arrived;
         std::optional<chain_reply> m_reply;
     };
