--- a/src/forwarding/history/history_fetch.cc
+++ b/src/forwarding/history/history_fetch.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "turn_ledger/groups/group_layout.h"
 
 namespace martenyard::forwarding
 {
@@ -37,6 +38,8 @@
             return "replica";
         case history_source::leader:
             return "leader";
+        case history_source::other_group:
+            return "other_group";
     }
     return "unknown";
 }
@@ -62,7 +65,8 @@
     std::optional<RequestId> known = state->turns.LatestOf(program);
     // Held from now on: the cache may drop it meanwhile.
     std::shared_ptr<const std::string> known_chain = known ? state->turns.Find(*known) : nullptr;
-    auto reply = co_await state->chains->read(turn_ledger::TurnId(previous.value), turn_of(known));
+    auto reply = co_await state->chains->read(state->ledger->GroupOf(program),
+                                              turn_ledger::TurnId(previous.value), turn_of(known));
     if (reply && reply->m_after_known && known_chain != nullptr)
     {
         part->m_chain = std::make_shared<std::string>(absl::StrCat(*known_chain, reply->m_text));
@@ -90,6 +94,62 @@
     co_return m_part->m_chain;
 }
 
+namespace
+{
+
+/// What the searching coroutines share.
+struct search_state
+{
+    explicit search_state(async_http::asio::io_context& context) : m_arrived(context)
+    {
+    }
+    async_http::Signal m_arrived;
+    std::size_t m_open = 0;
+    foreign_search m_result;
+};
+
+Task<void> search_group(std::shared_ptr<GatewayState> state, std::shared_ptr<search_state> search,
+                        GroupId group, RequestId turn, absl::Time deadline)
+{
+    turn_ledger::FindTurn find;
+    find.turn = turn_ledger::TurnId(turn.value);
+    auto result = co_await state->ledger->Call(group, find, deadline);
+    if (!result)
+    {
+        search->m_result.m_complete = false;
+    }
+    else if (result->verdict == turn_ledger::Verdict::kDone)
+    {
+        search->m_result.m_chain = std::make_shared<std::string>(std::move(result->history));
+    }
+    --search->m_open;
+    search->m_arrived.Notify();
+}
+
+}  // namespace
+
+Task<foreign_search> search_other_groups(std::shared_ptr<GatewayState> state, GroupId own, RequestId turn,
+                                         absl::Time deadline)
+{
+    auto search = std::make_shared<search_state>(state->context);
+    search->m_result.m_complete = true;
+    for (std::size_t index = 0; index < state->ledger->groups(); ++index)
+    {
+        GroupId group = turn_ledger::group_at(index);
+        if (group != own)
+        {
+            ++search->m_open;
+            async_http::asio::co_spawn(state->context, search_group(state, search, group, turn, deadline),
+                                       async_http::asio::detached);
+        }
+    }
+    while (search->m_open > 0 && search->m_result.m_chain == nullptr)
+    {
+        co_await search->m_arrived.Wait(absl::FromChrono(wait_bound));
+    }
+    co_return search->m_result;
+}
+
 history_source history_fetch::source() const
 {
     return m_part->m_source;
--- a/src/forwarding/history/history_fetch.h
+++ b/src/forwarding/history/history_fetch.h
@@ -19,8 +19,24 @@
     replica,
     /// the leader, with its verdict
     leader,
+    /// another group's leader: the turn is another program's
+    other_group,
 };
 
+/// @brief asks all groups but one for a turn: programs may go on from other programs' turns
+struct foreign_search
+{
+    /// every group answered: when there is no chain, there is no such turn
+    bool m_complete = false;
+    /// null when no group had the turn
+    std::shared_ptr<const std::string> m_chain;
+};
+
+/// @param[in] own  the group that was asked already
+/// @return what the other groups know; they are asked at the same time
+async_http::Task<foreign_search> search_other_groups(std::shared_ptr<GatewayState> state, GroupId own,
+                                                     RequestId turn, absl::Time deadline);
+
 /// @return the source's name in log lines
 const char* name_of(history_source source);
 
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -160,7 +160,8 @@
   absl::Time patience =
       std::min(deadline_ - state_->options.answer_margin, began + state_->options.ledger_patience);
   reserved_ = true;
-  auto result = co_await state_->ledger->Call(reserve, patience);
+  group_ = state_->ledger->GroupOf(info_.program);
+  turn_ledger::CallResult result = co_await Reserve(reserve, patience);
   state_->metrics.Observe(Stage::kLedger, SteadyNow() - began);
   Line line("turn_admission");
   line.Text("request", info_.id.value).Text("program", info_.program.value);
@@ -200,13 +201,45 @@
       co_await Refuse("this try was given up before");
       co_return false;
   }
-  if (fetch && !co_await TakeHistory(*fetch, reserve, patience, line)) {
+  if (foreign_history_ != nullptr) {
+    history_ = foreign_history_;
+    line.Text("history", name_of(history_source::other_group));
+    body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+  } else if (fetch && !co_await TakeHistory(*fetch, reserve, patience, line)) {
     co_return false;
   }
   state_->log.Write(line.Text("verdict", "admitted"));
   co_return true;
 }
 
+Task<turn_ledger::CallResult> RequestRun::Reserve(turn_ledger::ReserveTurn reserve,
+                                                  absl::Time patience) {
+  turn_ledger::CallResult result = co_await state_->ledger->Call(group_, reserve, patience);
+  bool unknown = result && result->verdict == turn_ledger::Verdict::kUnknownPrevious;
+  if (unknown && state_->ledger->groups() > 1) {
+    result = co_await ReserveOnForeignTurn(std::move(reserve), patience);
+  }
+  co_return result;
+}
+
+Task<turn_ledger::CallResult> RequestRun::ReserveOnForeignTurn(turn_ledger::ReserveTurn reserve,
+                                                               absl::Time patience) {
+  foreign_search search =
+      co_await search_other_groups(state_, group_, *info_.previous_turn, patience);
+  if (search.m_chain != nullptr) {
+    // Kept from now on in this program's group, as the new turn's own beginning.
+    foreign_history_ = search.m_chain;
+    reserve.previous.reset();
+    co_return co_await state_->ledger->Call(group_, reserve, patience);
+  }
+  turn_ledger::CallResult result;
+  if (search.m_complete) {
+    result.end = turn_ledger::CallEnd::kDone;
+    result.result.verdict = turn_ledger::Verdict::kUnknownPrevious;
+  }
+  co_return result;
+}
+
 Task<bool> RequestRun::TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
                                    absl::Time patience, Line& line) {
   history_ = co_await fetch.wait();
@@ -214,7 +247,7 @@
   if (history_ == nullptr) {
     // No replica asked had it yet. The same reservation again is no second one.
     reserve.has_previous = false;
-    auto result = co_await state_->ledger->Call(reserve, patience);
+    auto result = co_await state_->ledger->Call(group_, reserve, patience);
     if (!result || result->verdict != turn_ledger::Verdict::kDone) {
       state_->log.Write(line.Text("verdict", "no_history"));
       SettleLater(0);
@@ -548,8 +581,9 @@
   settle.retention_ms =
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
   turn_ledger::CompletedTurn completed;
-  std::size_t known = history_ == nullptr ? 0 : history_->size();
-  if (info_.previous_turn) {
+  bool goes_on = history_ != nullptr && foreign_history_ == nullptr;
+  std::size_t known = goes_on ? history_->size() : 0;
+  if (goes_on) {
     completed.previous = turn_ledger::TurnId(info_.previous_turn->value);
   }
   completed.input = body_->substr(known);
@@ -557,7 +591,8 @@
   settle.completed = std::move(completed);
   settled_ = true;
   absl::Time began = SteadyNow();
-  auto result = co_await state_->ledger->Call(settle, began + state_->options.commit_patience);
+  auto result =
+      co_await state_->ledger->Call(group_, settle, began + state_->options.commit_patience);
   state_->log.Write(Line("turn_committed")
                         .Text("request", info_.id.value)
                         .Number("events", static_cast<std::int64_t>(events_.events()))
@@ -589,8 +624,8 @@
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
   async_http::asio::co_spawn(
       state_->context,
-      [state = state_, settle = std::move(settle)]() -> Task<void> {
-        co_await state->ledger->Call(settle, SteadyNow() + state->options.settle_patience);
+      [state = state_, group = group_, settle = std::move(settle)]() -> Task<void> {
+        co_await state->ledger->Call(group, settle, SteadyNow() + state->options.settle_patience);
       },
       async_http::asio::detached);
 }
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -29,6 +29,12 @@
   async_http::Task<bool> FindRoute();
   /// Reserves the turn's tokens and fetches its history. @return false when it answered.
   async_http::Task<bool> AdmitTurn();
+  /// Asks the program's group, and the others where it goes on from another program's turn.
+  async_http::Task<turn_ledger::CallResult> Reserve(turn_ledger::ReserveTurn reserve,
+                                                    absl::Time patience);
+  /// The program's own group doesn't know the turn that it goes on from: another's may.
+  async_http::Task<turn_ledger::CallResult> ReserveOnForeignTurn(turn_ledger::ReserveTurn reserve,
+                                                                 absl::Time patience);
   /// Puts the chain before the turn's own input. @return false when it answered.
   async_http::Task<bool> TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
                                      absl::Time patience, event_log::Line& line);
@@ -65,7 +71,9 @@
 
   bool reserved_ = false;
   bool settled_ = false;
-  std::shared_ptr<const std::string> history_;  // Of a kept turn's chain.
+  GroupId group_;                                       // Of the ledger, that has the program.
+  std::shared_ptr<const std::string> history_;          // Of a kept turn's chain.
+  std::shared_ptr<const std::string> foreign_history_;  // The same, of another program's turn.
 
   std::set<std::string> tried_;
   int sent_to_ = 0;  // Runners that the request was sent to.
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/strip.h"
 #include "base/clock.h"
 #include "forwarding/forwarder.h"
+#include "turn_ledger/groups/group_layout.h"
 #include "wire/codec.h"
 
 namespace martenyard::roles {
@@ -193,7 +194,6 @@
 }
 
 void GatewayRole::OnDirectoryChange(const store::StoreChange&) {
-  std::vector<wire::Endpoint> replicas;
   std::vector<Machine> ledger_machines;
   std::vector<wire::Endpoint> gateways;
   for (const auto& [key, item] : directory_.items()) {
@@ -202,21 +202,42 @@
       continue;
     }
     if (absl::StartsWith(key, kLedgerMachines)) {
-      replicas.push_back(machine->endpoint);
       ledger_machines.push_back(*machine);
     } else if (absl::StartsWith(key, kGatewayMachines) && machine->name != settings_.node) {
       gateways.push_back(machine->endpoint);
     }
   }
   log_.Write(Line("directory_changed")
-                 .Number("ledger_machines", static_cast<std::int64_t>(replicas.size()))
+                 .Number("ledger_machines", static_cast<std::int64_t>(ledger_machines.size()))
                  .Number("other_gateways", static_cast<std::int64_t>(gateways.size())));
-  state_->ledger->SetReplicas(std::move(replicas));
-  state_->chains->set_machines(std::move(ledger_machines));
+  SetLedgerGroups(ledger_machines);
   state_->gateways = static_cast<std::uint32_t>(gateways.size()) + 1;
   peers_ = std::move(gateways);
 }
 
+void GatewayRole::SetLedgerGroups(const std::vector<Machine>& machines) {
+  auto record = directory_.items().find(kLedgerGroups);
+  if (record == directory_.items().end()) {
+    return;
+  }
+  auto layout = wire::Decode<turn_ledger::group_layout>(record->second.value);
+  if (!layout) {
+    return;
+  }
+  std::vector<std::vector<wire::Endpoint>> groups;
+  for (std::size_t index = 0; index < layout->size(); ++index) {
+    const consensus::Configuration& founders = (*layout)[index];
+    std::vector<Machine> ordered = turn_ledger::members_first(machines, founders);
+    std::vector<wire::Endpoint>& endpoints = groups.emplace_back();
+    for (const Machine& machine : ordered) {
+      endpoints.push_back(machine.endpoint);
+    }
+    state_->chains->set_machines(turn_ledger::group_at(index), std::move(ordered),
+                                 founders.voters.size());
+  }
+  state_->ledger->SetGroups(std::move(groups));
+}
+
 Task<void> GatewayRole::Register() {
   std::string key = absl::StrCat(kGatewayMachines, settings_.node);
   std::string wanted = wire::Encode(Self());
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -41,6 +41,8 @@
   void OnRunnerChange(const store::StoreChange& change);
   void OnDirectoryChange(const store::StoreChange& change);
   void OnContact(const char* what, bool reachable, store::StoreStatus status);
+  /// Tells the ledger's clients which machines to ask for which group.
+  void SetLedgerGroups(const std::vector<turn_ledger::Machine>& machines);
   async_http::Task<void> Register();
 
   void OnFrame(const std::string& payload);
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "base/clock.h"
@@ -18,14 +19,18 @@
 
 namespace {
 
-const GroupId kGroup{1};
 constexpr absl::Duration kTick = absl::Milliseconds(20);
 constexpr absl::Duration kHelloInterval = absl::Milliseconds(250);
+/// Machines with replicas are heard of by most others anyway.
+constexpr absl::Duration kMemberHelloInterval = absl::Milliseconds(400);
 constexpr absl::Duration kReopenPause = absl::Milliseconds(250);
 constexpr absl::Duration kRegisterPause = absl::Seconds(1);
 constexpr absl::Duration kFoundingPause = absl::Milliseconds(200);
 /// With fewer machines than wanted, the group is founded only after this time.
 constexpr absl::Duration kFoundingPatience = absl::Seconds(4);
+/// Machines start within some tenths of a second of each other: all should be in the layout.
+constexpr absl::Duration kFoundingLinger = absl::Milliseconds(1500);
+constexpr absl::Duration kLoneFoundingLinger = absl::Milliseconds(300);
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(600);
 constexpr absl::Duration kRetireReportInterval = absl::Milliseconds(250);
 constexpr absl::Duration kProgressInterval = absl::Seconds(2);
@@ -34,12 +39,18 @@
 constexpr std::size_t kSnapshotStepBytes = std::size_t{64} << 10;
 constexpr char kPeersFile[] = "peers";
 
-turn_ledger::ReplicaOptions MakeReplicaOptions(const RoleSettings& settings) {
+std::size_t WantedReplicas(const RoleSettings& settings) {
+  return 2 * settings.tolerated_machines + 1;
+}
+
+turn_ledger::ReplicaOptions MakeReplicaOptions(const RoleSettings& settings, GroupId group) {
   turn_ledger::ReplicaOptions options;
   options.raft.heartbeat_interval = absl::Milliseconds(60);
   options.raft.election_timeout = absl::Milliseconds(220);
   options.raft.start_wait_share = 0.4;
-  options.planner.replicas = 2 * settings.tolerated_machines + 1;
+  options.planner.replicas = WantedReplicas(settings);
+  options.planner.group = group.value;
+  options.preferred_leaders = group != turn_ledger::group_at(0);
   return options;
 }
 
@@ -120,7 +131,7 @@
   if (!failure) {
     return;
   }
-  replica_.reset();
+  replicas_.clear();
   disk_.reset();
   log_.Write(Line("disk_failed").Text("detail", failure->detail));
   if (failure->code == storage::StorageError::Code::kDamaged) {
@@ -146,16 +157,17 @@
     BOOST_LEAF_CHECK(disk_->SetIdentity(stored.identity));
   }
   identity_ = stored.identity;
-  auto group = stored.groups.find(kGroup);
-  bool has_group = group != stored.groups.end();
-  std::size_t entries = has_group ? group->second.entries.size() : 0;
+  std::size_t entries = 0;
+  for (const auto& [group, stored_group] : stored.groups) {
+    entries += stored_group.entries.size();
+  }
   log_.Write(Line("disk_opened")
                  .Text("identity", absl::StrCat(absl::Hex(identity_.value)))
                  .Number("entries", static_cast<std::int64_t>(entries))
-                 .Flag("replica", has_group));
-  if (has_group) {
-    StartReplica({group->second.hard_state, std::move(group->second.snapshot),
-                  std::move(group->second.entries)});
+                 .Number("groups", static_cast<std::int64_t>(stored.groups.size())));
+  for (auto& [group, stored_group] : stored.groups) {
+    StartReplica(group, {stored_group.hard_state, std::move(stored_group.snapshot),
+                         std::move(stored_group.entries)});
   }
   return {};
 }
@@ -163,84 +175,100 @@
 void LedgerRole::OnDiskFailed(const std::string& detail) {
   // What is on the disk is unknown now: forget the memory of it and read it again.
   log_.Write(Line("disk_failed").Text("detail", detail));
-  replica_.reset();
+  replicas_.clear();
   disk_.reset();
   loop_.After(kReopenPause, [this] { OpenDisk(); });
 }
 
-void LedgerRole::StartReplica(consensus::RestoredState restored) {
-  replica_ = std::make_unique<turn_ledger::TurnReplica>(
-      Self(), MakeReplicaOptions(settings_), std::move(restored), SystemSeed(), SteadyNow());
+void LedgerRole::StartReplica(GroupId group, consensus::RestoredState restored) {
+  auto replica = std::make_unique<turn_ledger::TurnReplica>(
+      Self(), MakeReplicaOptions(settings_, group), std::move(restored), SystemSeed(), SteadyNow());
   for (const auto& [name, machine] : peers_.machines()) {
-    replica_->OnMachine(SteadyNow(), machine);
+    replica->OnMachine(SteadyNow(), machine);
   }
+  replica->SetRetiring(Retiring());
+  replicas_[group] = std::move(replica);
+}
+
+turn_ledger::TurnReplica* LedgerRole::Find(GroupId group) {
+  auto found = replicas_.find(group);
+  return found == replicas_.end() ? nullptr : found->second.get();
 }
 
 void LedgerRole::Settle() {
-  while (replica_ != nullptr && replica_->HasWork()) {
+  auto has_work = [](const auto& entry) { return entry.second->HasWork(); };
+  while (std::any_of(replicas_.begin(), replicas_.end(), has_work)) {
     if (!SettleOnce()) {
       return;
     }
   }
-  LogLeadership();
+  for (const auto& [group, replica] : replicas_) {
+    LogLeadership(group, *replica);
+  }
 }
 
 bool LedgerRole::SettleOnce() {
-  consensus::Ready ready = replica_->TakeReady();
-  for (const consensus::Outbound& outbound : ready.messages_before_store) {
-    SendRaft(outbound);
-  }
-  storage::GroupWrite write;
-  write.group = kGroup;
-  write.hard_state = ready.hard_state;
-  write.snapshot = ready.snapshot_to_install;
-  write.snapshot_replaces_log = ready.snapshot_to_install.has_value();
-  write.entries = std::move(ready.entries_to_store);
+  // All groups' writes share one sync.
+  std::vector<std::pair<GroupId, consensus::Ready>> readies;
   std::vector<storage::GroupWrite> writes;
-  if (write.hard_state || write.snapshot || !write.entries.empty()) {
-    writes.push_back(std::move(write));
-  }
-  auto store_all = [&]() -> std::string {
-    return Recover<storage::StorageError>(
-        [&]() -> Result<std::string> {
-          BOOST_LEAF_CHECK(disk_->Write(writes));
-          return std::string();
-        },
-        [](const storage::StorageError& error) { return error.detail; });
-  };
-  if (!writes.empty()) {
-    std::string failure = store_all();
-    if (!failure.empty()) {
-      OnDiskFailed(failure);
-      return false;
+  for (auto& [group, replica] : replicas_) {
+    if (!replica->HasWork()) {
+      continue;
     }
-    ++synced_writes_;
+    consensus::Ready ready = replica->TakeReady();
+    for (const consensus::Outbound& outbound : ready.messages_before_store) {
+      SendRaft(group, outbound);
+    }
+    storage::GroupWrite write;
+    write.group = group;
+    write.hard_state = ready.hard_state;
+    write.snapshot = ready.snapshot_to_install;
+    write.snapshot_replaces_log = ready.snapshot_to_install.has_value();
+    write.entries = std::move(ready.entries_to_store);
+    if (write.hard_state || write.snapshot || !write.entries.empty()) {
+      writes.push_back(std::move(write));
+    }
+    readies.emplace_back(group, std::move(ready));
   }
-  for (const consensus::Outbound& outbound : ready.messages_after_store) {
-    SendRaft(outbound);
+  if (!writes.empty() && !Store(writes)) {
+    return false;
   }
-  replica_->Apply(ready);
-  for (turn_ledger::ReplyTo& reply : replica_->TakeReplies()) {
-    SendTo(reply.gateway, std::move(reply.reply));
+  for (auto& [group, ready] : readies) {
+    turn_ledger::TurnReplica& replica = *replicas_[group];
+    for (const consensus::Outbound& outbound : ready.messages_after_store) {
+      SendRaft(group, outbound);
+    }
+    replica.Apply(ready);
+    for (turn_ledger::ReplyTo& reply : replica.TakeReplies()) {
+      SendTo(reply.gateway, std::move(reply.reply));
+    }
   }
   return true;
 }
 
-void LedgerRole::StoreSnapshotStep() {
-  auto step = replica_->NextSnapshotStep(kSnapshotStepBytes);
+bool LedgerRole::Store(const std::vector<storage::GroupWrite>& writes) {
+  std::string failure = Recover<storage::StorageError>(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(disk_->Write(writes));
+        return std::string();
+      },
+      [](const storage::StorageError& error) { return error.detail; });
+  if (!failure.empty()) {
+    OnDiskFailed(failure);
+    return false;
+  }
+  ++synced_writes_;
+  return true;
+}
+
+void LedgerRole::StoreSnapshotStep(GroupId group, turn_ledger::TurnReplica& replica) {
+  auto step = replica.NextSnapshotStep(kSnapshotStepBytes);
   if (!step) {
     return;
   }
   std::string failure = Recover<storage::StorageError>(
       [&]() -> Result<std::string> {
-        BOOST_LEAF_CHECK(disk_->WriteSnapshotPart(kGroup, step->first, step->part));
-        if (step->finished) {
-          storage::GroupWrite write;
-          write.group = kGroup;
-          write.snapshot = std::move(*step->finished);
-          write.snapshot_in_parts = true;
-          BOOST_LEAF_CHECK(disk_->Write({write}));
-        }
+        BOOST_LEAF_CHECK(disk_->WriteSnapshotPart(group, step->first, step->part));
         return std::string();
       },
       [](const storage::StorageError& error) { return error.detail; });
@@ -248,31 +276,51 @@
     OnDiskFailed(failure);
     return;
   }
-  if (step->finished) {
-    replica_->FinishSnapshot();
-    log_.Write(
-        Line("snapshot_stored")
-            .Number("index", static_cast<std::int64_t>(replica_->raft().snapshot_index()))
-            .Number("programs", static_cast<std::int64_t>(replica_->state().programs()))
-            .Number("turn_bytes", static_cast<std::int64_t>(replica_->state().turn_bytes())));
+  if (!step->finished) {
+    return;
+  }
+  storage::GroupWrite write;
+  write.group = group;
+  write.snapshot = std::move(*step->finished);
+  write.snapshot_in_parts = true;
+  if (Store({write})) {
+    replica.FinishSnapshot();
+    log_.Write(Line("snapshot_stored")
+                   .Number("group", group.value)
+                   .Number("index", static_cast<std::int64_t>(replica.raft().snapshot_index()))
+                   .Number("programs", static_cast<std::int64_t>(replica.state().programs()))
+                   .Number("turn_bytes", static_cast<std::int64_t>(replica.state().turn_bytes())));
   }
 }
 
 // ---- Time ----
 
 void LedgerRole::Tick(absl::Time now) {
-  if (replica_ != nullptr) {
-    replica_->Tick(now);
-    StoreSnapshotStep();
+  for (auto& [group, replica] : replicas_) {
+    replica->Tick(now);
+  }
+  // One group's part a tick; a failing disk ends all replicas.
+  for (auto& [group, replica] : replicas_) {
+    if (replica->TakesSnapshot()) {
+      StoreSnapshotStep(group, *replica);
+      break;
+    }
   }
   if (now >= next_hello_) {
-    next_hello_ = now + kHelloInterval;
+    bool alone = replicas_.empty();
+    next_hello_ = now + (alone ? kHelloInterval : kMemberHelloInterval);
     SayHello();
-    LogProgress(now);
     log_.Flush();
   }
+  if (now >= next_progress_) {
+    next_progress_ = now + kProgressInterval;
+    for (const auto& [group, replica] : replicas_) {
+      LogProgress(group, *replica);
+    }
+  }
   if (stopping_) {
-    bool leads = replica_ != nullptr && replica_->raft().IsLeader();
+    bool leads = std::any_of(replicas_.begin(), replicas_.end(),
+                             [](const auto& entry) { return entry.second->raft().IsLeader(); });
     if (!leads || now >= stop_deadline_) {
       log_.Write(Line("stopped"));
       loop_.Stop();
@@ -284,25 +332,22 @@
   stopping_ = true;
   stop_deadline_ = SteadyNow() + kHandOverLimit;
   log_.Write(Line("stopping"));
-  if (replica_ != nullptr) {
-    replica_->HandOver();
+  for (auto& [group, replica] : replicas_) {
+    replica->HandOver();
   }
 }
 
-void LedgerRole::LogProgress(absl::Time now) {
-  if (replica_ == nullptr || now < next_progress_) {
-    return;
-  }
-  next_progress_ = now + kProgressInterval;
-  const consensus::Raft& raft = replica_->raft();
+void LedgerRole::LogProgress(GroupId group, const turn_ledger::TurnReplica& replica) {
+  const consensus::Raft& raft = replica.raft();
   Line line("replica_progress");
-  line.Text("role", RoleName(raft.role()))
+  line.Number("group", group.value)
+      .Text("role", RoleName(raft.role()))
       .Number("term", static_cast<std::int64_t>(raft.term()))
       .Number("last", static_cast<std::int64_t>(raft.last_index()))
       .Number("commit", static_cast<std::int64_t>(raft.commit_index()))
       .Number("synced_writes", static_cast<std::int64_t>(synced_writes_))
-      .Number("programs", static_cast<std::int64_t>(replica_->state().programs()))
-      .Number("turn_bytes", static_cast<std::int64_t>(replica_->state().turn_bytes()));
+      .Number("programs", static_cast<std::int64_t>(replica.state().programs()))
+      .Number("turn_bytes", static_cast<std::int64_t>(replica.state().turn_bytes()));
   for (NodeId member : raft.configuration().Members()) {
     if (raft.IsLeader()) {
       line.Number(absl::StrCat("match_", absl::Hex(member.value)),
@@ -312,11 +357,8 @@
   log_.Write(line);
 }
 
-void LedgerRole::LogLeadership() {
-  if (replica_ == nullptr) {
-    return;
-  }
-  const consensus::Raft& raft = replica_->raft();
+void LedgerRole::LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica) {
+  const consensus::Raft& raft = replica.raft();
   std::string members;
   for (NodeId voter : raft.configuration().voters) {
     absl::StrAppend(&members, absl::Hex(voter.value), " ");
@@ -325,11 +367,11 @@
     absl::StrAppend(&members, "learner:", absl::Hex(learner.value), " ");
   }
   std::string role = absl::StrCat(RoleName(raft.role()), raft.term(), members);
-  if (role == logged_role_) {
+  if (std::exchange(logged_roles_[group], role) == role) {
     return;
   }
-  logged_role_ = role;
   log_.Write(Line("replica_role")
+                 .Number("group", group.value)
                  .Text("role", RoleName(raft.role()))
                  .Number("term", static_cast<std::int64_t>(raft.term()))
                  .Number("commit", static_cast<std::int64_t>(raft.commit_index()))
@@ -350,39 +392,50 @@
   if (const auto* message = std::get_if<turn_ledger::LogMessage>(&envelope->body)) {
     OnLogMessage(envelope->from, *message);
   } else if (const auto* request = std::get_if<turn_ledger::LedgerRequest>(&envelope->body)) {
-    if (replica_ != nullptr) {
-      replica_->OnRequest(SteadyNow(), envelope->from.endpoint, *request);
-    } else {
-      turn_ledger::LedgerReply reply;
-      reply.request = request->request;
-      reply.status = turn_ledger::ReplyStatus::kNotLeader;
-      SendTo(envelope->from.endpoint, reply);
-    }
+    OnRequest(envelope->from.endpoint, *request);
   } else if (const auto* read = std::get_if<turn_ledger::chain_request>(&envelope->body)) {
-    turn_ledger::chain_reply reply;
-    reply.m_request = read->m_request;
-    SendTo(envelope->from.endpoint,
-           replica_ == nullptr ? std::move(reply) : replica_->state().ReadChain(*read));
+    OnChainRequest(envelope->from.endpoint, *read);
   } else if (const auto* hello = std::get_if<turn_ledger::Hello>(&envelope->body)) {
     OnHello(*hello);
   }
 }
 
+void LedgerRole::OnRequest(const wire::Endpoint& from, const turn_ledger::LedgerRequest& request) {
+  if (turn_ledger::TurnReplica* replica = Find(request.group)) {
+    replica->OnRequest(SteadyNow(), from, request);
+    return;
+  }
+  turn_ledger::LedgerReply reply;
+  reply.request = request.request;
+  reply.status = turn_ledger::ReplyStatus::kNotLeader;
+  SendTo(from, reply);
+}
+
+void LedgerRole::OnChainRequest(const wire::Endpoint& from,
+                                const turn_ledger::chain_request& request) {
+  turn_ledger::chain_reply reply;
+  reply.m_request = request.m_request;
+  if (const turn_ledger::TurnReplica* replica = Find(request.m_group)) {
+    reply = replica->state().ReadChain(request);
+  }
+  SendTo(from, std::move(reply));
+}
+
 void LedgerRole::OnLogMessage(const Machine& from, const turn_ledger::LogMessage& message) {
   if (message.to != identity_) {
     SendTo(from.endpoint, turn_ledger::Hello{});  // It means the disk that this machine lost.
     return;
   }
-  if (replica_ == nullptr && disk_ != nullptr) {
+  if (Find(message.group) == nullptr && disk_ != nullptr) {
     // Only a leader makes a machine a replica; it starts without a vote and learns the log.
     bool from_leader = std::holds_alternative<consensus::AppendRequest>(message.message) ||
                        std::holds_alternative<consensus::SnapshotRequest>(message.message);
     if (from_leader) {
-      StartReplica(consensus::RestoredState{});
+      StartReplica(message.group, consensus::RestoredState{});
     }
   }
-  if (replica_ != nullptr) {
-    replica_->OnLogMessage(SteadyNow(), from.identity, message.message);
+  if (turn_ledger::TurnReplica* replica = Find(message.group)) {
+    replica->OnLogMessage(SteadyNow(), from.identity, message.message);
   }
 }
 
@@ -408,21 +461,35 @@
                    .Text("identity", absl::StrCat(absl::Hex(machine.identity.value)))
                    .Text("address", machine.endpoint.ToString()));
   }
-  if (replica_ != nullptr && (heard_now || changed)) {
-    replica_->OnMachine(SteadyNow(), machine);
+  if (heard_now || changed) {
+    for (auto& [group, replica] : replicas_) {
+      replica->OnMachine(SteadyNow(), machine);
+    }
+  }
+}
+
+bool LedgerRole::HeardAnyway() const {
+  // With several groups a machine is a spare of those that it is no member of: their leaders must
+  // know that it lives.
+  auto layout = Layout();
+  bool single = layout && layout->size() == 1;
+  const turn_ledger::TurnReplica* first = replica();
+  if (!single || first == nullptr) {
+    return false;
   }
+  const consensus::Raft& raft = first->raft();
+  return raft.configuration().IsVoter(identity_) && (raft.IsLeader() || raft.leader() != kNoNode);
 }
 
 void LedgerRole::SayHello() {
-  // Members hear of each other by the log's own messages; others announce themselves.
-  bool member = replica_ != nullptr && replica_->raft().configuration().IsVoter(identity_) &&
-                (replica_->raft().IsLeader() || replica_->raft().leader() != kNoNode);
-  if (identity_ == kNoNode || member) {
+  if (identity_ == kNoNode || HeardAnyway()) {
     return;
   }
   turn_ledger::Hello hello;
-  for (const auto& [name, machine] : peers_.machines()) {
-    hello.known.push_back(machine);
+  if (replicas_.empty()) {
+    for (const auto& [name, machine] : peers_.machines()) {
+      hello.known.push_back(machine);
+    }
   }
   for (const auto& [name, machine] : peers_.machines()) {
     SendTo(machine.endpoint, hello);
@@ -431,9 +498,12 @@
 
 void LedgerRole::OnDead(const wire::Endpoint& peer) {
   for (const auto& [name, machine] : peers_.machines()) {
-    if (machine.endpoint == peer && replica_ != nullptr) {
-      log_.Write(Line("machine_refuses").Text("machine", name));
-      replica_->OnDead(SteadyNow(), machine.identity);
+    if (machine.endpoint != peer || replicas_.empty()) {
+      continue;
+    }
+    log_.Write(Line("machine_refuses").Text("machine", name));
+    for (auto& [group, replica] : replicas_) {
+      replica->OnDead(SteadyNow(), machine.identity);
     }
   }
 }
@@ -442,9 +512,9 @@
   transport_.SendFrame(to, wire::Encode(turn_ledger::Envelope{Self(), std::move(body)}));
 }
 
-void LedgerRole::SendRaft(const consensus::Outbound& outbound) {
+void LedgerRole::SendRaft(GroupId group, const consensus::Outbound& outbound) {
   if (const Machine* machine = peers_.Find(outbound.to)) {
-    SendTo(machine->endpoint, turn_ledger::LogMessage{outbound.to, outbound.message});
+    SendTo(machine->endpoint, turn_ledger::LogMessage{outbound.to, group, outbound.message});
   }
 }
 
@@ -482,115 +552,171 @@
   }
 }
 
-bool LedgerRole::FoundFromRecord() {
-  auto record = directory_.items().find(kLedgerGroup);
+std::optional<turn_ledger::group_layout> LedgerRole::Layout() const {
+  auto record = directory_.items().find(kLedgerGroups);
   if (record == directory_.items().end()) {
-    return false;
+    return std::nullopt;
   }
-  auto founders = wire::Decode<consensus::Configuration>(record->second.value);
-  if (!founders || !founders->IsVoter(identity_) || disk_ == nullptr) {
-    return false;
-  }
-  // The record is never changed: all founders start from the same empty log.
-  consensus::RestoredState restored;
-  restored.snapshot.configuration = *founders;
-  storage::GroupWrite write;
-  write.group = kGroup;
-  write.snapshot = restored.snapshot;
-  std::string failure = Recover<storage::StorageError>(
-      [&]() -> Result<std::string> {
-        BOOST_LEAF_CHECK(disk_->Write({write}));
-        return std::string();
-      },
-      [](const storage::StorageError& error) { return error.detail; });
-  if (!failure.empty()) {
-    OnDiskFailed(failure);
-    return false;
+  return wire::Decode<turn_ledger::group_layout>(record->second.value);
+}
+
+void LedgerRole::FoundFromRecord() {
+  auto layout = Layout();
+  for (std::size_t index = 0; layout && index < layout->size(); ++index) {
+    GroupId group = turn_ledger::group_at(index);
+    const consensus::Configuration& founders = (*layout)[index];
+    if (disk_ == nullptr || Find(group) != nullptr || !founders.IsVoter(identity_)) {
+      continue;
+    }
+    // The record is never changed: all founders start from the same empty log.
+    consensus::RestoredState restored;
+    restored.snapshot.configuration = founders;
+    storage::GroupWrite write;
+    write.group = group;
+    write.snapshot = restored.snapshot;
+    if (!Store({write})) {
+      return;
+    }
+    log_.Write(Line("group_founded")
+                   .Number("group", group.value)
+                   .Number("voters", static_cast<std::int64_t>(founders.voters.size())));
+    StartReplica(group, std::move(restored));
   }
-  log_.Write(
-      Line("group_founded").Number("voters", static_cast<std::int64_t>(founders->voters.size())));
-  StartReplica(std::move(restored));
-  return true;
 }
 
 Task<void> LedgerRole::FoundWhenPossible() {
   absl::Time began = SteadyNow();
-  std::size_t wanted = MakeReplicaOptions(settings_).planner.replicas;
   while (true) {
     co_await async_http::Sleep(loop_.context(), kFoundingPause);
-    if (replica_ != nullptr || !directory_.complete()) {
+    if (!directory_.complete()) {
       continue;
     }
-    if (directory_.items().contains(kLedgerGroup)) {
+    if (directory_.items().contains(kLedgerGroups)) {
       FoundFromRecord();
       continue;
     }
     if (!settings_.first_start) {
       continue;
     }
-    // Every zone's first machine first, in an order that all machines agree on.
     std::vector<Machine> machines;
     for (const auto& [key, item] : directory_.items()) {
-      if (auto machine = wire::Decode<Machine>(item.value)) {
+      auto machine = wire::Decode<Machine>(item.value);
+      if (machine && absl::StartsWith(key, kLedgerMachines)) {
         machines.push_back(*machine);
       }
     }
+    std::size_t wanted = WantedReplicas(settings_);
     bool patient = SteadyNow() < began + kFoundingPatience;
-    if (machines.empty() || (machines.size() < wanted && patient)) {
+    absl::Duration linger = wanted > 1 ? kFoundingLinger : kLoneFoundingLinger;
+    bool all_here = machines.size() >= wanted && SteadyNow() > began + linger;
+    if (machines.empty() || (!all_here && patient)) {
       continue;
     }
-    std::map<ZoneName, int> zone_use;
-    std::vector<std::pair<int, Machine>> ranked;
-    for (const Machine& machine : machines) {
-      ranked.emplace_back(zone_use[machine.zone]++, machine);
-    }
-    std::stable_sort(ranked.begin(), ranked.end(),
-                     [](const auto& left, const auto& right) { return left.first < right.first; });
-    consensus::Configuration founders;
-    for (const auto& [rank, machine] : ranked) {
-      if (founders.voters.size() < wanted) {
-        founders.voters.push_back(machine.identity);
-      }
-    }
     store::Transaction transaction;
-    transaction.conditions.push_back({kLedgerGroup, 0});
-    transaction.puts.push_back({kLedgerGroup, wire::Encode(founders), 0});
+    transaction.conditions.push_back({kLedgerGroups, 0});
+    transaction.puts.push_back(
+        {kLedgerGroups, wire::Encode(turn_ledger::layout_groups(machines, wanted)), 0});
     co_await store_.Commit(std::move(transaction));
   }
 }
 
 // ---- Emptying machines ----
 
-void LedgerRole::OnRetireChange(const store::StoreChange&) {
+std::vector<std::string> LedgerRole::Retiring() const {
   std::vector<std::string> names;
   for (const auto& [key, item] : retirements_.items()) {
     absl::string_view name = key;
     absl::ConsumePrefix(&name, formats_.RetirePrefix());
     names.emplace_back(name);
   }
+  return names;
+}
+
+void LedgerRole::OnRetireChange(const store::StoreChange&) {
+  std::vector<std::string> names = Retiring();
   log_.Write(Line("retire_asked").Number("machines", static_cast<std::int64_t>(names.size())));
-  if (replica_ != nullptr) {
-    replica_->SetRetiring(std::move(names));
+  for (auto& [group, replica] : replicas_) {
+    replica->SetRetiring(names);
+  }
+}
+
+Task<void> LedgerRole::NoteEmptied(GroupId group, const std::string& machine, bool emptied) {
+  std::string key = absl::StrCat(kLedgerEmptied, machine, "/", group.value);
+  auto present = directory_.items().find(key);
+  bool noted = present != directory_.items().end();
+  if (noted == emptied) {
+    co_return;
+  }
+  store::Transaction transaction;
+  transaction.conditions.push_back({key, noted ? present->second.revision : 0});
+  if (emptied) {
+    transaction.puts.push_back({key, "", 0});
+  } else {
+    transaction.removals.push_back(key);
+  }
+  co_await store_.Commit(std::move(transaction));
+}
+
+bool LedgerRole::AllGroupsEmptied(const std::string& machine) {
+  auto layout = Layout();
+  for (std::size_t index = 0; layout && index < layout->size(); ++index) {
+    GroupId group = turn_ledger::group_at(index);
+    const turn_ledger::TurnReplica* replica = Find(group);
+    bool own = replica != nullptr && replica->LeadsCurrent();
+    std::string key = absl::StrCat(kLedgerEmptied, machine, "/", group.value);
+    bool emptied = own ? replica->MayTakeAway(machine) : directory_.items().contains(key);
+    if (!emptied) {
+      return false;
+    }
+  }
+  return layout.has_value();
+}
+
+std::vector<std::string> LedgerRole::EmptiedInNotes(GroupId group) const {
+  std::vector<std::string> names;
+  for (const auto& [key, item] : directory_.items()) {
+    absl::string_view name = key;
+    bool of_group = absl::ConsumePrefix(&name, kLedgerEmptied) &&
+                    absl::ConsumeSuffix(&name, absl::StrCat("/", group.value));
+    if (of_group) {
+      names.emplace_back(name);
+    }
+  }
+  return names;
+}
+
+Task<void> LedgerRole::NoteAllEmptied(GroupId group, std::vector<std::string> names) {
+  // Notes of machines that are asked for no more go too: their names may come again.
+  std::vector<std::string> noted = EmptiedInNotes(group);
+  names.insert(names.end(), noted.begin(), noted.end());
+  for (const std::string& name : names) {
+    std::vector<std::string> retiring = Retiring();
+    bool asked = std::find(retiring.begin(), retiring.end(), name) != retiring.end();
+    const turn_ledger::TurnReplica* replica = Find(group);
+    if (replica != nullptr && replica->LeadsCurrent()) {
+      bool emptied = asked && replica->MayTakeAway(name);
+      co_await NoteEmptied(group, name, emptied);
+    }
   }
 }
 
 Task<void> LedgerRole::ReportRetirements() {
   std::map<std::string, std::string> reported;
+  const GroupId reporter = turn_ledger::group_at(0);
   while (true) {
     co_await async_http::Sleep(loop_.context(), kRetireReportInterval);
-    if (replica_ == nullptr || !replica_->LeadsCurrent()) {
+    std::vector<std::string> names = Retiring();
+    auto layout = Layout();
+    for (std::size_t index = 1; layout && index < layout->size(); ++index) {
+      co_await NoteAllEmptied(turn_ledger::group_at(index), names);
+    }
+    const turn_ledger::TurnReplica* first = Find(reporter);
+    if (first == nullptr || !first->LeadsCurrent()) {
       reported.clear();
       continue;
     }
-    std::vector<std::string> names;
-    for (const auto& [key, item] : retirements_.items()) {
-      absl::string_view name = key;
-      absl::ConsumePrefix(&name, formats_.RetirePrefix());
-      names.emplace_back(name);
-    }
-    replica_->SetRetiring(names);
     for (const std::string& name : names) {
-      std::string status = formats_.WriteRetireStatus(replica_->MayTakeAway(name));
+      std::string status = formats_.WriteRetireStatus(AllGroupsEmptied(name));
       if (reported[name] == status) {
         continue;
       }
@@ -601,9 +727,6 @@
         reported[name] = status;
         log_.Write(Line("retire_status").Text("machine", name).Text("status", status));
       }
-      if (replica_ == nullptr) {
-        break;
-      }
     }
   }
 }
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,6 +18,7 @@
 #include "storage/log_store.h"
 #include "store/metadata_store.h"
 #include "store/prefix_mirror.h"
+#include "turn_ledger/groups/group_layout.h"
 #include "turn_ledger/turn_replica.h"
 #include "wire/event_loop.h"
 #include "wire/transport.h"
@@ -38,7 +40,10 @@
   Result<void> Start();
   /// A planned stop: hands leadership on, then ends the loop.
   void RequestStop();
-  const turn_ledger::TurnReplica* replica() const { return replica_.get(); }
+  /// @return the replica of the lowest group that this machine has one of, or null.
+  const turn_ledger::TurnReplica* replica() const {
+    return replicas_.empty() ? nullptr : replicas_.begin()->second.get();
+  }
   /// A peer's message came.
   void OnFrame(const std::string& payload);
 
@@ -46,32 +51,50 @@
   void OpenDisk();
   Result<void> LoadDisk();
   void SetDamagedLogAside();
-  void StartReplica(consensus::RestoredState restored);
+  void StartReplica(GroupId group, consensus::RestoredState restored);
+  turn_ledger::TurnReplica* Find(GroupId group);
   void Tick(absl::Time now);
   /// Stores, sends and applies whatever the replica has to do.
   void Settle();
   bool SettleOnce();
+  /// Writes with one sync. @return false when the disk failed.
+  bool Store(const std::vector<storage::GroupWrite>& writes);
   /// Stores the next part of a snapshot under way, if there is one.
-  void StoreSnapshotStep();
+  void StoreSnapshotStep(GroupId group, turn_ledger::TurnReplica& replica);
   void OnDiskFailed(const std::string& detail);
 
   void OnLogMessage(const turn_ledger::Machine& from, const turn_ledger::LogMessage& message);
+  void OnRequest(const wire::Endpoint& from, const turn_ledger::LedgerRequest& request);
+  void OnChainRequest(const wire::Endpoint& from, const turn_ledger::chain_request& request);
   void OnHello(const turn_ledger::Hello& hello);
   void OnDead(const wire::Endpoint& peer);
   void NoteMachine(const turn_ledger::Machine& machine, bool heard_now);
   void SayHello();
   void SendTo(const wire::Endpoint& to, turn_ledger::Body body);
-  void SendRaft(const consensus::Outbound& outbound);
+  void SendRaft(GroupId group, const consensus::Outbound& outbound);
+  /// True when the others hear of this machine by the log's messages.
+  bool HeardAnyway() const;
 
   void OnDirectoryChange(const store::StoreChange& change);
   void OnRetireChange(const store::StoreChange& change);
   async_http::Task<void> Register();
   async_http::Task<void> FoundWhenPossible();
   async_http::Task<void> ReportRetirements();
-  bool FoundFromRecord();
+  /// The machines that the operator wants emptied.
+  std::vector<std::string> Retiring() const;
+  /// Tells the other groups' leaders whether a group needs the machine no more.
+  async_http::Task<void> NoteEmptied(GroupId group, const std::string& machine, bool emptied);
+  async_http::Task<void> NoteAllEmptied(GroupId group, std::vector<std::string> names);
+  /// @return the machines that the group was noted to need no more.
+  std::vector<std::string> EmptiedInNotes(GroupId group) const;
+  /// True when every group's leader has said so.
+  bool AllGroupsEmptied(const std::string& machine);
+  void FoundFromRecord();
+  /// @return the groups as they were founded, or nothing when that isn't known yet.
+  std::optional<turn_ledger::group_layout> Layout() const;
 
-  void LogLeadership();
-  void LogProgress(absl::Time now);
+  void LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica);
+  void LogProgress(GroupId group, const turn_ledger::TurnReplica& replica);
   turn_ledger::Machine Self() const;
 
   wire::EventLoop& loop_;
@@ -88,12 +111,12 @@
 
   NodeId identity_;
   std::unique_ptr<storage::LogStore> disk_;
-  std::unique_ptr<turn_ledger::TurnReplica> replica_;
+  std::map<GroupId, std::unique_ptr<turn_ledger::TurnReplica>> replicas_;
   bool stopping_ = false;
   absl::Time stop_deadline_;
   absl::Time next_hello_;
   absl::Time next_progress_;
-  std::string logged_role_;
+  std::map<GroupId, std::string> logged_roles_;
   std::uint64_t synced_writes_ = 0;
 };
 
--- a/src/turn_ledger/chain/chain_messages.h
+++ b/src/turn_ledger/chain/chain_messages.h
@@ -18,6 +18,7 @@
 {
     /// unique per gateway process
     std::uint64_t m_request = 0;
+    GroupId m_group{1};
     TurnId m_turn;
     /// a turn whose chain the requester holds; where it is an ancestor, only what follows it is sent
     std::optional<TurnId> m_known;
@@ -25,7 +26,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_request, m_turn, m_known);
+        archive(m_request, m_group, m_turn, m_known);
     }
 };
 
--- a/src/turn_ledger/chain/chain_reader.h
+++ b/src/turn_ledger/chain/chain_reader.h
@@ -55,33 +55,36 @@
     {
     }
 
-    /// @brief replaces the machines that may have a replica; their order doesn't matter
-    void set_machines(std::vector<Machine> machines)
+    /// @brief replaces what is known of a group
+    /// @param[in] machines   all that may have a replica, the likely ones first
+    /// @param[in] likely     how many of them are
+    void set_machines(GroupId group, std::vector<Machine> machines, std::size_t likely)
     {
-        std::stable_partition(machines.begin(), machines.end(),
+        auto last_likely = machines.begin() + static_cast<std::ptrdiff_t>(std::min(likely, machines.size()));
+        std::stable_partition(machines.begin(), last_likely,
                               [this](const Machine& machine)
                               {
                                   return machine.zone == m_zone;
                               });
-        m_machines = std::move(machines);
+        m_machines[group] = std::move(machines);
     }
 
     /// @param[in] known  see @ref chain_request
     /// @return the first reply that has the turn, or nothing when the replicas asked did not know it or
     ///         did not answer: then only the leader can tell
-    async_http::Task<std::optional<chain_reply>> read(TurnId turn, std::optional<TurnId> known)
+    async_http::Task<std::optional<chain_reply>> read(GroupId group, TurnId turn, std::optional<TurnId> known)
     {
-        std::vector<wire::Endpoint> targets = choose_targets();
+        std::vector<wire::Endpoint> targets = choose_targets(group);
         for (const wire::Endpoint& target : targets)
         {
-            chain_request request{++m_last_request, turn, known};
+            chain_request request{++m_last_request, group, turn, known};
             waiting_read waiting(m_context);
             m_waiting[request.m_request] = &waiting;
             m_send(target, request);
             co_await waiting.m_arrived.Wait(absl::FromChrono(m_options.m_try_timeout));
             m_waiting.erase(request.m_request);
             bool useful = waiting.m_reply && waiting.m_reply->m_has_state;
-            m_avoided_until[target] =
+            m_avoided_until[{group, target}] =
                 useful ? absl::InfinitePast() : SteadyNow() + absl::FromChrono(m_options.m_avoidance);
             if (waiting.m_reply && waiting.m_reply->m_found)
             {
@@ -112,14 +115,14 @@
         std::optional<chain_reply> m_reply;
     };
 
-    std::vector<wire::Endpoint> choose_targets()
+    std::vector<wire::Endpoint> choose_targets(GroupId group)
     {
         std::vector<wire::Endpoint> targets;
         std::vector<wire::Endpoint> avoided;
         absl::Time now = SteadyNow();
-        for (const Machine& machine : m_machines)
+        for (const Machine& machine : m_machines[group])
         {
-            auto entry = m_avoided_until.find(machine.endpoint);
+            auto entry = m_avoided_until.find({group, machine.endpoint});
             bool avoid = entry != m_avoided_until.end() && entry->second > now;
             (avoid ? avoided : targets).push_back(machine.endpoint);
         }
@@ -133,8 +136,8 @@
     ZoneName m_zone;
     std::uint64_t m_last_request;
     chain_reader_options m_options;
-    std::vector<Machine> m_machines;
-    std::map<wire::Endpoint, absl::Time> m_avoided_until;
+    std::map<GroupId, std::vector<Machine>> m_machines;
+    std::map<std::pair<GroupId, wire::Endpoint>, absl::Time> m_avoided_until;
     std::map<std::uint64_t, waiting_read*> m_waiting;
 };
 
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -4,22 +4,45 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "turn_ledger/groups/group_layout.h"
 
 namespace martenyard::turn_ledger {
 
 using async_http::Task;
 
+namespace {
+
+/// Replicas that point at each other while they have no leader are not asked without end.
+constexpr std::size_t kMostHints = 3;
+
+}  // namespace
+
 LedgerClient::LedgerClient(async_http::asio::io_context& context, Send send,
                            const LedgerClientOptions& options, std::uint64_t first_request)
     : context_(context), send_(std::move(send)), options_(options), last_request_(first_request) {}
 
-void LedgerClient::SetReplicas(std::vector<wire::Endpoint> replicas) {
-  replicas_ = std::move(replicas);
+void LedgerClient::SetGroups(std::vector<std::vector<wire::Endpoint>> groups) {
+  groups_.resize(groups.size());
+  for (std::size_t index = 0; index < groups.size(); ++index) {
+    groups_[index].machines = std::move(groups[index]);
+    groups_[index].next = 0;
+  }
+}
+
+GroupId LedgerClient::GroupOf(const ProgramId& program) const {
+  return group_of(program, std::max<std::size_t>(1, groups_.size()));
+}
+
+LedgerClient::Group* LedgerClient::Find(GroupId group) {
+  bool known = group.value >= 1 && group.value <= groups_.size();
+  return known ? &groups_[group.value - 1] : nullptr;
 }
 
 void LedgerClient::OnDead(const wire::Endpoint& replica) {
-  if (leader_ == replica) {
-    leader_.reset();
+  for (Group& group : groups_) {
+    if (group.leader == replica) {
+      group.leader.reset();
+    }
   }
   for (auto& [request, waiting] : waiting_) {
     if (waiting->target == replica) {
@@ -29,34 +52,40 @@
 }
 
 std::optional<wire::Endpoint> LedgerClient::NextTarget(
-    const std::optional<wire::Endpoint>& failed) {
-  if (leader_ && leader_ != failed) {
-    return leader_;
+    Group& group, const std::optional<wire::Endpoint>& failed) {
+  if (group.leader && group.leader != failed) {
+    return group.leader;
   }
-  if (leader_ == failed) {
-    leader_.reset();
+  if (group.leader == failed) {
+    group.leader.reset();
   }
-  if (replicas_.empty()) {
+  if (group.machines.empty()) {
     return std::nullopt;
   }
-  return replicas_[next_replica_++ % replicas_.size()];
+  return group.machines[group.next++ % group.machines.size()];
 }
 
-Task<CallResult> LedgerClient::Call(Operation operation, absl::Time deadline) {
-  bool reservation = std::holds_alternative<ReserveTurn>(operation);
-  LedgerRequest request{++last_request_, std::move(operation)};
+Task<CallResult> LedgerClient::Call(GroupId group_id, Operation operation, absl::Time deadline) {
+  bool settlement = std::holds_alternative<SettleTurn>(operation);
+  LedgerRequest request{++last_request_, std::move(operation), group_id};
   Waiting waiting(context_);
   waiting_[request.request] = &waiting;
   std::optional<wire::Endpoint> failed;
   CallResult result;
   absl::Duration try_timeout = options_.try_timeout;
+  std::size_t unhelpful = 0;  // Replies without a leader's address.
+  std::size_t hints = 0;      // Replies with one, since the last pause.
   bool first = true;
   bool may_be_committed = false;
   while (SteadyNow() < deadline) {
     retries_ += first ? 0 : 1;
     first = false;
     waiting.reply.reset();
-    std::optional<wire::Endpoint> target = NextTarget(failed);
+    Group* group = Find(group_id);
+    std::optional<wire::Endpoint> target;
+    if (group != nullptr) {
+      target = NextTarget(*group, failed);
+    }
     failed.reset();
     if (!target) {
       co_await async_http::Sleep(context_, std::min(options_.pause, deadline - SteadyNow()));
@@ -72,15 +101,19 @@
       continue;
     }
     const LedgerReply& reply = *waiting.reply;
+    group = Find(group_id);  // The groups may have been replaced meanwhile.
+    if (group == nullptr) {
+      continue;
+    }
     if (reply.status == ReplyStatus::kDone) {
-      leader_ = target;
+      group->leader = target;
       result = {CallEnd::kDone, std::move(waiting.reply->result)};
       break;
     }
     may_be_committed = may_be_committed || reply.status == ReplyStatus::kUncertain;
     if (reply.status == ReplyStatus::kOverloaded) {
-      leader_ = target;
-      if (reservation && !may_be_committed) {
+      group->leader = target;
+      if (!settlement && !may_be_committed) {
         result.end = CallEnd::kOverloaded;
         break;
       }
@@ -88,10 +121,14 @@
       continue;
     }
     bool hint = reply.leader.port != 0 && reply.leader != *target;
-    if (hint) {
-      leader_ = reply.leader;
-    } else {
-      leader_.reset();
+    if (hint && ++hints <= kMostHints) {
+      group->leader = reply.leader;
+      continue;
+    }
+    group->leader.reset();
+    if (hints > kMostHints || ++unhelpful >= group->machines.size()) {
+      unhelpful = 0;
+      hints = 0;
       co_await async_http::Sleep(context_, std::min(options_.pause, deadline - SteadyNow()));
     }
   }
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -44,16 +44,19 @@
   LedgerClient(async_http::asio::io_context& context, Send send, const LedgerClientOptions& options,
                std::uint64_t first_request);
 
-  /// Replaces the replicas known; order doesn't matter.
-  void SetReplicas(std::vector<wire::Endpoint> replicas);
+  /// Replaces what is known of the groups: for each, the machines in the order to ask them in.
+  void SetGroups(std::vector<std::vector<wire::Endpoint>> groups);
   /// Asks until it is committed, `deadline` has passed, or an overloaded leader refuses the first
   /// try of a reservation.
-  async_http::Task<CallResult> Call(Operation operation, absl::Time deadline);
+  async_http::Task<CallResult> Call(GroupId group, Operation operation, absl::Time deadline);
+  /// @return the group that has the program; group 1 while none is known.
+  GroupId GroupOf(const ProgramId& program) const;
+  std::size_t groups() const { return groups_.size(); }
   void OnReply(const LedgerReply& reply);
   /// Nothing listens at `replica` any more.
   void OnDead(const wire::Endpoint& replica);
   std::size_t pending() const { return waiting_.size(); }
-  bool has_replicas() const { return !replicas_.empty(); }
+  bool has_replicas() const { return !groups_.empty() && !groups_.front().machines.empty(); }
   /// Tries beyond the first, over all calls.
   std::uint64_t retries() const { return retries_; }
 
@@ -65,15 +68,22 @@
     wire::Endpoint target;
   };
 
-  std::optional<wire::Endpoint> NextTarget(const std::optional<wire::Endpoint>& failed);
+  /// What is known of one group.
+  struct Group {
+    std::vector<wire::Endpoint> machines;
+    std::optional<wire::Endpoint> leader;
+    std::size_t next = 0;  ///< The machine to ask when no leader is known.
+  };
+
+  Group* Find(GroupId group);
+  static std::optional<wire::Endpoint> NextTarget(Group& group,
+                                                  const std::optional<wire::Endpoint>& failed);
 
   async_http::asio::io_context& context_;
   Send send_;
   LedgerClientOptions options_;
   std::uint64_t last_request_;
-  std::vector<wire::Endpoint> replicas_;
-  std::optional<wire::Endpoint> leader_;
-  std::size_t next_replica_ = 0;
+  std::vector<Group> groups_;
   std::map<std::uint64_t, Waiting*> waiting_;
   std::uint64_t retries_ = 0;
 };
--- a/src/turn_ledger/membership_planner.cc
+++ b/src/turn_ledger/membership_planner.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
+
+#include "base/hash.h"
 
 namespace martenyard::turn_ledger {
 namespace {
@@ -52,14 +55,16 @@
 const MachineView* BestSpare(const GroupView& view, const PlannerOptions& options) {
   std::set<ZoneName> covered = SoundZones(view, options);
   const MachineView* best = nullptr;
+  auto rank = [&](const MachineView& machine) {
+    return std::make_pair(covered.contains(machine.zone), StableHash(machine.name, options.group));
+  };
   for (const MachineView& machine : view.machines) {
     bool in_use = view.configuration.IsVoter(machine.identity) ||
                   view.configuration.IsLearner(machine.identity);
     if (in_use || machine.retiring || !IsLive(machine, options)) {
       continue;
     }
-    bool better =
-        best == nullptr || (covered.contains(best->zone) && !covered.contains(machine.zone));
+    bool better = best == nullptr || rank(machine) < rank(*best);
     best = better ? &machine : best;
   }
   return best;
@@ -150,6 +155,15 @@
   return std::nullopt;
 }
 
+NodeId PreferredLeader(const GroupView& view, const PlannerOptions& options) {
+  for (NodeId voter : view.configuration.voters) {
+    if (IsSound(view, voter, options)) {
+      return voter;
+    }
+  }
+  return view.leader;
+}
+
 bool MayTakeAway(const GroupView& view, const std::string& machine, const PlannerOptions& options) {
   for (const MachineView& candidate : view.machines) {
     bool holds = view.configuration.IsVoter(candidate.identity) ||
--- a/src/turn_ledger/membership_planner.h
+++ b/src/turn_ledger/membership_planner.h
@@ -32,6 +32,7 @@
   absl::Duration replace_after = absl::Seconds(1.5);     ///< Silence after which a spare steps in.
   absl::Duration live_within = absl::Milliseconds(800);  ///< Heard of within this: fit to be added.
   consensus::LogIndex learner_lag = 64;                  ///< A learner this close behind may vote.
+  std::uint64_t group = 0;  ///< Different groups prefer different spares.
 };
 
 struct GroupView {
@@ -45,6 +46,9 @@
 std::optional<consensus::Configuration> PlanMembership(const GroupView& view,
                                                        const PlannerOptions& options);
 
+/// @return the voter that should lead: the first that is sound, in the configuration's order.
+NodeId PreferredLeader(const GroupView& view, const PlannerOptions& options);
+
 /// @return true when `machine` holds no replica and the others hold as many as were aimed at, so
 /// that taking it away loses nothing.
 bool MayTakeAway(const GroupView& view, const std::string& machine, const PlannerOptions& options);
--- a/src/turn_ledger/messages.h
+++ b/src/turn_ledger/messages.h
@@ -40,10 +40,11 @@
 /// A replica's message of the replicated log.
 struct LogMessage {
   NodeId to;  ///< The identity meant: the address may have another by now.
+  GroupId group;
   consensus::RaftMessage message;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(to, message);
+    archive(to, group, message);
   }
 };
 
@@ -51,9 +52,10 @@
 struct LedgerRequest {
   std::uint64_t request = 0;  ///< Unique per gateway process.
   Operation operation;
+  GroupId group{1};
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(request, operation);
+    archive(request, operation, group);
   }
 };
 
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr absl::Duration kPlanInterval = absl::Milliseconds(100);
+/// Between tries to hand leadership to the member that should have it, and twice the first wait.
+constexpr absl::Duration kHandOverInterval = absl::Seconds(4);
 
 }  // namespace
 
@@ -95,8 +97,8 @@
   if (under_way_.contains(requester)) {
     return;  // Asked again out of impatience: one entry in the log answers both.
   }
-  bool reservation = std::holds_alternative<ReserveTurn>(request.operation);
-  if (proposals_.size() >= options_.max_pending || (reservation && Overloaded())) {
+  bool settlement = std::holds_alternative<SettleTurn>(request.operation);
+  if (proposals_.size() >= options_.max_pending || (!settlement && Overloaded())) {
     Answer(requester, ReplyStatus::kOverloaded);
     return;
   }
@@ -129,6 +131,7 @@
     led_since_ = now_;
     ledger_time_at_start_ = state_.now();
     next_plan_ = now_;
+    next_hand_over_ = now_ + kHandOverInterval / 2;
     configuration_logged_ = false;
     return;
   }
@@ -181,8 +184,16 @@
     configuration_logged_ = raft_.ProposeConfiguration(raft_.configuration());
     return;
   }
-  if (auto next = PlanMembership(View(), options_.planner)) {
+  GroupView view = View();
+  if (auto next = PlanMembership(view, options_.planner)) {
     raft_.ProposeConfiguration(*next);
+    return;
+  }
+  NodeId preferred = PreferredLeader(view, options_.planner);
+  bool due = options_.preferred_leaders && now_ >= next_hand_over_ && preferred != self_.identity;
+  if (due && raft_.MatchIndex(preferred) >= raft_.commit_index()) {
+    next_hand_over_ = now_ + kHandOverInterval;
+    raft_.TransferLeadership(preferred);
   }
 }
 
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -25,6 +25,8 @@
   std::size_t max_pending = 4000;  ///< Requests under way at one leader; more are refused.
   /// Reservations are refused while the oldest request under way is older than this.
   absl::Duration overload_after = absl::Milliseconds(350);
+  /// Leadership goes to the first sound voter: several groups are then led by different machines.
+  bool preferred_leaders = false;
   std::uint64_t snapshot_log_bytes = std::uint64_t{24} << 20;  ///< Or the last snapshot's size.
 };
 
@@ -73,6 +75,7 @@
   /// While a snapshot is under way. @return its next part, of about `most_bytes`. Between the
   /// steps the replica goes on as ever.
   std::optional<SnapshotStep> NextSnapshotStep(std::size_t most_bytes);
+  bool TakesSnapshot() const { return snapshot_under_way_.has_value(); }
   /// The last step is stored: the log up to the snapshot is dropped.
   void FinishSnapshot();
   std::vector<ReplyTo> TakeReplies();
@@ -113,6 +116,7 @@
   absl::Time led_since_;
   LedgerMillis ledger_time_at_start_ = 0;
   absl::Time next_plan_;
+  absl::Time next_hand_over_;
 
   /// A snapshot being encoded.
   struct SnapshotUnderWay {
--- a/src/turn_ledger/turn_state.cc
+++ b/src/turn_ledger/turn_state.cc
@@ -33,9 +33,23 @@
   if (const auto* reserve = std::get_if<ReserveTurn>(&command.operation)) {
     return Reserve(*reserve);
   }
+  if (const auto* find = std::get_if<FindTurn>(&command.operation)) {
+    return Find(*find);
+  }
   return Settle(std::get<SettleTurn>(command.operation));
 }
 
+OperationResult TurnState::Find(const FindTurn& find) {
+  OperationResult result;
+  if (!turns_.contains(find.turn)) {
+    result.verdict = Verdict::kUnknownPrevious;
+    return result;
+  }
+  Prolong(find.turn, now_ + find.retention_ms + kRetentionMargin);
+  result.history = HistoryOf(find.turn);
+  return result;
+}
+
 OperationResult TurnState::Reserve(const ReserveTurn& reserve) {
   OperationResult result;
   if (reserve.previous) {
--- a/src/turn_ledger/turn_state.h
+++ b/src/turn_ledger/turn_state.h
@@ -35,6 +35,7 @@
  private:
   OperationResult Reserve(const ReserveTurn& reserve);
   OperationResult Settle(const SettleTurn& settle);
+  OperationResult Find(const FindTurn& find);
   void Keep(const SettleTurn& settle);
   /// Keeps a turn and its whole chain at least until `until`.
   void Prolong(const std::optional<TurnId>& turn, LedgerMillis until);
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -64,7 +64,18 @@
   }
 };
 
-using Operation = std::variant<ReserveTurn, SettleTurn>;
+/// Asks for a turn's chain, in its place in the log: "no such turn" is then true of this group.
+struct FindTurn {
+  TurnId turn;
+  std::uint32_t retention_ms = 60000;  ///< The chain is kept this much longer.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(turn, retention_ms);
+  }
+};
+
+using Operation = std::variant<ReserveTurn, SettleTurn, FindTurn>;
 
 /// One entry of the replicated log.
 struct Command {
--- a/tests/platform/gateway_contract_test.cc
+++ b/tests/platform/gateway_contract_test.cc
@@ -162,6 +162,27 @@
   EXPECT_EQ(world.Ask(request).status, 404U);
 }
 
+TEST(TurnContractTest, ProgramGoesOnFromAnotherProgramsTurn) {
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request;
+  request.target = "/streamkept/1";
+  request.body = "first|";
+  request.headers = {"Program-Id: p", "Token-Budget: 100000", "Token-Usage: 10,200"};
+  ASSERT_TRUE(world.Ask(request).whole);
+  request.id = "attempt-2";
+  request.body = "second|";
+  request.headers = {"Program-Id: q", "Token-Budget: 100000", "Token-Usage: 10,200",
+                     "Previous-Turn: attempt-1"};
+  ASSERT_TRUE(world.Ask(request).whole);
+  request.id = "attempt-3";
+  request.body = "third|";
+  request.headers.back() = "Previous-Turn: attempt-2";
+  ASSERT_TRUE(world.Ask(request).whole);
+  std::string said = "event-1\nevent-2\nevent-3\nevent-4\n";
+  EXPECT_EQ(world.a().seen().back().body, "first|" + said + "second|" + said + "third|");
+}
+
 TEST(TurnContractTest, BudgetIsNeverExceededAnd402MeansNotRun) {
   PlatformWorld world;
   world.Start();
--- a/tests/turn_ledger/turn_state_test.cc
+++ b/tests/turn_ledger/turn_state_test.cc
@@ -65,7 +65,7 @@
   state.Apply(Complete("two", "c", "d", "one"));
   state.Apply(Complete("three", "e", "f", "two"));
   auto read = [&](const std::string& turn, const std::optional<TurnId>& known) {
-    return state.ReadChain({1, TurnId(turn), known});
+    return state.ReadChain({1, GroupId(1), TurnId(turn), known});
   };
   EXPECT_EQ(read("three", std::nullopt).m_text, "abcdef");
   chain_reply after = read("three", TurnId("one"));
