Gateways tell each other what the store says; a few in each zone watch it

Ways weighed: pushing every change to every gateway over kept connections (an order between pushes and watches is needed); a wait of seconds on every watch to find silent cuts (dearer than now); digests in the load reports that gateways send anyway, and a question to a peer that knows more: taken. Change: `store/relay`: load reports carry the last change known of each prefix; a gateway that is behind asks a peer, at once if it doesn't watch, after 0.4 s if its own watch should have told it. Three gateways a zone watch; the others begin when no peer in contact with the store was heard of for 1.6 s. Removals are told too and never undone by older news. Also mended: a kept turn of a program without a budget was never committed since the groups came (its group was only looked up for reservations).

--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -140,7 +140,15 @@
 
 Task<bool> RequestRun::AdmitTurn() {
   bool keeps = route_->keeps_turns;
-  if (!info_.token_budget && !(keeps && info_.previous_turn)) {
+  if (!info_.token_budget && !keeps) {
+    co_return true;
+  }
+  if (state_->ledger->groups() == 0) {
+    co_await Refuse("the turn ledger is not known yet");
+    co_return false;
+  }
+  group_ = state_->ledger->GroupOf(info_.program);
+  if (!info_.token_budget && !info_.previous_turn) {
     co_return true;
   }
   turn_ledger::ReserveTurn reserve;
@@ -160,7 +168,6 @@
   absl::Time patience =
       std::min(deadline_ - state_->options.answer_margin, began + state_->options.ledger_patience);
   reserved_ = true;
-  group_ = state_->ledger->GroupOf(info_.program);
   turn_ledger::CallResult result = co_await Reserve(reserve, patience);
   state_->metrics.Observe(Stage::kLedger, SteadyNow() - began);
   Line line("turn_admission");
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -65,6 +65,7 @@
           loop.context(), store, formats.ConfigurationKey(),
           [this](const store::StoreChange& change) { OnConfigurationChange(change); },
           [this](bool reachable, store::StoreStatus status) {
+            configuration_contact_ = reachable;
             state_->store_reachable = reachable;
             OnContact("configuration", reachable, status);
           }),
@@ -81,7 +82,9 @@
             OnContact("directory", reachable, status);
           }),
       peer_loads_(kPeerLifetime),
-      ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }) {
+      ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }),
+      mirrors_{&configuration_, &runners_, &directory_},
+      peer_news_(settings.node, settings.zone) {
   state_->ledger = std::make_unique<turn_ledger::LedgerClient>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::LedgerRequest& request) {
@@ -271,20 +274,89 @@
     state_->ledger->OnReply(*reply);
   } else if (auto* chain = std::get_if<turn_ledger::chain_reply>(&envelope->body)) {
     state_->chains->on_reply(std::move(*chain));
+  } else if (const auto* news = std::get_if<store::news_reply>(&envelope->body)) {
+    TakeNews(*news);
   }
 }
 
 void GatewayRole::OnDatagram(const std::string& payload) {
-  auto report = wire::Decode<LoadReport>(payload);
-  if (!report) {
+  auto datagram = wire::Decode<GatewayDatagram>(payload);
+  if (!datagram) {
     return;
   }
+  if (const auto* report = std::get_if<LoadReport>(&*datagram)) {
+    TakeLoadReport(*report);
+  } else {
+    AnswerNewsRequest(std::get<store::news_request>(*datagram));
+  }
+}
+
+void GatewayRole::TakeLoadReport(const LoadReport& report) {
   absl::Time now = SteadyNow();
-  peer_loads_.Take(now, *report);
+  peer_loads_.Take(now, report);
   peer_loads_.Apply(now, state_->runners);
-  for (const Placement& placement : report->placements) {
+  for (const Placement& placement : report.placements) {
     state_->prefixes.Note(now, placement.part, placement.runner);
   }
+  peer_news_.take(std::chrono::steady_clock::now(), report.gateway, report.news);
+  FollowPeers();
+}
+
+store::news_digest GatewayRole::Digest() const {
+  store::news_digest digest;
+  digest.m_zone = settings_.zone;
+  digest.m_endpoint = {settings_.address, settings_.internal_port};
+  for (std::size_t mirror = 0; mirror < mirrors_.size(); ++mirror) {
+    digest.m_changes[mirror] = mirrors_[mirror]->last_change();
+  }
+  digest.m_in_contact = watching_ && configuration_contact_;
+  return digest;
+}
+
+void GatewayRole::AnswerNewsRequest(const store::news_request& request) {
+  if (request.m_mirror >= mirrors_.size()) {
+    return;
+  }
+  store::news_reply reply{request.m_mirror,
+                          mirrors_[request.m_mirror]->ChangesSince(request.m_last_change)};
+  transport_.SendFrame({request.m_address, request.m_port},
+                       wire::Encode(turn_ledger::Envelope{Self(), std::move(reply)}));
+}
+
+void GatewayRole::TakeNews(const store::news_reply& reply) {
+  if (reply.m_mirror >= mirrors_.size()) {
+    return;
+  }
+  store::PrefixMirror& mirror = *mirrors_[reply.m_mirror];
+  if (reply.m_delta.m_last_change > mirror.last_change()) {
+    log_.Write(Line("news_from_peer")
+                   .Number("mirror", reply.m_mirror)
+                   .Number("items", static_cast<std::int64_t>(reply.m_delta.m_items.size()))
+                   .Number("removals", static_cast<std::int64_t>(reply.m_delta.m_removals.size()))
+                   .Number("from", static_cast<std::int64_t>(mirror.last_change()))
+                   .Number("to", static_cast<std::int64_t>(reply.m_delta.m_last_change)));
+  }
+  mirror.TakeDelta(reply.m_delta);
+}
+
+void GatewayRole::FollowPeers() {
+  store::instant now = std::chrono::steady_clock::now();
+  bool watch = peer_news_.should_watch(now);
+  if (watch != watching_) {
+    watching_ = watch;
+    log_.Write(Line("store_watching").Flag("watching", watch));
+  }
+  state_->store_reachable = configuration_contact_ || (!watch && peer_news_.peer_in_contact(now));
+  for (std::size_t mirror = 0; mirror < mirrors_.size(); ++mirror) {
+    mirrors_[mirror]->SetWatching(watch);
+    auto question = peer_news_.next_question(now, mirror, mirrors_[mirror]->last_change(), watch);
+    if (question) {
+      store::news_request request{static_cast<std::uint8_t>(mirror),
+                                  mirrors_[mirror]->last_change(), settings_.address,
+                                  settings_.internal_port};
+      transport_.SendDatagram(question->m_peer, wire::Encode(GatewayDatagram(request)));
+    }
+  }
 }
 
 void GatewayRole::ReportLoad() {
@@ -292,14 +364,17 @@
   LoadReport report;
   report.gateway = settings_.node;
   report.loads = OwnLoads(state_->runners);
-  bool news = report.loads != reported_ || !placements_.empty();
+  report.news = Digest();
+  bool news = report.loads != reported_ || !placements_.empty() ||
+              report.news.m_changes != reported_changes_;
   if (!news && now < next_report_) {
     return;
   }
   next_report_ = now + kQuietReportInterval;
   reported_ = report.loads;
+  reported_changes_ = report.news.m_changes;
   report.placements = std::exchange(placements_, {});
-  std::string payload = wire::Encode(report);
+  std::string payload = wire::Encode(GatewayDatagram(std::move(report)));
   for (const wire::Endpoint& peer : peers_) {
     transport_.SendDatagram(peer, payload);
   }
@@ -308,6 +383,7 @@
 // ---- Time ----
 
 void GatewayRole::Tick(absl::Time now) {
+  FollowPeers();
   ReportLoad();
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeepingInterval;
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -1,6 +1,7 @@
 // The gateway role: takes client requests and forwards them; keeps nothing that must last.
 #pragma once
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -49,6 +50,12 @@
   void OnDatagram(const std::string& payload);
   void SendToLedger(const wire::Endpoint& to, const turn_ledger::LedgerRequest& request);
   void ReportLoad();
+  void TakeLoadReport(const LoadReport& report);
+  void AnswerNewsRequest(const store::news_request& request);
+  void TakeNews(const store::news_reply& reply);
+  /// Decides who watches the store, and asks peers that know more.
+  void FollowPeers();
+  store::news_digest Digest() const;
 
   void Tick(absl::Time now);
   void CheckStop(absl::Time now);
@@ -73,6 +80,11 @@
   std::vector<wire::Endpoint> peers_;  // The other gateways.
   PeerLoads peer_loads_;
   Ticker ticker_;
+  std::array<store::PrefixMirror*, store::mirror_count> mirrors_;
+  store::peer_news peer_news_;
+  store::known_changes reported_changes_{};
+  bool watching_ = true;
+  bool configuration_contact_ = false;  ///< The store answered the last question for it.
   std::vector<RunnerLoad> reported_;
   std::vector<Placement> placements_;
   absl::Time next_report_;
--- a/src/roles/load_report.h
+++ b/src/roles/load_report.h
@@ -4,10 +4,13 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "absl/time/time.h"
 #include "discovery/runner_table.h"
+#include "store/relay/mirror_delta.h"
+#include "store/relay/peer_news.h"
 
 namespace martenyard::roles {
 
@@ -37,13 +40,17 @@
   std::string gateway;
   std::vector<RunnerLoad> loads;  ///< Runners without a request of the sender are left out.
   std::vector<Placement> placements;
+  store::news_digest news;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(gateway, loads, placements);
+    archive(gateway, loads, placements, news);
   }
 };
 
+/// What gateways send each other as datagrams.
+using GatewayDatagram = std::variant<LoadReport, store::news_request>;
+
 /// Sums the other gateways' latest reports into the runner table.
 class PeerLoads {
  public:
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -36,6 +36,10 @@
 
 Task<void> PrefixMirror::Follow() {
   while (true) {
+    if (complete_ && !watching_) {
+      co_await async_http::Sleep(context_, kWatchSpacing);
+      continue;
+    }
     bool done = false;
     if (complete_) {
       done = co_await WatchOnce();
@@ -71,6 +75,10 @@
   for (const std::string& key : gone) {
     Take({key, std::nullopt, answer.revision});
   }
+  // Pages are no snapshot: a change newer than the first page may stand before one that is missing.
+  last_change_ = std::min(last_change_, answer.revision);
+  removals_.clear();
+  removals_since_ = answer.revision;
   revision_ = answer.revision;
   complete_ = true;
   co_return true;
@@ -97,6 +105,9 @@
 void PrefixMirror::Take(const StoreChange& change) {
   auto known = items_.find(change.key);
   if (!change.value) {
+    Revision& removed = removals_[change.key];
+    removed = std::max(removed, change.revision);
+    NoteChange(change.revision);
     if (known != items_.end() && known->second.revision <= change.revision) {
       items_.erase(known);
       on_change_(change);
@@ -106,10 +117,61 @@
   if (known != items_.end() && known->second.revision >= change.revision) {
     return;  // A page may be older than what a watch told.
   }
+  auto removed = removals_.find(change.key);
+  if (removed != removals_.end() && removed->second >= change.revision) {
+    return;  // A peer that has not heard of the removal.
+  }
+  NoteChange(change.revision);
   items_[change.key] = {change.key, *change.value, change.revision};
   on_change_(change);
 }
 
+mirror_delta PrefixMirror::ChangesSince(Revision last_change) const {
+  mirror_delta delta;
+  delta.m_last_change = last_change_;
+  delta.m_full = last_change < removals_since_;
+  for (const auto& [key, item] : items_) {
+    if (delta.m_full || item.revision > last_change) {
+      delta.m_items.push_back({key, item.value, item.revision});
+    }
+  }
+  for (const auto& [key, revision] : removals_) {
+    if (revision > last_change && !items_.contains(key)) {
+      delta.m_removals.push_back({key, revision});
+    }
+  }
+  return delta;
+}
+
+void PrefixMirror::TakeDelta(const mirror_delta& delta) {
+  if (delta.m_last_change <= last_change_) {
+    return;  // Known by now.
+  }
+  std::set<std::string> present;
+  for (const relayed_item& item : delta.m_items) {
+    present.insert(item.m_key);
+    Take({item.m_key, item.m_value, item.m_revision});
+  }
+  for (const relayed_removal& removal : delta.m_removals) {
+    Take({removal.m_key, std::nullopt, removal.m_revision});
+  }
+  std::vector<std::string> gone;
+  for (const auto& [key, item] : items_) {
+    if (delta.m_full && !present.contains(key) && item.revision <= delta.m_last_change) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    Take({key, std::nullopt, delta.m_last_change});
+  }
+  if (!complete_) {
+    removals_since_ = delta.m_last_change;
+  }
+  complete_ = true;
+  NoteChange(delta.m_last_change);
+  revision_ = std::max(revision_, delta.m_last_change);
+}
+
 void PrefixMirror::NoteContact(bool reachable, StoreStatus status) {
   if (reachable) {
     confirmed_ = SteadyNow();
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -3,12 +3,14 @@
 // While the store can't be reached the last known copy stays: silence is no removal.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
 #include "store/metadata_store.h"
+#include "store/relay/mirror_delta.h"
 
 namespace martenyard::store {
 
@@ -28,6 +30,16 @@
   const std::map<std::string, StoreItem>& items() const { return items_; }
   /// @return for how long the store has not confirmed the copy.
   absl::Duration Staleness() const;
+  /// True while the store answered last.
+  bool reachable() const { return reachable_; }
+  /// A mirror that doesn't watch lives by what its peers tell; a watch under way goes on.
+  void SetWatching(bool watching) { watching_ = watching; }
+  /// @return the revision of the last change known.
+  Revision last_change() const { return last_change_; }
+  /// @return what changed after `last_change`, for a peer's mirror of the same prefix.
+  mirror_delta ChangesSince(Revision last_change) const;
+  /// Takes what a peer's mirror told.
+  void TakeDelta(const mirror_delta& delta);
 
  private:
   async_http::Task<void> Follow();
@@ -35,6 +47,7 @@
   async_http::Task<bool> WatchOnce();
   void Take(const StoreChange& change);
   void NoteContact(bool reachable, StoreStatus status);
+  void NoteChange(Revision revision) { last_change_ = std::max(last_change_, revision); }
 
   async_http::asio::io_context& context_;
   MetadataStore& store_;
@@ -42,7 +55,11 @@
   ChangeHandler on_change_;
   ContactHandler on_contact_;
   std::map<std::string, StoreItem> items_;
+  std::map<std::string, Revision> removals_;  // Of keys that were removed since the last reading.
+  Revision removals_since_ = 0;               // Earlier removals are not known.
+  Revision last_change_ = 0;
   Revision revision_ = 0;
+  bool watching_ = true;
   bool complete_ = false;
   bool reachable_ = false;
   absl::Time confirmed_ = absl::InfinitePast();
--- /dev/null
+++ b/src/store/relay/peer_news.cc
@@ -0,0 +1,81 @@
+#include "store/relay/peer_news.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/hash.h"
+
+namespace martenyard::store
+{
+
+peer_news::peer_news(std::string self, std::string zone, const peer_news_options& options)
+    : m_self(std::move(self)), m_zone(std::move(zone)), m_options(options)
+{
+}
+
+void peer_news::take(instant now, const std::string& peer, const news_digest& digest)
+{
+    m_peers[peer] = {now, digest};
+}
+
+bool peer_news::is_live(instant now, const heard_peer& peer) const
+{
+    return now - peer.m_at < m_options.m_peer_lifetime;
+}
+
+bool peer_news::should_watch(instant now) const
+{
+    if (!peer_in_contact(now))
+    {
+        return true;
+    }
+    auto ranked_before = [&](const auto& entry)
+    {
+        bool same_zone = entry.second.m_digest.m_zone == m_zone;
+        auto peer_rank = std::make_pair(StableHash(entry.first), entry.first);
+        return same_zone && is_live(now, entry.second) && peer_rank < std::make_pair(StableHash(m_self), m_self);
+    };
+    auto before = static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), ranked_before));
+    return before < m_options.m_watchers;
+}
+
+bool peer_news::peer_in_contact(instant now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(),
+                       [&](const auto& entry)
+                       { return entry.second.m_digest.m_in_contact && is_live(now, entry.second); });
+}
+
+std::optional<news_question> peer_news::next_question(instant now, std::size_t mirror, std::uint64_t own, bool watching)
+{
+    std::vector<wire::Endpoint> near;
+    std::vector<wire::Endpoint> far;
+    for (const auto& [name, peer] : m_peers)
+    {
+        if (is_live(now, peer) && peer.m_digest.m_changes[mirror] > own)
+        {
+            (peer.m_digest.m_zone == m_zone ? near : far).push_back(peer.m_digest.m_endpoint);
+        }
+    }
+    lag& state = m_lags[mirror];
+    if (near.empty() && far.empty())
+    {
+        state.m_since.reset();
+        return std::nullopt;
+    }
+    state.m_since = state.m_since.value_or(now);
+    bool patient = watching && now - *state.m_since < m_options.m_own_watch_patience;
+    bool just_asked = state.m_asked && now - *state.m_asked < m_options.m_ask_pause;
+    if (patient || just_asked)
+    {
+        return std::nullopt;
+    }
+    state.m_asked = now;
+    // A peer that doesn't answer is followed by the next.
+    const std::vector<wire::Endpoint>& candidates = near.empty() ? far : near;
+    std::size_t turn = StableHash(m_self) % candidates.size() + state.m_turn++;
+    return news_question{mirror, candidates[turn % candidates.size()]};
+}
+
+}  // namespace martenyard::store
--- a/src/turn_ledger/groups/group_layout.cc
+++ b/src/turn_ledger/groups/group_layout.cc
@@ -21,7 +21,10 @@
         ranked.emplace_back(zone_use[machine.zone]++, machine);
     }
     std::stable_sort(ranked.begin(), ranked.end(),
-                     [](const auto& left, const auto& right) { return left.first < right.first; });
+                     [](const auto& left, const auto& right)
+                     {
+                         return left.first < right.first;
+                     });
     std::vector<Machine> interleaved;
     for (auto& [rank, machine] : ranked)
     {
@@ -57,13 +60,17 @@
     return GroupId(static_cast<std::uint32_t>(index + 1));
 }
 
-std::vector<Machine> members_first(const std::vector<Machine>& machines, const consensus::Configuration& founders)
+std::vector<Machine> members_first(const std::vector<Machine>& machines,
+                                   const consensus::Configuration& founders)
 {
     std::vector<Machine> ordered;
     for (NodeId founder : founders.voters)
     {
         auto found = std::find_if(machines.begin(), machines.end(),
-                                  [founder](const Machine& machine) { return machine.identity == founder; });
+                                  [founder](const Machine& machine)
+                                  {
+                                      return machine.identity == founder;
+                                  });
         if (found != machines.end())
         {
             ordered.push_back(*found);
--- a/src/turn_ledger/groups/group_layout.h
+++ b/src/turn_ledger/groups/group_layout.h
@@ -35,6 +35,7 @@
 
 /// @return all machines, in the order to ask them in: the group's founders as listed, then the others
 ///         (members may have changed since the group was founded)
-std::vector<Machine> members_first(const std::vector<Machine>& machines, const consensus::Configuration& founders);
+std::vector<Machine> members_first(const std::vector<Machine>& machines,
+                                   const consensus::Configuration& founders);
 
 }  // namespace martenyard::turn_ledger
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -30,7 +30,7 @@
 }
 
 GroupId LedgerClient::GroupOf(const ProgramId& program) const {
-  return group_of(program, std::max<std::size_t>(1, groups_.size()));
+  return group_of(program, groups_.size());
 }
 
 LedgerClient::Group* LedgerClient::Find(GroupId group) {
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -49,7 +49,7 @@
   /// Asks until it is committed, `deadline` has passed, or an overloaded leader refuses the first
   /// try of a reservation.
   async_http::Task<CallResult> Call(GroupId group, Operation operation, absl::Time deadline);
-  /// @return the group that has the program; group 1 while none is known.
+  /// @return the group that has the program. Only once groups are known.
   GroupId GroupOf(const ProgramId& program) const;
   std::size_t groups() const { return groups_.size(); }
   void OnReply(const LedgerReply& reply);
--- a/src/turn_ledger/messages.h
+++ b/src/turn_ledger/messages.h
@@ -8,6 +8,7 @@
 
 #include "base/ids.h"
 #include "consensus/types.h"
+#include "store/relay/mirror_delta.h"
 #include "turn_ledger/chain/chain_messages.h"
 #include "turn_ledger/types.h"
 #include "wire/endpoint.h"
@@ -77,8 +78,8 @@
   }
 };
 
-using Body =
-    std::variant<Hello, LogMessage, LedgerRequest, LedgerReply, chain_request, chain_reply>;
+using Body = std::variant<Hello, LogMessage, LedgerRequest, LedgerReply, chain_request, chain_reply,
+                          store::news_reply>;
 
 /// What travels in one frame.
 struct Envelope {
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
--- a/tests/platform/gateway_contract_test.cc
+++ b/tests/platform/gateway_contract_test.cc
@@ -162,6 +162,17 @@
   EXPECT_EQ(world.Ask(request).status, 404U);
 }
 
+TEST(TurnContractTest, TurnOfAProgramWithoutABudgetIsKeptToo) {
+  // Its group was only looked up on the way to a reservation, which it doesn't need.
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request;
+  request.target = "/streamkept/1";
+  request.body = "first|";
+  request.headers = {"Program-Id: p", "Token-Usage: 10,200"};
+  ASSERT_TRUE(world.Ask(request).whole);
+}
+
 TEST(TurnContractTest, ProgramGoesOnFromAnotherProgramsTurn) {
   PlatformWorld world;
   world.Start();
--- /dev/null
+++ b/tests/platform/peer_news_contract_test.cc
@@ -0,0 +1,97 @@
+// A gateway that the store turns away while it serves the others: its peers tell it what they know.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "platform/formats.h"
+#include "platform/store_client.h"
+#include "platform/support/platform_world.h"
+#include "wire/codec.h"
+
+namespace martenyard::testing {
+namespace {
+
+std::uint16_t FreePort(wire::EventLoop& loop) {
+  async_http::asio::ip::tcp::acceptor probe(loop.context(),
+                                            {async_http::asio::ip::make_address("127.0.0.1"), 0});
+  return probe.local_endpoint().port();
+}
+
+/// A second gateway, in the same zone, with a store of its own that refuses every call.
+class RefusedGateway {
+ public:
+  explicit RefusedGateway(PlatformWorld& world)
+      : store_(world.loop().context()),
+        log_file_(open("/tmp", O_TMPFILE | O_RDWR | O_CLOEXEC, 0600)),
+        log_(log_file_, "edge-2") {
+    store_.Listen(0);
+    store_.faults().down = true;
+    client_ = std::make_unique<platform::StoreClient>(world.loop().context(),
+                                                      wire::Endpoint{"127.0.0.1", store_.port()});
+    roles::RoleSettings settings;
+    settings.node = "edge-2";
+    settings.zone = "near";
+    settings.address = "127.0.0.1";
+    settings.internal_port = FreePort(world.loop());
+    settings.frontend = {"127.0.0.1", 0};
+    settings.readiness = {"127.0.0.1", FreePort(world.loop())};
+    // As it registered before the store began to refuse it.
+    turn_ledger::Machine self;
+    self.name = settings.node;
+    self.endpoint = {settings.address, settings.internal_port};
+    self.zone = ZoneName(settings.zone);
+    world.store().Put("martenyard/gateways/edge-2", wire::Encode(self));
+    role_ = std::make_unique<roles::GatewayRole>(world.loop(), settings, formats_, *client_, log_);
+    leaf::try_handle_all(
+        [&]() -> Result<int> {
+          BOOST_LEAF_CHECK(role_->Start());
+          return 0;
+        },
+        [] { return 1; });
+  }
+  ~RefusedGateway() { close(log_file_); }
+
+  roles::GatewayRole& role() { return *role_; }
+  std::uint64_t version() {
+    return role_->state().routes ? role_->state().routes->configuration().version : 0;
+  }
+
+ private:
+  emulator::StoreStandIn store_;
+  int log_file_;
+  event_log::EventLog log_;
+  platform::Formats formats_;
+  std::unique_ptr<platform::StoreClient> client_;
+  std::unique_ptr<roles::GatewayRole> role_;
+};
+
+TEST(PeerNewsContractTest, GatewayThatTheStoreRefusesServesByWhatItsPeersTell) {
+  PlatformWorld world;
+  world.Start();
+  RefusedGateway refused(world);
+  ASSERT_TRUE(world.RunUntil([&] {
+    return refused.role().ready() && refused.role().state().runners.all().size() == 2 &&
+           refused.role().state().ledger->has_replicas();
+  })) << "it knew nothing at all, and answered 503, until the store took it back";
+  ClientRequest request;
+  auto dialogue = StartDialogue(world.loop(), {"127.0.0.1", refused.role().frontend_port()},
+                                RequestText(request));
+  ASSERT_TRUE(world.RunUntil([&] { return dialogue->done; }));
+  EXPECT_EQ(dialogue->answer.status, 200U);
+
+  world.store().Put("op/config", StandardConfiguration(2));
+  EXPECT_TRUE(world.RunUntil([&] { return refused.version() == 2; }));
+  world.ListRunner(world.a(), "near", "draining");
+  EXPECT_TRUE(world.RunUntil([&] {
+    auto* runner = refused.role().state().runners.Find(discovery::RunnerId(world.a().id()));
+    return runner != nullptr && runner->runner.draining;
+  }));
+  world.store().Remove("servers/" + world.b().id());
+  EXPECT_TRUE(world.RunUntil([&] {
+    auto* runner = refused.role().state().runners.Find(discovery::RunnerId(world.b().id()));
+    return runner != nullptr && runner->gone;
+  })) << "removals are told too";
+}
+
+}  // namespace
+}  // namespace martenyard::testing
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -63,6 +63,35 @@
       RunUntil([&] { return Holds("p/7", "changed") && !mirror_->items().contains("p/8"); }));
 }
 
+TEST_F(PrefixMirrorTest, MirrorThatDoesNotWatchLearnsEveryChangeFromAPeer) {
+  PrefixMirror other(
+      loop_.context(), *client_, "p/", [](const StoreChange&) {}, [](bool, StoreStatus) {});
+  stand_in_.Put("p/a", "1");
+  stand_in_.Put("p/b", "1");
+  mirror_->Start();
+  ASSERT_TRUE(RunUntil([&] { return mirror_->items().size() == 2; }));
+  other.TakeDelta(mirror_->ChangesSince(other.last_change()));
+  EXPECT_TRUE(other.complete());
+  EXPECT_EQ(other.items().size(), 2U);
+  EXPECT_EQ(other.last_change(), mirror_->last_change());
+
+  mirror_delta old = mirror_->ChangesSince(0);
+  stand_in_.Put("p/a", "2");
+  stand_in_.Remove("p/b");
+  ASSERT_TRUE(RunUntil([&] { return Holds("p/a", "2") && mirror_->items().size() == 1; }));
+  mirror_delta delta = mirror_->ChangesSince(other.last_change());
+  EXPECT_FALSE(delta.m_full);
+  EXPECT_EQ(delta.m_items.size(), 1U);
+  EXPECT_EQ(delta.m_removals.size(), 1U);
+  other.TakeDelta(delta);
+  EXPECT_EQ(other.items().size(), 1U);
+  old.m_last_change = other.last_change() + 1;  // A peer that is behind in part.
+  old.m_full = false;
+  other.TakeDelta(old);
+  EXPECT_FALSE(other.items().contains("p/b")) << "what was removed does not come back";
+  EXPECT_EQ(other.items().at("p/a").value, "2");
+}
+
 TEST_F(PrefixMirrorTest, ForgottenHistoryIsReadAnewAndWhatIsMissingIsGone) {
   stand_in_.Put("p/a", "1");
   stand_in_.Put("p/b", "1");
