A recovering ledger isn't buried; slower machines have longer election timeouts

Eight groups on machines of 0.12 of a core read and apply their logs and elect at the same time, while 53 gateways send every waiting reservation again, and a settlement for each that was given up, every 0.8 s for 20 s. Found on the way: GCC 12 destroys a braced temporary among a co_await's arguments twice (gateways crashed at the first turn); the request is a named variable now.

--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -43,10 +43,19 @@
   return 2 * settings.tolerated_machines + 1;
 }
 
+/// A slow machine is busy for longer with a step that it must not be interrupted in: reading a log,
+/// applying what was committed. Its peers must not take that for its death.
+absl::Duration ElectionTimeout(const RoleSettings& settings) {
+  constexpr absl::Duration kQuickMachine = absl::Milliseconds(220);
+  constexpr double kQuickShare = 0.25;
+  constexpr double kSlowest = 3;
+  return kQuickMachine * std::clamp(kQuickShare / settings.processor_share, 1.0, kSlowest);
+}
+
 turn_ledger::ReplicaOptions MakeReplicaOptions(const RoleSettings& settings, GroupId group) {
   turn_ledger::ReplicaOptions options;
   options.raft.heartbeat_interval = absl::Milliseconds(60);
-  options.raft.election_timeout = absl::Milliseconds(220);
+  options.raft.election_timeout = ElectionTimeout(settings);
   options.raft.start_wait_share = 0.4;
   options.planner.replicas = WantedReplicas(settings);
   options.planner.group = group.value;
--- a/src/roles/role_settings.h
+++ b/src/roles/role_settings.h
@@ -27,6 +27,7 @@
   std::size_t tolerated_machines = 1;  ///< Storage machines that may be lost at once.
   std::uint64_t memory_bytes = std::uint64_t{220} << 20;
   std::size_t descriptors = 4000;
+  double processor_share = 1.0;                  ///< Of one core, that this machine may use.
   absl::Duration stop_grace = absl::Seconds(8);  ///< From SIGTERM to SIGKILL.
   absl::Duration drain = absl::Seconds(2);       ///< Leaving runners take work this long.
   absl::Duration pass_limit = absl::Milliseconds(120);
--- a/src/store/relay/peer_news.cc
+++ b/src/store/relay/peer_news.cc
@@ -34,7 +34,8 @@
     {
         bool same_zone = entry.second.m_digest.m_zone == m_zone;
         auto peer_rank = std::make_pair(StableHash(entry.first), entry.first);
-        return same_zone && is_live(now, entry.second) && peer_rank < std::make_pair(StableHash(m_self), m_self);
+        return same_zone && is_live(now, entry.second) &&
+               peer_rank < std::make_pair(StableHash(m_self), m_self);
     };
     auto before = static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), ranked_before));
     return before < m_options.m_watchers;
@@ -44,10 +45,13 @@
 {
     return std::any_of(m_peers.begin(), m_peers.end(),
                        [&](const auto& entry)
-                       { return entry.second.m_digest.m_in_contact && is_live(now, entry.second); });
+                       {
+                           return entry.second.m_digest.m_in_contact && is_live(now, entry.second);
+                       });
 }
 
-std::optional<news_question> peer_news::next_question(instant now, std::size_t mirror, std::uint64_t own, bool watching)
+std::optional<news_question> peer_news::next_question(instant now, std::size_t mirror, std::uint64_t own,
+                                                      bool watching)
 {
     std::vector<wire::Endpoint> near;
     std::vector<wire::Endpoint> far;
--- a/src/store/relay/peer_news.h
+++ b/src/store/relay/peer_news.h
@@ -84,7 +84,8 @@
     /// @param[in] own       the last changes that this gateway knows
     /// @param[in] watching  whether it watches the store itself
     /// @return the question that is due for a mirror, if any
-    std::optional<news_question> next_question(instant now, std::size_t mirror, std::uint64_t own, bool watching);
+    std::optional<news_question> next_question(instant now, std::size_t mirror, std::uint64_t own,
+                                               bool watching);
 
   private:
     struct heard_peer
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -65,9 +65,39 @@
   return group.machines[group.next++ % group.machines.size()];
 }
 
+bool LedgerClient::IsBuried(const Group& group) const {
+  return group.waiting >= options_.most_waiting &&
+         group.last_done + options_.silent_after < SteadyNow();
+}
+
 Task<CallResult> LedgerClient::Call(GroupId group_id, Operation operation, absl::Time deadline) {
   bool settlement = std::holds_alternative<SettleTurn>(operation);
-  LedgerRequest request{++last_request_, std::move(operation), group_id};
+  // Named, since GCC 12 destroys a braced temporary among a co_await's arguments twice.
+  LedgerRequest request;
+  request.request = ++last_request_;
+  request.operation = std::move(operation);
+  request.group = group_id;
+  Group* group = Find(group_id);
+  if (settlement || group == nullptr) {
+    co_return co_await Try(std::move(request), deadline);
+  }
+  if (IsBuried(*group)) {
+    CallResult refused;
+    refused.end = CallEnd::kOverloaded;
+    co_return refused;
+  }
+  ++group->waiting;
+  CallResult result = co_await Try(std::move(request), deadline);
+  if (Group* after = Find(group_id)) {
+    --after->waiting;
+  }
+  co_return result;
+}
+
+Task<CallResult> LedgerClient::Try(LedgerRequest request, absl::Time deadline) {
+  bool settlement = std::holds_alternative<SettleTurn>(request.operation);
+  GroupId group_id = request.group;
+  absl::Duration longest_try = settlement ? options_.longest_settle_try : options_.longest_try;
   Waiting waiting(context_);
   waiting_[request.request] = &waiting;
   std::optional<wire::Endpoint> failed;
@@ -97,7 +127,7 @@
     if (!waiting.reply) {
       may_be_committed = true;
       failed = target;
-      try_timeout = std::min(try_timeout * 2, options_.longest_try);
+      try_timeout = std::min(try_timeout * 2, longest_try);
       continue;
     }
     const LedgerReply& reply = *waiting.reply;
@@ -107,6 +137,7 @@
     }
     if (reply.status == ReplyStatus::kDone) {
       group->leader = target;
+      group->last_done = SteadyNow();
       result = {CallEnd::kDone, std::move(waiting.reply->result)};
       break;
     }
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -16,7 +16,13 @@
   /// Then another replica is asked; doubled with each try of a call.
   absl::Duration try_timeout = absl::Milliseconds(200);
   absl::Duration longest_try = absl::Milliseconds(800);
-  absl::Duration pause = absl::Milliseconds(25);  ///< Between tries without a leader.
+  absl::Duration longest_settle_try = absl::Seconds(4);  ///< Settlements can wait.
+  absl::Duration pause = absl::Milliseconds(25);         ///< Between tries without a leader.
+  /// A group that answered nothing for this long gets no more than `most_waiting` reservations of
+  /// this gateway: the rest are refused at once. A ledger that recovers isn't buried by those that
+  /// wait for it.
+  absl::Duration silent_after = absl::Milliseconds(400);
+  std::size_t most_waiting = 12;
 };
 
 /// How a call ended.
@@ -72,10 +78,15 @@
   struct Group {
     std::vector<wire::Endpoint> machines;
     std::optional<wire::Endpoint> leader;
-    std::size_t next = 0;  ///< The machine to ask when no leader is known.
+    std::size_t next = 0;     ///< The machine to ask when no leader is known.
+    std::size_t waiting = 0;  ///< Reservations under way.
+    absl::Time last_done = absl::InfinitePast();
   };
 
   Group* Find(GroupId group);
+  bool IsBuried(const Group& group) const;
+  /// Tries until the call has ended; `Call` counts those that wait.
+  async_http::Task<CallResult> Try(LedgerRequest request, absl::Time deadline);
   static std::optional<wire::Endpoint> NextTarget(Group& group,
                                                   const std::optional<wire::Endpoint>& failed);
 
