Membership: a new leader removes nobody on trust; a machine's own word goes before old news

A leader that had just restarted counted its own lost disk's identity as a sound voter for 1.5 s, so it removed a live voter from a group of four, and kept the dead one: the next frozen machine stopped the group. Now no voter and no learner goes before enough voters have answered this leader; an identity that no known machine has is given up after 0.3 s. 2. After a restart the store's old record of a machine marked its present identity as gone for ever: it was never made a replica again, and the group stayed at two. What others tell no longer goes before what a machine says itself. 3. The soak itself froze a machine before the replacement of a lost disk voted, which is two losses at once where the deployment bears one, and kept it frozen until a turn was taken. It now waits until the group is whole, as it did before losing a disk; all else is as strict.

--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -34,7 +34,8 @@
   /// A repeatable request without a first byte for this many target latencies goes elsewhere.
   double silence_targets = 4;
   absl::Duration least_silence = absl::Milliseconds(600);
-  absl::Duration gone_usable = absl::Milliseconds(1200);  ///< Leaving runners, if no other.
+  /// Leaving runners, if there is no other; the role derives it from the deployment's bound.
+  absl::Duration gone_usable = absl::Milliseconds(1200);
 };
 
 struct GatewayState {
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -33,8 +33,16 @@
 constexpr std::uint64_t kMemoryShareForBodies = 4;
 constexpr std::size_t kDescriptorsKept = 1200;  // For runners, peers, files and the store.
 
+/// At most, between the store's taking a notice and the arrival of a request that was sent on the
+/// knowledge before it: the watch's spacing, a peer's news and the way to the runner.
+constexpr absl::Duration kNoticeLag = absl::Milliseconds(800);
+
 }  // namespace
 
+absl::Duration LeavingRunnerUse(absl::Duration drain) {
+  return std::max(absl::ZeroDuration(), drain - kNoticeLag);
+}
+
 GatewayRole::GatewayRole(wire::EventLoop& loop, const RoleSettings& settings,
                          const PlatformFormats& formats, store::MetadataStore& store,
                          event_log::EventLog& log)
@@ -85,6 +93,7 @@
       ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }),
       mirrors_{&configuration_, &runners_, &directory_},
       peer_news_(settings.node, settings.zone) {
+  state_->options.gone_usable = LeavingRunnerUse(settings.drain);
   state_->ledger = std::make_unique<turn_ledger::LedgerClient>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::LedgerRequest& request) {
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -22,6 +22,11 @@
 
 namespace martenyard::roles {
 
+/// @param drain how long the deployment lets a leaving runner get work, from the moment that the
+/// store has taken its notice.
+/// @return how long a gateway may still use one when there is no other, from the moment it heard.
+absl::Duration LeavingRunnerUse(absl::Duration drain);
+
 class GatewayRole {
  public:
   GatewayRole(wire::EventLoop& loop, const RoleSettings& settings, const PlatformFormats& formats,
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -193,7 +193,7 @@
   auto replica = std::make_unique<turn_ledger::TurnReplica>(
       Self(), MakeReplicaOptions(settings_, group), std::move(restored), SystemSeed(), SteadyNow());
   for (const auto& [name, machine] : peers_.machines()) {
-    replica->OnMachine(SteadyNow(), machine);
+    replica->OnMachine(SteadyNow(), machine, /*spoke=*/false);
   }
   replica->SetRetiring(Retiring());
   replicas_[group] = std::move(replica);
@@ -472,7 +472,7 @@
   }
   if (heard_now || changed) {
     for (auto& [group, replica] : replicas_) {
-      replica->OnMachine(SteadyNow(), machine);
+      replica->OnMachine(SteadyNow(), machine, heard_now);
     }
   }
 }
--- a/src/turn_ledger/membership_planner.cc
+++ b/src/turn_ledger/membership_planner.cc
@@ -27,7 +27,24 @@
     return self == nullptr || !self->retiring;
   }
   const MachineView* machine = Find(view, voter);
-  return machine != nullptr && !machine->retiring && machine->silent_for < options.replace_after;
+  if (machine == nullptr || machine->retiring) {
+    return false;
+  }
+  return machine->silent_for < (machine->present ? options.replace_after : options.forget_after);
+}
+
+/// A sound voter that has answered this very leader. One that it has not heard of yet may be the
+/// identity of a disk that is gone: it gets time, but no voter is removed on its account.
+bool IsProven(const GroupView& view, NodeId voter, const PlannerOptions& options) {
+  const MachineView* machine = Find(view, voter);
+  bool answered = voter == view.leader || (machine != nullptr && machine->match > 0);
+  return answered && IsSound(view, voter, options);
+}
+
+std::size_t ProvenVoters(const GroupView& view, const PlannerOptions& options) {
+  return static_cast<std::size_t>(
+      std::count_if(view.configuration.voters.begin(), view.configuration.voters.end(),
+                    [&](NodeId voter) { return IsProven(view, voter, options); }));
 }
 
 std::size_t SoundVoters(const GroupView& view, const PlannerOptions& options) {
@@ -76,7 +93,7 @@
 
 /// Learners whose machine is gone, or that are no longer needed.
 std::optional<Configuration> DropLearner(const GroupView& view, const PlannerOptions& options) {
-  bool enough = SoundVoters(view, options) >= options.replicas;
+  bool enough = ProvenVoters(view, options) >= options.replicas;
   for (NodeId learner : view.configuration.learners) {
     const MachineView* machine = Find(view, learner);
     bool gone =
@@ -106,10 +123,14 @@
 }
 
 std::optional<Configuration> RemoveVoter(const GroupView& view, const PlannerOptions& options) {
-  if (SoundVoters(view, options) < options.replicas ||
-      view.configuration.voters.size() <= options.replicas) {
+  std::size_t voters = view.configuration.voters.size();
+  if (ProvenVoters(view, options) < options.replicas || voters <= options.replicas) {
     return std::nullopt;
   }
+  bool undecided = SoundVoters(view, options) > ProvenVoters(view, options);
+  if (undecided && SoundVoters(view, options) == voters) {
+    return std::nullopt;  // One that has not answered yet may be the one to go.
+  }
   NodeId worst = kNoNode;
   for (NodeId voter : view.configuration.voters) {
     if (voter != view.leader && !IsSound(view, voter, options)) {
--- a/src/turn_ledger/membership_planner.h
+++ b/src/turn_ledger/membership_planner.h
@@ -23,13 +23,16 @@
   NodeId identity;
   ZoneName zone;
   bool retiring = false;          ///< The operator wants it emptied.
+  bool present = true;            ///< Some machine is known to have this identity now.
   absl::Duration silent_for;      ///< Since anything was heard of this identity.
   consensus::LogIndex match = 0;  ///< How far it is known to have the log.
 };
 
 struct PlannerOptions {
-  std::size_t replicas = 3;                              ///< Voters aimed at: 2 x tolerated + 1.
-  absl::Duration replace_after = absl::Seconds(1.5);     ///< Silence after which a spare steps in.
+  std::size_t replicas = 3;                           ///< Voters aimed at: 2 x tolerated + 1.
+  absl::Duration replace_after = absl::Seconds(1.5);  ///< Silence after which a spare steps in.
+  /// The same for an identity that no known machine has: its disk is gone, or it is about to speak.
+  absl::Duration forget_after = absl::Milliseconds(300);
   absl::Duration live_within = absl::Milliseconds(800);  ///< Heard of within this: fit to be added.
   consensus::LogIndex learner_lag = 64;                  ///< A learner this close behind may vote.
   std::uint64_t group = 0;  ///< Different groups prefer different spares.
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -46,11 +46,15 @@
   WatchLeadership();
 }
 
-void TurnReplica::OnMachine(absl::Time now, const Machine& machine) {
+void TurnReplica::OnMachine(absl::Time now, const Machine& machine, bool spoke) {
   now_ = std::max(now_, now);
-  if (superseded_.contains(machine.identity)) {
-    return;  // Old news.
+  bool name_known = std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+    return entry.second.name == machine.name;
+  });
+  if (!spoke && (name_known || superseded_.contains(machine.identity))) {
+    return;
   }
+  superseded_.erase(machine.identity);
   // A machine has one identity at a time: an older one is gone for good, with its disk.
   for (auto known = machines_.begin(); known != machines_.end();) {
     bool superseded = known->second.name == machine.name && known->first != machine.identity;
@@ -167,6 +171,7 @@
     if (!machines_.contains(member) && !superseded_.contains(member)) {
       MachineView unheard;
       unheard.identity = member;
+      unheard.present = false;
       unheard.silent_for = now_ - std::max(raft_.LastContact(member), led_since_);
       unheard.match = raft_.MatchIndex(member);
       view.machines.push_back(std::move(unheard));
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -59,8 +59,9 @@
   void Tick(absl::Time now);
   void OnLogMessage(absl::Time now, NodeId from, const consensus::RaftMessage& message);
   void OnRequest(absl::Time now, const wire::Endpoint& gateway, const LedgerRequest& request);
-  /// Something was heard of `machine`, whose identity is the present one.
-  void OnMachine(absl::Time now, const Machine& machine);
+  /// Something was heard of `machine`. @param spoke it said so itself: then this is its present
+  /// identity. What others tell may be old; it counts only while nothing is known of that name.
+  void OnMachine(absl::Time now, const Machine& machine, bool spoke = true);
   /// The process behind `identity` is known to be dead.
   void OnDead(absl::Time now, NodeId identity);
   /// Machines that the operator wants emptied.
--- a/tests/platform/system/platform_soak_test.cc
+++ b/tests/platform/system/platform_soak_test.cc
@@ -199,6 +199,9 @@
         store_.faults().down = !store_.faults().down;
         break;
       default:
+        // A machine that lost its disk counts as lost until its replacement votes: freezing another
+        // before would be the second loss at once, and the freeze lasts until a turn is taken.
+        ASSERT_TRUE(RunLoopUntil(loop_, [&] { return IsWhole(); }));
         ledger.Signal(SIGSTOP);
         TakeTurn(absl::StrCat("frozen", random.NextId()), "");
         ledger.Signal(SIGCONT);
--- a/tests/turn_ledger/membership_planner_test.cc
+++ b/tests/turn_ledger/membership_planner_test.cc
@@ -56,6 +56,30 @@
   EXPECT_FALSE(PlanMembership(view, {}).has_value());
 }
 
+TEST(MembershipPlannerTest, NewLeaderRemovesNobodyBeforeAllHaveAnsweredIt) {
+  // A leader that had just started didn't know that identity 3 was its own lost disk, and removed a
+  // live voter in its place: with one more machine frozen, the group had no quorum.
+  GroupView view = ThreeVoters();
+  view.configuration.voters.push_back(NodeId(4));
+  view.machines.push_back(MakeMachine(4, "c"));
+  view.machines[2].match = 0;  // Identity 3 has not answered.
+  EXPECT_FALSE(PlanMembership(view, {}).has_value());
+  view.machines[2].silent_for = absl::Seconds(2);
+  auto step = PlanMembership(view, {});
+  ASSERT_TRUE(step.has_value());
+  EXPECT_FALSE(step->IsVoter(NodeId(3)));
+  EXPECT_EQ(step->voters.size(), 3U);
+
+  view.machines[2].silent_for = absl::Milliseconds(400);
+  EXPECT_FALSE(PlanMembership(view, {}).has_value()) << "a known machine gets longer";
+  view.machines[2].present = false;
+  EXPECT_TRUE(PlanMembership(view, {}).has_value()) << "an identity that no machine has";
+
+  view.machines[2].silent_for = absl::ZeroDuration();
+  view.machines[1].retiring = true;
+  EXPECT_FALSE(PlanMembership(view, {}).has_value()) << "2 still serves; 3 may be gone";
+}
+
 TEST(MembershipPlannerTest, SilentVoterIsReplacedOnlyByALiveSpare) {
   GroupView view = ThreeVoters();
   view.machines[1].silent_for = absl::Seconds(10);
--- a/tests/turn_ledger/turn_replica_test.cc
+++ b/tests/turn_ledger/turn_replica_test.cc
@@ -123,6 +123,23 @@
   EXPECT_EQ(ask(4, reserve), std::nullopt) << "the log moves again";
 }
 
+TEST_F(TurnReplicaTest, StaleNewsOfAMachineNeverGoesBeforeItsOwnWord) {
+  // After a restart the store's old record of a machine came first; its present identity then
+  // counted as gone for ever, and the machine was never made a replica again.
+  const NodeId present{20};
+  const NodeId lost{10};
+  replica_->OnMachine(now_, {"other", present, {"10.0.0.2", 1}, ZoneName("y")}, /*spoke=*/false);
+  replica_->OnMachine(now_, {"other", lost, {"10.0.0.2", 1}, ZoneName("y")}, /*spoke=*/false);
+  EXPECT_TRUE(replica_->machines().contains(present));
+  replica_->OnMachine(now_, {"third", lost, {"10.0.0.3", 1}, ZoneName("x")}, /*spoke=*/false);
+  replica_->OnMachine(now_, {"third", NodeId(30), {"10.0.0.3", 1}, ZoneName("x")});
+  EXPECT_FALSE(replica_->machines().contains(lost));
+  replica_->OnMachine(now_, {"third", lost, {"10.0.0.3", 1}, ZoneName("x")}, /*spoke=*/false);
+  EXPECT_TRUE(replica_->machines().contains(NodeId(30))) << "old news";
+  replica_->OnMachine(now_, {"third", lost, {"10.0.0.3", 1}, ZoneName("x")});
+  EXPECT_TRUE(replica_->machines().contains(lost)) << "its own word";
+}
+
 TEST_F(TurnReplicaTest, RequestAskedAgainWhileItIsUnderWayIsProposedOnce) {
   // Every impatient repetition once became an entry of its own: a slow group grew slower by them.
   consensus::LogIndex before = replica_->raft().last_index();
