A burst after a quiet time is no silence of the ledger; tests of the gateway's side

Cause (found while writing the test): the limit of twelve waiting reservations counted silence from the group's last answer, so a burst after half a quiet second would have been refused at its thirteenth request though the group was well. Change: silence counts from when reservations began to wait. Tests: LedgerClientTest (a burst is taken, a silent group's further reservations are refused, settlements never; overload ends a reservation at once; replicas that point at each other are not asked without end), ChainReaderTest.

--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -67,7 +67,7 @@
 
 bool LedgerClient::IsBuried(const Group& group) const {
   return group.waiting >= options_.most_waiting &&
-         group.last_done + options_.silent_after < SteadyNow();
+         group.last_sign + options_.silent_after < SteadyNow();
 }
 
 Task<CallResult> LedgerClient::Call(GroupId group_id, Operation operation, absl::Time deadline) {
@@ -86,6 +86,9 @@
     refused.end = CallEnd::kOverloaded;
     co_return refused;
   }
+  if (group->waiting == 0) {
+    group->last_sign = SteadyNow();  // A quiet time is no silence.
+  }
   ++group->waiting;
   CallResult result = co_await Try(std::move(request), deadline);
   if (Group* after = Find(group_id)) {
@@ -137,7 +140,7 @@
     }
     if (reply.status == ReplyStatus::kDone) {
       group->leader = target;
-      group->last_done = SteadyNow();
+      group->last_sign = SteadyNow();
       result = {CallEnd::kDone, std::move(waiting.reply->result)};
       break;
     }
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -80,7 +80,8 @@
     std::optional<wire::Endpoint> leader;
     std::size_t next = 0;     ///< The machine to ask when no leader is known.
     std::size_t waiting = 0;  ///< Reservations under way.
-    absl::Time last_done = absl::InfinitePast();
+    /// When a reservation was last answered, or began to wait with no other waiting.
+    absl::Time last_sign = absl::InfinitePast();
   };
 
   Group* Find(GroupId group);
--- /dev/null
+++ b/tests/turn_ledger/ledger_client_test.cc
@@ -0,0 +1,207 @@
+// A gateway's side of the ledger, over replicas that a test plays: limits while a group is silent,
+// and chains read from the replicas at hand.
+#include "turn_ledger/ledger_client.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+#include "base/clock.h"
+#include "turn_ledger/chain/chain_reader.h"
+#include "turn_ledger/groups/group_layout.h"
+#include "wire/event_loop.h"
+
+namespace martenyard::turn_ledger {
+namespace {
+
+const wire::Endpoint kFirst{"10.0.0.1", 1};
+const wire::Endpoint kSecond{"10.0.0.2", 1};
+const GroupId kGroup = group_at(0);
+
+/// Keeps the loop going between two calls, as a process's listeners do.
+using WorkGuard =
+    async_http::asio::executor_work_guard<async_http::asio::io_context::executor_type>;
+
+bool RunUntil(wire::EventLoop& loop, const std::function<bool()>& condition) {
+  for (absl::Time end = SteadyNow() + absl::Seconds(20); SteadyNow() < end;) {
+    if (condition()) {
+      return true;
+    }
+    loop.RunRound(absl::Milliseconds(5));
+  }
+  return condition();
+}
+
+class LedgerClientTest : public ::testing::Test {
+ protected:
+  LedgerClientTest()
+      : client_(
+            loop_.context(),
+            [this](const wire::Endpoint& to, const LedgerRequest& request) {
+              sent_.emplace_back(to, request);
+            },
+            LedgerClientOptions{}, 1) {
+    client_.SetGroups({{kFirst, kSecond}});
+  }
+
+  /// Starts a call; its end arrives in the returned slot.
+  std::shared_ptr<std::optional<CallEnd>> Start(Operation operation, absl::Duration patience) {
+    auto end = std::make_shared<std::optional<CallEnd>>();
+    async_http::asio::co_spawn(
+        loop_.context(),
+        [this, end, operation = std::move(operation), patience]() -> async_http::Task<void> {
+          CallResult result = co_await client_.Call(kGroup, operation, SteadyNow() + patience);
+          *end = result.end;
+        },
+        async_http::asio::detached);
+    return end;
+  }
+
+  void Answer(const LedgerRequest& request, ReplyStatus status) {
+    LedgerReply reply;
+    reply.request = request.request;
+    reply.status = status;
+    client_.OnReply(reply);
+  }
+
+  wire::EventLoop loop_;
+  WorkGuard guard_{loop_.context().get_executor()};
+  std::vector<std::pair<wire::Endpoint, LedgerRequest>> sent_;
+  LedgerClient client_;
+};
+
+TEST_F(LedgerClientTest, SilentGroupGetsAFewReservationsAndTheRestAreRefusedAtOnce) {
+  std::size_t most = LedgerClientOptions{}.most_waiting;
+  std::vector<std::shared_ptr<std::optional<CallEnd>>> waiting;
+  for (std::size_t call = 0; call < most; ++call) {
+    waiting.push_back(Start(ReserveTurn{}, absl::Seconds(10)));
+  }
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() == most; }));
+  auto burst = Start(ReserveTurn{}, absl::Seconds(10));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() == most + 1; }))
+      << "many at once after a quiet time are no silence";
+  absl::Time silent = SteadyNow() + LedgerClientOptions{}.silent_after;
+  RunUntil(loop_, [&] { return SteadyNow() > silent; });
+  auto refused = Start(ReserveTurn{}, absl::Seconds(10));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return refused->has_value(); }));
+  EXPECT_EQ(**refused, CallEnd::kOverloaded);
+  std::size_t before = sent_.size();
+  auto settlement = Start(SettleTurn{}, absl::Seconds(10));
+  EXPECT_TRUE(RunUntil(loop_, [&] { return sent_.size() > before; })) << "what ran must be charged";
+
+  Answer(sent_.front().second, ReplyStatus::kDone);
+  ASSERT_TRUE(RunUntil(loop_, [&] { return waiting.front()->has_value(); }));
+  EXPECT_EQ(**waiting.front(), CallEnd::kDone);
+  before = sent_.size();
+  auto welcome = Start(ReserveTurn{}, absl::Seconds(10));
+  EXPECT_TRUE(RunUntil(loop_, [&] { return sent_.size() > before; })) << "the group speaks again";
+}
+
+TEST_F(LedgerClientTest, OverloadedLeaderEndsAReservationAtOnceButNotASettlement) {
+  auto reservation = Start(ReserveTurn{}, absl::Seconds(10));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return !sent_.empty(); }));
+  Answer(sent_.front().second, ReplyStatus::kOverloaded);
+  ASSERT_TRUE(RunUntil(loop_, [&] { return reservation->has_value(); }));
+  EXPECT_EQ(**reservation, CallEnd::kOverloaded);
+
+  sent_.clear();
+  auto settlement = Start(SettleTurn{}, absl::Seconds(10));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return !sent_.empty(); }));
+  Answer(sent_.front().second, ReplyStatus::kOverloaded);
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() > 1; })) << "asked again";
+  Answer(sent_.back().second, ReplyStatus::kDone);
+  EXPECT_TRUE(RunUntil(loop_, [&] { return *settlement == CallEnd::kDone; }));
+}
+
+TEST_F(LedgerClientTest, ReplicasThatPointAtEachOtherAreNotAskedWithoutEnd) {
+  auto call = Start(ReserveTurn{}, absl::Milliseconds(300));
+  std::size_t answered = 0;
+  RunUntil(loop_, [&] {
+    for (; answered < sent_.size(); ++answered) {
+      auto [to, request] = sent_[answered];
+      LedgerReply reply;
+      reply.request = request.request;
+      reply.status = ReplyStatus::kNotLeader;
+      reply.leader = to == kFirst ? kSecond : kFirst;
+      client_.OnReply(reply);
+    }
+    return call->has_value();
+  });
+  EXPECT_EQ(**call, CallEnd::kNoAnswer);
+  EXPECT_LT(sent_.size(), 100U) << "a pause after a few hints";
+}
+
+class ChainReaderTest : public ::testing::Test {
+ protected:
+  ChainReaderTest()
+      : reader_(
+            loop_.context(),
+            [this](const wire::Endpoint& to, const chain_request& request) {
+              asked_.push_back(to);
+              Reply(to, request);
+            },
+            ZoneName("near"), 1) {
+    Machine far{"far", NodeId(1), kFirst, ZoneName("far")};
+    Machine near{"near", NodeId(2), kSecond, ZoneName("near")};
+    reader_.set_machines(kGroup, {far, near}, 2);
+  }
+
+  void Reply(const wire::Endpoint& to, const chain_request& request) {
+    if (to == silent_) {
+      return;
+    }
+    chain_reply reply;
+    reply.m_request = request.m_request;
+    reply.m_has_state = true;
+    reply.m_found = to != behind_;
+    reply.m_text = "chain";
+    async_http::asio::post(loop_.context(), [this, reply] { reader_.on_reply(reply); });
+  }
+
+  std::optional<chain_reply> Read() {
+    bool done = false;
+    std::optional<chain_reply> result;
+    async_http::asio::co_spawn(
+        loop_.context(),
+        [&]() -> async_http::Task<void> {
+          result = co_await reader_.read(kGroup, TurnId("t"), std::nullopt);
+          done = true;
+        },
+        async_http::asio::detached);
+    RunUntil(loop_, [&] { return done; });
+    return result;
+  }
+
+  wire::EventLoop loop_;
+  WorkGuard guard_{loop_.context().get_executor()};
+  std::vector<wire::Endpoint> asked_;
+  wire::Endpoint silent_;
+  wire::Endpoint behind_;
+  chain_reader reader_;
+};
+
+TEST_F(ChainReaderTest, NearReplicaIsAskedAndOneThatIsBehindIsFollowedByAnother) {
+  ASSERT_TRUE(Read().has_value());
+  EXPECT_EQ(asked_, std::vector<wire::Endpoint>{kSecond});
+  asked_.clear();
+  behind_ = kSecond;
+  ASSERT_TRUE(Read().has_value());
+  EXPECT_EQ(asked_, (std::vector<wire::Endpoint>{kSecond, kFirst}));
+}
+
+TEST_F(ChainReaderTest, SilentReplicaIsAskedLastForAWhile) {
+  silent_ = kSecond;
+  ASSERT_TRUE(Read().has_value());
+  asked_.clear();
+  ASSERT_TRUE(Read().has_value());
+  EXPECT_EQ(asked_, std::vector<wire::Endpoint>{kFirst});
+}
+
+TEST_F(ChainReaderTest, TurnThatNoReplicaHasIsLeftToTheLeader) {
+  reader_.set_machines(kGroup, {}, 0);
+  EXPECT_FALSE(Read().has_value());
+}
+
+}  // namespace
+}  // namespace martenyard::turn_ledger
