--- a/tests/platform/gateway_contract_test.cc
+++ b/tests/platform/gateway_contract_test.cc
@@ -134,13 +134,19 @@
   EXPECT_TRUE(world.RunUntil([&] { return world.a().abandoned() == 1; }));
 }
 
-TEST(TurnContractTest, RunnerGetsTheWholeChainAndUnknownTurnsAre404) {
-  PlatformWorld world;
-  world.Start();
+/// A program's first turn on the route that keeps turns.
+ClientRequest FirstKeptTurn() {
   ClientRequest request;
   request.target = "/streamkept/1";
   request.body = "first|";
   request.headers = {"Program-Id: p", "Token-Budget: 100000", "Token-Usage: 10,200"};
+  return request;
+}
+
+TEST(TurnContractTest, RunnerGetsTheWholeChainAndUnknownTurnsAre404) {
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request = FirstKeptTurn();
   ASSERT_TRUE(world.Ask(request).whole);
   std::string said = "event-1\nevent-2\nevent-3\nevent-4\n";
   request.id = "attempt-2";
@@ -176,10 +182,7 @@
 TEST(TurnContractTest, ProgramGoesOnFromAnotherProgramsTurn) {
   PlatformWorld world;
   world.Start();
-  ClientRequest request;
-  request.target = "/streamkept/1";
-  request.body = "first|";
-  request.headers = {"Program-Id: p", "Token-Budget: 100000", "Token-Usage: 10,200"};
+  ClientRequest request = FirstKeptTurn();
   ASSERT_TRUE(world.Ask(request).whole);
   request.id = "attempt-2";
   request.body = "second|";
--- a/tests/platform/peer_news_contract_test.cc
+++ b/tests/platform/peer_news_contract_test.cc
@@ -5,18 +5,13 @@
 
 #include "platform/formats.h"
 #include "platform/store_client.h"
+#include "platform/support/platform_client.h"
 #include "platform/support/platform_world.h"
 #include "wire/codec.h"
 
 namespace martenyard::testing {
 namespace {
 
-std::uint16_t FreePort(wire::EventLoop& loop) {
-  async_http::asio::ip::tcp::acceptor probe(loop.context(),
-                                            {async_http::asio::ip::make_address("127.0.0.1"), 0});
-  return probe.local_endpoint().port();
-}
-
 /// A second gateway, in the same zone, with a store of its own that refuses every call.
 class RefusedGateway {
  public:
--- a/tests/platform/support/platform_client.cc
+++ b/tests/platform/support/platform_client.cc
@@ -71,6 +71,12 @@
   return condition();
 }
 
+std::uint16_t FreePort(wire::EventLoop& loop) {
+  async_http::asio::ip::tcp::acceptor probe(loop.context(),
+                                            {async_http::asio::ip::make_address("127.0.0.1"), 0});
+  return probe.local_endpoint().port();
+}
+
 std::string StandardConfiguration(int version) {
   return absl::StrCat(R"({"version":)", version, R"(,"routes":[
     {"name":"safe","host":"h.example","pathPrefix":"/safe/","type":"idempotent","timeoutMs":4000,
--- a/tests/platform/support/platform_client.h
+++ b/tests/platform/support/platform_client.h
@@ -47,6 +47,9 @@
 /// Runs the loop until the condition holds. @return false after half a minute.
 bool RunLoopUntil(wire::EventLoop& loop, const std::function<bool()>& condition);
 
+/// @return a port that is free now; give it to a server at once.
+std::uint16_t FreePort(wire::EventLoop& loop);
+
 /// The standard configuration's document: routes /safe/, /unsafe/, /stream/ and /streamkept/.
 std::string StandardConfiguration(int version);
 
--- a/tests/platform/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -10,13 +10,6 @@
 
 namespace {
 
-/// A port that is free now. (The role's server is given it at once.)
-std::uint16_t FreePort(wire::EventLoop& loop) {
-  async_http::asio::ip::tcp::acceptor probe(loop.context(),
-                                            {async_http::asio::ip::make_address("127.0.0.1"), 0});
-  return probe.local_endpoint().port();
-}
-
 leaf::error_id DiskRefuses() {
   return leaf::new_error(
       storage::StorageError{storage::StorageError::Code::kWriteFailed, "the disk refuses"});
