--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -553,6 +553,11 @@
   return EntryAt(index).term;
 }
 
+const Entry* Raft::Find(EntryId entry) const {
+  bool in_log = entry.index > snapshot_.index && entry.index <= last_index();
+  return in_log && EntryAt(entry.index).term == entry.term ? &EntryAt(entry.index) : nullptr;
+}
+
 LogIndex Raft::AppendToLog(EntryKind kind, std::string payload) {
   Entry entry;
   entry.term = hard_state_.term;
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -98,6 +98,8 @@
   LogIndex MatchIndex(NodeId member) const;
   /// @return when `member` last answered this leader; the infinite past when not leading.
   absl::Time LastContact(NodeId member) const;
+  /// @return the entry if it is in the log, or null.
+  const Entry* Find(EntryId entry) const;
   /// @return the term of the entry at `index`, if it is in the log or the snapshot's end.
   std::optional<Term> TermAt(LogIndex index) const;
 
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -2,6 +2,7 @@
 // The algorithm is Raft as published (Ongaro, Ousterhout), with pre-vote and check-quorum.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -33,6 +34,18 @@
   }
 };
 
+/// Names an entry for good: two entries with the same index and term are the same.
+struct EntryId {
+  LogIndex index = 0;
+  Term term = 0;
+  friend auto operator<=>(const EntryId&, const EntryId&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(index, term);
+  }
+};
+
 enum class EntryKind : std::uint8_t { kNoOp, kCommand, kConfiguration };
 
 struct Entry {
@@ -139,8 +152,18 @@
   }
 };
 
-using RaftMessage =
-    std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest, TimeoutNow>;
+/// Entries before a snapshot that its state refers to, sent ahead of it in small parts. The owner
+/// of the replica stores them; the algorithm passes them over.
+struct StagedEntries {
+  std::vector<Entry> entries;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(entries);
+  }
+};
+
+using RaftMessage = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
+                                 SnapshotRequest, TimeoutNow, StagedEntries>;
 
 /// A message to send to a replica of the same group.
 struct Outbound {
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -37,6 +37,8 @@
 /// A snapshot's share of a tick. Four times as much kept a machine with half a core so busy that
 /// its heartbeats came late.
 constexpr std::size_t kSnapshotStepBytes = std::size_t{64} << 10;
+/// A part of a snapshot to another machine; the next one waits until the connection has taken it.
+constexpr std::size_t kTransferPartBytes = std::size_t{128} << 10;
 constexpr char kPeersFile[] = "peers";
 
 std::size_t WantedReplicas(const RoleSettings& settings) {
@@ -176,7 +178,8 @@
                  .Number("groups", static_cast<std::int64_t>(stored.groups.size())));
   for (auto& [group, stored_group] : stored.groups) {
     StartReplica(group, {stored_group.hard_state, std::move(stored_group.snapshot),
-                         std::move(stored_group.entries)});
+                         std::move(stored_group.entries)})
+        .NoteStored(stored_group.kept);
   }
   return {};
 }
@@ -189,14 +192,32 @@
   loop_.After(kReopenPause, [this] { OpenDisk(); });
 }
 
-void LedgerRole::StartReplica(GroupId group, consensus::RestoredState restored) {
+turn_ledger::TurnReplica& LedgerRole::StartReplica(GroupId group,
+                                                   consensus::RestoredState restored) {
   auto replica = std::make_unique<turn_ledger::TurnReplica>(
-      Self(), MakeReplicaOptions(settings_, group), std::move(restored), SystemSeed(), SteadyNow());
+      Self(), MakeReplicaOptions(settings_, group), std::move(restored),
+      [this, group](consensus::EntryId entry) { return ReadStored(group, entry); }, SystemSeed(),
+      SteadyNow());
   for (const auto& [name, machine] : peers_.machines()) {
     replica->OnMachine(SteadyNow(), machine, /*spoke=*/false);
   }
   replica->SetRetiring(Retiring());
   replicas_[group] = std::move(replica);
+  return *replicas_[group];
+}
+
+std::optional<consensus::Entry> LedgerRole::ReadStored(GroupId group, consensus::EntryId entry) {
+  if (disk_ == nullptr) {
+    return std::nullopt;
+  }
+  using Read = std::optional<consensus::Entry>;
+  return Recover<storage::StorageError>(
+      [&]() -> Result<Read> { return disk_->ReadEntry(group, entry); },
+      [this](const storage::StorageError& error) {
+        // Later: this may run amid a replica's own work.
+        loop_.Post([this, detail = error.detail] { OnDiskFailed(detail); });
+        return Read();
+      });
 }
 
 turn_ledger::TurnReplica* LedgerRole::Find(GroupId group) {
@@ -233,8 +254,12 @@
     write.hard_state = ready.hard_state;
     write.snapshot = ready.snapshot_to_install;
     write.snapshot_replaces_log = ready.snapshot_to_install.has_value();
+    if (write.snapshot) {
+      write.kept = turn_ledger::TurnReplica::KeptBy(*write.snapshot);
+    }
     write.entries = std::move(ready.entries_to_store);
     if (write.hard_state || write.snapshot || !write.entries.empty()) {
+      write.forgotten = replica->TakeForgotten();
       writes.push_back(std::move(write));
     }
     readies.emplace_back(group, std::move(ready));
@@ -292,6 +317,7 @@
   write.group = group;
   write.snapshot = std::move(*step->finished);
   write.snapshot_in_parts = true;
+  write.kept = std::move(step->kept);
   if (Store({write})) {
     replica.FinishSnapshot();
     log_.Write(Line("snapshot_stored")
@@ -302,12 +328,44 @@
   }
 }
 
+void LedgerRole::SendTransfers(GroupId group, turn_ledger::TurnReplica& replica) {
+  auto ready = [this](NodeId member) {
+    const Machine* machine = peers_.Find(member);
+    return machine != nullptr && transport_.Unsent(machine->endpoint) < kTransferPartBytes;
+  };
+  for (consensus::Outbound& part : replica.NextTransferParts(kTransferPartBytes, ready)) {
+    if (std::holds_alternative<consensus::SnapshotRequest>(part.message)) {
+      log_.Write(Line("snapshot_sent")
+                     .Number("group", group.value)
+                     .Text("to", absl::StrCat(absl::Hex(part.to.value))));
+    }
+    SendRaft(group, part);
+  }
+}
+
+void LedgerRole::OnStagedEntries(GroupId group, const consensus::StagedEntries& staged) {
+  std::string failure = Recover<storage::StorageError>(
+      [&]() -> Result<std::string> {
+        for (const consensus::Entry& entry : staged.entries) {
+          BOOST_LEAF_CHECK(disk_->StageEntry(group, entry));
+        }
+        return std::string();
+      },
+      [](const storage::StorageError& error) { return error.detail; });
+  if (!failure.empty()) {
+    OnDiskFailed(failure);
+  }
+}
+
 // ---- Time ----
 
 void LedgerRole::Tick(absl::Time now) {
   for (auto& [group, replica] : replicas_) {
     replica->Tick(now);
   }
+  for (auto& [group, replica] : replicas_) {
+    SendTransfers(group, *replica);
+  }
   // One group's part a tick; a failing disk ends all replicas.
   for (auto& [group, replica] : replicas_) {
     if (replica->TakesSnapshot()) {
@@ -443,8 +501,18 @@
       StartReplica(message.group, consensus::RestoredState{});
     }
   }
+  if (const auto* staged = std::get_if<consensus::StagedEntries>(&message.message)) {
+    if (disk_ != nullptr) {
+      OnStagedEntries(message.group, *staged);
+    }
+    return;
+  }
   if (turn_ledger::TurnReplica* replica = Find(message.group)) {
+    std::uint64_t incomplete = replica->incomplete_snapshots();
     replica->OnLogMessage(SteadyNow(), from.identity, message.message);
+    if (replica->incomplete_snapshots() != incomplete) {
+      log_.Write(Line("snapshot_incomplete").Number("group", message.group.value));
+    }
   }
 }
 
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -51,7 +51,8 @@
   void OpenDisk();
   Result<void> LoadDisk();
   void SetDamagedLogAside();
-  void StartReplica(GroupId group, consensus::RestoredState restored);
+  turn_ledger::TurnReplica& StartReplica(GroupId group, consensus::RestoredState restored);
+  std::optional<consensus::Entry> ReadStored(GroupId group, consensus::EntryId entry);
   turn_ledger::TurnReplica* Find(GroupId group);
   void Tick(absl::Time now);
   /// Stores, sends and applies whatever the replica has to do.
@@ -61,6 +62,9 @@
   bool Store(const std::vector<storage::GroupWrite>& writes);
   /// Stores the next part of a snapshot under way, if there is one.
   void StoreSnapshotStep(GroupId group, turn_ledger::TurnReplica& replica);
+  /// Sends the next parts of snapshots to other members.
+  void SendTransfers(GroupId group, turn_ledger::TurnReplica& replica);
+  void OnStagedEntries(GroupId group, const consensus::StagedEntries& staged);
   void OnDiskFailed(const std::string& detail);
 
   void OnLogMessage(const turn_ledger::Machine& from, const turn_ledger::LogMessage& message);
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -31,6 +31,11 @@
   bool snapshot_in_parts = false;
   /// True when the snapshot came from the leader: the whole stored log is dropped.
   bool snapshot_replaces_log = false;
+  /// With a snapshot: entries up to its index that stay readable by `ReadEntry`, in rising order.
+  /// All others up to that index are dropped.
+  std::vector<consensus::LogIndex> kept;
+  /// Kept entries that nobody needs any more.
+  std::vector<consensus::LogIndex> forgotten;
   /// Replace the stored log from the first entry's index on.
   std::vector<consensus::Entry> entries;
   /// Forgets the group but for a mark that this node left it.
@@ -41,7 +46,9 @@
 struct StoredGroup {
   consensus::HardState hard_state;
   consensus::Snapshot snapshot;
-  std::vector<consensus::Entry> entries;
+  std::vector<consensus::Entry> entries;  ///< After the snapshot.
+  /// Entries that `ReadEntry` knows beside those: kept ones, staged ones, and what a crash left.
+  std::vector<consensus::LogIndex> kept;
   bool removed = false;
 };
 
@@ -66,6 +73,14 @@
   /// snapshot before in force. @param first drops the parts of one that was given up.
   /// Errors: StorageError::kWriteFailed.
   virtual Result<void> WriteSnapshotPart(GroupId group, bool first, const std::string& part) = 0;
+  /// Stores an entry that a snapshot from the leader needs, before that snapshot comes. Such an
+  /// entry never becomes part of the log; it is durable once a later `Write` is.
+  /// Errors: StorageError::kWriteFailed.
+  virtual Result<void> StageEntry(GroupId group, const consensus::Entry& entry) = 0;
+  /// @return the entry with this index and term, if the log has it or it was kept or staged.
+  /// Errors: StorageError::kDamaged.
+  virtual Result<std::optional<consensus::Entry>> ReadEntry(GroupId group,
+                                                            consensus::EntryId entry) = 0;
   /// @return true when stored state outlives the process.
   virtual bool IsDurable() const = 0;
 };
--- a/src/storage/memory_log_store.cc
+++ b/src/storage/memory_log_store.cc
@@ -25,10 +25,13 @@
       return {};
     }
     for (const GroupWrite& write : writes) {
-      ApplyWrite(write, node_.groups[write.group]);
+      StoredGroup& group = node_.groups[write.group];
+      KeepEntries(write, group);
+      ApplyWrite(write, group);
       if (write.snapshot && write.snapshot_in_parts) {
-        node_.groups[write.group].snapshot.data = std::exchange(parts_[write.group], "");
+        group.snapshot.data = std::exchange(parts_[write.group], "");
       }
+      ListKept(write.group, group);
     }
     return {};
   }
@@ -41,12 +44,66 @@
     return {};
   }
 
+  Result<void> StageEntry(GroupId group, const consensus::Entry& entry) override {
+    if (durable_) {
+      kept_[group][entry.index] = entry;
+      ListKept(group, node_.groups[group]);
+    }
+    return {};
+  }
+
+  Result<std::optional<consensus::Entry>> ReadEntry(GroupId group,
+                                                    consensus::EntryId wanted) override {
+    auto matches = [&](const consensus::Entry& entry) {
+      return entry.index == wanted.index && entry.term == wanted.term;
+    };
+    for (const consensus::Entry& entry : node_.groups[group].entries) {
+      if (matches(entry)) {
+        return std::make_optional(entry);
+      }
+    }
+    auto kept = kept_[group].find(wanted.index);
+    bool found = kept != kept_[group].end() && matches(kept->second);
+    return found ? std::make_optional(kept->second) : std::nullopt;
+  }
+
   bool IsDurable() const override { return durable_; }
 
  private:
+  /// Takes the entries that a snapshot leaves readable out of the log, before it is cut.
+  void KeepEntries(const GroupWrite& write, const StoredGroup& group) {
+    std::map<consensus::LogIndex, consensus::Entry>& kept = kept_[write.group];
+    if (write.removed) {
+      kept.clear();
+    }
+    for (const consensus::Entry& entry : group.entries) {
+      bool wanted = write.snapshot && entry.index <= write.snapshot->index &&
+                    std::binary_search(write.kept.begin(), write.kept.end(), entry.index);
+      if (wanted) {
+        kept.emplace(entry.index, entry);  // A staged one is the leader's, and stays.
+      }
+    }
+    if (write.snapshot) {
+      std::erase_if(kept, [&](const auto& entry) {
+        return !std::binary_search(write.kept.begin(), write.kept.end(), entry.first);
+      });
+    }
+    for (consensus::LogIndex index : write.forgotten) {
+      kept.erase(index);
+    }
+  }
+
+  void ListKept(GroupId id, StoredGroup& group) {
+    group.kept.clear();
+    for (const auto& [index, entry] : kept_[id]) {
+      group.kept.push_back(index);
+    }
+  }
+
   bool durable_;
   StoredNode node_;
   std::map<GroupId, std::string> parts_;  // Of snapshots that no write has named yet.
+  std::map<GroupId, std::map<consensus::LogIndex, consensus::Entry>> kept_;
 };
 
 }  // namespace
--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -3,11 +3,14 @@
 //   'h' group                        -> HardState
 //   's' group                        -> SnapshotRecord: a snapshot without its data
 //   'p' group generation part        -> one part of the snapshot's data
-//   'e' group index                  -> Entry
+//   'e' group index                  -> Entry: of the log, or kept from before the snapshot
+//   't' group index                  -> Entry that the leader sent ahead of its snapshot
 //   'x' group                        -> "" (this node left the group)
+#include <rocksdb/cache.h>
 #include <rocksdb/db.h>
 #include <rocksdb/options.h>
 #include <rocksdb/rate_limiter.h>
+#include <rocksdb/table.h>
 #include <rocksdb/write_batch.h>
 
 #include <algorithm>
@@ -24,13 +27,18 @@
 
 constexpr char kIdentityKey[] = "identity";
 constexpr std::size_t kChecksumBytes = 8;
-constexpr std::size_t kWriteBufferBytes = std::size_t{4} << 20;
+constexpr std::size_t kWriteBufferBytes = std::size_t{1} << 20;
+/// Recent texts are read from the write buffer; older ones are read once or twice in their lives.
+constexpr std::size_t kBlockCacheBytes = std::size_t{512} << 10;
 /// Flushes and compactions share the machine's processor with the replica itself. At full speed one
 /// compaction takes a small machine's whole share for longer than an election's timeout.
 constexpr std::int64_t kBackgroundBytesPerSecond = std::int64_t{5} << 20;
 constexpr std::int64_t kOpeningBytesPerSecond = std::int64_t{1} << 30;
 /// Most of the log is dropped before it would be worth compacting.
 constexpr int kFilesBeforeCompaction = 10;
+/// Gaps between kept entries up to this length are deleted one by one: each range that was deleted
+/// costs every later reader.
+constexpr consensus::LogIndex kMostSingleDeletes = 64;
 /// A snapshot is written in parts of this size: whole, it would stand in memory several times.
 constexpr std::size_t kPartBytes = std::size_t{256} << 10;
 
@@ -70,6 +78,10 @@
   return GroupKey('e', group) + BigEndian(index, 8);
 }
 
+std::string StagedKey(GroupId group, consensus::LogIndex index) {
+  return GroupKey('t', group) + BigEndian(index, 8);
+}
+
 std::string PartKey(GroupId group, std::uint64_t generation, std::uint64_t part) {
   return GroupKey('p', group) + BigEndian(generation, 8) + BigEndian(part, 8);
 }
@@ -105,23 +117,33 @@
   Result<StoredNode> Load() override {
     StoredNode node;
     std::unique_ptr<rocksdb::Iterator> cursor(db_->NewIterator(rocksdb::ReadOptions()));
-    for (cursor->SeekToFirst(); cursor->Valid(); cursor->Next()) {
-      if (!LoadRecord(cursor->key().ToString(), cursor->value().ToString(), node)) {
+    cursor->SeekToFirst();
+    while (cursor->Valid()) {
+      std::string key = cursor->key().ToString();
+      if (IsReadByGroup(key)) {
+        GroupId group = GroupOf(key);
+        node.groups[group];
+        cursor->Seek(GroupKey(key.front(), GroupId(group.value + 1)));
+        continue;
+      }
+      if (!LoadRecord(key, cursor->value().ToString(), node)) {
         return Damaged("data folder " + folder_ + " holds a damaged record");
       }
-    }
-    if (!cursor->status().ok()) {
-      return Damaged("data folder " + folder_ + ": " + cursor->status().ToString());
+      cursor->Next();
     }
     for (auto& [group, stored] : node.groups) {
-      if (!LoadSnapshotParts(group, stored)) {
-        return Damaged("data folder " + folder_ + " lacks a snapshot's part");
+      if (!LoadEntries(group, *cursor, stored) || !LoadSnapshotParts(group, stored)) {
+        return Damaged("data folder " + folder_ +
+                       " lacks a snapshot's part or holds a damaged entry");
       }
       if (!LogIsContiguous(stored)) {
         return Damaged("data folder " + folder_ + " lacks entries of group " +
                        std::to_string(group.value));
       }
     }
+    if (!cursor->status().ok()) {
+      return Damaged("data folder " + folder_ + ": " + cursor->status().ToString());
+    }
     return node;
   }
 
@@ -168,6 +190,35 @@
     return {};
   }
 
+  Result<void> StageEntry(GroupId group, const consensus::Entry& entry) override {
+    rocksdb::Status status =
+        db_->Put(rocksdb::WriteOptions(), StagedKey(group, entry.index), Seal(entry));
+    if (!status.ok()) {
+      return leaf::new_error(StorageError{StorageError::Code::kWriteFailed,
+                                          "data folder " + folder_ + ": " + status.ToString()});
+    }
+    return {};
+  }
+
+  Result<std::optional<consensus::Entry>> ReadEntry(GroupId group,
+                                                    consensus::EntryId wanted) override {
+    for (const std::string& key : {EntryKey(group, wanted.index), StagedKey(group, wanted.index)}) {
+      std::string sealed;
+      rocksdb::Status status = db_->Get(rocksdb::ReadOptions(), key, &sealed);
+      if (status.IsNotFound()) {
+        continue;
+      }
+      auto entry = status.ok() ? Unseal<consensus::Entry>(sealed) : std::nullopt;
+      if (!entry) {
+        return Damaged("data folder " + folder_ + " holds a damaged entry");
+      }
+      if (entry->term == wanted.term) {
+        return entry;
+      }
+    }
+    return std::optional<consensus::Entry>();
+  }
+
   bool IsDurable() const override { return true; }
 
  private:
@@ -208,13 +259,48 @@
     return true;
   }
 
+  /// Reads the group's log from the snapshot on, and only the keys of what was kept before it.
+  bool LoadEntries(GroupId group, rocksdb::Iterator& cursor, StoredGroup& stored) {
+    std::string prefix = GroupKey('e', group);
+    for (cursor.Seek(prefix); cursor.Valid() && cursor.key().starts_with(prefix); cursor.Next()) {
+      consensus::LogIndex index = IndexOf(cursor.key(), prefix);
+      if (index <= stored.snapshot.index) {
+        stored.kept.push_back(index);
+        continue;
+      }
+      auto entry = Unseal<consensus::Entry>(cursor.value().ToStringView());
+      if (!entry) {
+        return false;
+      }
+      stored.entries.push_back(std::move(*entry));
+    }
+    std::string staged = GroupKey('t', group);
+    for (cursor.Seek(staged); cursor.Valid() && cursor.key().starts_with(staged); cursor.Next()) {
+      stored.kept.push_back(IndexOf(cursor.key(), staged));
+    }
+    return cursor.status().ok();
+  }
+
+  static consensus::LogIndex IndexOf(const rocksdb::Slice& key, const std::string& prefix) {
+    return FromBigEndian(key.ToStringView().substr(prefix.size()));
+  }
+
+  /// True for the many records of a group: they are read once its snapshot's place is known.
+  static bool IsReadByGroup(const std::string& key) {
+    return key != kIdentityKey && (key.front() == 'e' || key.front() == 't' || key.front() == 'p');
+  }
+
+  static GroupId GroupOf(std::string_view key) {
+    return GroupId(static_cast<std::uint32_t>(FromBigEndian(key.substr(1, 4))));
+  }
+
   bool LoadRecord(const std::string& key, const std::string& value, StoredNode& node) {
     if (key == kIdentityKey) {
       auto identity = Unseal<NodeId>(value);
       node.identity = identity.value_or(kNoNode);
       return identity.has_value();
     }
-    GroupId group(static_cast<std::uint32_t>(FromBigEndian(std::string_view(key).substr(1, 4))));
+    GroupId group = GroupOf(key);
     StoredGroup& stored = node.groups[group];
     switch (key.front()) {
       case 'h': {
@@ -228,15 +314,6 @@
         stored.snapshot = snapshots_[group].snapshot;
         return record.has_value();
       }
-      case 'p':
-        return true;  // Read once the record that names its generation is known.
-      case 'e': {
-        auto entry = Unseal<consensus::Entry>(value);
-        if (entry) {
-          stored.entries.push_back(std::move(*entry));
-        }
-        return entry.has_value();
-      }
       case 'x':
         stored.removed = true;
         return true;
@@ -260,7 +337,8 @@
     StoredRange range;
     std::string prefix = GroupKey('e', group);
     std::unique_ptr<rocksdb::Iterator> cursor(db_->NewIterator(rocksdb::ReadOptions()));
-    cursor->Seek(EntryKey(group, 0));
+    // What lies before is kept, and no part of the log.
+    cursor->Seek(EntryKey(group, snapshots_[group].snapshot.index + 1));
     if (cursor->Valid() && cursor->key().starts_with(prefix)) {
       range.first = FromBigEndian(cursor->key().ToString().substr(prefix.size()));
       cursor->SeekForPrev(EntryKey(group, UINT64_MAX));
@@ -269,15 +347,29 @@
     return ranges_[group] = range;
   }
 
-  /// Deletes the stored entries below `end`. Such ranges never overlap: overlapping ones make
-  /// reading cost their square.
+  /// Deletes the stored log below `end` but for what is kept. Such ranges never overlap:
+  /// overlapping ones make reading cost their square.
   static void DropBelow(GroupId group, consensus::LogIndex end, StoredRange& range,
-                        rocksdb::WriteBatch& batch) {
+                        const std::vector<consensus::LogIndex>& kept, rocksdb::WriteBatch& batch) {
     end = std::min(end, range.end);
+    auto drop = [&](consensus::LogIndex from, consensus::LogIndex to) {
+      if (to - from > kMostSingleDeletes) {
+        batch.DeleteRange(EntryKey(group, from), EntryKey(group, to));
+        return;
+      }
+      for (consensus::LogIndex index = from; index < to; ++index) {
+        batch.Delete(EntryKey(group, index));
+      }
+    };
+    auto next = std::lower_bound(kept.begin(), kept.end(), range.first);
+    for (; next != kept.end() && *next < end; ++next) {
+      drop(range.first, *next);
+      range.first = *next + 1;
+    }
     if (range.first < end) {
-      batch.DeleteRange(EntryKey(group, range.first), EntryKey(group, end));
-      range.first = end;
+      drop(range.first, end);
     }
+    range.first = std::max(range.first, end);
   }
 
   void AddEntries(const GroupWrite& write, StoredRange& range, rocksdb::WriteBatch& batch) {
@@ -298,7 +390,10 @@
     GroupId group = write.group;
     StoredRange& range = RangeOf(group);
     if (write.removed) {
-      DropBelow(group, range.end, range, batch);
+      DropBelow(group, range.end, range, {}, batch);
+      // Also what was kept from before it. The group is left for good: once in its life.
+      batch.DeleteRange(EntryKey(group, 0), EntryKey(group, UINT64_MAX));
+      batch.DeleteRange(StagedKey(group, 0), StagedKey(group, UINT64_MAX));
       batch.Delete(GroupKey('h', group));
       batch.Delete(GroupKey('s', group));
       batch.DeleteRange(PartKey(group, dropped_below_[group], 0), PartKey(group, UINT64_MAX, 0));
@@ -310,7 +405,7 @@
     }
     if (write.snapshot) {
       DropBelow(group, write.snapshot_replaces_log ? range.end : write.snapshot->index + 1, range,
-                batch);
+                write.kept, batch);
       SnapshotRecord& record = snapshots_[group];
       const consensus::Snapshot& snapshot = *write.snapshot;
       record.snapshot = {snapshot.index, snapshot.term, snapshot.configuration, ""};
@@ -320,6 +415,10 @@
                         PartKey(group, record.generation, 0));
       dropped_below_[group] = record.generation;
     }
+    for (consensus::LogIndex index : write.forgotten) {
+      batch.Delete(EntryKey(group, index));
+      batch.Delete(StagedKey(group, index));
+    }
     if (!write.entries.empty()) {
       AddEntries(write, range, batch);
     }
@@ -350,6 +449,9 @@
   options.create_if_missing = true;
   options.write_buffer_size = kWriteBufferBytes;
   options.keep_log_file_num = 2;
+  rocksdb::BlockBasedTableOptions table;
+  table.block_cache = rocksdb::NewLRUCache(kBlockCacheBytes, /*num_shard_bits=*/0);
+  options.table_factory.reset(rocksdb::NewBlockBasedTableFactory(table));
   // Opening is not paced: nobody is served before it is done.
   options.rate_limiter.reset(rocksdb::NewGenericRateLimiter(kOpeningBytesPerSecond));
   options.avoid_flush_during_recovery = true;
--- a/src/turn_ledger/image/state_image.cc
+++ b/src/turn_ledger/image/state_image.cc
@@ -1,5 +1,6 @@
 #include "turn_ledger/image/state_image.h"
 
+#include <algorithm>
 #include <iterator>
 
 #include "wire/codec.h"
@@ -42,9 +43,9 @@
     return record_bytes + turn_mark_bytes * (tokens.m_reserved.size() + tokens.m_settled.size());
 }
 
-std::size_t size_of(const kept_turn& turn)
+std::size_t size_of(const kept_turn& /*turn*/)
 {
-    return record_bytes + turn.m_text->bytes();
+    return record_bytes;
 }
 
 /// Moves records from `from`, beginning at `done`, until `most_bytes` are used up. What was moved
@@ -101,6 +102,18 @@
     return m_begun && m_accounts_done == m_image.m_accounts.size() && m_turns_done == m_image.m_turns.size();
 }
 
+std::vector<consensus::EntryId> entries_of(const state_image& image)
+{
+    std::vector<consensus::EntryId> entries;
+    entries.reserve(image.m_turns.size());
+    for (const auto& [id, turn] : image.m_turns)
+    {
+        entries.push_back(turn.m_entry);
+    }
+    std::sort(entries.begin(), entries.end());
+    return entries;
+}
+
 std::optional<state_image> decode_state_image(const std::string& parts)
 {
     state_image image;
--- a/src/turn_ledger/image/state_image.h
+++ b/src/turn_ledger/image/state_image.h
@@ -8,12 +8,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "consensus/types.h"
 #include "turn_ledger/types.h"
 
 namespace martenyard::turn_ledger
@@ -38,44 +38,22 @@
     }
 };
 
-/// @brief what a kept turn added to its chain; never changed once it is kept
-struct turn_text
-{
-    std::string m_input;
-    std::string m_output;
-
-    std::size_t bytes() const
-    {
-        return m_input.size() + m_output.size();
-    }
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(m_input, m_output);
-    }
-};
-
 /// @brief a turn that later turns may go on from
+///
+/// What it added to its chain stays where the log has it, on the disk: its entry's place stands for it.
 struct kept_turn
 {
     std::optional<TurnId> m_previous;
-    /// never null
-    std::shared_ptr<const turn_text> m_text;
+    /// the log's entry that settled the turn and brought its texts
+    consensus::EntryId m_entry;
+    /// of its texts
+    std::uint32_t m_bytes = 0;
     LedgerMillis m_expires = 0;
 
     template <class Archive>
-    void save(Archive& archive) const
-    {
-        archive(m_previous, *m_text, m_expires);
-    }
-
-    template <class Archive>
-    void load(Archive& archive)
+    void serialize(Archive& archive)
     {
-        auto text = std::make_shared<turn_text>();
-        archive(m_previous, *text, m_expires);
-        m_text = std::move(text);
+        archive(m_previous, m_entry, m_bytes, m_expires);
     }
 };
 
@@ -117,6 +95,9 @@
     std::size_t m_turns_done = 0;
 };
 
+/// @return the entries of the log that the image's turns have their texts in, in rising order
+std::vector<consensus::EntryId> entries_of(const state_image& image);
+
 /// @return the image that the joined parts hold, or nothing when they are no image
 std::optional<state_image> decode_state_image(const std::string& parts);
 
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -15,10 +15,13 @@
 }  // namespace
 
 TurnReplica::TurnReplica(const Machine& self, const ReplicaOptions& options,
-                         consensus::RestoredState restored, std::uint64_t seed, absl::Time now)
+                         consensus::RestoredState restored, EntryReader read_stored,
+                         std::uint64_t seed, absl::Time now)
     : self_(self),
       options_(options),
+      read_stored_(std::move(read_stored)),
       raft_(self.identity, options.raft, restored, seed, now),
+      state_([this](consensus::EntryId entry) { return ReadEntry(entry); }),
       now_(now),
       snapshots_(options.snapshot_log_bytes, restored.snapshot) {
   const consensus::Snapshot& snapshot = restored.snapshot;
@@ -42,6 +45,12 @@
 
 void TurnReplica::OnLogMessage(absl::Time now, NodeId from, const consensus::RaftMessage& message) {
   now_ = std::max(now_, now);
+  const auto* request = std::get_if<consensus::SnapshotRequest>(&message);
+  bool news = request != nullptr && request->snapshot.index > raft_.commit_index();
+  if (news && !HasEntriesOf(request->snapshot)) {
+    ++incomplete_snapshots_;  // A part was lost on the way. The leader sends it all again.
+    return;
+  }
   raft_.Step(now_, from, message);
   WatchLeadership();
 }
@@ -144,6 +153,7 @@
   }
   proposals_.clear();
   under_way_.clear();
+  transfers_.clear();
 }
 
 GroupView TurnReplica::View() const {
@@ -207,8 +217,63 @@
          turn_ledger::MayTakeAway(View(), machine, options_.planner);
 }
 
+// ---- Snapshots to other members ----
+
+consensus::Ready TurnReplica::TakeReady() {
+  consensus::Ready ready = raft_.TakeReady();
+  std::erase_if(ready.messages_before_store, [&](consensus::Outbound& outbound) {
+    auto* request = std::get_if<consensus::SnapshotRequest>(&outbound.message);
+    if (request == nullptr) {
+      return false;
+    }
+    if (!transfers_.contains(outbound.to)) {
+      transfers_.emplace(outbound.to, snapshot_transfer(outbound.to, std::move(*request),
+                                                        raft_.MatchIndex(outbound.to)));
+    }
+    return true;
+  });
+  return ready;
+}
+
+std::vector<consensus::Outbound> TurnReplica::NextTransferParts(
+    std::size_t most_bytes, const std::function<bool(NodeId)>& ready) {
+  std::vector<NodeId> members = raft_.configuration().Members();
+  std::erase_if(transfers_, [&](const auto& entry) {
+    return std::find(members.begin(), members.end(), entry.first) == members.end();
+  });
+  std::vector<consensus::Outbound> parts;
+  for (auto& [member, transfer] : transfers_) {
+    if (ready(member)) {
+      parts.push_back(
+          transfer.next(most_bytes, [this](consensus::EntryId entry) { return ReadEntry(entry); }));
+    }
+  }
+  std::erase_if(transfers_, [](const auto& entry) { return entry.second.done(); });
+  return parts;
+}
+
+bool TurnReplica::HasEntriesOf(const consensus::Snapshot& snapshot) const {
+  std::vector<consensus::EntryId> entries = entries_of(snapshot);
+  return std::all_of(entries.begin(), entries.end(), [&](const consensus::EntryId& entry) {
+    return read_stored_(entry).has_value();
+  });
+}
+
+std::vector<consensus::LogIndex> TurnReplica::KeptBy(const consensus::Snapshot& snapshot) {
+  std::vector<consensus::LogIndex> kept;
+  for (const consensus::EntryId& entry : entries_of(snapshot)) {
+    kept.push_back(entry.index);
+  }
+  return kept;
+}
+
 // ---- Applying ----
 
+std::optional<consensus::Entry> TurnReplica::ReadEntry(consensus::EntryId entry) const {
+  const consensus::Entry* in_log = raft_.Find(entry);
+  return in_log != nullptr ? std::make_optional(*in_log) : read_stored_(entry);
+}
+
 void TurnReplica::Apply(const consensus::Ready& ready) {
   if (ready.snapshot_to_install) {
     const consensus::Snapshot& snapshot = *ready.snapshot_to_install;
@@ -232,7 +297,11 @@
   if (!command) {
     return;  // Every replica skips it alike.
   }
-  OperationResult result = state_.Apply(*command);
+  bool asked_here = !proposal.empty();
+  OperationResult result = state_.Apply(*command, {entry.index, entry.term}, asked_here);
+  for (consensus::LogIndex expired : state_.TakeExpired()) {
+    forgotten_.push_back(expired);
+  }
   // A leader's clock starts at its log's end, which it may only have applied now.
   if (raft_.IsLeader()) {
     ledger_time_at_start_ = std::max(ledger_time_at_start_,
@@ -242,7 +311,7 @@
     return;
   }
   under_way_.erase(proposal.mapped().requester);
-  bool own = proposal.mapped().term == entry.term;
+  bool own = proposal.mapped().term == entry.term && !result.history_missing;
   Answer(proposal.mapped().requester, own ? ReplyStatus::kDone : ReplyStatus::kUncertain,
          own ? std::move(result) : OperationResult{});
 }
@@ -253,8 +322,6 @@
   }
   snapshot_under_way_.emplace(
       SnapshotUnderWay{snapshots_.Begin(raft_), state_image_encoder(state_.Capture())});
-  // Growing by doubling would copy what is there, tens of megabytes, in single steps.
-  snapshot_under_way_->snapshot.data.reserve(state_.turn_bytes() + state_.turn_bytes() / 4);
 }
 
 std::optional<SnapshotStep> TurnReplica::NextSnapshotStep(std::size_t most_bytes) {
@@ -269,6 +336,7 @@
   if (under_way.encoder.done()) {
     const consensus::Snapshot& whole = under_way.snapshot;
     step.finished = consensus::Snapshot{whole.index, whole.term, whole.configuration, ""};
+    step.kept = state_.EntriesInUse(whole.index);
   }
   return step;
 }
@@ -280,6 +348,22 @@
   }
 }
 
+void TurnReplica::NoteStored(const std::vector<consensus::LogIndex>& kept) {
+  std::vector<consensus::LogIndex> in_use = state_.EntriesInUse(raft_.snapshot_index());
+  for (consensus::LogIndex index : kept) {
+    if (!std::binary_search(in_use.begin(), in_use.end(), index)) {
+      forgotten_.push_back(index);
+    }
+  }
+}
+
+std::vector<consensus::LogIndex> TurnReplica::TakeForgotten() {
+  // Later entries are part of the log. The snapshot that takes its place leaves them out.
+  std::vector<consensus::LogIndex> taken = std::exchange(forgotten_, {});
+  std::erase_if(taken, [&](consensus::LogIndex index) { return index > raft_.snapshot_index(); });
+  return taken;
+}
+
 std::vector<ReplyTo> TurnReplica::TakeReplies() {
   std::vector<ReplyTo> taken = std::move(replies_);
   replies_.clear();
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,6 +15,7 @@
 #include "consensus/snapshot_schedule.h"
 #include "turn_ledger/membership_planner.h"
 #include "turn_ledger/messages.h"
+#include "turn_ledger/transfer/snapshot_transfer.h"
 #include "turn_ledger/turn_state.h"
 
 namespace martenyard::turn_ledger {
@@ -27,7 +29,7 @@
   absl::Duration overload_after = absl::Milliseconds(350);
   /// Leadership goes to the first sound voter: several groups are then led by different machines.
   bool preferred_leaders = false;
-  std::uint64_t snapshot_log_bytes = std::uint64_t{24} << 20;  ///< Or the last snapshot's size.
+  std::uint64_t snapshot_log_bytes = std::uint64_t{2} << 20;  ///< Or the last snapshot's size.
 };
 
 /// Where a request came from, and so where its reply goes.
@@ -44,6 +46,8 @@
   /// With the last part: the snapshot's place, without its data. Store it, then call
   /// `FinishSnapshot`.
   std::optional<consensus::Snapshot> finished;
+  /// With the last part: the entries before the snapshot that must stay readable.
+  std::vector<consensus::LogIndex> kept;
 };
 
 struct ReplyTo {
@@ -53,8 +57,12 @@
 
 class TurnReplica {
  public:
+  /// @param read_stored reads what is on this machine's disk: all entries that were applied and
+  /// not forgotten, and staged ones.
   TurnReplica(const Machine& self, const ReplicaOptions& options, consensus::RestoredState restored,
-              std::uint64_t seed, absl::Time now);
+              EntryReader read_stored, std::uint64_t seed, absl::Time now);
+  TurnReplica(const TurnReplica&) = delete;
+  TurnReplica& operator=(const TurnReplica&) = delete;
 
   void Tick(absl::Time now);
   void OnLogMessage(absl::Time now, NodeId from, const consensus::RaftMessage& message);
@@ -70,7 +78,18 @@
   void HandOver();
 
   bool HasWork() const { return raft_.HasReady() || !replies_.empty(); }
-  consensus::Ready TakeReady() { return raft_.TakeReady(); }
+  /// Snapshots are not among its messages: they go by `NextTransferParts`.
+  consensus::Ready TakeReady();
+  /// @return for a snapshot to be installed, the entries before it that must stay readable.
+  static std::vector<consensus::LogIndex> KeptBy(const consensus::Snapshot& snapshot);
+  /// @param ready whether a member's connection takes more now.
+  /// @return the next part of every snapshot under way to another member.
+  std::vector<consensus::Outbound> NextTransferParts(std::size_t most_bytes,
+                                                     const std::function<bool(NodeId)>& ready);
+  /// What the disk was found to keep at the start: what nothing refers to is forgotten.
+  void NoteStored(const std::vector<consensus::LogIndex>& kept);
+  /// @return stored entries that nothing refers to any more; all lie before the snapshot.
+  std::vector<consensus::LogIndex> TakeForgotten();
   /// Applies what `ready` committed, after it was stored. Begins a snapshot when one is due.
   void Apply(const consensus::Ready& ready);
   /// While a snapshot is under way. @return its next part, of about `most_bytes`. Between the
@@ -86,6 +105,9 @@
   bool LeadsCurrent() const { return raft_.LeaderIsCurrent(); }
   const consensus::Raft& raft() const { return raft_; }
   const TurnState& state() const { return state_; }
+  /// Snapshots from a leader that were passed over, since entries that they name were missing.
+  std::uint64_t incomplete_snapshots() const { return incomplete_snapshots_; }
+  std::size_t transfers() const { return transfers_.size(); }
   const std::map<NodeId, Machine>& machines() const { return machines_; }
   const Machine& self() const { return self_; }
 
@@ -103,11 +125,15 @@
   void Plan();
   GroupView View() const;
   void ApplyEntry(const consensus::Entry& entry);
+  std::optional<consensus::Entry> ReadEntry(consensus::EntryId entry) const;
+  /// True when every entry that the snapshot names is on this machine's disk.
+  bool HasEntriesOf(const consensus::Snapshot& snapshot) const;
   void BeginSnapshotIfDue();
   void Answer(const Requester& requester, ReplyStatus status, OperationResult result = {});
 
   Machine self_;
   ReplicaOptions options_;
+  EntryReader read_stored_;
   consensus::Raft raft_;
   TurnState state_;
   absl::Time now_;
@@ -129,6 +155,10 @@
   consensus::SnapshotSchedule snapshots_;
   std::optional<SnapshotUnderWay> snapshot_under_way_;
 
+  std::map<NodeId, snapshot_transfer> transfers_;  // Of a leader, to other members.
+  std::vector<consensus::LogIndex> forgotten_;     // To be told to the disk.
+  std::uint64_t incomplete_snapshots_ = 0;
+
   std::map<NodeId, Machine> machines_;
   std::map<NodeId, absl::Time> heard_;
   std::set<NodeId> superseded_;  ///< Identities whose disk is known to be gone.
--- a/src/turn_ledger/turn_state.cc
+++ b/src/turn_ledger/turn_state.cc
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <iterator>
-#include <memory>
 #include <utility>
 #include <vector>
 
+#include "wire/codec.h"
+
 namespace martenyard::turn_ledger {
 namespace {
 
@@ -13,44 +14,38 @@
 constexpr LedgerMillis kRetentionMargin = 15000;
 constexpr LedgerMillis kExpiryInterval = 2000;
 
-std::string JoinTexts(const std::vector<const kept_turn*>& chain) {
-  std::string text;
-  for (const kept_turn* kept : chain) {
-    text.append(kept->m_text->m_input);
-    text.append(kept->m_text->m_output);
-  }
-  return text;
-}
-
 }  // namespace
 
-OperationResult TurnState::Apply(const Command& command) {
+OperationResult TurnState::Apply(const Command& command, consensus::EntryId place,
+                                 bool with_history) {
   now_ = std::max(now_, command.at);
   if (now_ >= next_expiry_) {
     next_expiry_ = now_ + kExpiryInterval;
     Expire();
   }
   if (const auto* reserve = std::get_if<ReserveTurn>(&command.operation)) {
-    return Reserve(*reserve);
+    return Reserve(*reserve, with_history);
   }
   if (const auto* find = std::get_if<FindTurn>(&command.operation)) {
-    return Find(*find);
+    return Find(*find, with_history);
   }
-  return Settle(std::get<SettleTurn>(command.operation));
+  return Settle(std::get<SettleTurn>(command.operation), place);
 }
 
-OperationResult TurnState::Find(const FindTurn& find) {
+OperationResult TurnState::Find(const FindTurn& find, bool with_history) {
   OperationResult result;
   if (!turns_.contains(find.turn)) {
     result.verdict = Verdict::kUnknownPrevious;
     return result;
   }
   Prolong(find.turn, now_ + find.retention_ms + kRetentionMargin);
-  result.history = HistoryOf(find.turn);
+  if (with_history) {
+    AddHistory(find.turn, result);
+  }
   return result;
 }
 
-OperationResult TurnState::Reserve(const ReserveTurn& reserve) {
+OperationResult TurnState::Reserve(const ReserveTurn& reserve, bool with_history) {
   OperationResult result;
   if (reserve.previous) {
     if (!turns_.contains(*reserve.previous)) {
@@ -74,13 +69,13 @@
     return result;
   }
   tokens.m_reserved[reserve.turn] = reserve.tokens;
-  if (reserve.previous && !reserve.has_previous) {
-    result.history = HistoryOf(*reserve.previous);
+  if (with_history && reserve.previous && !reserve.has_previous) {
+    AddHistory(*reserve.previous, result);
   }
   return result;
 }
 
-OperationResult TurnState::Settle(const SettleTurn& settle) {
+OperationResult TurnState::Settle(const SettleTurn& settle, consensus::EntryId place) {
   OperationResult result;
   account& tokens = accounts_[settle.program];
   tokens.m_expires = std::max(tokens.m_expires, now_ + settle.retention_ms + kRetentionMargin);
@@ -89,7 +84,7 @@
     tokens.m_spent += settle.tokens;
     tokens.m_reserved.erase(settle.turn);
     if (settle.completed) {
-      Keep(settle);
+      Keep(settle, place);
     }
   }
   result.spent = tokens.m_spent;
@@ -97,14 +92,15 @@
   return result;
 }
 
-void TurnState::Keep(const SettleTurn& settle) {
+void TurnState::Keep(const SettleTurn& settle, consensus::EntryId place) {
   kept_turn kept;
   kept.m_previous = settle.completed->previous;
-  kept.m_text = std::make_shared<const turn_text>(
-      turn_text{settle.completed->input, settle.completed->output});
+  kept.m_entry = place;
+  kept.m_bytes =
+      static_cast<std::uint32_t>(settle.completed->input.size() + settle.completed->output.size());
   kept.m_expires = now_ + settle.retention_ms + kRetentionMargin;
   Prolong(kept.m_previous, kept.m_expires);
-  turn_bytes_ += kept.m_text->bytes();
+  turn_bytes_ += kept.m_bytes;
   turns_[settle.turn] = std::move(kept);
 }
 
@@ -142,22 +138,54 @@
   return chain;
 }
 
-std::string TurnState::HistoryOf(const TurnId& turn) const {
+std::optional<std::string> TurnState::ReadTexts(const std::vector<const kept_turn*>& chain) const {
+  std::string text;
+  for (const kept_turn* kept : chain) {
+    std::optional<consensus::Entry> entry = read_entry_(kept->m_entry);
+    auto command = entry ? wire::Decode<Command>(entry->payload) : std::nullopt;
+    const auto* settle = command ? std::get_if<SettleTurn>(&command->operation) : nullptr;
+    if (settle == nullptr || !settle->completed) {
+      return std::nullopt;
+    }
+    text.append(settle->completed->input);
+    text.append(settle->completed->output);
+  }
+  return text;
+}
+
+void TurnState::AddHistory(const TurnId& turn, OperationResult& result) const {
   bool met_known = false;
-  return JoinTexts(ChainOf(turn, std::nullopt, met_known));
+  std::optional<std::string> text = ReadTexts(ChainOf(turn, std::nullopt, met_known));
+  result.history_missing = !text.has_value();
+  result.history = std::move(text).value_or("");
 }
 
 chain_reply TurnState::ReadChain(const chain_request& request) const {
   chain_reply reply;
   reply.m_request = request.m_request;
   reply.m_has_state = true;
-  reply.m_found = turns_.contains(request.m_turn);
-  if (reply.m_found) {
-    reply.m_text = JoinTexts(ChainOf(request.m_turn, request.m_known, reply.m_after_known));
+  if (!turns_.contains(request.m_turn)) {
+    return reply;
   }
+  bool met_known = false;
+  std::optional<std::string> text = ReadTexts(ChainOf(request.m_turn, request.m_known, met_known));
+  reply.m_found = text.has_value();
+  reply.m_after_known = reply.m_found && met_known;
+  reply.m_text = std::move(text).value_or("");
   return reply;
 }
 
+std::vector<consensus::LogIndex> TurnState::EntriesInUse(consensus::LogIndex last) const {
+  std::vector<consensus::LogIndex> entries;
+  for (const auto& [id, kept] : turns_) {
+    if (kept.m_entry.index <= last) {
+      entries.push_back(kept.m_entry.index);
+    }
+  }
+  std::sort(entries.begin(), entries.end());
+  return entries;
+}
+
 void TurnState::Expire() {
   absl::erase_if(accounts_, [&](const auto& entry) { return entry.second.m_expires < now_; });
   absl::erase_if(turns_, [&](const auto& entry) {
@@ -165,7 +193,8 @@
     if (kept.m_expires >= now_) {
       return false;
     }
-    turn_bytes_ -= kept.m_text->bytes();
+    turn_bytes_ -= kept.m_bytes;
+    expired_.push_back(kept.m_entry.index);
     return true;
   });
 }
@@ -194,9 +223,10 @@
   turns_.clear();
   turns_.insert(std::make_move_iterator(restored.m_turns.begin()),
                 std::make_move_iterator(restored.m_turns.end()));
+  expired_.clear();
   turn_bytes_ = 0;
   for (const auto& [id, kept] : turns_) {
-    turn_bytes_ += kept.m_text->bytes();
+    turn_bytes_ += kept.m_bytes;
   }
   return readable;
 }
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -100,10 +100,12 @@
   std::string history;         ///< The chain up to and with `previous`, oldest turn first.
   std::uint64_t spent = 0;     ///< Of the program, settled.
   std::uint64_t reserved = 0;  ///< Of the program, not settled yet.
+  /// The chain was asked for and can't be read here: the answer says nothing.
+  bool history_missing = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(verdict, history, spent, reserved);
+    archive(verdict, history, spent, reserved, history_missing);
   }
 };
 
--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -7,7 +7,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -21,7 +20,7 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kMaxFrameBytes = std::size_t{64} << 20;
 constexpr std::size_t kMaxUnsentBytes = std::size_t{128} << 20;
-constexpr std::size_t kReadBytes = std::size_t{256} << 10;
+constexpr std::size_t kReadBytes = std::size_t{64} << 10;
 constexpr int kBacklog = 512;
 constexpr int kBindAttempts = 20;
 /// A peer behind a cut says nothing: bytes that it didn't take in this time break the connection.
@@ -62,7 +61,8 @@
     : loop_(loop),
       on_frame_(std::move(on_frame)),
       on_datagram_(std::move(on_datagram)),
-      on_dead_(std::move(on_dead)) {}
+      on_dead_(std::move(on_dead)),
+      read_buffer_(kReadBytes) {}
 
 Transport::~Transport() {
   for (auto& [socket, connection] : accepted_) {
@@ -125,12 +125,11 @@
     return;
   }
   Connection& connection = *found->second;
-  std::vector<char> buffer(kReadBytes);
-  ssize_t count = read(socket, buffer.data(), buffer.size());
+  ssize_t count = read(socket, read_buffer_.data(), read_buffer_.size());
   bool healthy = count > 0 || (count < 0 && (errno == EAGAIN || errno == EINTR));
   if (count > 0) {
     stats_.bytes_received += static_cast<std::uint64_t>(count);
-    connection.received.append(buffer.data(), static_cast<std::size_t>(count));
+    connection.received.append(read_buffer_.data(), static_cast<std::size_t>(count));
     healthy = TakeFrames(connection);
   }
   if (!healthy) {
@@ -161,14 +160,13 @@
 }
 
 void Transport::ReadDatagrams() {
-  std::array<char, 65536> buffer{};
   while (true) {
-    ssize_t count = recv(datagrams_, buffer.data(), buffer.size(), 0);
+    ssize_t count = recv(datagrams_, read_buffer_.data(), read_buffer_.size(), 0);
     if (count < 0) {
       return;
     }
     stats_.bytes_received += static_cast<std::uint64_t>(count);
-    on_datagram_(std::string(buffer.data(), static_cast<std::size_t>(count)));
+    on_datagram_(std::string(read_buffer_.data(), static_cast<std::size_t>(count)));
   }
 }
 
@@ -215,6 +213,11 @@
   }
 }
 
+std::size_t Transport::Unsent(const Endpoint& peer) const {
+  auto found = peers_.find(peer);
+  return found == peers_.end() ? 0 : found->second->unsent.size();
+}
+
 void Transport::Flush(const Endpoint& peer) {
   Connection& connection = *peers_[peer];
   while (!connection.unsent.empty()) {
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -47,6 +47,8 @@
   Result<Endpoint> Listen(const Endpoint& endpoint);
   void SendFrame(const Endpoint& peer, const std::string& payload);
   void SendDatagram(const Endpoint& peer, const std::string& payload);
+  /// @return bytes that wait to be sent to the peer.
+  std::size_t Unsent(const Endpoint& peer) const;
   const TransportStats& stats() const { return stats_; }
 
  private:
@@ -79,6 +81,7 @@
   int datagrams_ = -1;
   std::map<int, std::unique_ptr<Connection>> accepted_;
   std::map<Endpoint, std::unique_ptr<Connection>> peers_;
+  std::vector<char> read_buffer_;  // For one read at a time.
   TransportStats stats_;
 };
 
--- a/tests/platform/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -33,6 +33,16 @@
     }
     return disk_->store->WriteSnapshotPart(group, first, part);
   }
+  Result<void> StageEntry(GroupId group, const consensus::Entry& entry) override {
+    if (disk_->fails) {
+      return DiskRefuses();
+    }
+    return disk_->store->StageEntry(group, entry);
+  }
+  Result<std::optional<consensus::Entry>> ReadEntry(GroupId group,
+                                                    consensus::EntryId entry) override {
+    return disk_->store->ReadEntry(group, entry);
+  }
   bool IsDurable() const override { return true; }
 
  private:
--- a/tests/storage/log_store_test.cc
+++ b/tests/storage/log_store_test.cc
@@ -121,6 +121,71 @@
   EXPECT_TRUE(group.entries.empty());
 }
 
+GroupWrite SnapshotAt(std::uint64_t index, std::vector<consensus::LogIndex> kept) {
+  GroupWrite write;
+  write.group = GroupId(1);
+  write.snapshot = consensus::Snapshot{index, 1, {}, "image"};
+  write.kept = std::move(kept);
+  return write;
+}
+
+/// True when the store gives the entry back as it was written.
+bool CanRead(LogStore& store, std::uint64_t index, std::uint64_t term) {
+  auto found = *store.ReadEntry(GroupId(1), {index, term});
+  return found && *found == MakeEntry(index, term);
+}
+
+TEST_P(LogStoreContract, KeptEntriesStayReadableBehindTheSnapshotAndTheOthersGo) {
+  store_->Write({Entries(1, 8, 1)});
+  EXPECT_TRUE(CanRead(*store_, 7, 1)) << "entries of the log are readable too";
+  store_->Write({SnapshotAt(6, {2, 5})});
+  for (int life = 0; life < 2; ++life) {
+    StoredGroup group = Reopened();
+    ASSERT_EQ(group.entries.size(), 2U);
+    EXPECT_EQ(group.entries.front().index, 7U) << "kept entries are no part of the log";
+    EXPECT_EQ(group.kept, (std::vector<consensus::LogIndex>{2, 5}));
+    for (std::uint64_t index = 1; index <= 8; ++index) {
+      bool there = index == 2 || index == 5 || index > 6;
+      EXPECT_EQ(CanRead(*store_, index, 1), there) << index;
+    }
+    EXPECT_FALSE(CanRead(*store_, 2, 9)) << "an entry of another term is another entry";
+  }
+  store_->Write({Entries(9, 12, 1)});
+  store_->Write({SnapshotAt(11, {5, 8, 10})});
+  GroupWrite forget;
+  forget.group = GroupId(1);
+  forget.forgotten = {5};
+  store_->Write({forget});
+  StoredGroup group = Reopened();
+  EXPECT_FALSE(CanRead(*store_, 5, 1));
+  EXPECT_TRUE(CanRead(*store_, 8, 1));
+  EXPECT_TRUE(CanRead(*store_, 10, 1));
+  EXPECT_FALSE(CanRead(*store_, 9, 1));
+  ASSERT_EQ(group.entries.size(), 1U);
+  EXPECT_EQ(group.entries.front().index, 12U);
+}
+
+TEST_P(LogStoreContract, StagedEntriesAreReadableAndNeverPartOfTheLog) {
+  store_->Write({Entries(1, 3, 1)});
+  store_->StageEntry(GroupId(1), MakeEntry(2, 4));
+  store_->StageEntry(GroupId(1), MakeEntry(9, 4));
+  StoredGroup before = Reopened();
+  EXPECT_EQ(before.entries.size(), 3U);
+  EXPECT_EQ(before.entries[1].term, 1U);
+  EXPECT_TRUE(CanRead(*store_, 2, 1)) << "the log's own";
+  EXPECT_TRUE(CanRead(*store_, 2, 4)) << "the leader's, sent ahead";
+  GroupWrite install = SnapshotAt(20, {2, 9});
+  install.snapshot_replaces_log = true;
+  store_->Write({install});
+  StoredGroup after = Reopened();
+  EXPECT_TRUE(after.entries.empty());
+  EXPECT_TRUE(CanRead(*store_, 2, 4));
+  EXPECT_TRUE(CanRead(*store_, 9, 4));
+  store_->Write({Entries(21, 22, 4)});
+  EXPECT_EQ(Reopened().entries.size(), 2U);
+  EXPECT_FALSE(CanRead(*store_, 3, 1));
+}
+
 INSTANTIATE_TEST_SUITE_P(Stores, LogStoreContract, ::testing::Values(false, true),
                          [](const auto& info) { return info.param ? "RocksDb" : "Memory"; });
 
