Gateway: 2 MB of chains instead of 12

Hypothesis: a chain is asked for again within a second or by another gateway, so a small cache serves as well.

--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -56,7 +56,7 @@
   discovery::RunnerTable runners;
   PrefixIndex prefixes{absl::Seconds(30), 40000};
   ConnectionPool pool;
-  TurnCache turns{std::uint64_t{12} << 20};
+  TurnCache turns{std::uint64_t{2} << 20};
   std::unique_ptr<turn_ledger::LedgerClient> ledger;
   std::unique_ptr<turn_ledger::chain_reader> chains;
   std::uint32_t gateways = 1;  ///< That share the runners' connections.
