Gateways: fewer questions to the store, sums of loads kept, readiness that follows the ledger

The first watch now waits 0.5 s. While the store is away one mirror asks and not three, and the zone's first three gateways before the others (as many more each 0.8 s). The sums are kept, the ranks are looked at once a tick. - Readiness: a gateway that alone no longer reaches the ledger (groups that are quiet are probed, without an entry in the log) says that it isn't ready and asks clients to close; not when most of its peers say the same. Relaying reservations through a peer was weighed and not built: a gateway cut from the ledger is mostly cut from its peers too.

--- a/src/async_http/server.cc
+++ b/src/async_http/server.cc
@@ -63,6 +63,7 @@
   ServerLimits limits;
   ServerStats stats;
   bool draining = false;
+  bool asks_to_close = false;
   std::set<ServerConnection*> connections;
 };
 
@@ -328,7 +329,7 @@
 }
 
 std::string ServerConnection::ConnectionFields(bool* closes) const {
-  *closes = !keep_open_ || shared_->draining;
+  *closes = !keep_open_ || shared_->draining || shared_->asks_to_close;
   if (*closes) {
     return "Connection: close\r\n";
   }
@@ -453,6 +454,8 @@
 std::uint16_t Server::port() const { return shared_->acceptor.local_endpoint().port(); }
 void Server::BeginDrain() { shared_->draining = true; }
 
+void Server::AskToClose(bool ask) { shared_->asks_to_close = ask; }
+
 void Server::CloseIdle() {
   error_code ignored;
   shared_->acceptor.close(ignored);
--- a/src/async_http/server.h
+++ b/src/async_http/server.h
@@ -101,6 +101,8 @@
   std::uint16_t port() const;
   /// From now on every answer asks the client to close its connection.
   void BeginDrain();
+  /// The same for as long as it is wanted.
+  void AskToClose(bool ask);
   /// Stops listening and closes connections that rest; those with a request under way go on.
   void CloseIdle();
   ServerLimits& limits();
--- a/src/discovery/runner_table.cc
+++ b/src/discovery/runner_table.cc
@@ -10,6 +10,7 @@
   RunnerState& state = runners_[runner.id];
   state.runner = runner;
   state.short_id = static_cast<std::uint32_t>(StableHash(runner.id.value));
+  by_short_id_[state.short_id] = &state;
   state.gone = false;
   if (runner.draining) {
     state.left_at = std::min(state.left_at, now);
@@ -61,7 +62,12 @@
   for (auto entry = runners_.begin(); entry != runners_.end();) {
     const RunnerState& state = entry->second;
     bool over = state.gone && state.own_active == 0 && state.left_at + keep < now;
-    entry = over ? runners_.erase(entry) : std::next(entry);
+    if (!over) {
+      ++entry;
+      continue;
+    }
+    by_short_id_.erase(state.short_id);
+    entry = runners_.erase(entry);
   }
 }
 
@@ -70,6 +76,11 @@
   return found == runners_.end() ? nullptr : &found->second;
 }
 
+RunnerState* RunnerTable::FindShort(std::uint32_t short_id) {
+  auto found = by_short_id_.find(short_id);
+  return found == by_short_id_.end() ? nullptr : found->second;
+}
+
 std::vector<RunnerState*> RunnerTable::OfService(const forwarding::ServiceName& service) {
   std::vector<RunnerState*> found;
   for (auto& [id, state] : runners_) {
--- a/src/discovery/runner_table.h
+++ b/src/discovery/runner_table.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "discovery/runner.h"
 
@@ -56,12 +57,15 @@
   void Prune(absl::Time now, absl::Duration keep);
 
   RunnerState* Find(const RunnerId& id);
+  /// @return the runner that load reports name so, or null.
+  RunnerState* FindShort(std::uint32_t short_id);
   std::vector<RunnerState*> OfService(const forwarding::ServiceName& service);
   std::map<RunnerId, RunnerState>& all() { return runners_; }
 
  private:
   HealthOptions options_;
   std::map<RunnerId, RunnerState> runners_;
+  absl::flat_hash_map<std::uint32_t, RunnerState*> by_short_id_;  // Into `runners_`.
 };
 
 }  // namespace martenyard::discovery
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -24,6 +24,8 @@
 constexpr absl::Duration kPeerLifetime = absl::Milliseconds(1600);
 constexpr absl::Duration kHousekeepingInterval = absl::Seconds(1);
 constexpr absl::Duration kKeepGoneRunners = absl::Seconds(10);
+/// A group of the ledger that answered nothing for this long is asked whether it is there.
+constexpr absl::Duration kProbeAfter = absl::Milliseconds(250);
 constexpr absl::Duration kRegisterPause = absl::Seconds(1);
 constexpr std::size_t kMostPlacements = 400;
 /// A stopping gateway still gets new connections until its readiness was asked for twice.
@@ -37,6 +39,12 @@
 /// knowledge before it: the watch's spacing, a peer's news and the way to the runner.
 constexpr absl::Duration kNoticeLag = absl::Milliseconds(800);
 
+store::MirrorOptions MakeMirrorOptions() {
+  store::MirrorOptions options;
+  options.first_watch_delay = absl::Milliseconds(500);
+  return options;
+}
+
 }  // namespace
 
 absl::Duration LeavingRunnerUse(absl::Duration drain) {
@@ -75,20 +83,26 @@
           [this](bool reachable, store::StoreStatus status) {
             configuration_contact_ = reachable;
             state_->store_reachable = reachable;
+            // One question at a time while the store is away: the configuration's.
+            runners_.SetPaused(!reachable);
+            directory_.SetPaused(!reachable);
             OnContact("configuration", reachable, status);
-          }),
+          },
+          MakeMirrorOptions()),
       runners_(
           loop.context(), store, formats.RunnersPrefix(),
           [this](const store::StoreChange& change) { OnRunnerChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("runners", reachable, status);
-          }),
+          },
+          MakeMirrorOptions()),
       directory_(
           loop.context(), store, kDirectoryPrefix,
           [this](const store::StoreChange& change) { OnDirectoryChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("directory", reachable, status);
-          }),
+          },
+          MakeMirrorOptions()),
       peer_loads_(kPeerLifetime),
       ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }),
       mirrors_{&configuration_, &runners_, &directory_},
@@ -302,13 +316,11 @@
 
 void GatewayRole::TakeLoadReport(const LoadReport& report) {
   absl::Time now = SteadyNow();
-  peer_loads_.Take(now, report);
-  peer_loads_.Apply(now, state_->runners);
+  peer_loads_.Take(now, report, state_->runners);
   for (const Placement& placement : report.placements) {
     state_->prefixes.Note(now, placement.part, placement.runner);
   }
   peer_news_.take(std::chrono::steady_clock::now(), report.gateway, report.news);
-  FollowPeers();
 }
 
 store::news_digest GatewayRole::Digest() const {
@@ -319,6 +331,7 @@
     digest.m_changes[mirror] = mirrors_[mirror]->last_change();
   }
   digest.m_in_contact = watching_ && configuration_contact_;
+  digest.m_ledger_silent = ledger_readiness_.ledger_silent();
   return digest;
 }
 
@@ -375,13 +388,15 @@
   report.loads = OwnLoads(state_->runners);
   report.news = Digest();
   bool news = report.loads != reported_ || !placements_.empty() ||
-              report.news.m_changes != reported_changes_;
+              report.news.m_changes != reported_changes_ ||
+              report.news.m_ledger_silent != reported_silence_;
   if (!news && now < next_report_) {
     return;
   }
   next_report_ = now + kQuietReportInterval;
   reported_ = report.loads;
   reported_changes_ = report.news.m_changes;
+  reported_silence_ = report.news.m_ledger_silent;
   report.placements = std::exchange(placements_, {});
   std::string payload = wire::Encode(GatewayDatagram(std::move(report)));
   for (const wire::Endpoint& peer : peers_) {
@@ -391,8 +406,33 @@
 
 // ---- Time ----
 
+void GatewayRole::JudgeReadiness() {
+  const readiness_options knobs;
+  state_->ledger->ProbeQuietGroups(kProbeAfter);
+  readiness_view view;
+  view.m_now = std::chrono::steady_clock::now();
+  view.m_groups = state_->ledger->groups();
+  view.m_silent_groups = state_->ledger->SilentGroups(absl::FromChrono(knobs.m_silent_after));
+  view.m_peers = peers_.size();
+  view.m_peers_without_ledger = peer_news_.peers_without_ledger(view.m_now);
+  bool reaches = ledger_readiness_.judge(view);
+  if (reaches == reaches_ledger_) {
+    return;
+  }
+  reaches_ledger_ = reaches;
+  frontend_.AskToClose(!reaches);
+  log_.Write(
+      Line("readiness_changed")
+          .Flag("ready", ready())
+          .Number("groups", static_cast<std::int64_t>(view.m_groups))
+          .Number("silent_groups", static_cast<std::int64_t>(view.m_silent_groups))
+          .Number("peers", static_cast<std::int64_t>(view.m_peers))
+          .Number("peers_without_ledger", static_cast<std::int64_t>(view.m_peers_without_ledger)));
+}
+
 void GatewayRole::Tick(absl::Time now) {
   FollowPeers();
+  JudgeReadiness();
   ReportLoad();
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeepingInterval;
@@ -433,7 +473,9 @@
   }
 }
 
-bool GatewayRole::ready() const { return state_->routes != nullptr && !stopping_; }
+bool GatewayRole::ready() const {
+  return state_->routes != nullptr && !stopping_ && reaches_ledger_;
+}
 
 // ---- Questions ----
 
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -12,6 +12,7 @@
 #include "roles/directory_keys.h"
 #include "roles/load_report.h"
 #include "roles/platform_formats.h"
+#include "roles/readiness/readiness.h"
 #include "roles/role_settings.h"
 #include "roles/ticker.h"
 #include "store/metadata_store.h"
@@ -63,6 +64,9 @@
   store::news_digest Digest() const;
 
   void Tick(absl::Time now);
+  /// Looks whether the ledger answers, and tells clients to go elsewhere if only this gateway lost
+  /// it.
+  void JudgeReadiness();
   void CheckStop(absl::Time now);
   async_http::Task<void> AnswerReadiness(std::shared_ptr<async_http::Exchange> exchange);
   async_http::Task<void> AnswerMetrics(std::shared_ptr<async_http::Exchange> exchange);
@@ -88,6 +92,9 @@
   std::array<store::PrefixMirror*, store::mirror_count> mirrors_;
   store::peer_news peer_news_;
   store::known_changes reported_changes_{};
+  readiness ledger_readiness_;
+  bool reaches_ledger_ = true;  ///< As far as new clients are concerned.
+  bool reported_silence_ = false;
   bool watching_ = true;
   bool configuration_contact_ = false;  ///< The store answered the last question for it.
   std::vector<RunnerLoad> reported_;
--- a/src/roles/load_report.cc
+++ b/src/roles/load_report.cc
@@ -1,28 +1,38 @@
 #include "roles/load_report.h"
 
-#include "absl/container/flat_hash_map.h"
-
 namespace martenyard::roles {
 
-void PeerLoads::Take(absl::Time now, const LoadReport& report) {
-  heard_[report.gateway] = {now, report.loads};
+void PeerLoads::Take(absl::Time now, const LoadReport& report, discovery::RunnerTable& runners) {
+  Heard& heard = heard_[report.gateway];
+  Add(heard.loads, -1, runners);
+  heard = {now, report.loads};
+  Add(heard.loads, 1, runners);
+}
+
+void PeerLoads::Add(const std::vector<RunnerLoad>& loads, int sign,
+                    discovery::RunnerTable& runners) {
+  for (const RunnerLoad& load : loads) {
+    std::int64_t& total = totals_[load.runner];
+    total += sign * static_cast<std::int64_t>(load.active);
+    if (discovery::RunnerState* runner = runners.FindShort(load.runner)) {
+      runner->peers_active = static_cast<std::uint32_t>(total);
+    }
+  }
 }
 
 void PeerLoads::Apply(absl::Time now, discovery::RunnerTable& runners) {
-  absl::flat_hash_map<std::uint32_t, std::uint32_t> totals;
   for (auto heard = heard_.begin(); heard != heard_.end();) {
     if (heard->second.at + lifetime_ < now) {
+      Add(heard->second.loads, -1, runners);
       heard = heard_.erase(heard);
-      continue;
-    }
-    for (const RunnerLoad& load : heard->second.loads) {
-      totals[load.runner] += load.active;
+    } else {
+      ++heard;
     }
-    ++heard;
   }
+  absl::erase_if(totals_, [](const auto& entry) { return entry.second == 0; });
   for (auto& [id, state] : runners.all()) {
-    auto total = totals.find(state.short_id);
-    state.peers_active = total == totals.end() ? 0 : total->second;
+    auto total = totals_.find(state.short_id);
+    state.peers_active = total == totals_.end() ? 0 : static_cast<std::uint32_t>(total->second);
   }
 }
 
--- a/src/roles/load_report.h
+++ b/src/roles/load_report.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "discovery/runner_table.h"
 #include "store/relay/mirror_delta.h"
@@ -57,7 +58,9 @@
   /// A gateway that said nothing for `lifetime` counts as having no requests.
   explicit PeerLoads(absl::Duration lifetime) : lifetime_(lifetime) {}
 
-  void Take(absl::Time now, const LoadReport& report);
+  /// Takes one report. Costs as much as it and the one before are long, whatever the others said.
+  void Take(absl::Time now, const LoadReport& report, discovery::RunnerTable& runners);
+  /// Forgets gateways that fell silent, and tells the table what it missed of new runners.
   void Apply(absl::Time now, discovery::RunnerTable& runners);
 
  private:
@@ -66,8 +69,12 @@
     std::vector<RunnerLoad> loads;
   };
 
+  /// Adds the loads to the sums `sign` times.
+  void Add(const std::vector<RunnerLoad>& loads, int sign, discovery::RunnerTable& runners);
+
   absl::Duration lifetime_;
   std::map<std::string, Heard> heard_;
+  absl::flat_hash_map<std::uint32_t, std::int64_t> totals_;  // By short id, over `heard_`.
 };
 
 /// @return this gateway's own loads.
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -14,18 +14,23 @@
 constexpr absl::Duration kWatchPatience = absl::Seconds(28);
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(100);
 constexpr absl::Duration kLongestBackoff = absl::Milliseconds(800);
-/// Changes that come in quick succession are fetched together.
-constexpr absl::Duration kWatchSpacing = absl::Milliseconds(200);
+constexpr absl::Duration kIdlePause = absl::Milliseconds(200);
+/// Removed keys are remembered for peers that are behind; one that is further behind gets all
+/// items.
+constexpr std::size_t kMostRemovals = 1000;
 
 }  // namespace
 
 PrefixMirror::PrefixMirror(async_http::asio::io_context& context, MetadataStore& store,
-                           std::string prefix, ChangeHandler on_change, ContactHandler on_contact)
+                           std::string prefix, ChangeHandler on_change, ContactHandler on_contact,
+                           const MirrorOptions& options)
     : context_(context),
       store_(store),
       prefix_(std::move(prefix)),
       on_change_(std::move(on_change)),
       on_contact_(std::move(on_contact)),
+      options_(options),
+      resumed_(context),
       backoff_(kFirstBackoff) {}
 
 void PrefixMirror::Start() {
@@ -34,10 +39,26 @@
 
 absl::Duration PrefixMirror::Staleness() const { return SteadyNow() - confirmed_; }
 
+void PrefixMirror::SetPaused(bool paused) {
+  paused_ = paused;
+  if (!paused) {
+    resumed_.Notify();
+  }
+}
+
 Task<void> PrefixMirror::Follow() {
+  bool first = true;
   while (true) {
+    if (paused_) {
+      co_await resumed_.Wait(kIdlePause);
+      continue;
+    }
+    if (complete_ && std::exchange(first, false)) {
+      co_await async_http::Sleep(context_, options_.first_watch_delay);
+      continue;
+    }
     if (complete_ && !watching_) {
-      co_await async_http::Sleep(context_, kWatchSpacing);
+      co_await async_http::Sleep(context_, kIdlePause);
       continue;
     }
     bool done = false;
@@ -98,7 +119,7 @@
     Take(change);
   }
   revision_ = std::max(revision_, answer.revision);
-  co_await async_http::Sleep(context_, kWatchSpacing);
+  co_await async_http::Sleep(context_, options_.watch_spacing);
   co_return true;
 }
 
@@ -107,6 +128,7 @@
   if (!change.value) {
     Revision& removed = removals_[change.key];
     removed = std::max(removed, change.revision);
+    PruneRemovals();
     NoteChange(change.revision);
     if (known != items_.end() && known->second.revision <= change.revision) {
       items_.erase(known);
@@ -126,6 +148,20 @@
   on_change_(change);
 }
 
+void PrefixMirror::PruneRemovals() {
+  if (removals_.size() <= kMostRemovals) {
+    return;
+  }
+  std::vector<Revision> revisions;
+  for (const auto& [key, revision] : removals_) {
+    revisions.push_back(revision);
+  }
+  auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+  std::nth_element(revisions.begin(), middle, revisions.end());
+  removals_since_ = std::max(removals_since_, *middle);
+  std::erase_if(removals_, [&](const auto& entry) { return entry.second <= removals_since_; });
+}
+
 mirror_delta PrefixMirror::ChangesSince(Revision last_change) const {
   mirror_delta delta;
   delta.m_last_change = last_change_;
@@ -176,7 +212,8 @@
   if (reachable) {
     confirmed_ = SteadyNow();
   }
-  if (reachable != reachable_) {
+  if (!asked_ || reachable != reachable_) {
+    asked_ = true;
     reachable_ = reachable;
     on_contact_(reachable, status);
   }
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -14,6 +14,15 @@
 
 namespace martenyard::store {
 
+/// Tunables of a mirror.
+struct MirrorOptions {
+  /// Changes that come in quick succession are fetched together.
+  absl::Duration watch_spacing = absl::Milliseconds(200);
+  /// Between the first reading and the first watch. When many machines start together, most of
+  /// them find out meanwhile that others watch for them.
+  absl::Duration first_watch_delay = absl::ZeroDuration();
+};
+
 class PrefixMirror {
  public:
   /// Told of each key that changed; the value is absent when the key was removed.
@@ -22,7 +31,8 @@
   using ContactHandler = std::function<void(bool reachable, StoreStatus status)>;
 
   PrefixMirror(async_http::asio::io_context& context, MetadataStore& store, std::string prefix,
-               ChangeHandler on_change, ContactHandler on_contact);
+               ChangeHandler on_change, ContactHandler on_contact,
+               const MirrorOptions& options = {});
 
   /// Starts following; runs until the loop ends.
   void Start();
@@ -34,6 +44,9 @@
   bool reachable() const { return reachable_; }
   /// A mirror that doesn't watch lives by what its peers tell; a watch under way goes on.
   void SetWatching(bool watching) { watching_ = watching; }
+  /// A paused mirror asks nothing of the store, even if it never read anything; a call under way
+  /// goes on.
+  void SetPaused(bool paused);
   /// @return the revision of the last change known.
   Revision last_change() const { return last_change_; }
   /// @return what changed after `last_change`, for a peer's mirror of the same prefix.
@@ -46,6 +59,7 @@
   async_http::Task<bool> ReadAll();
   async_http::Task<bool> WatchOnce();
   void Take(const StoreChange& change);
+  void PruneRemovals();
   void NoteContact(bool reachable, StoreStatus status);
   void NoteChange(Revision revision) { last_change_ = std::max(last_change_, revision); }
 
@@ -59,8 +73,12 @@
   Revision removals_since_ = 0;               // Earlier removals are not known.
   Revision last_change_ = 0;
   Revision revision_ = 0;
+  MirrorOptions options_;
+  async_http::Signal resumed_;
   bool watching_ = true;
+  bool paused_ = false;
   bool complete_ = false;
+  bool asked_ = false;  ///< Once, with an answer or none.
   bool reachable_ = false;
   absl::Time confirmed_ = absl::InfinitePast();
   absl::Duration backoff_;
--- a/src/store/relay/peer_news.cc
+++ b/src/store/relay/peer_news.cc
@@ -24,11 +24,18 @@
     return now - peer.m_at < m_options.m_peer_lifetime;
 }
 
-bool peer_news::should_watch(instant now) const
+bool peer_news::should_watch(instant now)
 {
-    if (!peer_in_contact(now))
+    std::size_t watchers = m_options.m_watchers;
+    if (peer_in_contact(now))
     {
-        return true;
+        m_out_of_contact_since.reset();
+    }
+    else
+    {
+        m_out_of_contact_since = m_out_of_contact_since.value_or(now);
+        auto waited = now - *m_out_of_contact_since;
+        watchers *= 1 + static_cast<std::size_t>(waited / m_options.m_widening);
     }
     auto ranked_before = [&](const auto& entry)
     {
@@ -38,7 +45,7 @@
                peer_rank < std::make_pair(StableHash(m_self), m_self);
     };
     auto before = static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), ranked_before));
-    return before < m_options.m_watchers;
+    return before < watchers;
 }
 
 bool peer_news::peer_in_contact(instant now) const
@@ -50,6 +57,16 @@
                        });
 }
 
+std::size_t peer_news::peers_without_ledger(instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(),
+                                                  [&](const auto& entry)
+                                                  {
+                                                      return entry.second.m_digest.m_ledger_silent &&
+                                                             is_live(now, entry.second);
+                                                  }));
+}
+
 std::optional<news_question> peer_news::next_question(instant now, std::size_t mirror, std::uint64_t own,
                                                       bool watching)
 {
--- a/src/store/relay/peer_news.h
+++ b/src/store/relay/peer_news.h
@@ -36,11 +36,13 @@
     known_changes m_changes{};
     /// it watches the store, and the store answered last
     bool m_in_contact = false;
+    /// most groups of the ledger don't answer it
+    bool m_ledger_silent = false;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_zone, m_endpoint, m_changes, m_in_contact);
+        archive(m_zone, m_endpoint, m_changes, m_in_contact, m_ledger_silent);
     }
 };
 
@@ -49,6 +51,9 @@
 {
     /// gateways of a zone that watch the store
     std::size_t m_watchers = 3;
+    /// while no peer is in contact with the store, as many more watch after each such time: those that
+    /// watch may be the ones that it turns away
+    std::chrono::milliseconds m_widening{800};
     /// a peer silent for this long counts as gone
     std::chrono::milliseconds m_peer_lifetime{1600};
     /// a watching gateway that is behind waits this long for its own watch
@@ -74,13 +79,16 @@
     /// @param[in] peer  its name
     void take(instant now, const std::string& peer, const news_digest& digest);
 
-    /// @return whether this gateway should watch the store itself: it is one of its zone's first, or no
-    ///         peer that is in contact with the store was heard of lately
-    bool should_watch(instant now) const;
+    /// @return whether this gateway should watch the store itself: it is one of its zone's first, and
+    ///         the longer no peer that is in contact with the store was heard of, the more do
+    bool should_watch(instant now);
 
     /// @return whether some peer in contact with the store was heard of lately
     bool peer_in_contact(instant now) const;
 
+    /// @return how many peers said lately that the ledger is silent for them
+    std::size_t peers_without_ledger(instant now) const;
+
     /// @param[in] own       the last changes that this gateway knows
     /// @param[in] watching  whether it watches the store itself
     /// @return the question that is due for a mirror, if any
@@ -108,6 +116,8 @@
     std::string m_zone;
     peer_news_options m_options;
     std::map<std::string, heard_peer> m_peers;
+    /// since when no peer in contact with the store was heard of
+    std::optional<instant> m_out_of_contact_since;
     std::array<lag, mirror_count> m_lags;
 };
 
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -26,6 +26,9 @@
   for (std::size_t index = 0; index < groups.size(); ++index) {
     groups_[index].machines = std::move(groups[index]);
     groups_[index].next = 0;
+    if (groups_[index].last_answer == absl::InfinitePast()) {
+      groups_[index].last_answer = SteadyNow();
+    }
   }
 }
 
@@ -71,14 +74,15 @@
 }
 
 Task<CallResult> LedgerClient::Call(GroupId group_id, Operation operation, absl::Time deadline) {
-  bool settlement = std::holds_alternative<SettleTurn>(operation);
+  bool counted =
+      !std::holds_alternative<SettleTurn>(operation) && !std::holds_alternative<Probe>(operation);
   // Named, since GCC 12 destroys a braced temporary among a co_await's arguments twice.
   LedgerRequest request;
   request.request = ++last_request_;
   request.operation = std::move(operation);
   request.group = group_id;
   Group* group = Find(group_id);
-  if (settlement || group == nullptr) {
+  if (!counted || group == nullptr) {
     co_return co_await Try(std::move(request), deadline);
   }
   if (IsBuried(*group)) {
@@ -141,12 +145,14 @@
     if (reply.status == ReplyStatus::kDone) {
       group->leader = target;
       group->last_sign = SteadyNow();
+      group->last_answer = group->last_sign;
       result = {CallEnd::kDone, std::move(waiting.reply->result)};
       break;
     }
     may_be_committed = may_be_committed || reply.status == ReplyStatus::kUncertain;
     if (reply.status == ReplyStatus::kOverloaded) {
       group->leader = target;
+      group->last_answer = SteadyNow();
       if (!settlement && !may_be_committed) {
         result.end = CallEnd::kOverloaded;
         break;
@@ -170,6 +176,32 @@
   co_return result;
 }
 
+void LedgerClient::ProbeQuietGroups(absl::Duration quiet) {
+  for (std::size_t index = 0; index < groups_.size(); ++index) {
+    Group& group = groups_[index];
+    if (!group.probing && group.last_answer + quiet < SteadyNow()) {
+      group.probing = true;
+      async_http::asio::co_spawn(context_, ProbeGroup(group_at(index)), async_http::asio::detached);
+    }
+  }
+}
+
+Task<void> LedgerClient::ProbeGroup(GroupId group_id) {
+  // Named, since GCC 12 destroys a braced temporary among a co_await's arguments twice.
+  Operation probe = Probe{};
+  co_await Call(group_id, std::move(probe), SteadyNow() + options_.probe_patience);
+  if (Group* group = Find(group_id)) {
+    group->probing = false;
+  }
+}
+
+std::size_t LedgerClient::SilentGroups(absl::Duration limit) const {
+  absl::Time now = SteadyNow();
+  return static_cast<std::size_t>(
+      std::count_if(groups_.begin(), groups_.end(),
+                    [&](const Group& group) { return group.last_answer + limit < now; }));
+}
+
 void LedgerClient::OnReply(const LedgerReply& reply) {
   auto found = waiting_.find(reply.request);
   if (found == waiting_.end()) {
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -22,6 +22,7 @@
   /// this gateway: the rest are refused at once. A ledger that recovers isn't buried by those that
   /// wait for it.
   absl::Duration silent_after = absl::Milliseconds(400);
+  absl::Duration probe_patience = absl::Milliseconds(300);
   std::size_t most_waiting = 12;
 };
 
@@ -62,6 +63,10 @@
   /// Nothing listens at `replica` any more.
   void OnDead(const wire::Endpoint& replica);
   std::size_t pending() const { return waiting_.size(); }
+  /// Asks each group that answered nothing for `quiet` whether it is there.
+  void ProbeQuietGroups(absl::Duration quiet);
+  /// @return how many groups answered nothing for `limit`.
+  std::size_t SilentGroups(absl::Duration limit) const;
   bool has_replicas() const { return !groups_.empty() && !groups_.front().machines.empty(); }
   /// Tries beyond the first, over all calls.
   std::uint64_t retries() const { return retries_; }
@@ -82,10 +87,14 @@
     std::size_t waiting = 0;  ///< Reservations under way.
     /// When a reservation was last answered, or began to wait with no other waiting.
     absl::Time last_sign = absl::InfinitePast();
+    /// When its leader last answered anything, or the group became known.
+    absl::Time last_answer = absl::InfinitePast();
+    bool probing = false;
   };
 
   Group* Find(GroupId group);
   bool IsBuried(const Group& group) const;
+  async_http::Task<void> ProbeGroup(GroupId group);
   /// Tries until the call has ended; `Call` counts those that wait.
   async_http::Task<CallResult> Try(LedgerRequest request, absl::Time deadline);
   static std::optional<wire::Endpoint> NextTarget(Group& group,
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -107,6 +107,10 @@
     Answer(requester, ReplyStatus::kNotLeader);
     return;
   }
+  if (std::holds_alternative<Probe>(request.operation)) {
+    Answer(requester, raft_.LeaderIsCurrent() ? ReplyStatus::kDone : ReplyStatus::kNotLeader);
+    return;
+  }
   if (under_way_.contains(requester)) {
     return;  // Asked again out of impatience: one entry in the log answers both.
   }
--- a/src/turn_ledger/turn_state.cc
+++ b/src/turn_ledger/turn_state.cc
@@ -29,7 +29,10 @@
   if (const auto* find = std::get_if<FindTurn>(&command.operation)) {
     return Find(*find, with_history);
   }
-  return Settle(std::get<SettleTurn>(command.operation), place);
+  if (const auto* settle = std::get_if<SettleTurn>(&command.operation)) {
+    return Settle(*settle, place);
+  }
+  return {};
 }
 
 OperationResult TurnState::Find(const FindTurn& find, bool with_history) {
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -75,7 +75,13 @@
   }
 };
 
-using Operation = std::variant<ReserveTurn, SettleTurn, FindTurn>;
+/// Asks whether the group's leader can be reached and leads. Never in the log.
+struct Probe {
+  template <class Archive>
+  void serialize(Archive& /*archive*/) {}
+};
+
+using Operation = std::variant<ReserveTurn, SettleTurn, FindTurn, Probe>;
 
 /// One entry of the replicated log.
 struct Command {
--- a/tests/turn_ledger/ledger_client_test.cc
+++ b/tests/turn_ledger/ledger_client_test.cc
@@ -98,6 +98,30 @@
   EXPECT_TRUE(RunUntil(loop_, [&] { return sent_.size() > before; })) << "the group speaks again";
 }
 
+TEST_F(LedgerClientTest, QuietGroupIsProbedAndCountsAsSilentOnlyWhileItDoesNotAnswer) {
+  EXPECT_EQ(client_.SilentGroups(absl::Milliseconds(450)), 0U) << "it was only just heard of";
+  auto silent = [&] { return client_.SilentGroups(absl::Milliseconds(450)) == 1; };
+  ASSERT_TRUE(RunUntil(loop_, [&] {
+    client_.ProbeQuietGroups(absl::Milliseconds(250));
+    return silent();
+  }));
+  ASSERT_FALSE(sent_.empty());
+  EXPECT_TRUE(std::holds_alternative<Probe>(sent_.back().second.operation));
+  std::size_t probes = sent_.size();
+  client_.ProbeQuietGroups(absl::Milliseconds(250));
+  loop_.RunRound(absl::Milliseconds(1));
+  EXPECT_LE(sent_.size(), probes + 1) << "one probe at a time";
+  ASSERT_TRUE(RunUntil(loop_, [&] {
+    client_.ProbeQuietGroups(absl::Milliseconds(250));
+    Answer(sent_.back().second, ReplyStatus::kDone);
+    return !silent();
+  }));
+  auto end = Start(ReserveTurn{}, absl::Seconds(5));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() > probes + 1; }));
+  Answer(sent_.back().second, ReplyStatus::kDone);
+  EXPECT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
+}
+
 TEST_F(LedgerClientTest, OverloadedLeaderEndsAReservationAtOnceButNotASettlement) {
   auto reservation = Start(ReserveTurn{}, absl::Seconds(10));
   ASSERT_TRUE(RunUntil(loop_, [&] { return !sent_.empty(); }));
--- a/tests/turn_ledger/turn_replica_test.cc
+++ b/tests/turn_ledger/turn_replica_test.cc
@@ -150,6 +150,15 @@
   EXPECT_EQ(reply.m_text, std::string(kTurnBytes, 'x'));
 }
 
+TEST_F(TurnReplicaTest, ProbeIsAnsweredAtOnceAndLeavesNoEntry) {
+  consensus::LogIndex before = replica_->raft().last_index();
+  replica_->OnRequest(now_, kGateway, {1, Probe{}});
+  std::vector<ReplyTo> replies = replica_->TakeReplies();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].reply.status, ReplyStatus::kDone);
+  EXPECT_EQ(replica_->raft().last_index(), before);
+}
+
 TEST_F(TurnReplicaTest, ReservationsAreRefusedWhileTheLogLagsAndSettlementsAreNot) {
   // A disk that stalls: what is proposed is not stored.
   auto ask = [&](std::uint64_t request, const Operation& operation) {
