Runner's choice: shares of lost requests, put together over all gateways

Each of 56 gateways had to lose two requests at each runner, again after each avoidance. Hypothesis: the observations of all gateways, fading with a half-life of 3 s, find such runners in tens of milliseconds, and those that lose a few in a hundred within seconds; weighed by what a loss costs (a repeatable request little, a call that fails its program much) they are left to requests that can bear it. Change: RunnerTable keeps an estimate a runner; load reports carry outcomes; ChooseRunner adds rate x cost of a loss.

--- a/src/discovery/runner_table.cc
+++ b/src/discovery/runner_table.cc
@@ -58,6 +58,14 @@
   state->avoid_until = now + std::min(avoidance, options_.longest_avoidance);
 }
 
+void RunnerTable::NoteOutcome(const RunnerId& id, const request_outcomes& outcome) {
+  if (RunnerState* state = Find(id)) {
+    state->losses.note(std::chrono::steady_clock::now(), outcome);
+    state->unreported.m_served += outcome.m_served;
+    state->unreported.m_lost += outcome.m_lost;
+  }
+}
+
 void RunnerTable::Prune(absl::Time now, absl::Duration keep) {
   for (auto entry = runners_.begin(); entry != runners_.end();) {
     const RunnerState& state = entry->second;
--- a/src/discovery/runner_table.h
+++ b/src/discovery/runner_table.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "discovery/health/failure_estimate.h"
 #include "discovery/runner.h"
 
 namespace martenyard::discovery {
@@ -29,6 +30,8 @@
   std::uint32_t own_active = 0;                 ///< Requests of this gateway at it now.
   std::uint32_t peers_active = 0;               ///< Requests of other gateways, as last reported.
   int failures_in_a_row = 0;
+  failure_estimate losses;       ///< Of requests, as seen by this gateway and by its peers.
+  request_outcomes unreported;   ///< Seen by this gateway, not told to its peers yet.
   absl::Time avoid_until = absl::InfinitePast();
   absl::Time full_until = absl::InfinitePast();
 
@@ -53,6 +56,8 @@
   /// The entry was removed: the runner leaves, or the list lost it.
   void Remove(absl::Time now, const RunnerId& id);
   void Note(absl::Time now, const RunnerId& id, RunnerSignal signal);
+  /// What became of a request of this gateway, for the runner's share of lost ones.
+  void NoteOutcome(const RunnerId& id, const request_outcomes& outcome);
   /// Drops runners that left `keep` ago and have nothing of ours.
   void Prune(absl::Time now, absl::Duration keep);
 
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -281,6 +281,7 @@
 
 std::vector<Candidate> RequestRun::Candidates() {
   absl::Time now = SteadyNow();
+  auto steady_now = std::chrono::steady_clock::now();
   std::vector<Candidate> candidates;
   std::uint64_t share = ConnectionShare(service_name_);
   for (discovery::RunnerState* runner : state_->runners.OfService(service_name_)) {
@@ -294,6 +295,7 @@
     candidate.slots = runner->runner.slots;
     candidate.active = runner->Active();
     candidate.kept_tokens = state_->prefixes.KeptTokens(now, info_.prompt, runner->short_id);
+    candidate.loss_rate = runner->losses.rate(steady_now);
     candidate.leaving = leaving;
     candidate.avoided = runner->avoid_until > now || runner->full_until > now;
     candidate.tried = tried_.contains(candidate.id);
@@ -304,10 +306,19 @@
   return candidates;
 }
 
+double RequestRun::LossCost() const {
+  const ChoiceOptions& options = state_->options.choice;
+  if (route_->Repeatable()) {
+    return options.repeatable_loss_ms;
+  }
+  return route_->kind == RouteKind::kStream ? options.turn_loss_ms : options.call_loss_ms;
+}
+
 std::optional<discovery::Runner> RequestRun::Choose() {
   std::vector<Candidate> candidates = Candidates();
   ChoiceRequest request;
   request.prompt_tokens = info_.prompt_tokens;
+  request.loss_ms = LossCost();
   request.home_key = info_.prompt.empty() ? 0 : info_.prompt.front().id;
   if (request.home_key == 0 && route_->sticky && !info_.affinity.empty()) {
     request.home_key = StableHash(info_.affinity);
@@ -339,6 +350,7 @@
           .Number("active", chosen.active)
           .Number("kept_tokens", chosen.kept_tokens)
           .Number("prompt_tokens", info_.prompt_tokens)
+          .Real("loss_rate", chosen.loss_rate)
           .Real("cost_ms", choice->cost_ms));
   return runner->runner;
 }
@@ -457,6 +469,7 @@
     case AttemptEnd::kClientGone:
       break;
   }
+  NoteOutcome(runner, result);
   state_->metrics.CountAttempt(NameOf(result.end));
   state_->log.Write(Line("attempt_ended")
                         .Text("request", info_.id.value)
@@ -469,6 +482,26 @@
                         .Real("ms", absl::ToDoubleMilliseconds(now - began)));
 }
 
+void RequestRun::NoteOutcome(const discovery::Runner& runner, const AttemptResult& result) {
+  bool streams = route_->kind == RouteKind::kStream;
+  discovery::request_outcomes outcome;
+  switch (result.end) {
+    case AttemptEnd::kAnswered: {
+      // A tool's own failure is its answer; a turn that its engine failed is lost.
+      bool failed = streams && !result.streamed && result.answer.head.result_int() >= 500;
+      (failed ? outcome.m_lost : outcome.m_served) = 1;
+      break;
+    }
+    case AttemptEnd::kNoAnswer:
+    case AttemptEnd::kBrokeOff:
+      outcome.m_lost = 1;
+      break;
+    default:
+      return;
+  }
+  state_->runners.NoteOutcome(runner.id, outcome);
+}
+
 Task<void> RequestRun::TryRunners() {
   while (true) {
     if (exchange_->client_gone()) {
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -41,10 +41,14 @@
   async_http::Task<void> TryRunners();
   std::optional<discovery::Runner> Choose();
   std::vector<Candidate> Candidates();
+  /// @return what it costs, in milliseconds, if a runner loses this request.
+  double LossCost() const;
   AttemptPlan MakePlan(const discovery::Runner& runner);
   std::string RequestHead(const discovery::Runner& runner) const;
   async_http::Task<AttemptResult> RunOnce(const discovery::Runner& runner);
   void NoteResult(const discovery::Runner& runner, const AttemptResult& result, absl::Time began);
+  /// Notes whether the runner lost the request.
+  void NoteOutcome(const discovery::Runner& runner, const AttemptResult& result);
   RequestSituation Situation() const;
   async_http::Task<void> PassOn(AttemptResult& result);
   async_http::Task<void> FinishStream();
--- a/src/forwarding/runner_choice.cc
+++ b/src/forwarding/runner_choice.cc
@@ -26,6 +26,7 @@
                                        static_cast<double>(candidate.kept_tokens));
     cost += missing / options.tokens_per_ms;
   }
+  cost += candidate.loss_rate * request.loss_ms;
   cost += candidate.same_zone ? 0.0 : options.other_zone_ms;
   cost += request.home_key == 0 ? 0.0 : (1.0 - Draw(candidate, request.home_key)) * options.home_ms;
   return cost;
--- a/src/forwarding/runner_choice.h
+++ b/src/forwarding/runner_choice.h
@@ -21,6 +21,7 @@
   std::uint32_t slots = 1;
   std::uint32_t active = 0;       ///< Requests at it now, of all gateways as far as known.
   std::uint32_t kept_tokens = 0;  ///< Of the request's prompt.
+  double loss_rate = 0;           ///< The share of requests that it is expected to lose.
   bool leaving = false;
   bool avoided = false;        ///< Failed lately, or was just full.
   bool tried = false;          ///< By this very request.
@@ -34,6 +35,9 @@
   double plain_wait_ms = 6;     ///< The same at a plain service.
   double plain_active_cost_ms = 0.8;
   double other_zone_ms = 2.5;  ///< There and back.
+  double repeatable_loss_ms = 150;  ///< Lost: sent again by this gateway.
+  double turn_loss_ms = 800;        ///< Lost: the client sends the turn anew, twice at most.
+  double call_loss_ms = 4000;       ///< Lost: the program has failed.
   double home_ms = 6;          ///< How much a piece's home runner is preferred while no
                                ///< runner is known to keep the piece.
 };
@@ -42,6 +46,9 @@
 struct ChoiceRequest {
   std::uint32_t prompt_tokens = 0;  ///< 0 for plain services.
   std::uint64_t home_key = 0;       ///< Requests with equal keys should meet; 0: none.
+  /// What losing it costs its program: little where it may be sent again at once, the whole program
+  /// where it may not.
+  double loss_ms = 0;
 };
 
 struct Choice {
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -395,6 +395,7 @@
   }
   next_report_ = now + kQuietReportInterval;
   reported_ = report.loads;
+  MarkReported(report.loads, state_->runners);
   reported_changes_ = report.news.m_changes;
   reported_silence_ = report.news.m_ledger_silent;
   report.placements = std::exchange(placements_, {});
--- a/src/roles/load_report.cc
+++ b/src/roles/load_report.cc
@@ -1,12 +1,28 @@
 #include "roles/load_report.h"
 
+#include <algorithm>
+
 namespace martenyard::roles {
 
+namespace {
+
+std::uint8_t AtMostAByte(std::uint32_t count) {
+  return static_cast<std::uint8_t>(std::min<std::uint32_t>(count, UINT8_MAX));
+}
+
+}  // namespace
+
 void PeerLoads::Take(absl::Time now, const LoadReport& report, discovery::RunnerTable& runners) {
   Heard& heard = heard_[report.gateway];
   Add(heard.loads, -1, runners);
   heard = {now, report.loads};
   Add(heard.loads, 1, runners);
+  for (const RunnerLoad& load : heard.loads) {
+    discovery::RunnerState* runner = runners.FindShort(load.runner);
+    if (runner != nullptr && (load.served > 0 || load.lost > 0)) {
+      runner->losses.note(std::chrono::steady_clock::now(), {load.served, load.lost});
+    }
+  }
 }
 
 void PeerLoads::Add(const std::vector<RunnerLoad>& loads, int sign,
@@ -39,11 +55,22 @@
 std::vector<RunnerLoad> OwnLoads(discovery::RunnerTable& runners) {
   std::vector<RunnerLoad> loads;
   for (const auto& [id, state] : runners.all()) {
-    if (state.own_active > 0) {
-      loads.push_back({state.short_id, static_cast<std::uint16_t>(state.own_active)});
+    const discovery::request_outcomes& outcomes = state.unreported;
+    if (state.own_active > 0 || outcomes.m_served > 0 || outcomes.m_lost > 0) {
+      loads.push_back({state.short_id, static_cast<std::uint16_t>(state.own_active),
+                       AtMostAByte(outcomes.m_served), AtMostAByte(outcomes.m_lost)});
     }
   }
   return loads;
 }
 
+void MarkReported(const std::vector<RunnerLoad>& loads, discovery::RunnerTable& runners) {
+  for (const RunnerLoad& load : loads) {
+    if (discovery::RunnerState* runner = runners.FindShort(load.runner)) {
+      runner->unreported.m_served -= load.served;
+      runner->unreported.m_lost -= load.lost;
+    }
+  }
+}
+
 }  // namespace martenyard::roles
--- a/src/roles/load_report.h
+++ b/src/roles/load_report.h
@@ -18,11 +18,13 @@
 struct RunnerLoad {
   std::uint32_t runner = 0;  ///< Short id.
   std::uint16_t active = 0;  ///< The sender's requests at it.
+  std::uint8_t served = 0;   ///< Since its last report; small numbers, the rest comes with the next.
+  std::uint8_t lost = 0;
   friend bool operator==(const RunnerLoad&, const RunnerLoad&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(runner, active);
+    archive(runner, active, served, lost);
   }
 };
 
@@ -77,7 +79,9 @@
   absl::flat_hash_map<std::uint32_t, std::int64_t> totals_;  // By short id, over `heard_`.
 };
 
-/// @return this gateway's own loads.
+/// @return this gateway's own loads, with what it has not told yet of its requests' outcomes.
 std::vector<RunnerLoad> OwnLoads(discovery::RunnerTable& runners);
+/// The loads were sent: their outcomes are told.
+void MarkReported(const std::vector<RunnerLoad>& loads, discovery::RunnerTable& runners);
 
 }  // namespace martenyard::roles
