The ledger tells where a turn ran; kept pieces are counted by their length; gateways register at once

What binds: lines of turns enter through other gateways and zones; which runner keeps a line's memory was told by datagrams to all gateways (each 100 ms at most, all of them holding all placements), and lost with a restart. A session's piece keeps its name while it grows, and counted as kept whole. At the first start 55 of 56 gateways began three watches each, since they registered a second late and so did not know of each other. Change: a kept turn carries the runner's short id and the tokens read and made; a reservation that goes on from it brings them. The datagrams carry only placements of turns that aren't kept. The index of kept pieces knows how much of a piece a runner read. Gateways register before they read; the directory's first watch comes 0.5 s, the others' 0.9 s after reading.

--- a/src/discovery/runner_table.h
+++ b/src/discovery/runner_table.h
@@ -30,8 +30,8 @@
   std::uint32_t own_active = 0;                 ///< Requests of this gateway at it now.
   std::uint32_t peers_active = 0;               ///< Requests of other gateways, as last reported.
   int failures_in_a_row = 0;
-  failure_estimate losses;       ///< Of requests, as seen by this gateway and by its peers.
-  request_outcomes unreported;   ///< Seen by this gateway, not told to its peers yet.
+  failure_estimate losses;      ///< Of requests, as seen by this gateway and by its peers.
+  request_outcomes unreported;  ///< Seen by this gateway, not told to its peers yet.
   absl::Time avoid_until = absl::InfinitePast();
   absl::Time full_until = absl::InfinitePast();
 
--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -61,7 +61,7 @@
   std::unique_ptr<turn_ledger::chain_reader> chains;
   std::uint32_t gateways = 1;  ///< That share the runners' connections.
   /// Told of each piece of a prompt that a runner is about to read, for the other gateways.
-  std::function<void(std::uint64_t part, std::uint32_t runner)> on_placement;
+  std::function<void(const PromptPart& part, std::uint32_t runner)> on_placement;
 };
 
 }  // namespace martenyard::forwarding
--- a/src/forwarding/prefix_index.cc
+++ b/src/forwarding/prefix_index.cc
@@ -4,24 +4,38 @@
 
 namespace martenyard::forwarding {
 
-void PrefixIndex::Note(absl::Time now, std::uint64_t part, std::uint32_t runner) {
+void PrefixIndex::Note(absl::Time now, const PromptPart& part, std::uint32_t runner) {
   if (holders_.size() >= capacity_) {
     Prune(now);
   }
-  std::vector<Holder>& holders = holders_[part];
+  std::vector<Holder>& holders = holders_[part.id];
   for (Holder& holder : holders) {
     if (holder.runner == runner) {
+      bool forgotten = holder.used + lifetime_ <= now;
+      holder.tokens = forgotten ? part.tokens : std::max(holder.tokens, part.tokens);
       holder.used = now;
       return;
     }
   }
-  holders.push_back({runner, now});
+  holders.push_back({runner, part.tokens, now});
 }
 
 void PrefixIndex::NoteAll(absl::Time now, const std::vector<PromptPart>& prompt,
                           std::uint32_t runner) {
   for (const PromptPart& part : prompt) {
-    Note(now, part.id, runner);
+    Note(now, part, runner);
+  }
+}
+
+void PrefixIndex::NoteBeginning(absl::Time now, const std::vector<PromptPart>& prompt,
+                                std::uint32_t tokens, std::uint32_t runner) {
+  for (const PromptPart& part : prompt) {
+    std::uint32_t read = std::min(part.tokens, tokens);
+    if (read == 0) {
+      return;
+    }
+    Note(now, {part.id, read}, runner);
+    tokens -= read;
   }
 }
 
@@ -33,13 +47,17 @@
     if (found == holders_.end()) {
       return tokens;
     }
-    bool kept = std::any_of(found->second.begin(), found->second.end(), [&](const Holder& holder) {
-      return holder.runner == runner && holder.used + lifetime_ > now;
-    });
-    if (!kept) {
+    auto holder =
+        std::find_if(found->second.begin(), found->second.end(), [&](const Holder& candidate) {
+          return candidate.runner == runner && candidate.used + lifetime_ > now;
+        });
+    if (holder == found->second.end()) {
       return tokens;
     }
-    tokens += part.tokens;
+    tokens += std::min(part.tokens, holder->tokens);
+    if (holder->tokens < part.tokens) {
+      return tokens;  // What follows was not read behind the whole piece.
+    }
   }
   return tokens;
 }
--- a/src/forwarding/prefix_index.h
+++ b/src/forwarding/prefix_index.h
@@ -18,9 +18,12 @@
   PrefixIndex(absl::Duration lifetime, std::size_t capacity)
       : lifetime_(lifetime), capacity_(capacity) {}
 
-  /// `runner` (a short id) read the piece.
-  void Note(absl::Time now, std::uint64_t part, std::uint32_t runner);
+  /// `runner` (a short id) read the piece, as long as it was then: a session's piece grows.
+  void Note(absl::Time now, const PromptPart& part, std::uint32_t runner);
   void NoteAll(absl::Time now, const std::vector<PromptPart>& prompt, std::uint32_t runner);
+  /// `runner` read the first `tokens` tokens of the prompt.
+  void NoteBeginning(absl::Time now, const std::vector<PromptPart>& prompt, std::uint32_t tokens,
+                     std::uint32_t runner);
   /// @return how many leading tokens of `prompt` the runner is believed to keep.
   std::uint32_t KeptTokens(absl::Time now, const std::vector<PromptPart>& prompt,
                            std::uint32_t runner) const;
@@ -29,6 +32,7 @@
  private:
   struct Holder {
     std::uint32_t runner = 0;
+    std::uint32_t tokens = 0;
     absl::Time used;
   };
 
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -208,6 +208,11 @@
       co_await Refuse("this try was given up before");
       co_return false;
   }
+  const turn_ledger::TurnPlace& place = result->previous_place;
+  if (place.runner != 0) {
+    state_->prefixes.NoteBeginning(SteadyNow(), info_.prompt, place.tokens, place.runner);
+    line.Number("previous_runner", place.runner);
+  }
   if (foreign_history_ != nullptr) {
     history_ = foreign_history_;
     line.Text("history", name_of(history_source::other_group));
@@ -419,11 +424,11 @@
   discovery::RunnerState* entry = state_->runners.Find(runner.id);
   ++entry->own_active;
   std::uint32_t short_id = entry->short_id;
-  for (const PromptPart& part : info_.prompt) {
-    state_->prefixes.Note(SteadyNow(), part.id, short_id);
-  }
-  if (!info_.prompt.empty() && state_->on_placement) {
-    state_->on_placement(info_.prompt.back().id, short_id);
+  last_runner_ = short_id;
+  state_->prefixes.NoteAll(SteadyNow(), info_.prompt, short_id);
+  // Of kept turns the ledger tells it, to whichever gateway gets the next one.
+  if (!info_.prompt.empty() && !route_->keeps_turns && state_->on_placement) {
+    state_->on_placement(info_.prompt.back(), short_id);
   }
   absl::Time began = SteadyNow();
   Attempt attempt(*state_, MakePlan(runner));
@@ -628,6 +633,8 @@
   }
   completed.input = body_->substr(known);
   completed.output = events_.data();
+  auto made = static_cast<std::uint32_t>(TokensDelivered());
+  completed.place = {last_runner_, info_.prompt_tokens + made};
   settle.completed = std::move(completed);
   settled_ = true;
   absl::Time began = SteadyNow();
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -87,6 +87,7 @@
   std::optional<async_http::HttpHead> stream_head_;
   std::string last_detail_;
   Choice last_choice_;
+  std::uint32_t last_runner_ = 0;  // Its short id.
 };
 
 }  // namespace martenyard::forwarding
--- a/src/forwarding/runner_choice.h
+++ b/src/forwarding/runner_choice.h
@@ -34,12 +34,12 @@
   double engine_wait_ms = 22;   ///< Each request waiting before this one, at an engine.
   double plain_wait_ms = 6;     ///< The same at a plain service.
   double plain_active_cost_ms = 0.8;
-  double other_zone_ms = 2.5;  ///< There and back.
+  double other_zone_ms = 2.5;       ///< There and back.
   double repeatable_loss_ms = 150;  ///< Lost: sent again by this gateway.
   double turn_loss_ms = 800;        ///< Lost: the client sends the turn anew, twice at most.
   double call_loss_ms = 4000;       ///< Lost: the program has failed.
-  double home_ms = 6;          ///< How much a piece's home runner is preferred while no
-                               ///< runner is known to keep the piece.
+  double home_ms = 6;               ///< How much a piece's home runner is preferred while no
+                                    ///< runner is known to keep the piece.
 };
 
 /// What about the request matters.
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -39,9 +39,14 @@
 /// knowledge before it: the watch's spacing, a peer's news and the way to the runner.
 constexpr absl::Duration kNoticeLag = absl::Milliseconds(800);
 
-store::MirrorOptions MakeMirrorOptions() {
+/// When all start together, the first watch of the directory tells of the others; once their
+/// reports have come, a few of them watch the rest for all.
+constexpr absl::Duration kDirectoryWatchDelay = absl::Milliseconds(500);
+constexpr absl::Duration kOtherWatchDelay = absl::Milliseconds(900);
+
+store::MirrorOptions WatchLater(absl::Duration delay) {
   store::MirrorOptions options;
-  options.first_watch_delay = absl::Milliseconds(500);
+  options.first_watch_delay = delay;
   return options;
 }
 
@@ -88,21 +93,21 @@
             directory_.SetPaused(!reachable);
             OnContact("configuration", reachable, status);
           },
-          MakeMirrorOptions()),
+          WatchLater(kOtherWatchDelay)),
       runners_(
           loop.context(), store, formats.RunnersPrefix(),
           [this](const store::StoreChange& change) { OnRunnerChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("runners", reachable, status);
           },
-          MakeMirrorOptions()),
+          WatchLater(kOtherWatchDelay)),
       directory_(
           loop.context(), store, kDirectoryPrefix,
           [this](const store::StoreChange& change) { OnDirectoryChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("directory", reachable, status);
           },
-          MakeMirrorOptions()),
+          WatchLater(kDirectoryWatchDelay)),
       peer_loads_(kPeerLifetime),
       ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }),
       mirrors_{&configuration_, &runners_, &directory_},
@@ -120,9 +125,9 @@
         transport_.SendFrame(to, wire::Encode(turn_ledger::Envelope{Self(), request}));
       },
       ZoneName(settings.zone), state_->random.NextId() >> 16U);
-  state_->on_placement = [this](std::uint64_t part, std::uint32_t runner) {
+  state_->on_placement = [this](const forwarding::PromptPart& part, std::uint32_t runner) {
     if (placements_.size() < kMostPlacements) {
-      placements_.push_back({part, runner});
+      placements_.push_back({part.id, part.tokens, runner});
     }
   };
 }
@@ -267,6 +272,12 @@
 Task<void> GatewayRole::Register() {
   std::string key = absl::StrCat(kGatewayMachines, settings_.node);
   std::string wanted = wire::Encode(Self());
+  // At the system's first start all machines must hear of each other soon: this one doesn't read
+  // first whether it is known already.
+  store::Transaction first;
+  first.conditions.push_back({key, 0});
+  first.puts.push_back({key, wanted, 0});
+  co_await store_.Commit(std::move(first));
   while (!stopping_) {
     auto present = directory_.items().find(key);
     bool known = present != directory_.items().end();
@@ -318,7 +329,7 @@
   absl::Time now = SteadyNow();
   peer_loads_.Take(now, report, state_->runners);
   for (const Placement& placement : report.placements) {
-    state_->prefixes.Note(now, placement.part, placement.runner);
+    state_->prefixes.Note(now, {placement.part, placement.tokens}, placement.runner);
   }
   peer_news_.take(std::chrono::steady_clock::now(), report.gateway, report.news);
 }
--- a/src/roles/load_report.h
+++ b/src/roles/load_report.h
@@ -18,7 +18,7 @@
 struct RunnerLoad {
   std::uint32_t runner = 0;  ///< Short id.
   std::uint16_t active = 0;  ///< The sender's requests at it.
-  std::uint8_t served = 0;   ///< Since its last report; small numbers, the rest comes with the next.
+  std::uint8_t served = 0;  ///< Since its last report; small numbers, the rest comes with the next.
   std::uint8_t lost = 0;
   friend bool operator==(const RunnerLoad&, const RunnerLoad&) = default;
 
@@ -31,11 +31,12 @@
 /// The runner reads this piece of a prompt now.
 struct Placement {
   std::uint64_t part = 0;
+  std::uint32_t tokens = 0;
   std::uint32_t runner = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(part, runner);
+    archive(part, tokens, runner);
   }
 };
 
--- a/src/turn_ledger/image/state_image.h
+++ b/src/turn_ledger/image/state_image.h
@@ -48,12 +48,13 @@
     consensus::EntryId m_entry;
     /// of its texts
     std::uint32_t m_bytes = 0;
+    TurnPlace m_place;
     LedgerMillis m_expires = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_previous, m_entry, m_bytes, m_expires);
+        archive(m_previous, m_entry, m_bytes, m_place, m_expires);
     }
 };
 
--- a/src/turn_ledger/turn_state.cc
+++ b/src/turn_ledger/turn_state.cc
@@ -51,10 +51,12 @@
 OperationResult TurnState::Reserve(const ReserveTurn& reserve, bool with_history) {
   OperationResult result;
   if (reserve.previous) {
-    if (!turns_.contains(*reserve.previous)) {
+    auto previous = turns_.find(*reserve.previous);
+    if (previous == turns_.end()) {
       result.verdict = Verdict::kUnknownPrevious;
       return result;
     }
+    result.previous_place = previous->second.m_place;
     Prolong(reserve.previous, now_ + reserve.retention_ms + kRetentionMargin);
   }
   account& tokens = accounts_[reserve.program];
@@ -99,6 +101,7 @@
   kept_turn kept;
   kept.m_previous = settle.completed->previous;
   kept.m_entry = place;
+  kept.m_place = settle.completed->place;
   kept.m_bytes =
       static_cast<std::uint32_t>(settle.completed->input.size() + settle.completed->output.size());
   kept.m_expires = now_ + settle.retention_ms + kRetentionMargin;
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -37,15 +37,27 @@
   }
 };
 
+/// Where a turn ran, and so which runner most likely still keeps what it read and made.
+struct TurnPlace {
+  std::uint32_t runner = 0;  ///< Its short id; 0 when it isn't known.
+  std::uint32_t tokens = 0;  ///< Of the turn's prompt and answer.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(runner, tokens);
+  }
+};
+
 /// A turn whose answer ended whole, to be kept.
 struct CompletedTurn {
   std::optional<TurnId> previous;
   std::string input;   ///< What the turn added to its chain.
   std::string output;  ///< The data of its events, each followed by a line feed.
+  TurnPlace place;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(previous, input, output);
+    archive(previous, input, output, place);
   }
 };
 
@@ -108,10 +120,11 @@
   std::uint64_t reserved = 0;  ///< Of the program, not settled yet.
   /// The chain was asked for and can't be read here: the answer says nothing.
   bool history_missing = false;
+  TurnPlace previous_place;  ///< Of a reservation: where `previous` ran.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(verdict, history, spent, reserved, history_missing);
+    archive(verdict, history, spent, reserved, history_missing, previous_place);
   }
 };
 
--- a/tests/discovery/failure_estimate_test.cc
+++ b/tests/discovery/failure_estimate_test.cc
@@ -39,7 +39,8 @@
   auto steps = *rc::gen::inRange(1, 30);
   for (int step = 0; step < steps; ++step) {
     now += milliseconds(*rc::gen::inRange(0, 5000));
-    estimate.note(now, {*rc::gen::inRange<std::uint32_t>(0, 50), *rc::gen::inRange<std::uint32_t>(0, 50)});
+    estimate.note(
+        now, {*rc::gen::inRange<std::uint32_t>(0, 50), *rc::gen::inRange<std::uint32_t>(0, 50)});
     double rate = estimate.rate(now);
     RC_ASSERT(rate >= 0.0);
     RC_ASSERT(rate < 1.0);
--- a/tests/forwarding/forwarding_units_test.cc
+++ b/tests/forwarding/forwarding_units_test.cc
@@ -119,20 +119,40 @@
   PrefixIndex index(absl::Seconds(10), 100);
   absl::Time now = absl::FromUnixSeconds(100);
   std::vector<PromptPart> prompt = {{1, 100}, {2, 50}, {3, 7}};
-  index.Note(now, 1, 5);
-  index.Note(now, 3, 5);
+  index.Note(now, {1, 100}, 5);
+  index.Note(now, {3, 100}, 5);
   EXPECT_EQ(index.KeptTokens(now, prompt, 5), 100U) << "part 2 is missing: part 3 is of no use";
-  index.Note(now, 2, 5);
+  index.Note(now, {2, 100}, 5);
   EXPECT_EQ(index.KeptTokens(now, prompt, 5), 157U);
   EXPECT_EQ(index.KeptTokens(now, prompt, 6), 0U);
   EXPECT_EQ(index.KeptTokens(now + absl::Seconds(11), prompt, 5), 0U);
 }
 
+TEST(PrefixIndexTest, PieceThatHasGrownIsKeptAsFarAsItWasRead) {
+  PrefixIndex index(absl::Seconds(10), 100);
+  absl::Time now = absl::FromUnixSeconds(1000);
+  index.NoteAll(now, {{1, 2000}, {2, 700}}, 5);
+  EXPECT_EQ(index.KeptTokens(now, {{1, 2000}, {2, 1300}}, 5), 2700U);
+  EXPECT_EQ(index.KeptTokens(now, {{1, 2000}, {2, 500}}, 5), 2500U) << "no more than is asked for";
+  EXPECT_EQ(index.KeptTokens(now, {{1, 2000}, {2, 900}, {3, 100}}, 5), 2700U);
+}
+
+TEST(PrefixIndexTest, BeginningThatTheLedgerTellsOfIsSpreadOverThePieces) {
+  PrefixIndex index(absl::Seconds(10), 100);
+  absl::Time now = absl::FromUnixSeconds(1000);
+  std::vector<PromptPart> prompt = {{1, 2000}, {2, 450}, {3, 350}};
+  index.NoteBeginning(now, prompt, 2400, 5);
+  EXPECT_EQ(index.KeptTokens(now, prompt, 5), 2400U);
+  EXPECT_EQ(index.KeptTokens(now, prompt, 6), 0U);
+  index.NoteBeginning(now, prompt, 100, 5);
+  EXPECT_EQ(index.KeptTokens(now, prompt, 5), 2400U) << "an older turn takes nothing back";
+}
+
 TEST(PrefixIndexTest, StaysWithinItsCapacity) {
   PrefixIndex index(absl::Seconds(10), 64);
   absl::Time now = absl::FromUnixSeconds(100);
   for (std::uint64_t part = 0; part < 1000; ++part) {
-    index.Note(now, part, 1);
+    index.Note(now, {part, 10}, 1);
     ASSERT_LE(index.size(), 64U);
   }
 }
