Gateways that lose the ledger ask it through a peer; without one they refuse at once

Weighed: readiness alone (above); refusing at once (clients try the same zone again); relaying: the peers are reached, and all ledger calls may be repeated, so a peer can make the call. Change: while a group is silent (0.3 s) and a peer says that it reaches the ledger, the call goes through one of four such peers, near ones first; chains come with the verdict. Probes go straight and end it. With no such peer and the ledger lost, reservations are refused at once.

--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -59,6 +59,7 @@
   TurnCache turns{std::uint64_t{2} << 20};
   std::unique_ptr<turn_ledger::LedgerClient> ledger;
   std::unique_ptr<turn_ledger::chain_reader> chains;
+  bool relaying = false;  ///< The ledger is reached through peers only.
   std::uint32_t gateways = 1;  ///< That share the runners' connections.
   /// Told of each piece of a prompt that a runner is about to read, for the other gateways.
   std::function<void(const PromptPart& part, std::uint32_t runner)> on_placement;
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -162,7 +162,11 @@
   if (keeps && info_.previous_turn) {
     reserve.previous = turn_ledger::TurnId(info_.previous_turn->value);
     reserve.has_previous = true;
-    fetch.emplace(state_, info_.program, *info_.previous_turn);
+    if (state_->relaying && state_->turns.Find(*info_.previous_turn) == nullptr) {
+      reserve.has_previous = false;  // The replicas can't be read: the answer brings the chain.
+    } else {
+      fetch.emplace(state_, info_.program, *info_.previous_turn);
+    }
   }
   absl::Time began = SteadyNow();
   absl::Time patience =
@@ -217,6 +221,8 @@
     history_ = foreign_history_;
     line.Text("history", name_of(history_source::other_group));
     body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+  } else if (reserve.previous && !reserve.has_previous) {
+    TakeRelayedHistory(std::move(result->history), line);
   } else if (fetch && !co_await TakeHistory(*fetch, reserve, patience, line)) {
     co_return false;
   }
@@ -252,6 +258,14 @@
   co_return result;
 }
 
+void RequestRun::TakeRelayedHistory(std::string history, Line& line) {
+  history_ = std::make_shared<std::string>(std::move(history));
+  state_->turns.Put(info_.program, *info_.previous_turn, history_);
+  line.Text("history", name_of(history_source::leader));
+  line.Number("history_bytes", static_cast<std::int64_t>(history_->size()));
+  body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+}
+
 Task<bool> RequestRun::TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
                                    absl::Time patience, Line& line) {
   history_ = co_await fetch.wait();
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -38,6 +38,8 @@
   /// Puts the chain before the turn's own input. @return false when it answered.
   async_http::Task<bool> TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
                                      absl::Time patience, event_log::Line& line);
+  /// The same with a chain that came with the ledger's verdict.
+  void TakeRelayedHistory(std::string history, event_log::Line& line);
   async_http::Task<void> TryRunners();
   std::optional<discovery::Runner> Choose();
   std::vector<Candidate> Candidates();
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -26,6 +26,7 @@
 constexpr absl::Duration kKeepGoneRunners = absl::Seconds(10);
 /// A group of the ledger that answered nothing for this long is asked whether it is there.
 constexpr absl::Duration kProbeAfter = absl::Milliseconds(250);
+constexpr std::size_t kMostRelays = 4;
 constexpr absl::Duration kRegisterPause = absl::Seconds(1);
 constexpr std::size_t kMostPlacements = 400;
 /// A stopping gateway still gets new connections until its readiness was asked for twice.
@@ -310,9 +311,34 @@
     state_->chains->on_reply(std::move(*chain));
   } else if (const auto* news = std::get_if<store::news_reply>(&envelope->body)) {
     TakeNews(*news);
+  } else if (auto* request = std::get_if<turn_ledger::LedgerRequest>(&envelope->body)) {
+    async_http::asio::co_spawn(loop_.context(),
+                               RelayToLedger(envelope->from.endpoint, std::move(*request)),
+                               async_http::asio::detached);
   }
 }
 
+Task<void> GatewayRole::RelayToLedger(wire::Endpoint peer, turn_ledger::LedgerRequest request) {
+  bool settlement = std::holds_alternative<turn_ledger::SettleTurn>(request.operation);
+  absl::Duration patience =
+      settlement ? state_->options.commit_patience : state_->options.ledger_patience;
+  absl::Time deadline = SteadyNow() + patience;
+  turn_ledger::CallResult result =
+      co_await state_->ledger->Call(request.group, std::move(request.operation), deadline,
+                                    turn_ledger::Relaying::kDirectOnly);
+  if (result.end == turn_ledger::CallEnd::kNoAnswer) {
+    co_return;  // The peer asks somebody else.
+  }
+  turn_ledger::LedgerReply reply;
+  reply.request = request.request;
+  reply.status = result ? turn_ledger::ReplyStatus::kDone : turn_ledger::ReplyStatus::kOverloaded;
+  reply.result = std::move(result.result);
+  turn_ledger::Envelope envelope;
+  envelope.from = Self();
+  envelope.body = std::move(reply);
+  transport_.SendFrame(peer, wire::Encode(envelope));
+}
+
 void GatewayRole::OnDatagram(const std::string& payload) {
   auto datagram = wire::Decode<GatewayDatagram>(payload);
   if (!datagram) {
@@ -428,6 +454,12 @@
   view.m_peers = peers_.size();
   view.m_peers_without_ledger = peer_news_.peers_without_ledger(view.m_now);
   bool reaches = ledger_readiness_.judge(view);
+  std::vector<wire::Endpoint> relays;
+  if (ledger_readiness_.ledger_silent()) {
+    relays = peer_news_.peers_with_ledger(view.m_now, kMostRelays);
+  }
+  state_->relaying = !relays.empty();
+  state_->ledger->SetRelays(std::move(relays), !reaches);
   if (reaches == reaches_ledger_) {
     return;
   }
@@ -503,6 +535,7 @@
   metrics.Set("active_requests", static_cast<double>(frontend_.stats().active_exchanges));
   metrics.Set("log_lines_dropped", static_cast<double>(log_.stats().dropped_lines));
   metrics.Set("ledger_retries", static_cast<double>(state_->ledger->retries()));
+  metrics.Set("ledger_relayed", static_cast<double>(state_->ledger->relayed()));
   metrics.Set("store_calls", static_cast<double>(store_.calls()));
   metrics.Set("known_runners", static_cast<double>(state_->runners.all().size()));
   async_http::HttpHead head;
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -67,6 +67,8 @@
   /// Looks whether the ledger answers, and tells clients to go elsewhere if only this gateway lost
   /// it.
   void JudgeReadiness();
+  /// Makes a peer's call to the ledger in its place.
+  async_http::Task<void> RelayToLedger(wire::Endpoint peer, turn_ledger::LedgerRequest request);
   void CheckStop(absl::Time now);
   async_http::Task<void> AnswerReadiness(std::shared_ptr<async_http::Exchange> exchange);
   async_http::Task<void> AnswerMetrics(std::shared_ptr<async_http::Exchange> exchange);
--- a/src/store/relay/peer_news.cc
+++ b/src/store/relay/peer_news.cc
@@ -67,6 +67,36 @@
                                                   }));
 }
 
+std::vector<wire::Endpoint> peer_news::peers_with_ledger(instant now, std::size_t most) const
+{
+    struct ranked_peer
+    {
+        bool m_far = false;
+        std::uint64_t m_rank = 0;
+        wire::Endpoint m_endpoint;
+    };
+    std::vector<ranked_peer> ranked;
+    for (const auto& [name, peer] : m_peers)
+    {
+        if (is_live(now, peer) && !peer.m_digest.m_ledger_silent)
+        {
+            ranked.push_back({peer.m_digest.m_zone != m_zone, StableHash(m_self, StableHash(name)),
+                              peer.m_digest.m_endpoint});
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const ranked_peer& left, const ranked_peer& right)
+              {
+                  return std::make_pair(left.m_far, left.m_rank) < std::make_pair(right.m_far, right.m_rank);
+              });
+    std::vector<wire::Endpoint> chosen;
+    for (std::size_t index = 0; index < std::min(most, ranked.size()); ++index)
+    {
+        chosen.push_back(ranked[index].m_endpoint);
+    }
+    return chosen;
+}
+
 std::optional<news_question> peer_news::next_question(instant now, std::size_t mirror, std::uint64_t own,
                                                       bool watching)
 {
--- a/src/store/relay/peer_news.h
+++ b/src/store/relay/peer_news.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "wire/endpoint.h"
@@ -89,6 +90,9 @@
     /// @return how many peers said lately that the ledger is silent for them
     std::size_t peers_without_ledger(instant now) const;
 
+    /// @return up to `most` peers that reach the ledger, near ones first; other gateways choose others
+    std::vector<wire::Endpoint> peers_with_ledger(instant now, std::size_t most) const;
+
     /// @param[in] own       the last changes that this gateway knows
     /// @param[in] watching  whether it watches the store itself
     /// @return the question that is due for a mirror, if any
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -54,8 +54,27 @@
   }
 }
 
+void LedgerClient::SetRelays(std::vector<wire::Endpoint> relays, bool lost) {
+  relays_ = std::move(relays);
+  lost_ = lost;
+}
+
+bool LedgerClient::IsSilent(const Group& group, absl::Duration limit) const {
+  return group.last_answer + limit < SteadyNow();
+}
+
+bool LedgerClient::IsRelay(const wire::Endpoint& target) const {
+  return std::find(relays_.begin(), relays_.end(), target) != relays_.end();
+}
+
 std::optional<wire::Endpoint> LedgerClient::NextTarget(
-    Group& group, const std::optional<wire::Endpoint>& failed) {
+    Group& group, const std::optional<wire::Endpoint>& failed, Relaying relaying) {
+  bool relay = relaying == Relaying::kAllowed && !relays_.empty() &&
+               IsSilent(group, options_.relay_after);
+  if (relay) {
+    ++relayed_;
+    return relays_[next_relay_++ % relays_.size()];
+  }
   if (group.leader && group.leader != failed) {
     return group.leader;
   }
@@ -73,7 +92,8 @@
          group.last_sign + options_.silent_after < SteadyNow();
 }
 
-Task<CallResult> LedgerClient::Call(GroupId group_id, Operation operation, absl::Time deadline) {
+Task<CallResult> LedgerClient::Call(GroupId group_id, Operation operation, absl::Time deadline,
+                                    Relaying relaying) {
   bool counted =
       !std::holds_alternative<SettleTurn>(operation) && !std::holds_alternative<Probe>(operation);
   // Named, since GCC 12 destroys a braced temporary among a co_await's arguments twice.
@@ -83,9 +103,10 @@
   request.group = group_id;
   Group* group = Find(group_id);
   if (!counted || group == nullptr) {
-    co_return co_await Try(std::move(request), deadline);
+    co_return co_await Try(std::move(request), deadline, relaying);
   }
-  if (IsBuried(*group)) {
+  bool lost = lost_ && relays_.empty() && IsSilent(*group, options_.silent_after);
+  if (lost || IsBuried(*group)) {
     CallResult refused;
     refused.end = CallEnd::kOverloaded;
     co_return refused;
@@ -94,14 +115,15 @@
     group->last_sign = SteadyNow();  // A quiet time is no silence.
   }
   ++group->waiting;
-  CallResult result = co_await Try(std::move(request), deadline);
+  CallResult result = co_await Try(std::move(request), deadline, relaying);
   if (Group* after = Find(group_id)) {
     --after->waiting;
   }
   co_return result;
 }
 
-Task<CallResult> LedgerClient::Try(LedgerRequest request, absl::Time deadline) {
+Task<CallResult> LedgerClient::Try(LedgerRequest request, absl::Time deadline,
+                                   Relaying relaying) {
   bool settlement = std::holds_alternative<SettleTurn>(request.operation);
   GroupId group_id = request.group;
   absl::Duration longest_try = settlement ? options_.longest_settle_try : options_.longest_try;
@@ -121,7 +143,7 @@
     Group* group = Find(group_id);
     std::optional<wire::Endpoint> target;
     if (group != nullptr) {
-      target = NextTarget(*group, failed);
+      target = NextTarget(*group, failed, relaying);
     }
     failed.reset();
     if (!target) {
@@ -142,17 +164,22 @@
     if (group == nullptr) {
       continue;
     }
+    bool through_peer = IsRelay(*target);
     if (reply.status == ReplyStatus::kDone) {
-      group->leader = target;
       group->last_sign = SteadyNow();
-      group->last_answer = group->last_sign;
+      if (!through_peer) {
+        group->leader = target;
+        group->last_answer = group->last_sign;
+      }
       result = {CallEnd::kDone, std::move(waiting.reply->result)};
       break;
     }
     may_be_committed = may_be_committed || reply.status == ReplyStatus::kUncertain;
     if (reply.status == ReplyStatus::kOverloaded) {
-      group->leader = target;
-      group->last_answer = SteadyNow();
+      if (!through_peer) {
+        group->leader = target;
+        group->last_answer = SteadyNow();
+      }
       if (!settlement && !may_be_committed) {
         result.end = CallEnd::kOverloaded;
         break;
@@ -189,7 +216,8 @@
 Task<void> LedgerClient::ProbeGroup(GroupId group_id) {
   // Named, since GCC 12 destroys a braced temporary among a co_await's arguments twice.
   Operation probe = Probe{};
-  co_await Call(group_id, std::move(probe), SteadyNow() + options_.probe_patience);
+  co_await Call(group_id, std::move(probe), SteadyNow() + options_.probe_patience,
+                Relaying::kDirectOnly);
   if (Group* group = Find(group_id)) {
     group->probing = false;
   }
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -22,6 +22,8 @@
   /// this gateway: the rest are refused at once. A ledger that recovers isn't buried by those that
   /// wait for it.
   absl::Duration silent_after = absl::Milliseconds(400);
+  /// A group that answered nothing for this long is asked through a peer, if one reaches it.
+  absl::Duration relay_after = absl::Milliseconds(300);
   absl::Duration probe_patience = absl::Milliseconds(300);
   std::size_t most_waiting = 12;
 };
@@ -43,6 +45,9 @@
   const OperationResult* operator->() const { return &result; }
 };
 
+/// Whether a call may go through a peer.
+enum class Relaying { kAllowed, kDirectOnly };
+
 /// On the loop's thread only.
 class LedgerClient {
  public:
@@ -55,7 +60,13 @@
   void SetGroups(std::vector<std::vector<wire::Endpoint>> groups);
   /// Asks until it is committed, `deadline` has passed, or an overloaded leader refuses the first
   /// try of a reservation.
-  async_http::Task<CallResult> Call(GroupId group, Operation operation, absl::Time deadline);
+  /// @param relaying a call that is made for a peer, or to find out who is there, goes straight.
+  async_http::Task<CallResult> Call(GroupId group, Operation operation, absl::Time deadline,
+                                    Relaying relaying = Relaying::kAllowed);
+  /// Peers that reach the ledger, for as long as this process doesn't. They make the call in its
+  /// place; all operations may be repeated.
+  /// @param lost with no peer either, reservations are refused at once.
+  void SetRelays(std::vector<wire::Endpoint> relays, bool lost);
   /// @return the group that has the program. Only once groups are known.
   GroupId GroupOf(const ProgramId& program) const;
   std::size_t groups() const { return groups_.size(); }
@@ -70,6 +81,8 @@
   bool has_replicas() const { return !groups_.empty() && !groups_.front().machines.empty(); }
   /// Tries beyond the first, over all calls.
   std::uint64_t retries() const { return retries_; }
+  /// Tries that went through a peer.
+  std::uint64_t relayed() const { return relayed_; }
 
  private:
   struct Waiting {
@@ -96,17 +109,24 @@
   bool IsBuried(const Group& group) const;
   async_http::Task<void> ProbeGroup(GroupId group);
   /// Tries until the call has ended; `Call` counts those that wait.
-  async_http::Task<CallResult> Try(LedgerRequest request, absl::Time deadline);
-  static std::optional<wire::Endpoint> NextTarget(Group& group,
-                                                  const std::optional<wire::Endpoint>& failed);
+  async_http::Task<CallResult> Try(LedgerRequest request, absl::Time deadline, Relaying relaying);
+  std::optional<wire::Endpoint> NextTarget(Group& group,
+                                           const std::optional<wire::Endpoint>& failed,
+                                           Relaying relaying);
+  bool IsSilent(const Group& group, absl::Duration limit) const;
+  bool IsRelay(const wire::Endpoint& target) const;
 
   async_http::asio::io_context& context_;
   Send send_;
   LedgerClientOptions options_;
   std::uint64_t last_request_;
   std::vector<Group> groups_;
+  std::vector<wire::Endpoint> relays_;
+  std::size_t next_relay_ = 0;
+  bool lost_ = false;
   std::map<std::uint64_t, Waiting*> waiting_;
   std::uint64_t retries_ = 0;
+  std::uint64_t relayed_ = 0;
 };
 
 }  // namespace martenyard::turn_ledger
--- a/tests/store/peer_news_test.cc
+++ b/tests/store/peer_news_test.cc
@@ -65,6 +65,23 @@
   EXPECT_FALSE(before);
 }
 
+TEST(PeerNewsTest, PeersThatReachTheLedgerAreNamedNearOnesFirst) {
+  peer_news news("a", "z");
+  instant now = instant() + milliseconds(5000);
+  news.take(now, "far", Digest("y", 0, true, 1));
+  news.take(now, "near", Digest("z", 0, true, 2));
+  news_digest cut = Digest("z", 0, true, 3);
+  cut.m_ledger_silent = true;
+  news.take(now, "cut off too", cut);
+  news.take(now - milliseconds(1700), "silent", Digest("z", 0, true, 4));
+  EXPECT_EQ(news.peers_without_ledger(now), 1U);
+  std::vector<wire::Endpoint> peers = news.peers_with_ledger(now, 4);
+  ASSERT_EQ(peers.size(), 2U);
+  EXPECT_EQ(peers[0].port, 2);
+  EXPECT_EQ(peers[1].port, 1);
+  EXPECT_EQ(news.peers_with_ledger(now, 1).size(), 1U);
+}
+
 TEST(PeerNewsTest, GatewayThatDoesNotWatchAsksAtOnceAndAWatchingOneWaitsForItsWatch) {
   peer_news news("a", "z");
   instant now = instant() + milliseconds(5000);
--- a/tests/turn_ledger/ledger_client_test.cc
+++ b/tests/turn_ledger/ledger_client_test.cc
@@ -122,6 +122,39 @@
   EXPECT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
 }
 
+TEST_F(LedgerClientTest, SilentGroupIsAskedThroughAPeerAndDirectlyAgainOnceItAnswers) {
+  const wire::Endpoint peer{"10.0.0.77", 1};
+  auto end = Start(ReserveTurn{}, absl::Seconds(10));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return client_.SilentGroups(absl::Milliseconds(300)) == 1; }));
+  client_.SetRelays({peer}, /*lost=*/true);
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.back().first == peer; }));
+  Answer(sent_.back().second, ReplyStatus::kDone);
+  ASSERT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
+  EXPECT_EQ(**end, CallEnd::kDone);
+  EXPECT_EQ(client_.SilentGroups(absl::Milliseconds(300)), 1U) << "a peer's word is no contact";
+  EXPECT_GT(client_.relayed(), 0U);
+
+  client_.ProbeQuietGroups(absl::Milliseconds(250));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.back().first != peer; })) << "probes go straight";
+  Answer(sent_.back().second, ReplyStatus::kDone);
+  ASSERT_TRUE(RunUntil(loop_, [&] { return client_.SilentGroups(absl::Milliseconds(300)) == 0; }));
+  auto next = Start(ReserveTurn{}, absl::Seconds(10));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.back().second.request > 2; }));
+  EXPECT_NE(sent_.back().first, peer);
+  Answer(sent_.back().second, ReplyStatus::kDone);
+  EXPECT_TRUE(RunUntil(loop_, [&] { return next->has_value(); }));
+}
+
+TEST_F(LedgerClientTest, LostLedgerWithoutAPeerRefusesAtOnce) {
+  ASSERT_TRUE(RunUntil(loop_, [&] { return client_.SilentGroups(absl::Milliseconds(450)) == 1; }));
+  client_.SetRelays({}, /*lost=*/true);
+  auto end = Start(ReserveTurn{}, absl::Seconds(10));
+  std::size_t sent = sent_.size();
+  ASSERT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
+  EXPECT_EQ(**end, CallEnd::kOverloaded);
+  EXPECT_EQ(sent_.size(), sent) << "nothing was sent: it never will be taken up";
+}
+
 TEST_F(LedgerClientTest, OverloadedLeaderEndsAReservationAtOnceButNotASettlement) {
   auto reservation = Start(ReserveTurn{}, absl::Seconds(10));
   ASSERT_TRUE(RunUntil(loop_, [&] { return !sent_.empty(); }));
