--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -34,6 +34,9 @@
   /// A repeatable request without a first byte for this many target latencies goes elsewhere.
   double silence_targets = 4;
   absl::Duration least_silence = absl::Milliseconds(600);
+  bool uses_turn_places = true;  ///< Where the turn before ran, as the ledger tells it.
+  bool reads_replicas =
+      true;  ///< Chains come from any replica, not only with the leader's verdict.
   /// Leaving runners, if there is no other; the role derives it from the deployment's bound.
   absl::Duration gone_usable = absl::Milliseconds(1200);
 };
@@ -59,7 +62,7 @@
   TurnCache turns{std::uint64_t{2} << 20};
   std::unique_ptr<turn_ledger::LedgerClient> ledger;
   std::unique_ptr<turn_ledger::chain_reader> chains;
-  bool relaying = false;  ///< The ledger is reached through peers only.
+  bool relaying = false;       ///< The ledger is reached through peers only.
   std::uint32_t gateways = 1;  ///< That share the runners' connections.
   /// Told of each piece of a prompt that a runner is about to read, for the other gateways.
   std::function<void(const PromptPart& part, std::uint32_t runner)> on_placement;
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -162,7 +162,8 @@
   if (keeps && info_.previous_turn) {
     reserve.previous = turn_ledger::TurnId(info_.previous_turn->value);
     reserve.has_previous = true;
-    if (state_->relaying && state_->turns.Find(*info_.previous_turn) == nullptr) {
+    bool readable = state_->options.reads_replicas && !state_->relaying;
+    if (!readable && state_->turns.Find(*info_.previous_turn) == nullptr) {
       reserve.has_previous = false;  // The replicas can't be read: the answer brings the chain.
     } else {
       fetch.emplace(state_, info_.program, *info_.previous_turn);
@@ -213,7 +214,7 @@
       co_return false;
   }
   const turn_ledger::TurnPlace& place = result->previous_place;
-  if (place.runner != 0) {
+  if (place.runner != 0 && state_->options.uses_turn_places) {
     state_->prefixes.NoteBeginning(SteadyNow(), info_.prompt, place.tokens, place.runner);
     line.Number("previous_runner", place.runner);
   }
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -1,6 +1,8 @@
 #include "roles/gateway_role.h"
 
 #include <algorithm>
+#include <initializer_list>
+#include <limits>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -53,6 +55,51 @@
 
 }  // namespace
 
+namespace {
+
+/// Takes the switched-off mechanisms out of the options.
+void ApplyPolicy(const policy_switches& policy, forwarding::GatewayState& state) {
+  forwarding::ForwardingOptions& options = state.options;
+  forwarding::ChoiceOptions& choice = options.choice;
+  auto drop = [&policy](mechanism which, std::initializer_list<double*> costs) {
+    for (double* cost : costs) {
+      *cost = policy.on(which) ? *cost : 0;
+    }
+  };
+  drop(mechanism::zone_cost, {&choice.other_zone_ms});
+  drop(mechanism::home, {&choice.home_ms});
+  drop(mechanism::waiting_cost, {&choice.engine_wait_ms, &choice.plain_wait_ms});
+  drop(mechanism::active_cost, {&choice.active_cost_ms, &choice.plain_active_cost_ms});
+  drop(mechanism::loss_rates,
+       {&choice.repeatable_loss_ms, &choice.turn_loss_ms, &choice.call_loss_ms});
+  if (!policy.on(mechanism::kept_prompts)) {
+    choice.tokens_per_ms = std::numeric_limits<double>::infinity();
+  }
+  if (!policy.on(mechanism::silence_limit)) {
+    options.least_silence = absl::InfiniteDuration();
+  }
+  if (!policy.on(mechanism::chain_cache)) {
+    state.turns = forwarding::TurnCache(0);
+  }
+  if (!policy.on(mechanism::avoidance)) {
+    discovery::HealthOptions health;
+    health.failures_to_avoid = std::numeric_limits<int>::max() / 2;
+    state.runners = discovery::RunnerTable(health);
+  }
+  options.uses_turn_places = policy.on(mechanism::turn_places);
+  options.reads_replicas = policy.on(mechanism::replica_chains);
+}
+
+turn_ledger::LedgerClientOptions LedgerOptions(const policy_switches& policy) {
+  turn_ledger::LedgerClientOptions options;
+  if (!policy.on(mechanism::silence_refusal)) {
+    options.most_waiting = std::numeric_limits<std::size_t>::max();
+  }
+  return options;
+}
+
+}  // namespace
+
 absl::Duration LeavingRunnerUse(absl::Duration drain) {
   return std::max(absl::ZeroDuration(), drain - kNoticeLag);
 }
@@ -114,12 +161,13 @@
       mirrors_{&configuration_, &runners_, &directory_},
       peer_news_(settings.node, settings.zone) {
   state_->options.gone_usable = LeavingRunnerUse(settings.drain);
+  ApplyPolicy(settings.policy, *state_);
   state_->ledger = std::make_unique<turn_ledger::LedgerClient>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::LedgerRequest& request) {
         SendToLedger(to, request);
       },
-      turn_ledger::LedgerClientOptions{}, state_->random.NextId() >> 16U);
+      LedgerOptions(settings.policy), state_->random.NextId() >> 16U);
   state_->chains = std::make_unique<turn_ledger::chain_reader>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::chain_request& request) {
@@ -323,9 +371,8 @@
   absl::Duration patience =
       settlement ? state_->options.commit_patience : state_->options.ledger_patience;
   absl::Time deadline = SteadyNow() + patience;
-  turn_ledger::CallResult result =
-      co_await state_->ledger->Call(request.group, std::move(request.operation), deadline,
-                                    turn_ledger::Relaying::kDirectOnly);
+  turn_ledger::CallResult result = co_await state_->ledger->Call(
+      request.group, std::move(request.operation), deadline, turn_ledger::Relaying::kDirectOnly);
   if (result.end == turn_ledger::CallEnd::kNoAnswer) {
     co_return;  // The peer asks somebody else.
   }
@@ -353,7 +400,9 @@
 
 void GatewayRole::TakeLoadReport(const LoadReport& report) {
   absl::Time now = SteadyNow();
-  peer_loads_.Take(now, report, state_->runners);
+  if (settings_.policy.on(mechanism::peer_loads)) {
+    peer_loads_.Take(now, report, state_->runners);
+  }
   for (const Placement& placement : report.placements) {
     state_->prefixes.Note(now, {placement.part, placement.tokens}, placement.runner);
   }
@@ -400,7 +449,7 @@
 
 void GatewayRole::FollowPeers() {
   store::instant now = std::chrono::steady_clock::now();
-  bool watch = peer_news_.should_watch(now);
+  bool watch = peer_news_.should_watch(now) || !settings_.policy.on(mechanism::peer_news);
   if (watch != watching_) {
     watching_ = watch;
     log_.Write(Line("store_watching").Flag("watching", watch));
@@ -453,9 +502,9 @@
   view.m_silent_groups = state_->ledger->SilentGroups(absl::FromChrono(knobs.m_silent_after));
   view.m_peers = peers_.size();
   view.m_peers_without_ledger = peer_news_.peers_without_ledger(view.m_now);
-  bool reaches = ledger_readiness_.judge(view);
+  bool reaches = ledger_readiness_.judge(view) || !settings_.policy.on(mechanism::readiness);
   std::vector<wire::Endpoint> relays;
-  if (ledger_readiness_.ledger_silent()) {
+  if (ledger_readiness_.ledger_silent() && settings_.policy.on(mechanism::relays)) {
     relays = peer_news_.peers_with_ledger(view.m_now, kMostRelays);
   }
   state_->relaying = !relays.empty();
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -61,7 +61,11 @@
   options.raft.start_wait_share = 0.4;
   options.planner.replicas = WantedReplicas(settings);
   options.planner.group = group.value;
-  options.preferred_leaders = group != turn_ledger::group_at(0);
+  options.preferred_leaders =
+      group != turn_ledger::group_at(0) && settings.policy.on(mechanism::hand_back);
+  if (!settings.policy.on(mechanism::overload_refusal)) {
+    options.overload_after = absl::InfiniteDuration();
+  }
   return options;
 }
 
--- a/src/roles/role_settings.h
+++ b/src/roles/role_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "roles/policy/policy_switches.h"
 #include "wire/endpoint.h"
 
 namespace martenyard::roles {
@@ -31,6 +32,7 @@
   absl::Duration stop_grace = absl::Seconds(8);  ///< From SIGTERM to SIGKILL.
   absl::Duration drain = absl::Seconds(2);       ///< Leaving runners take work this long.
   absl::Duration pass_limit = absl::Milliseconds(120);
+  policy_switches policy;  ///< For trials; all mechanisms are at work otherwise.
 };
 
 }  // namespace martenyard::roles
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -67,10 +67,11 @@
   return std::find(relays_.begin(), relays_.end(), target) != relays_.end();
 }
 
-std::optional<wire::Endpoint> LedgerClient::NextTarget(
-    Group& group, const std::optional<wire::Endpoint>& failed, Relaying relaying) {
-  bool relay = relaying == Relaying::kAllowed && !relays_.empty() &&
-               IsSilent(group, options_.relay_after);
+std::optional<wire::Endpoint> LedgerClient::NextTarget(Group& group,
+                                                       const std::optional<wire::Endpoint>& failed,
+                                                       Relaying relaying) {
+  bool relay =
+      relaying == Relaying::kAllowed && !relays_.empty() && IsSilent(group, options_.relay_after);
   if (relay) {
     ++relayed_;
     return relays_[next_relay_++ % relays_.size()];
@@ -122,8 +123,7 @@
   co_return result;
 }
 
-Task<CallResult> LedgerClient::Try(LedgerRequest request, absl::Time deadline,
-                                   Relaying relaying) {
+Task<CallResult> LedgerClient::Try(LedgerRequest request, absl::Time deadline, Relaying relaying) {
   bool settlement = std::holds_alternative<SettleTurn>(request.operation);
   GroupId group_id = request.group;
   absl::Duration longest_try = settlement ? options_.longest_settle_try : options_.longest_try;
--- /dev/null
+++ b/tests/roles/policy_switches_test.cc
@@ -0,0 +1,37 @@
+// The list of mechanisms that are switched off.
+#include "roles/policy/policy_switches.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace martenyard::roles {
+namespace {
+
+policy_switches Parsed(absl::string_view text) {
+  auto parsed = policy_switches::parse(text);
+  EXPECT_TRUE(parsed);
+  return parsed ? *parsed : policy_switches();
+}
+
+TEST(PolicySwitchesTest, AllAreAtWorkUnlessNamed) {
+  EXPECT_TRUE(Parsed("").on(mechanism::relays));
+  policy_switches some = Parsed("home,relays");
+  EXPECT_FALSE(some.on(mechanism::relays));
+  EXPECT_FALSE(some.on(mechanism::home));
+  EXPECT_TRUE(some.on(mechanism::zone_cost));
+  EXPECT_EQ(some.off_names(), "home,relays");
+}
+
+TEST(PolicySwitchesTest, UnknownNameIsRefusedAndTheKnownOnesAreListed) {
+  std::string detail = Recover<policy_error>(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(policy_switches::parse("home,hame"));
+        return std::string();
+      },
+      [](const policy_error& error) { return error.m_detail; });
+  EXPECT_THAT(detail, ::testing::HasSubstr("hame"));
+  EXPECT_THAT(detail, ::testing::HasSubstr("zone_cost"));
+}
+
+}  // namespace
+}  // namespace martenyard::roles
