Requests that come just after a start wait a little for the configuration and the ledger's directory

Change: such a request waits until either is known, a quarter of a second or of its deadline at most; then it is refused as before, at once. It isn't held back: it has not been given up.

--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -31,6 +31,9 @@
   absl::Duration ledger_patience = absl::Milliseconds(900);  ///< Then the turn is refused.
   absl::Duration commit_patience = absl::Seconds(2);         ///< For a kept turn's commit.
   absl::Duration settle_patience = absl::Seconds(20);
+  /// A process that has just started learns the configuration and the ledger in some ten
+  /// milliseconds. What comes meanwhile waits this long at most before it is refused.
+  absl::Duration start_patience = absl::Milliseconds(250);
   /// A repeatable request without a first byte for this many target latencies goes elsewhere.
   double silence_targets = 4;
   absl::Duration least_silence = absl::Milliseconds(600);
@@ -44,7 +47,7 @@
 struct GatewayState {
   GatewayState(async_http::asio::io_context& io, event_log::EventLog& event_log,
                const HeaderNames& header_names, const std::string& own_zone)
-      : context(io), log(event_log), names(header_names), zone(own_zone) {}
+      : context(io), log(event_log), names(header_names), zone(own_zone), informed(io) {}
 
   async_http::asio::io_context& context;
   event_log::EventLog& log;
@@ -55,6 +58,7 @@
   Random random{SystemSeed()};
 
   std::shared_ptr<const RouteTable> routes;  ///< Null until a configuration is known.
+  async_http::Signal informed;               ///< A configuration or the ledger's groups became known.
   bool store_reachable = false;              ///< The configuration is known to be the newest.
   discovery::RunnerTable runners;
   PrefixIndex prefixes{absl::Seconds(30), 40000};
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -113,7 +113,21 @@
 
 absl::Duration RequestRun::TimeLeft() const { return deadline_ - SteadyNow(); }
 
+bool RequestRun::Knows(Knowledge what) const {
+  return what == Knowledge::kRoutes ? state_->routes != nullptr : state_->ledger->groups() > 0;
+}
+
+Task<void> RequestRun::WaitFor(Knowledge what) {
+  absl::Duration allowed = info_.deadline.value_or(absl::Seconds(1)) / 4;
+  absl::Time end =
+      exchange_->received_at() + std::min(state_->options.start_patience, allowed);
+  while (!Knows(what) && SteadyNow() < end) {
+    co_await state_->informed.Wait(end - SteadyNow());
+  }
+}
+
 Task<bool> RequestRun::FindRoute() {
+  co_await WaitFor(Knowledge::kRoutes);
   routes_ = state_->routes;
   if (!routes_) {
     deadline_ = exchange_->received_at() + info_.deadline.value_or(absl::Seconds(1));
@@ -143,7 +157,8 @@
   if (!info_.token_budget && !keeps) {
     co_return true;
   }
-  if (state_->ledger->groups() == 0) {
+  co_await WaitFor(Knowledge::kLedgerGroups);
+  if (!Knows(Knowledge::kLedgerGroups)) {
     co_await Refuse("the turn ledger is not known yet");
     co_return false;
   }
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -25,6 +25,11 @@
   async_http::Task<bool> OnBytes(std::string bytes) override;
 
  private:
+  /// What a process learns soon after its start.
+  enum class Knowledge { kRoutes, kLedgerGroups };
+  bool Knows(Knowledge what) const;
+  /// Waits a little where this process has only just started.
+  async_http::Task<void> WaitFor(Knowledge what);
   /// Finds the route; answers itself when there is none. @return false when it answered.
   async_http::Task<bool> FindRoute();
   /// Reserves the turn's tokens and fetches its history. @return false when it answered.
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -243,6 +243,7 @@
                  .Number("routes", static_cast<std::int64_t>(configuration->routes.size()))
                  .Number("revision", static_cast<std::int64_t>(change.revision)));
   state_->routes = std::make_shared<forwarding::RouteTable>(std::move(*configuration));
+  state_->informed.Notify();
 }
 
 void GatewayRole::OnRunnerChange(const store::StoreChange& change) {
@@ -316,6 +317,7 @@
                                  founders.voters.size());
   }
   state_->ledger->SetGroups(std::move(groups));
+  state_->informed.Notify();
 }
 
 Task<void> GatewayRole::Register() {
--- a/tests/platform/gateway_contract_test.cc
+++ b/tests/platform/gateway_contract_test.cc
@@ -252,6 +252,20 @@
   EXPECT_EQ(version(), 6U);
 }
 
+TEST(ConfigurationContractTest, RequestThatComesBeforeTheConfigurationWaitsALittleForIt) {
+  PlatformWorld world;
+  world.Start(/*configured=*/false);
+  ClientRequest request;
+  request.target = "/safe/1";
+  ClientAnswer answer = world.Ask(request);
+  EXPECT_EQ(answer.status, 503U) << "not known in time";
+  EXPECT_FALSE(answer.headers["retry-after"].empty());
+  world.loop().After(absl::Milliseconds(60), [&] { world.Configure(); });
+  request.id = "attempt-2";
+  answer = world.Ask(request);
+  EXPECT_EQ(answer.status, 200U) << "known soon after it came";
+}
+
 TEST(ConfigurationContractTest, UnknownRouteIsNo404WhileTheStoreIsLost) {
   PlatformWorld world;
   world.Start();
--- a/tests/platform/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -89,10 +89,14 @@
                           zone, R"(","slots":8,"state":")", state, "\"}"));
 }
 
-void PlatformWorld::Start() {
+void PlatformWorld::Configure() { store_.Put("op/config", StandardConfiguration(1)); }
+
+void PlatformWorld::Start(bool configured) {
   ListRunner(near_, "near");
   ListRunner(far_, "far");
-  store_.Put("op/config", StandardConfiguration(1));
+  if (configured) {
+    Configure();
+  }
   leaf::try_handle_all(
       [&]() -> Result<int> {
         BOOST_LEAF_CHECK(ledger_->Start());
@@ -102,7 +106,7 @@
       [] { return 1; });
   RunUntil([&] {
     bool leads = ledger_->replica() != nullptr && ledger_->replica()->LeadsCurrent();
-    return leads && gateway_->ready() && gateway_->state().ledger->has_replicas() &&
+    return leads && gateway_->ready() == configured && gateway_->state().ledger->has_replicas() &&
            gateway_->state().runners.all().size() == 2;
   });
 }
--- a/tests/platform/support/platform_world.h
+++ b/tests/platform/support/platform_world.h
@@ -32,7 +32,10 @@
   ~PlatformWorld();
 
   /// Puts the standard configuration in force and waits until the gateway serves.
-  void Start();
+  /// @param configured false: all but the configuration is there.
+  void Start(bool configured = true);
+  /// Puts the standard configuration in force.
+  void Configure();
   bool RunUntil(const std::function<bool()>& condition);
   ClientAnswer Ask(const ClientRequest& request);
   /// Sends a request and leaves as soon as `condition` holds.
