Ledger: refuses reservations before it is full

A process at 80 % of its limit of memory (the allocator's own count) refuses new reservations until it is below 72 %; it says so in its log; settlements go on, they free what is reserved.

--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -33,6 +33,7 @@
 constexpr absl::Duration kLoneFoundingLinger = absl::Milliseconds(300);
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(600);
 constexpr absl::Duration kRetireReportInterval = absl::Milliseconds(250);
+constexpr absl::Duration kMemoryInterval = absl::Milliseconds(200);
 constexpr absl::Duration kProgressInterval = absl::Seconds(2);
 /// A snapshot's share of a tick. Four times as much kept a machine with half a core so busy that
 /// its heartbeats came late.
@@ -107,7 +108,8 @@
           [this](const store::StoreChange& change) { OnRetireChange(change); },
           [](bool, store::StoreStatus) {}),
       peers_(settings.data_folder + "/" + kPeersFile),
-      ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }) {}
+      ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }),
+      memory_(settings.memory_bytes) {}
 
 Result<void> LedgerRole::Start() {
   BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
@@ -361,6 +363,20 @@
   }
 }
 
+void LedgerRole::WatchMemory() {
+  bool was_full = memory_.full();
+  std::uint64_t used = allocated_bytes();
+  bool full = memory_.judge(used);
+  for (auto& [group, replica] : replicas_) {
+    replica->SetFull(full);
+  }
+  if (full != was_full) {
+    log_.Write(Line(full ? "memory_full" : "memory_free")
+                   .Number("used", static_cast<std::int64_t>(used))
+                   .Number("limit", static_cast<std::int64_t>(settings_.memory_bytes)));
+  }
+}
+
 // ---- Time ----
 
 void LedgerRole::Tick(absl::Time now) {
@@ -370,6 +386,10 @@
   for (auto& [group, replica] : replicas_) {
     SendTransfers(group, *replica);
   }
+  if (now >= next_memory_look_) {
+    next_memory_look_ = now + kMemoryInterval;
+    WatchMemory();
+  }
   // One group's part a tick; a failing disk ends all replicas.
   for (auto& [group, replica] : replicas_) {
     if (replica->TakesSnapshot()) {
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -11,6 +11,7 @@
 
 #include "event_log/event_log.h"
 #include "roles/directory_keys.h"
+#include "roles/memory/memory_guard.h"
 #include "roles/peer_book.h"
 #include "roles/platform_formats.h"
 #include "roles/role_settings.h"
@@ -62,6 +63,8 @@
   bool Store(const std::vector<storage::GroupWrite>& writes);
   /// Stores the next part of a snapshot under way, if there is one.
   void StoreSnapshotStep(GroupId group, turn_ledger::TurnReplica& replica);
+  /// Refuses new reservations while this process is near its limit of memory.
+  void WatchMemory();
   /// Sends the next parts of snapshots to other members.
   void SendTransfers(GroupId group, turn_ledger::TurnReplica& replica);
   void OnStagedEntries(GroupId group, const consensus::StagedEntries& staged);
@@ -122,6 +125,8 @@
   absl::Time next_progress_;
   std::map<GroupId, std::string> logged_roles_;
   std::uint64_t synced_writes_ = 0;
+  memory_guard memory_;
+  absl::Time next_memory_look_;
 };
 
 }  // namespace martenyard::roles
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -115,7 +115,7 @@
     return;  // Asked again out of impatience: one entry in the log answers both.
   }
   bool settlement = std::holds_alternative<SettleTurn>(request.operation);
-  if (proposals_.size() >= options_.max_pending || (!settlement && Overloaded())) {
+  if (proposals_.size() >= options_.max_pending || (!settlement && (full_ || Overloaded()))) {
     Answer(requester, ReplyStatus::kOverloaded);
     return;
   }
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -74,6 +74,8 @@
   void OnDead(absl::Time now, NodeId identity);
   /// Machines that the operator wants emptied.
   void SetRetiring(std::vector<std::string> names) { retiring_ = std::move(names); }
+  /// A full machine's leader takes no new reservations; settlements free what is reserved.
+  void SetFull(bool full) { full_ = full; }
   /// A planned stop: hands leadership on, if it leads.
   void HandOver();
 
@@ -158,6 +160,7 @@
   std::map<NodeId, snapshot_transfer> transfers_;  // Of a leader, to other members.
   std::vector<consensus::LogIndex> forgotten_;     // To be told to the disk.
   std::uint64_t incomplete_snapshots_ = 0;
+  bool full_ = false;
 
   std::map<NodeId, Machine> machines_;
   std::map<NodeId, absl::Time> heard_;
--- /dev/null
+++ b/tests/roles/memory_guard_test.cc
@@ -0,0 +1,29 @@
+// When a process near its limit of memory takes no new work.
+#include "roles/memory/memory_guard.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace martenyard::roles {
+namespace {
+
+TEST(MemoryGuardTest, FullNearTheLimitAndFreeOnlyWellBelow) {
+  memory_guard guard(1000);
+  EXPECT_FALSE(guard.judge(790));
+  EXPECT_TRUE(guard.judge(800));
+  EXPECT_TRUE(guard.judge(730)) << "still too near";
+  EXPECT_FALSE(guard.judge(710));
+  EXPECT_FALSE(guard.judge(790));
+}
+
+TEST(MemoryGuardTest, AllocatorTellsOfLargeBlocks) {
+  constexpr std::size_t kBytes = std::size_t{32} << 20;
+  std::uint64_t before = allocated_bytes();
+  std::vector<char> block(kBytes, 'x');
+  EXPECT_GE(allocated_bytes(), before + kBytes);
+  EXPECT_EQ(block.back(), 'x');
+}
+
+}  // namespace
+}  // namespace martenyard::roles
--- a/tests/turn_ledger/turn_replica_test.cc
+++ b/tests/turn_ledger/turn_replica_test.cc
@@ -150,6 +150,20 @@
   EXPECT_EQ(reply.m_text, std::string(kTurnBytes, 'x'));
 }
 
+TEST_F(TurnReplicaTest, FullMachineRefusesReservationsAndTakesSettlements) {
+  replica_->SetFull(true);
+  replica_->OnRequest(now_, kGateway, {1, ReserveTurn{}});
+  std::vector<ReplyTo> replies = replica_->TakeReplies();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].reply.status, ReplyStatus::kOverloaded);
+  Do(2);
+  EXPECT_EQ(answered_, 1) << "a settlement";
+  replica_->SetFull(false);
+  replica_->OnRequest(now_, kGateway, {3, ReserveTurn{}});
+  Pump();
+  EXPECT_EQ(answered_, 2);
+}
+
 TEST_F(TurnReplicaTest, ProbeIsAnsweredAtOnceAndLeavesNoEntry) {
   consensus::LogIndex before = replica_->raft().last_index();
   replica_->OnRequest(now_, kGateway, {1, Probe{}});
