--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -58,8 +58,8 @@
   Random random{SystemSeed()};
 
   std::shared_ptr<const RouteTable> routes;  ///< Null until a configuration is known.
-  async_http::Signal informed;               ///< A configuration or the ledger's groups became known.
-  bool store_reachable = false;              ///< The configuration is known to be the newest.
+  async_http::Signal informed;   ///< A configuration or the ledger's groups became known.
+  bool store_reachable = false;  ///< The configuration is known to be the newest.
   discovery::RunnerTable runners;
   PrefixIndex prefixes{absl::Seconds(30), 40000};
   ConnectionPool pool;
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -119,8 +119,7 @@
 
 Task<void> RequestRun::WaitFor(Knowledge what) {
   absl::Duration allowed = info_.deadline.value_or(absl::Seconds(1)) / 4;
-  absl::Time end =
-      exchange_->received_at() + std::min(state_->options.start_patience, allowed);
+  absl::Time end = exchange_->received_at() + std::min(state_->options.start_patience, allowed);
   while (!Knows(what) && SteadyNow() < end) {
     co_await state_->informed.Wait(end - SteadyNow());
   }
