Calls go through a peer only where this gateway alone lost the ledger

Change: relays are used only once the gateway isn't ready by its own judgement (silent for 0.8 s, most peers not).

--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -506,7 +506,8 @@
   view.m_peers_without_ledger = peer_news_.peers_without_ledger(view.m_now);
   bool reaches = ledger_readiness_.judge(view) || !settings_.policy.on(mechanism::readiness);
   std::vector<wire::Endpoint> relays;
-  if (ledger_readiness_.ledger_silent() && settings_.policy.on(mechanism::relays)) {
+  // While a ledger recovers for all, its silence is no reason to send every call twice.
+  if (ledger_readiness_.lost_alone() && settings_.policy.on(mechanism::relays)) {
     relays = peer_news_.peers_with_ledger(view.m_now, kMostRelays);
   }
   state_->relaying = !relays.empty();
--- a/src/roles/readiness/readiness.cc
+++ b/src/roles/readiness/readiness.cc
@@ -43,6 +43,11 @@
     return m_ready;
 }
 
+bool readiness::lost_alone() const
+{
+    return m_silent && !m_ready;
+}
+
 bool readiness::ledger_silent() const
 {
     return m_silent;
--- a/src/roles/readiness/readiness.h
+++ b/src/roles/readiness/readiness.h
@@ -52,6 +52,9 @@
     /// @return whether most of the ledger is silent for this gateway: what its peers are told
     bool ledger_silent() const;
 
+    /// @return whether the last view showed that this gateway lost the ledger and most peers didn't
+    bool lost_alone() const;
+
   private:
     readiness_options m_options;
     bool m_ready = true;
--- a/tests/roles/readiness_test.cc
+++ b/tests/roles/readiness_test.cc
@@ -28,7 +28,9 @@
 TEST_F(ReadinessTest, GatewayThatAloneLosesTheLedgerIsNotReadyUntilItAnswersForAWhile) {
   EXPECT_TRUE(For(milliseconds(1000), 0, 0));
   EXPECT_TRUE(For(milliseconds(300), 8, 0)) << "an election takes as long";
+  EXPECT_FALSE(readiness_.lost_alone());
   EXPECT_FALSE(For(milliseconds(500), 8, 0));
+  EXPECT_TRUE(readiness_.lost_alone());
   EXPECT_TRUE(readiness_.ledger_silent());
   EXPECT_FALSE(For(milliseconds(300), 0, 0)) << "one answer is no proof";
   EXPECT_TRUE(For(milliseconds(500), 0, 0));
@@ -37,6 +39,7 @@
 TEST_F(ReadinessTest, FaultThatMostPeersShareLeavesAllReady) {
   EXPECT_TRUE(For(milliseconds(5000), 8, 5));
   EXPECT_TRUE(readiness_.ledger_silent()) << "but the peers are told";
+  EXPECT_FALSE(readiness_.lost_alone()) << "no call goes through a peer that can't make it either";
   EXPECT_FALSE(For(milliseconds(1000), 8, 4)) << "the others reach it again";
   EXPECT_TRUE(For(milliseconds(100), 8, 5));
 }
