Wire: a length is checked against the message before anything is allocated for it; directory records are read by their keys

Cause of the large fleets serving nothing: at every change of the directory each gateway decoded all records under martenyard/ as machines, the founders' record of the ledger's groups too. With 36 groups of five voters the upper half of an identity (32 random bits) stands where the endpoint's address has its length, and cereal reserves and zero-fills what it reads: up to 4 GB. So those that watch the store die first, and the next watchers after them; and why no gateway ever knew the ledger.

Change: an archive over the message's own bytes, in the same layout as before, that refuses a length beyond its end; the gateway and the ledger decode only the keys that they mean.

--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -278,13 +278,19 @@
   std::vector<Machine> ledger_machines;
   std::vector<wire::Endpoint> gateways;
   for (const auto& [key, item] : directory_.items()) {
+    bool of_ledger = absl::StartsWith(key, kLedgerMachines);
+    bool of_gateway = absl::StartsWith(key, kGatewayMachines);
+    if (!of_ledger && !of_gateway) {
+      continue;  // Another kind of record.
+    }
     auto machine = wire::Decode<Machine>(item.value);
     if (!machine || machine->name.empty()) {
+      log_.Write(Line("directory_record_unreadable").Text("key", key));
       continue;
     }
-    if (absl::StartsWith(key, kLedgerMachines)) {
+    if (of_ledger) {
       ledger_machines.push_back(*machine);
-    } else if (absl::StartsWith(key, kGatewayMachines) && machine->name != settings_.node) {
+    } else if (machine->name != settings_.node) {
       gateways.push_back(machine->endpoint);
     }
   }
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -701,8 +701,10 @@
     }
     std::vector<Machine> machines;
     for (const auto& [key, item] : directory_.items()) {
-      auto machine = wire::Decode<Machine>(item.value);
-      if (machine && absl::StartsWith(key, kLedgerMachines)) {
+      if (!absl::StartsWith(key, kLedgerMachines)) {
+        continue;  // Another kind of record.
+      }
+      if (auto machine = wire::Decode<Machine>(item.value)) {
         machines.push_back(*machine);
       }
     }
--- /dev/null
+++ b/src/wire/archive.h
@@ -0,0 +1,131 @@
+// Cereal archives over plain memory, in the layout of cereal's portable binary archive.
+//
+// The reader checks every length against the bytes that are left before anything is allocated for
+// it: a garbled message, or one of another type, must not cost more memory than it is long.
+// Cereal's own archives reserve whatever length they read.
+#pragma once
+
+#include <bit>
+#include <cereal/cereal.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <string>
+#include <type_traits>
+
+#include "absl/strings/string_view.h"
+
+namespace martenyard::wire {
+
+static_assert(std::endian::native == std::endian::little,
+              "bytes are written as they lie in memory");
+
+/// The first byte of a message tells the byte order: 1 is little-endian.
+inline constexpr std::uint8_t kLittleEndian = 1;
+
+/// Appends messages to a string.
+class StringOutputArchive
+    : public cereal::OutputArchive<StringOutputArchive, cereal::AllowEmptyClassElision> {
+ public:
+  explicit StringOutputArchive(std::string& bytes)
+      : cereal::OutputArchive<StringOutputArchive, cereal::AllowEmptyClassElision>(this),
+        bytes_(bytes) {
+    bytes_.push_back(static_cast<char>(kLittleEndian));
+  }
+
+  void Save(const void* data, std::size_t size) {
+    bytes_.append(static_cast<const char*>(data), size);
+  }
+
+ private:
+  std::string& bytes_;
+};
+
+/// Reads messages from bytes that outlive it. Throws cereal::Exception when they end too early or
+/// name a length that they can't hold.
+class BytesInputArchive
+    : public cereal::InputArchive<BytesInputArchive, cereal::AllowEmptyClassElision> {
+ public:
+  explicit BytesInputArchive(absl::string_view bytes)
+      : cereal::InputArchive<BytesInputArchive, cereal::AllowEmptyClassElision>(this),
+        unread_(bytes) {
+    std::uint8_t order = 0;
+    Load(&order, sizeof(order));
+    if (order != kLittleEndian) {
+      throw cereal::Exception("bytes of a foreign byte order");
+    }
+  }
+
+  void Load(void* data, std::size_t size) {
+    CheckHolds(size);
+    std::memcpy(data, unread_.data(), size);
+    unread_.remove_prefix(size);
+  }
+
+  /// Throws unless `elements` may still follow; each takes a byte at least.
+  void CheckHolds(std::uint64_t elements) const {
+    if (elements > unread_.size()) {
+      throw cereal::Exception("a length beyond the message's end");
+    }
+  }
+
+  bool AtEnd() const { return unread_.empty(); }
+
+ private:
+  absl::string_view unread_;
+};
+
+// ---- What cereal asks of an archive; it finds these functions by their name ----
+
+template <typename Number>
+requires std::is_arithmetic_v<Number>
+void CEREAL_SAVE_FUNCTION_NAME(StringOutputArchive& archive, const Number& number) {
+  archive.Save(&number, sizeof(number));
+}
+
+template <typename Number>
+requires std::is_arithmetic_v<Number>
+void CEREAL_LOAD_FUNCTION_NAME(BytesInputArchive& archive, Number& number) {
+  archive.Load(&number, sizeof(number));
+}
+
+template <typename Value>
+void CEREAL_SERIALIZE_FUNCTION_NAME(StringOutputArchive& archive,
+                                    cereal::NameValuePair<Value>& pair) {
+  archive(pair.value);
+}
+
+template <typename Value>
+void CEREAL_SERIALIZE_FUNCTION_NAME(BytesInputArchive& archive,
+                                    cereal::NameValuePair<Value>& pair) {
+  archive(pair.value);
+}
+
+template <typename Size>
+void CEREAL_SERIALIZE_FUNCTION_NAME(StringOutputArchive& archive, cereal::SizeTag<Size>& tag) {
+  archive(tag.size);
+}
+
+template <typename Size>
+void CEREAL_SERIALIZE_FUNCTION_NAME(BytesInputArchive& archive, cereal::SizeTag<Size>& tag) {
+  archive(tag.size);
+  archive.CheckHolds(tag.size);
+}
+
+template <typename Value>
+void CEREAL_SAVE_FUNCTION_NAME(StringOutputArchive& archive,
+                               const cereal::BinaryData<Value>& data) {
+  archive.Save(data.data, static_cast<std::size_t>(data.size));
+}
+
+template <typename Value>
+void CEREAL_LOAD_FUNCTION_NAME(BytesInputArchive& archive, cereal::BinaryData<Value>& data) {
+  archive.Load(data.data, static_cast<std::size_t>(data.size));
+}
+
+}  // namespace martenyard::wire
+
+CEREAL_REGISTER_ARCHIVE(martenyard::wire::StringOutputArchive)
+CEREAL_REGISTER_ARCHIVE(martenyard::wire::BytesInputArchive)
+CEREAL_SETUP_ARCHIVE_TRAITS(martenyard::wire::BytesInputArchive,
+                            martenyard::wire::StringOutputArchive)
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -1,7 +1,6 @@
-// Turns typed messages into bytes and back, with cereal's portable binary archive.
+// Turns typed messages into bytes and back, with cereal.
 #pragma once
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
@@ -11,36 +10,35 @@
 #include <cereal/types/vector.hpp>
 #include <exception>
 #include <optional>
-#include <sstream>
 #include <string>
 
+#include "wire/archive.h"
+
 namespace martenyard::wire {
 
 /// @return `message` as bytes that `Decode` understands on any machine.
 template <typename Message>
 std::string Encode(const Message& message) {
-  std::ostringstream stream(std::ios::binary);
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(message);
-  }
-  return std::move(stream).str();
+  std::string bytes;
+  StringOutputArchive archive(bytes);
+  archive(message);
+  return bytes;
 }
 
-/// @return the message, or nothing when `bytes` are not exactly one message of this type.
+/// @return the message, or nothing when `bytes` are not exactly one message of this type. Allocates
+/// no more than in proportion to the bytes, whatever they hold.
 template <typename Message>
 std::optional<Message> Decode(const std::string& bytes) {
   try {
-    std::istringstream stream(bytes, std::ios::binary);
-    cereal::PortableBinaryInputArchive archive(stream);
+    BytesInputArchive archive(bytes);
     Message message;
     archive(message);
-    if (stream.peek() != std::char_traits<char>::eof()) {
+    if (!archive.AtEnd()) {
       return std::nullopt;
     }
     return message;
   } catch (const std::exception&) {
-    return std::nullopt;
+    return std::nullopt;  // The caller says which message was unreadable.
   }
 }
 
