--- /dev/null
+++ b/src/aggregation/aggregator.cc
@@ -0,0 +1,225 @@
+#include "aggregation/aggregator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace martenyard::aggregation
+{
+
+aggregator::aggregator(contact self, std::uint64_t seed, const aggregator_options& options)
+    : m_self(std::move(self)),
+      m_options(options),
+      m_random(seed),
+      m_zone_loads(options.m_lifetime),
+      m_other_loads(options.m_lifetime),
+      m_zone_news(options.m_most_placements),
+      m_all_news(options.m_most_placements),
+      m_interval(options.m_least_interval)
+{
+}
+
+void aggregator::take(instant now, const member_report& report)
+{
+    const std::string& name = report.m_from.m_name;
+    auto known = m_members.find(name);
+    if (known == m_members.end())
+    {
+        if (m_members.size() >= m_options.m_most_members)
+        {
+            return;
+        }
+        known = m_members.emplace(name, member{}).first;
+    }
+    member& gateway = known->second;
+    gateway.m_contact = report.m_from;
+    gateway.m_heard = now;
+    gateway.m_changes = report.m_changes;
+    gateway.m_primary = report.m_primary;
+    gateway.m_ledger_silent = report.m_ledger_silent;
+    m_zone_loads.take(now, name, report.m_loads);
+    m_zone_news.note(report.m_loads, report.m_placements);
+    m_all_news.note(report.m_loads, report.m_placements);
+}
+
+void aggregator::take(instant now, const zone_summary& summary)
+{
+    other_zone& zone = m_zones[summary.m_from.m_zone];
+    bool is_source = zone.m_source == summary.m_from.m_name;
+    if (!is_source && now - zone.m_heard < m_options.m_source_patience)
+    {
+        return;
+    }
+    zone = {now, summary.m_from.m_name, summary.m_gateways, summary.m_without_ledger};
+    m_other_loads.take(now, summary.m_from.m_zone, summary.m_loads);
+    m_all_news.note(summary.m_loads, summary.m_placements);
+}
+
+void aggregator::expire(instant now)
+{
+    m_zone_loads.expire(now);
+    m_other_loads.expire(now);
+    std::erase_if(m_members,
+                  [&](const auto& entry)
+                  {
+                      return now - entry.second.m_heard > m_options.m_remembered;
+                  });
+    std::erase_if(m_zones,
+                  [&](const auto& entry)
+                  {
+                      return now - entry.second.m_heard > m_options.m_lifetime;
+                  });
+}
+
+bool aggregator::is_live(instant now, const member& gateway) const
+{
+    return now - gateway.m_heard <= m_options.m_lifetime;
+}
+
+bool aggregator::hears(instant now, const std::string& name) const
+{
+    auto found = m_members.find(name);
+    return found != m_members.end() && is_live(now, found->second);
+}
+
+template <typename Predicate>
+std::uint32_t aggregator::count_members(instant now, Predicate predicate) const
+{
+    return static_cast<std::uint32_t>(std::count_if(m_members.begin(), m_members.end(),
+                                                    [&](const auto& entry)
+                                                    {
+                                                        return is_live(now, entry.second) &&
+                                                               predicate(entry.second);
+                                                    }));
+}
+
+std::uint32_t aggregator::gateways(instant now) const
+{
+    std::uint32_t count = count_members(now,
+                                        [](const member&)
+                                        {
+                                            return true;
+                                        });
+    for (const auto& [name, zone] : m_zones)
+    {
+        count += now - zone.m_heard <= m_options.m_lifetime ? zone.m_gateways : 0;
+    }
+    return count;
+}
+
+zone_summary aggregator::make_summary(instant now)
+{
+    zone_summary summary;
+    summary.m_from = m_self;
+    summary.m_gateways = count_members(now,
+                                       [](const member&)
+                                       {
+                                           return true;
+                                       });
+    summary.m_without_ledger = count_members(now,
+                                             [](const member& gateway)
+                                             {
+                                                 return gateway.m_ledger_silent;
+                                             });
+    absl::flat_hash_map<std::uint32_t, std::uint32_t> active;
+    m_zone_loads.add_to(active);
+    summary.m_loads = m_zone_news.take_loads(active);
+    summary.m_placements = m_zone_news.take_placements();
+    summary.m_with_ledger = pick_with_ledger(now);
+    return summary;
+}
+
+std::vector<wire::Endpoint> aggregator::pick_with_ledger(instant now)
+{
+    std::vector<wire::Endpoint> candidates;
+    for (const auto& [name, gateway] : m_members)
+    {
+        if (is_live(now, gateway) && !gateway.m_ledger_silent)
+        {
+            candidates.push_back(gateway.m_contact.m_endpoint);
+        }
+    }
+    std::vector<wire::Endpoint> picked;
+    std::sample(candidates.begin(), candidates.end(), std::back_inserter(picked),
+                m_options.m_named_with_ledger, m_random.engine());
+    return picked;
+}
+
+digest aggregator::make_head(instant now)
+{
+    digest told;
+    told.m_from = m_self;
+    told.m_gateways = gateways(now);
+    told.m_without_ledger = count_members(now,
+                                          [](const member& gateway)
+                                          {
+                                              return gateway.m_ledger_silent;
+                                          });
+    for (const auto& [name, zone] : m_zones)
+    {
+        told.m_without_ledger += now - zone.m_heard <= m_options.m_lifetime ? zone.m_without_ledger : 0;
+    }
+    told.m_with_ledger = pick_with_ledger(now);
+    return told;
+}
+
+digest aggregator::make_digest(instant now)
+{
+    digest told = make_head(now);
+    told.m_full = true;
+    absl::flat_hash_map<std::uint32_t, std::uint32_t> active;
+    m_zone_loads.add_to(active);
+    m_other_loads.add_to(active);
+    told.m_loads = m_all_news.take_loads(active);
+    told.m_placements = m_all_news.take_placements();
+    return told;
+}
+
+digest aggregator::make_short_digest(instant now)
+{
+    return make_head(now);
+}
+
+bool aggregator::digest_is_due(instant now) const
+{
+    return now - m_digest_sent >= m_interval;
+}
+
+void aggregator::note_digest_sent(instant now, std::size_t bytes)
+{
+    using std::chrono::milliseconds;
+    constexpr std::size_t milliseconds_a_second = 1000;
+    m_digest_sent = now;
+    milliseconds by_bytes(bytes * milliseconds_a_second / m_options.m_digest_bytes_per_second);
+    m_interval = std::max(m_options.m_least_interval, by_bytes);
+}
+
+std::vector<wire::Endpoint> aggregator::primary_members(instant now) const
+{
+    std::vector<wire::Endpoint> endpoints;
+    for (const auto& [name, gateway] : m_members)
+    {
+        if (gateway.m_primary && is_live(now, gateway) && name != m_self.m_name)
+        {
+            endpoints.push_back(gateway.m_contact.m_endpoint);
+        }
+    }
+    return endpoints;
+}
+
+std::vector<wire::Endpoint> aggregator::take_short_digest_due(instant now)
+{
+    std::vector<wire::Endpoint> endpoints;
+    for (auto& [name, gateway] : m_members)
+    {
+        bool gets_full = gateway.m_primary && is_live(now, gateway);
+        bool due = now - gateway.m_short_digest_sent >= m_options.m_short_interval;
+        if (!gets_full && due && name != m_self.m_name)
+        {
+            gateway.m_short_digest_sent = now;
+            endpoints.push_back(gateway.m_contact.m_endpoint);
+        }
+    }
+    return endpoints;
+}
+
+}  // namespace martenyard::aggregation
--- /dev/null
+++ b/src/aggregation/slots.h
@@ -0,0 +1,120 @@
+// Which gateways are their zone's aggregators. Decision code: no I/O, no clock.
+//
+// Each zone has a few slots, one key each in the store. A gateway that sees a vacant one, or one whose
+// holder it no longer hears, takes it by a conditional write after a pause of its own, so that one of
+// many tries first and the others see its name there.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "aggregation/messages.h"
+
+namespace martenyard::aggregation
+{
+
+/// aggregators of a zone: two may be lost and one still tells the zone's gateways of the others
+constexpr std::size_t slots_per_zone = 3;
+
+/// @brief a slot as the store has it
+struct slot
+{
+    /// nobody: the slot is vacant
+    std::optional<contact> m_holder;
+    /// of the key's last change; 0 if it was never written
+    std::uint64_t m_revision = 0;
+};
+
+/// @brief all zones' slots, by zone and number
+using slot_table = std::map<std::string, std::map<std::size_t, slot>>;
+
+/// @brief a slot to take
+struct slot_claim
+{
+    std::size_t m_slot = 0;
+    /// the write's condition
+    std::uint64_t m_revision = 0;
+};
+
+/// @brief named knobs: who gets a zone's sums
+struct summary_spread
+{
+    /// zones that sums are exchanged with: the next ones on both sides in the circle of names. News of
+    /// the store reach all others through them
+    std::size_t m_most_zones = 8;
+    /// aggregators of each that get them; a datagram, or one of them, may be lost
+    std::size_t m_copies = 2;
+};
+
+/// @return the zones that `zone` exchanges sums with
+std::vector<std::string> near_zones(const slot_table& table, const std::string& zone, std::size_t most);
+
+/// @param[in] self  an aggregator; those of another zone are dealt evenly to the own zone's
+/// @return the aggregators of other zones that it tells its zone's sums
+std::vector<wire::Endpoint> summary_targets(const slot_table& table, const contact& self,
+                                            const summary_spread& spread = {});
+
+/// @brief named knobs
+struct slot_options
+{
+    /// machines with a smaller share of a core take a slot only after this time
+    double m_weak_share = 0.2;
+    std::chrono::milliseconds m_weak_delay{600};
+    /// the pauses of a zone's gateways lie spread over this time. The store's answer takes some
+    /// milliseconds and fifty gateways may want the slot: one in twenty milliseconds
+    std::chrono::milliseconds m_spread{1000};
+    /// a holder that was not heard for this long is replaced. A process restarts within a second
+    std::chrono::milliseconds m_holder_patience{4000};
+    /// while no aggregator at all is heard, this gateway may be the one that is cut off
+    std::chrono::milliseconds m_alone_patience{10000};
+    /// before the same slot is tried for again
+    std::chrono::milliseconds m_retry{1500};
+};
+
+/// @brief decides when to take a slot
+class slot_claims
+{
+  public:
+    /// @param[in] processor_share  of one core, that the machine may use
+    slot_claims(contact self, double processor_share, const slot_options& options = {});
+
+    /// @brief what the gateway hears of aggregators
+    struct view
+    {
+        instant m_now;
+        /// when each aggregator was last heard, by name
+        const std::map<std::string, instant>* m_heard = nullptr;
+    };
+
+    /// @return the slot to try for now, if any; it counts as tried
+    std::optional<slot_claim> next(const view& seen, const slot_table& table);
+
+    /// @return the slot that this gateway holds, if any
+    std::optional<std::size_t> held(const slot_table& table) const;
+
+  private:
+    struct watched_slot
+    {
+        /// since when it has been vacant, or its holder silent
+        std::optional<instant> m_since;
+        std::optional<instant> m_tried;
+    };
+
+    /// @return how long this gateway waits before it takes the slot
+    std::chrono::milliseconds pause(std::size_t number) const;
+    bool is_due(const view& seen, const slot& taken, watched_slot& watched, std::size_t number) const;
+    bool hears_anybody(const view& seen) const;
+
+    contact m_self;
+    double m_processor_share;
+    slot_options m_options;
+    std::map<std::size_t, watched_slot> m_watched;
+    std::optional<instant> m_began;
+};
+
+}  // namespace martenyard::aggregation
--- a/src/roles/directory_keys.h
+++ b/src/roles/directory_keys.h
@@ -1,12 +1,12 @@
-// Keys of the system's own directory in the store.
+// Keys of the system's own directory in the store. All lie under "martenyard/".
 #pragma once
 
 namespace martenyard::roles {
 
-/// Everything that the system itself keeps in the store lies under this prefix.
-inline constexpr char kDirectoryPrefix[] = "martenyard/";
-/// One key a gateway: where its peers reach it.
+/// One key a gateway, below its zone's name: where its peers reach it.
 inline constexpr char kGatewayMachines[] = "martenyard/gateways/";
+/// A few keys a zone, below its name: the gateways that sum up for it and watch the store.
+inline constexpr char kAggregators[] = "martenyard/aggregators/";
 inline constexpr char kLedgerPrefix[] = "martenyard/ledger/";
 /// One key a storage machine: its present identity and address.
 inline constexpr char kLedgerMachines[] = "martenyard/ledger/machines/";
--- /dev/null
+++ b/src/roles/exchange/zone_exchange.cc
@@ -0,0 +1,601 @@
+#include "roles/exchange/zone_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/hash.h"
+#include "roles/directory_keys.h"
+#include "roles/exchange/slot_records.h"
+#include "wire/codec.h"
+
+namespace martenyard::roles
+{
+
+using aggregation::contact;
+using aggregation::datagram;
+using aggregation::digest;
+using aggregation::member_report;
+using aggregation::placement;
+using aggregation::report_target;
+using aggregation::runner_load;
+using aggregation::zone_summary;
+using event_log::Line;
+
+namespace
+{
+
+/// bounds the memory of a gateway that nobody takes reports from
+constexpr std::size_t most_placements = 400;
+
+aggregation::instant steady_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// @return a number's share of its range, 0 to 1
+double point_of(std::uint64_t hash)
+{
+    constexpr double range = 18446744073709551616.0;  // 2^64
+    return static_cast<double>(hash) / range;
+}
+
+std::uint8_t at_most_a_byte(std::uint32_t count)
+{
+    return static_cast<std::uint8_t>(std::min<std::uint32_t>(count, UINT8_MAX));
+}
+
+/// @return this gateway's requests by runner, with what it has not told yet of their outcomes
+std::vector<runner_load> own_loads(discovery::RunnerTable& runners)
+{
+    std::vector<runner_load> loads;
+    for (const auto& [id, state] : runners.all())
+    {
+        const discovery::request_outcomes& outcomes = state.unreported;
+        if (state.own_active > 0 || outcomes.m_served > 0 || outcomes.m_lost > 0)
+        {
+            loads.push_back({state.short_id, static_cast<std::uint16_t>(state.own_active),
+                             at_most_a_byte(outcomes.m_served), at_most_a_byte(outcomes.m_lost)});
+        }
+    }
+    return loads;
+}
+
+/// the outcomes were told
+void mark_reported(const std::vector<runner_load>& loads, discovery::RunnerTable& runners)
+{
+    for (const runner_load& load : loads)
+    {
+        if (discovery::RunnerState* runner = runners.FindShort(load.m_runner))
+        {
+            runner->unreported.m_served -= load.m_served;
+            runner->unreported.m_lost -= load.m_lost;
+        }
+    }
+}
+
+}  // namespace
+
+zone_exchange::zone_exchange(async_http::asio::io_context& context, const RoleSettings& settings,
+                             store::MetadataStore& store, wire::Transport& transport,
+                             const followed_mirrors& mirrors, forwarding::GatewayState& state,
+                             event_log::EventLog& log, const exchange_options& options)
+    : m_context(context),
+      m_settings(settings),
+      m_store(store),
+      m_transport(transport),
+      m_state(state),
+      m_log(log),
+      m_options(options),
+      m_mirrors{&mirrors.m_configuration, &mirrors.m_runners, &mirrors.m_ledger, &mirrors.m_aggregators},
+      m_registered(
+          context, store, absl::StrCat(kGatewayMachines, settings.zone, "/"),
+          [](const store::StoreChange&) {}, [](bool, store::StoreStatus) {}),
+      m_news(state.random.NextId())
+{
+}
+
+void zone_exchange::start(std::uint16_t internal_port)
+{
+    m_settings.internal_port = internal_port;
+    m_claims.emplace(self(), m_settings.processor_share);
+    m_view.emplace(self());
+    m_registered.SetPaused(true);
+    m_registered.Start();
+    async_http::asio::co_spawn(m_context, register_self(), async_http::asio::detached);
+}
+
+contact zone_exchange::self() const
+{
+    return {m_settings.node, m_settings.zone, {m_settings.address, m_settings.internal_port}};
+}
+
+turn_ledger::Machine zone_exchange::machine() const
+{
+    turn_ledger::Machine self;
+    self.name = m_settings.node;
+    self.endpoint = {m_settings.address, m_settings.internal_port};
+    self.zone = ZoneName(m_settings.zone);
+    return self;
+}
+
+aggregation::known_changes zone_exchange::changes() const
+{
+    aggregation::known_changes known{};
+    for (std::size_t mirror = 0; mirror < m_mirrors.size(); ++mirror)
+    {
+        known[mirror] = m_mirrors[mirror]->last_change();
+    }
+    return known;
+}
+
+// ---- Slots ----
+
+void zone_exchange::on_slots_change()
+{
+    m_slots = read_slots(m_mirrors.back()->items(), m_log);
+    if (m_view)
+    {
+        m_view->set_slots(m_slots);
+        become(m_claims->held(m_slots));
+    }
+}
+
+void zone_exchange::become(std::optional<std::size_t> slot)
+{
+    if (slot == m_slot)
+    {
+        return;
+    }
+    m_slot = slot;
+    bool aggregates = slot.has_value();
+    m_log.Write(Line("aggregator_role")
+                    .Flag("aggregates", aggregates)
+                    .Number("slot", static_cast<std::int64_t>(slot.value_or(0))));
+    if (aggregates && !m_sums)
+    {
+        m_sums = std::make_unique<aggregation::aggregator>(self(), m_state.random.NextId());
+    }
+    else if (!aggregates)
+    {
+        m_sums.reset();
+    }
+    m_view->set_aggregates(aggregates);
+    m_registered.SetPaused(!aggregates);
+}
+
+bool zone_exchange::slot_is_vacant() const
+{
+    auto zone = m_slots.find(m_settings.zone);
+    std::size_t taken = 0;
+    if (zone != m_slots.end())
+    {
+        taken = static_cast<std::size_t>(std::count_if(zone->second.begin(), zone->second.end(),
+                                                       [](const auto& entry)
+                                                       {
+                                                           return entry.second.m_holder.has_value();
+                                                       }));
+    }
+    return taken < aggregation::slots_per_zone;
+}
+
+void zone_exchange::claim_slot(instant now)
+{
+    if (m_claiming || !m_mirrors.back()->complete())
+    {
+        return;
+    }
+    auto claim = m_claims->next({now, &m_view->heard()}, m_slots);
+    if (claim)
+    {
+        m_claiming = true;
+        m_claimed = now;
+        async_http::asio::co_spawn(m_context, write_claim(*claim), async_http::asio::detached);
+    }
+}
+
+async_http::Task<void> zone_exchange::write_claim(aggregation::slot_claim claim)
+{
+    store::Transaction transaction;
+    std::string key = slot_key(m_settings.zone, claim.m_slot);
+    transaction.conditions.push_back({key, claim.m_revision});
+    transaction.puts.push_back({key, wire::Encode(self()), 0});
+    store::StoreStatus status = co_await m_store.Commit(std::move(transaction));
+    m_log.Write(Line("slot_claimed")
+                    .Number("slot", static_cast<std::int64_t>(claim.m_slot))
+                    .Number("revision", static_cast<std::int64_t>(claim.m_revision))
+                    .Number("status", static_cast<std::int64_t>(status)));
+    m_claiming = false;
+}
+
+async_http::Task<void> zone_exchange::register_self()
+{
+    // Only this gateway writes its key: no condition is needed.
+    std::string key = absl::StrCat(kGatewayMachines, m_settings.zone, "/", m_settings.node);
+    store::StoreStatus status = store::StoreStatus::kUnknown;
+    while (true)
+    {
+        store::Transaction transaction;
+        transaction.puts.push_back({key, wire::Encode(self()), 0});
+        status = co_await m_store.Commit(std::move(transaction));
+        if (status == store::StoreStatus::kDone)
+        {
+            co_return;
+        }
+        co_await async_http::Sleep(m_context, absl::FromChrono(m_options.m_register_pause));
+    }
+}
+
+// ---- What peers tell ----
+
+void zone_exchange::on_datagram(const std::string& payload)
+{
+    auto message = wire::Decode<datagram>(payload);
+    if (!message || !m_view)
+    {
+        ++m_stats.m_datagrams_unreadable;
+        return;
+    }
+    instant now = steady_now();
+    std::visit(
+        [&](const auto& told)
+        {
+            take(now, told);
+        },
+        *message);
+}
+
+void zone_exchange::take(instant now, const member_report& report)
+{
+    ++m_stats.m_reports_taken;
+    m_news.heard(now, report.m_from, report.m_changes);
+    if (m_sums)
+    {
+        m_sums->take(now, report);
+    }
+}
+
+void zone_exchange::take(instant now, const zone_summary& summary)
+{
+    m_news.heard(now, summary.m_from, summary.m_changes);
+    m_view->take(now, summary);
+    if (m_sums)
+    {
+        m_sums->take(now, summary);
+    }
+}
+
+void zone_exchange::take(instant now, const digest& told)
+{
+    ++m_stats.m_digests_taken;
+    m_news.heard(now, told.m_from, told.m_changes);
+    if (m_view->take(now, told))
+    {
+        apply(now, m_view->without_own(told.m_loads), told.m_placements);
+    }
+}
+
+void zone_exchange::take(instant /*now*/, const store::news_request& request)
+{
+    if (request.m_mirror < m_mirrors.size())
+    {
+        send_changes({request.m_address, request.m_port}, request.m_mirror, request.m_last_change);
+    }
+}
+
+void zone_exchange::on_news(const store::news_reply& reply)
+{
+    if (reply.m_mirror >= m_mirrors.size())
+    {
+        m_log.Write(Line("news_unreadable").Number("mirror", reply.m_mirror));
+        return;
+    }
+    store::PrefixMirror& mirror = *m_mirrors[reply.m_mirror];
+    if (reply.m_delta.m_last_change > mirror.last_change())
+    {
+        m_log.Write(Line("news_from_peer")
+                        .Number("mirror", reply.m_mirror)
+                        .Number("items", static_cast<std::int64_t>(reply.m_delta.m_items.size()))
+                        .Number("removals", static_cast<std::int64_t>(reply.m_delta.m_removals.size()))
+                        .Number("from", static_cast<std::int64_t>(mirror.last_change()))
+                        .Number("to", static_cast<std::int64_t>(reply.m_delta.m_last_change)));
+    }
+    mirror.TakeDelta(reply.m_delta);
+}
+
+void zone_exchange::apply(instant now, const std::vector<runner_load>& others,
+                          const std::vector<placement>& placements)
+{
+    m_digest_taken = now;
+    discovery::RunnerTable& runners = m_state.runners;
+    bool counts = m_settings.policy.on(mechanism::peer_loads);
+    for (auto& [id, runner] : runners.all())
+    {
+        runner.peers_active = 0;
+    }
+    for (const runner_load& load : others)
+    {
+        discovery::RunnerState* runner = runners.FindShort(load.m_runner);
+        if (runner == nullptr || !counts)
+        {
+            continue;
+        }
+        runner->peers_active = load.m_active;
+        if (load.m_served > 0 || load.m_lost > 0)
+        {
+            runner->losses.note(now, {load.m_served, load.m_lost});
+        }
+    }
+    absl::Time noted = SteadyNow();
+    for (const placement& placed : placements)
+    {
+        m_state.prefixes.Note(noted, {placed.m_part, placed.m_tokens}, placed.m_runner);
+    }
+}
+
+void zone_exchange::forget_old_loads(instant now)
+{
+    if (!m_digest_taken || now - *m_digest_taken <= m_options.m_digest_lifetime)
+    {
+        return;
+    }
+    m_digest_taken.reset();
+    m_log.Write(Line("digests_stopped"));
+    for (auto& [id, runner] : m_state.runners.all())
+    {
+        runner.peers_active = 0;
+    }
+}
+
+void zone_exchange::note_placement(const forwarding::PromptPart& part, std::uint32_t runner)
+{
+    if (m_placements.size() < most_placements)
+    {
+        m_placements.push_back({part.id, part.tokens, runner});
+    }
+}
+
+// ---- What is told ----
+
+void zone_exchange::tick(const gateway_status& status)
+{
+    instant now = steady_now();
+    m_status = status;
+    judge_watching(now);
+    claim_slot(now);
+    m_news.expire(now);
+    report(now);
+    if (m_sums)
+    {
+        m_sums->expire(now);
+        send_digests(now);
+        send_introductions(now);
+        send_summary(now);
+        push_news(now);
+    }
+    ask_for_news(now);
+    forget_old_loads(now);
+    m_state.gateways = std::max<std::uint32_t>(1, m_view->gateways());
+    m_state.store_reachable = store_reachable();
+}
+
+void zone_exchange::judge_watching(instant now)
+{
+    bool in_contact = m_view->hears_contact(now);
+    m_without_contact_since =
+        in_contact ? std::nullopt : std::make_optional(m_without_contact_since.value_or(now));
+    auto own_pause = std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_options.m_watch_spread * point_of(StableHash(m_settings.node)));
+    bool alone =
+        m_without_contact_since && now - *m_without_contact_since >= m_options.m_watch_after + own_pause;
+    bool watch = aggregates() || alone || !m_settings.policy.on(mechanism::peer_news);
+    if (watch != m_watching)
+    {
+        m_watching = watch;
+        m_log.Write(Line("store_watching").Flag("watching", watch));
+    }
+    for (store::PrefixMirror* mirror : m_mirrors)
+    {
+        mirror->SetWatching(watch);
+    }
+    // Until the zone has its aggregators, each of its gateways may become one.
+    bool just_claimed = m_claimed && now - *m_claimed < m_options.m_claim_watch;
+    m_mirrors.back()->SetWatching(watch || just_claimed || slot_is_vacant());
+}
+
+bool zone_exchange::store_reachable() const
+{
+    return m_status.m_store_answers || (!m_watching && m_view && m_view->hears_contact(steady_now()));
+}
+
+std::size_t zone_exchange::peers() const
+{
+    return m_view ? m_view->gateways() - 1 : 0;
+}
+
+std::size_t zone_exchange::peers_without_ledger() const
+{
+    std::size_t without = m_view ? m_view->gateways_without_ledger(steady_now()) : 0;
+    // The sums may count this gateway too.
+    return without - std::min<std::size_t>(without, m_reported.m_ledger_silent ? 1 : 0);
+}
+
+std::vector<wire::Endpoint> zone_exchange::peers_with_ledger(std::size_t most) const
+{
+    return m_view ? m_view->with_ledger(steady_now(), most) : std::vector<wire::Endpoint>();
+}
+
+bool zone_exchange::report_is_due(instant now, const member_report& fresh,
+                                  const std::vector<report_target>& targets) const
+{
+    bool changed = fresh.m_loads != m_reported.m_loads || !fresh.m_placements.empty() ||
+                   fresh.m_changes != m_reported.m_changes ||
+                   fresh.m_ledger_silent != m_reported.m_ledger_silent || targets != m_reported_to;
+    return changed || now - m_reported_at >= m_options.m_quiet_interval;
+}
+
+void zone_exchange::report(instant now)
+{
+    member_report fresh;
+    fresh.m_from = self();
+    fresh.m_changes = changes();
+    fresh.m_ledger_silent = m_status.m_ledger_silent;
+    fresh.m_loads = own_loads(m_state.runners);
+    fresh.m_placements = m_placements;
+    std::vector<report_target> targets = m_view->targets(now);
+    bool has_taker = aggregates() || !targets.empty();
+    if (!has_taker || !report_is_due(now, fresh, targets))
+    {
+        return;
+    }
+    mark_reported(fresh.m_loads, m_state.runners);
+    m_view->note_reported(now, fresh.m_loads);
+    m_placements.clear();
+    if (m_sums)
+    {
+        m_sums->take(now, fresh);
+    }
+    std::string secondary_payload = wire::Encode(datagram(fresh));
+    fresh.m_primary = true;
+    std::string primary_payload = wire::Encode(datagram(fresh));
+    for (const report_target& target : targets)
+    {
+        send(target.m_endpoint, target.m_primary ? primary_payload : secondary_payload);
+        ++m_stats.m_reports_sent;
+    }
+    m_reported = std::move(fresh);
+    m_reported_to = std::move(targets);
+    m_reported_at = now;
+}
+
+void zone_exchange::send_digests(instant now)
+{
+    auto complete = [this](digest& told)
+    {
+        told.m_changes = changes();
+        told.m_in_contact = m_watching && m_status.m_store_answers;
+    };
+    if (m_sums->digest_is_due(now))
+    {
+        digest full = m_sums->make_digest(now);
+        complete(full);
+        std::string payload = wire::Encode(datagram(full));
+        m_sums->note_digest_sent(now, payload.size());
+        for (const wire::Endpoint& member : m_sums->primary_members(now))
+        {
+            send(member, payload);
+            ++m_stats.m_digests_sent;
+        }
+        m_view->take_counts(now, full.m_gateways, full.m_without_ledger);
+        apply(now, m_view->without_own(full.m_loads), full.m_placements);
+    }
+    std::vector<wire::Endpoint> due = m_sums->take_short_digest_due(now);
+    if (due.empty())
+    {
+        return;
+    }
+    digest brief = m_sums->make_short_digest(now);
+    complete(brief);
+    std::string payload = wire::Encode(datagram(brief));
+    for (const wire::Endpoint& member : due)
+    {
+        send(member, payload);
+        ++m_stats.m_digests_sent;
+    }
+}
+
+void zone_exchange::send_introductions(instant now)
+{
+    if (now - m_introduced_at < m_options.m_introduction_interval)
+    {
+        return;
+    }
+    m_introduced_at = now;
+    digest brief = m_sums->make_short_digest(now);
+    brief.m_changes = changes();
+    brief.m_in_contact = m_watching && m_status.m_store_answers;
+    std::string payload = wire::Encode(datagram(brief));
+    for (const auto& [key, item] : m_registered.items())
+    {
+        auto gateway = wire::Decode<contact>(item.value);
+        if (!gateway)
+        {
+            m_log.Write(Line("directory_record_unreadable").Text("key", key));
+            continue;
+        }
+        bool is_self = gateway->m_name == m_settings.node;
+        if (!is_self && !m_sums->members().contains(gateway->m_name))
+        {
+            send(gateway->m_endpoint, payload);
+        }
+    }
+}
+
+void zone_exchange::send_summary(instant now)
+{
+    if (now - m_summary_sent < m_options.m_summary_interval)
+    {
+        return;
+    }
+    m_summary_sent = now;
+    zone_summary summary = m_sums->make_summary(now);
+    summary.m_changes = changes();
+    summary.m_in_contact = m_watching && m_status.m_store_answers;
+    std::string payload = wire::Encode(datagram(std::move(summary)));
+    for (const wire::Endpoint& aggregator : aggregation::summary_targets(m_slots, self(), m_options.m_spread))
+    {
+        send(aggregator, payload);
+        ++m_stats.m_summaries_sent;
+    }
+}
+
+void zone_exchange::push_news(instant now)
+{
+    for (const aggregation::news_push& push : m_news.take_due_pushes(now, changes(), *m_sums))
+    {
+        ++m_stats.m_news_pushed;
+        send_changes(push.m_to, push.m_mirror, push.m_since);
+    }
+}
+
+void zone_exchange::ask_for_news(instant now)
+{
+    for (std::size_t mirror = 0; mirror < m_mirrors.size(); ++mirror)
+    {
+        // A push or the own watch may still bring it, unless the store is lost to this gateway.
+        bool patient = !m_watching || m_status.m_store_answers;
+        auto question = m_news.next_question(now, mirror, m_mirrors[mirror]->last_change(), patient);
+        if (question)
+        {
+            ++m_stats.m_news_asked;
+            store::news_request request{static_cast<std::uint8_t>(mirror), m_mirrors[mirror]->last_change(),
+                                        m_settings.address, m_settings.internal_port};
+            send(question->m_peer, wire::Encode(datagram(request)));
+        }
+    }
+}
+
+void zone_exchange::send_changes(const wire::Endpoint& to, std::size_t mirror, std::uint64_t since)
+{
+    if (m_transport.Unsent(to) > 0)
+    {
+        return;  // It has not taken the last ones yet, and will ask again.
+    }
+    std::uint64_t until = m_mirrors[mirror]->last_change();
+    bool encoded = m_encoded && m_encoded->m_mirror == mirror && m_encoded->m_since == since &&
+                   m_encoded->m_until == until;
+    if (!encoded)
+    {
+        store::news_reply reply{static_cast<std::uint8_t>(mirror), m_mirrors[mirror]->ChangesSince(since)};
+        m_encoded = encoded_changes{mirror, since, until,
+                                    wire::Encode(turn_ledger::Envelope{machine(), std::move(reply)})};
+    }
+    m_transport.SendFrame(to, m_encoded->m_frame);
+}
+
+void zone_exchange::send(const wire::Endpoint& to, const std::string& payload)
+{
+    m_transport.SendDatagram(to, payload);
+}
+
+}  // namespace martenyard::roles
--- /dev/null
+++ b/src/roles/exchange/zone_exchange.h
@@ -0,0 +1,219 @@
+// A gateway's part in what gateways tell each other: loads, outcomes, the store's news. Wires the
+// decisions of aggregation/ to datagrams, frames, mirrors of the store and the runner table.
+//
+// Every gateway reports to its zone's few aggregators and goes by the digests of one of them; a gateway
+// that holds a slot is an aggregator itself. What a gateway sends, receives and keeps doesn't grow with
+// the fleet. See docs/design/0007.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "aggregation/aggregator.h"
+#include "aggregation/member_view.h"
+#include "aggregation/messages.h"
+#include "aggregation/news.h"
+#include "aggregation/slots.h"
+#include "async_http/task.h"
+#include "event_log/event_log.h"
+#include "forwarding/gateway_state.h"
+#include "roles/role_settings.h"
+#include "store/metadata_store.h"
+#include "store/prefix_mirror.h"
+#include "turn_ledger/messages.h"
+#include "wire/transport.h"
+
+namespace martenyard::roles
+{
+
+/// @brief the copies of the store's prefixes that gateways tell each other of, in the order of
+///        aggregation::known_changes
+struct followed_mirrors
+{
+    store::PrefixMirror& m_configuration;
+    store::PrefixMirror& m_runners;
+    store::PrefixMirror& m_ledger;
+    store::PrefixMirror& m_aggregators;
+};
+
+/// @brief what the gateway sees by itself, at each tick
+struct gateway_status
+{
+    /// most groups of the ledger don't answer
+    bool m_ledger_silent = false;
+    /// the store answered the last question for the configuration
+    bool m_store_answers = false;
+};
+
+/// @brief named knobs
+struct exchange_options
+{
+    /// an unchanged report is told again after this time
+    std::chrono::milliseconds m_quiet_interval{1000};
+    /// between a zone's sums to the other zones
+    std::chrono::milliseconds m_summary_interval{100};
+    /// who gets them
+    aggregation::summary_spread m_spread;
+    /// registered gateways that are silent get a short digest so often
+    std::chrono::milliseconds m_introduction_interval{1000};
+    /// without an aggregator in contact with the store for this long, a gateway may watch it itself
+    std::chrono::milliseconds m_watch_after{1600};
+    /// such gateways begin one after the other over this time: the store may be down for all
+    std::chrono::milliseconds m_watch_spread{30000};
+    /// without a full digest for this long, other gateways' requests count as none
+    std::chrono::milliseconds m_digest_lifetime{1600};
+    /// who tried to take a slot watches the slots' records for so long, whatever came of it
+    std::chrono::milliseconds m_claim_watch{5000};
+    /// between two tries to register
+    std::chrono::milliseconds m_register_pause{1000};
+};
+
+/// @brief counters since the start, for the metrics address
+struct exchange_stats
+{
+    std::uint64_t m_reports_sent = 0;
+    std::uint64_t m_reports_taken = 0;
+    std::uint64_t m_digests_sent = 0;
+    std::uint64_t m_digests_taken = 0;
+    std::uint64_t m_summaries_sent = 0;
+    std::uint64_t m_news_pushed = 0;
+    std::uint64_t m_news_asked = 0;
+    std::uint64_t m_datagrams_unreadable = 0;
+};
+
+/// @brief on the loop's thread only
+class zone_exchange
+{
+  public:
+    /// All references must outlive the exchange.
+    zone_exchange(async_http::asio::io_context& context, const RoleSettings& settings,
+                  store::MetadataStore& store, wire::Transport& transport, const followed_mirrors& mirrors,
+                  forwarding::GatewayState& state, event_log::EventLog& log,
+                  const exchange_options& options = {});
+
+    /// @brief begins; the internal port is known by now
+    void start(std::uint16_t internal_port);
+
+    /// @brief the slots' records changed
+    void on_slots_change();
+
+    /// @brief a datagram came
+    void on_datagram(const std::string& payload);
+
+    /// @brief a peer told changes of the store
+    void on_news(const store::news_reply& reply);
+
+    /// @brief a runner is about to read a part of a prompt
+    void note_placement(const forwarding::PromptPart& part, std::uint32_t runner);
+
+    /// @brief does what is due; each tenth of a second
+    void tick(const gateway_status& status);
+
+    /// @return whether the configuration is known to be the newest: the store answers, or an aggregator
+    ///         says that it does
+    bool store_reachable() const;
+
+    /// @return other gateways that are known of, and those among them without the ledger
+    std::size_t peers() const;
+    std::size_t peers_without_ledger() const;
+
+    /// @return up to `most` gateways that reach the ledger
+    std::vector<wire::Endpoint> peers_with_ledger(std::size_t most) const;
+
+    bool aggregates() const
+    {
+        return m_sums != nullptr;
+    }
+    const exchange_stats& stats() const
+    {
+        return m_stats;
+    }
+    /// @return gateways that report to this one, if it is an aggregator
+    std::size_t members() const
+    {
+        return m_sums ? m_sums->members().size() : 0;
+    }
+
+  private:
+    using instant = aggregation::instant;
+
+    void take(instant now, const aggregation::member_report& report);
+    void take(instant now, const aggregation::zone_summary& summary);
+    void take(instant now, const aggregation::digest& told);
+    void take(instant now, const store::news_request& request);
+
+    aggregation::known_changes changes() const;
+    aggregation::contact self() const;
+    turn_ledger::Machine machine() const;
+    void judge_watching(instant now);
+    bool slot_is_vacant() const;
+    void claim_slot(instant now);
+    async_http::Task<void> write_claim(aggregation::slot_claim claim);
+    async_http::Task<void> register_self();
+    void become(std::optional<std::size_t> slot);
+
+    void report(instant now);
+    bool report_is_due(instant now, const aggregation::member_report& fresh,
+                       const std::vector<aggregation::report_target>& targets) const;
+    void send_digests(instant now);
+    void send_introductions(instant now);
+    void send_summary(instant now);
+    void push_news(instant now);
+    void ask_for_news(instant now);
+    void send_changes(const wire::Endpoint& to, std::size_t mirror, std::uint64_t since);
+    void apply(instant now, const std::vector<aggregation::runner_load>& others,
+               const std::vector<aggregation::placement>& placements);
+    void forget_old_loads(instant now);
+    void send(const wire::Endpoint& to, const std::string& payload);
+
+    async_http::asio::io_context& m_context;
+    RoleSettings m_settings;
+    store::MetadataStore& m_store;
+    wire::Transport& m_transport;
+    forwarding::GatewayState& m_state;
+    event_log::EventLog& m_log;
+    exchange_options m_options;
+    std::array<store::PrefixMirror*, aggregation::mirror_count> m_mirrors;
+    /// the zone's gateways as they registered; an aggregator introduces itself to silent ones
+    store::PrefixMirror m_registered;
+
+    aggregation::slot_table m_slots;
+    std::optional<aggregation::slot_claims> m_claims;
+    std::optional<aggregation::member_view> m_view;
+    aggregation::news_decisions m_news;
+    std::unique_ptr<aggregation::aggregator> m_sums;
+    std::optional<std::size_t> m_slot;
+    bool m_claiming = false;
+    std::optional<instant> m_claimed;
+    bool m_watching = true;
+    gateway_status m_status;
+
+    aggregation::member_report m_reported;
+    std::vector<aggregation::report_target> m_reported_to;
+    instant m_reported_at;
+    std::vector<aggregation::placement> m_placements;
+    instant m_summary_sent;
+    instant m_introduced_at;
+    std::optional<instant> m_without_contact_since;
+    std::optional<instant> m_digest_taken;
+
+    /// the last changes sent, encoded: many gateways lack the same
+    struct encoded_changes
+    {
+        std::size_t m_mirror = 0;
+        std::uint64_t m_since = 0;
+        std::uint64_t m_until = 0;
+        std::string m_frame;
+    };
+    std::optional<encoded_changes> m_encoded;
+    exchange_stats m_stats;
+};
+
+}  // namespace martenyard::roles
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -22,15 +22,11 @@
 namespace {
 
 constexpr absl::Duration kTick = absl::Milliseconds(100);
-constexpr absl::Duration kQuietReportInterval = absl::Seconds(1);
-constexpr absl::Duration kPeerLifetime = absl::Milliseconds(1600);
 constexpr absl::Duration kHousekeepingInterval = absl::Seconds(1);
 constexpr absl::Duration kKeepGoneRunners = absl::Seconds(10);
 /// A group of the ledger that answered nothing for this long is asked whether it is there.
 constexpr absl::Duration kProbeAfter = absl::Milliseconds(250);
 constexpr std::size_t kMostRelays = 4;
-constexpr absl::Duration kRegisterPause = absl::Seconds(1);
-constexpr std::size_t kMostPlacements = 400;
 /// A stopping gateway still gets new connections until its readiness was asked for twice.
 constexpr absl::Duration kLeastDrain = absl::Seconds(3);
 /// Kept free between the process's own end and the platform's SIGKILL.
@@ -42,10 +38,8 @@
 /// knowledge before it: the watch's spacing, a peer's news and the way to the runner.
 constexpr absl::Duration kNoticeLag = absl::Milliseconds(800);
 
-/// When all start together, the first watch of the directory tells of the others; once their
-/// reports have come, a few of them watch the rest for all.
-constexpr absl::Duration kDirectoryWatchDelay = absl::Milliseconds(500);
-constexpr absl::Duration kOtherWatchDelay = absl::Milliseconds(900);
+/// When all start together, each zone has its aggregators by then, and these watch for all.
+constexpr absl::Duration kFirstWatchDelay = absl::Milliseconds(900);
 
 store::MirrorOptions WatchLater(absl::Duration delay) {
   store::MirrorOptions options;
@@ -116,7 +110,7 @@
                                                         settings.zone)),
       transport_(
           loop, [this](const std::string& payload) { OnFrame(payload); },
-          [this](const std::string& payload) { OnDatagram(payload); },
+          [this](const std::string& payload) { exchange_.on_datagram(payload); },
           [this](const wire::Endpoint& peer, absl::Time) { state_->ledger->OnDead(peer); }),
       frontend_(loop.context(),
                 [state = state_](std::shared_ptr<async_http::Exchange> exchange) {
@@ -138,28 +132,34 @@
             state_->store_reachable = reachable;
             // One question at a time while the store is away: the configuration's.
             runners_.SetPaused(!reachable);
-            directory_.SetPaused(!reachable);
+            ledger_directory_.SetPaused(!reachable);
+            aggregators_.SetPaused(!reachable);
             OnContact("configuration", reachable, status);
           },
-          WatchLater(kOtherWatchDelay)),
+          WatchLater(kFirstWatchDelay)),
       runners_(
           loop.context(), store, formats.RunnersPrefix(),
           [this](const store::StoreChange& change) { OnRunnerChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("runners", reachable, status);
           },
-          WatchLater(kOtherWatchDelay)),
-      directory_(
-          loop.context(), store, kDirectoryPrefix,
-          [this](const store::StoreChange& change) { OnDirectoryChange(change); },
+          WatchLater(kFirstWatchDelay)),
+      ledger_directory_(
+          loop.context(), store, kLedgerPrefix,
+          [this](const store::StoreChange&) { OnLedgerDirectoryChange(); },
           [this](bool reachable, store::StoreStatus status) {
-            OnContact("directory", reachable, status);
+            OnContact("ledger directory", reachable, status);
           },
-          WatchLater(kDirectoryWatchDelay)),
-      peer_loads_(kPeerLifetime),
-      ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }),
-      mirrors_{&configuration_, &runners_, &directory_},
-      peer_news_(settings.node, settings.zone) {
+          WatchLater(kFirstWatchDelay)),
+      aggregators_(
+          loop.context(), store, kAggregators,
+          [this](const store::StoreChange&) { exchange_.on_slots_change(); },
+          [this](bool reachable, store::StoreStatus status) {
+            OnContact("aggregators", reachable, status);
+          }),
+      exchange_(loop.context(), settings, store, transport_,
+                {configuration_, runners_, ledger_directory_, aggregators_}, *state_, log),
+      ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }) {
   state_->options.gone_usable = LeavingRunnerUse(settings.drain);
   ApplyPolicy(settings.policy, *state_);
   state_->ledger = std::make_unique<turn_ledger::LedgerClient>(
@@ -175,9 +175,7 @@
       },
       ZoneName(settings.zone), state_->random.NextId() >> 16U);
   state_->on_placement = [this](const forwarding::PromptPart& part, std::uint32_t runner) {
-    if (placements_.size() < kMostPlacements) {
-      placements_.push_back({part.id, part.tokens, runner});
-    }
+    exchange_.note_placement(part, runner);
   };
 }
 
@@ -193,10 +191,11 @@
   if (settings_.metrics) {
     BOOST_LEAF_CHECK(metrics_.Listen(*settings_.metrics));
   }
+  exchange_.start(settings_.internal_port);
+  aggregators_.Start();
   configuration_.Start();
   runners_.Start();
-  directory_.Start();
-  async_http::asio::co_spawn(loop_.context(), Register(), async_http::asio::detached);
+  ledger_directory_.Start();
   ticker_.Start();
   return {};
 }
@@ -274,13 +273,20 @@
   state_->runners.Upsert(now, *runner);
 }
 
-void GatewayRole::OnDirectoryChange(const store::StoreChange&) {
-  std::vector<Machine> ledger_machines;
-  std::vector<wire::Endpoint> gateways;
-  for (const auto& [key, item] : directory_.items()) {
-    bool of_ledger = absl::StartsWith(key, kLedgerMachines);
-    bool of_gateway = absl::StartsWith(key, kGatewayMachines);
-    if (!of_ledger && !of_gateway) {
+void GatewayRole::OnLedgerDirectoryChange() {
+  if (!layout_is_due_) {
+    layout_is_due_ = true;
+    loop_.Post([this] {
+      layout_is_due_ = false;
+      LayOutLedger();
+    });
+  }
+}
+
+void GatewayRole::LayOutLedger() {
+  std::vector<Machine> machines;
+  for (const auto& [key, item] : ledger_directory_.items()) {
+    if (!absl::StartsWith(key, kLedgerMachines)) {
       continue;  // Another kind of record.
     }
     auto machine = wire::Decode<Machine>(item.value);
@@ -288,27 +294,21 @@
       log_.Write(Line("directory_record_unreadable").Text("key", key));
       continue;
     }
-    if (of_ledger) {
-      ledger_machines.push_back(*machine);
-    } else if (machine->name != settings_.node) {
-      gateways.push_back(machine->endpoint);
-    }
+    machines.push_back(*machine);
   }
-  log_.Write(Line("directory_changed")
-                 .Number("ledger_machines", static_cast<std::int64_t>(ledger_machines.size()))
-                 .Number("other_gateways", static_cast<std::int64_t>(gateways.size())));
-  SetLedgerGroups(ledger_machines);
-  state_->gateways = static_cast<std::uint32_t>(gateways.size()) + 1;
-  peers_ = std::move(gateways);
+  log_.Write(Line("ledger_directory_changed")
+                 .Number("machines", static_cast<std::int64_t>(machines.size())));
+  SetLedgerGroups(machines);
 }
 
 void GatewayRole::SetLedgerGroups(const std::vector<Machine>& machines) {
-  auto record = directory_.items().find(kLedgerGroups);
-  if (record == directory_.items().end()) {
+  auto record = ledger_directory_.items().find(kLedgerGroups);
+  if (record == ledger_directory_.items().end()) {
     return;
   }
   auto layout = wire::Decode<turn_ledger::group_layout>(record->second.value);
   if (!layout) {
+    log_.Write(Line("directory_record_unreadable").Text("key", kLedgerGroups));
     return;
   }
   std::vector<std::vector<wire::Endpoint>> groups;
@@ -326,28 +326,6 @@
   state_->informed.Notify();
 }
 
-Task<void> GatewayRole::Register() {
-  std::string key = absl::StrCat(kGatewayMachines, settings_.node);
-  std::string wanted = wire::Encode(Self());
-  // At the system's first start all machines must hear of each other soon: this one doesn't read
-  // first whether it is known already.
-  store::Transaction first;
-  first.conditions.push_back({key, 0});
-  first.puts.push_back({key, wanted, 0});
-  co_await store_.Commit(std::move(first));
-  while (!stopping_) {
-    auto present = directory_.items().find(key);
-    bool known = present != directory_.items().end();
-    if (directory_.complete() && (!known || present->second.value != wanted)) {
-      store::Transaction transaction;
-      transaction.conditions.push_back({key, known ? present->second.revision : 0});
-      transaction.puts.push_back({key, wanted, 0});
-      co_await store_.Commit(std::move(transaction));
-    }
-    co_await async_http::Sleep(loop_.context(), kRegisterPause);
-  }
-}
-
 // ---- Peers and the ledger ----
 
 void GatewayRole::SendToLedger(const wire::Endpoint& to,
@@ -366,7 +344,7 @@
   } else if (auto* chain = std::get_if<turn_ledger::chain_reply>(&envelope->body)) {
     state_->chains->on_reply(std::move(*chain));
   } else if (const auto* news = std::get_if<store::news_reply>(&envelope->body)) {
-    TakeNews(*news);
+    exchange_.on_news(*news);
   } else if (auto* request = std::get_if<turn_ledger::LedgerRequest>(&envelope->body)) {
     async_http::asio::co_spawn(loop_.context(),
                                RelayToLedger(envelope->from.endpoint, std::move(*request)),
@@ -394,111 +372,6 @@
   transport_.SendFrame(peer, wire::Encode(envelope));
 }
 
-void GatewayRole::OnDatagram(const std::string& payload) {
-  auto datagram = wire::Decode<GatewayDatagram>(payload);
-  if (!datagram) {
-    return;
-  }
-  if (const auto* report = std::get_if<LoadReport>(&*datagram)) {
-    TakeLoadReport(*report);
-  } else {
-    AnswerNewsRequest(std::get<store::news_request>(*datagram));
-  }
-}
-
-void GatewayRole::TakeLoadReport(const LoadReport& report) {
-  absl::Time now = SteadyNow();
-  if (settings_.policy.on(mechanism::peer_loads)) {
-    peer_loads_.Take(now, report, state_->runners);
-  }
-  for (const Placement& placement : report.placements) {
-    state_->prefixes.Note(now, {placement.part, placement.tokens}, placement.runner);
-  }
-  peer_news_.take(std::chrono::steady_clock::now(), report.gateway, report.news);
-}
-
-store::news_digest GatewayRole::Digest() const {
-  store::news_digest digest;
-  digest.m_zone = settings_.zone;
-  digest.m_endpoint = {settings_.address, settings_.internal_port};
-  for (std::size_t mirror = 0; mirror < mirrors_.size(); ++mirror) {
-    digest.m_changes[mirror] = mirrors_[mirror]->last_change();
-  }
-  digest.m_in_contact = watching_ && configuration_contact_;
-  digest.m_ledger_silent = ledger_readiness_.ledger_silent();
-  return digest;
-}
-
-void GatewayRole::AnswerNewsRequest(const store::news_request& request) {
-  if (request.m_mirror >= mirrors_.size()) {
-    return;
-  }
-  store::news_reply reply{request.m_mirror,
-                          mirrors_[request.m_mirror]->ChangesSince(request.m_last_change)};
-  transport_.SendFrame({request.m_address, request.m_port},
-                       wire::Encode(turn_ledger::Envelope{Self(), std::move(reply)}));
-}
-
-void GatewayRole::TakeNews(const store::news_reply& reply) {
-  if (reply.m_mirror >= mirrors_.size()) {
-    return;
-  }
-  store::PrefixMirror& mirror = *mirrors_[reply.m_mirror];
-  if (reply.m_delta.m_last_change > mirror.last_change()) {
-    log_.Write(Line("news_from_peer")
-                   .Number("mirror", reply.m_mirror)
-                   .Number("items", static_cast<std::int64_t>(reply.m_delta.m_items.size()))
-                   .Number("removals", static_cast<std::int64_t>(reply.m_delta.m_removals.size()))
-                   .Number("from", static_cast<std::int64_t>(mirror.last_change()))
-                   .Number("to", static_cast<std::int64_t>(reply.m_delta.m_last_change)));
-  }
-  mirror.TakeDelta(reply.m_delta);
-}
-
-void GatewayRole::FollowPeers() {
-  store::instant now = std::chrono::steady_clock::now();
-  bool watch = peer_news_.should_watch(now) || !settings_.policy.on(mechanism::peer_news);
-  if (watch != watching_) {
-    watching_ = watch;
-    log_.Write(Line("store_watching").Flag("watching", watch));
-  }
-  state_->store_reachable = configuration_contact_ || (!watch && peer_news_.peer_in_contact(now));
-  for (std::size_t mirror = 0; mirror < mirrors_.size(); ++mirror) {
-    mirrors_[mirror]->SetWatching(watch);
-    auto question = peer_news_.next_question(now, mirror, mirrors_[mirror]->last_change(), watch);
-    if (question) {
-      store::news_request request{static_cast<std::uint8_t>(mirror),
-                                  mirrors_[mirror]->last_change(), settings_.address,
-                                  settings_.internal_port};
-      transport_.SendDatagram(question->m_peer, wire::Encode(GatewayDatagram(request)));
-    }
-  }
-}
-
-void GatewayRole::ReportLoad() {
-  absl::Time now = SteadyNow();
-  LoadReport report;
-  report.gateway = settings_.node;
-  report.loads = OwnLoads(state_->runners);
-  report.news = Digest();
-  bool news = report.loads != reported_ || !placements_.empty() ||
-              report.news.m_changes != reported_changes_ ||
-              report.news.m_ledger_silent != reported_silence_;
-  if (!news && now < next_report_) {
-    return;
-  }
-  next_report_ = now + kQuietReportInterval;
-  reported_ = report.loads;
-  MarkReported(report.loads, state_->runners);
-  reported_changes_ = report.news.m_changes;
-  reported_silence_ = report.news.m_ledger_silent;
-  report.placements = std::exchange(placements_, {});
-  std::string payload = wire::Encode(GatewayDatagram(std::move(report)));
-  for (const wire::Endpoint& peer : peers_) {
-    transport_.SendDatagram(peer, payload);
-  }
-}
-
 // ---- Time ----
 
 void GatewayRole::JudgeReadiness() {
@@ -510,13 +383,13 @@
   view.m_now = std::chrono::steady_clock::now();
   view.m_groups = state_->ledger->groups();
   view.m_silent_groups = state_->ledger->SilentGroups(absl::FromChrono(knobs.m_silent_after));
-  view.m_peers = peers_.size();
-  view.m_peers_without_ledger = peer_news_.peers_without_ledger(view.m_now);
+  view.m_peers = exchange_.peers();
+  view.m_peers_without_ledger = exchange_.peers_without_ledger();
   bool reaches = ledger_readiness_.judge(view) || !settings_.policy.on(mechanism::readiness);
   std::vector<wire::Endpoint> relays;
   // While a ledger recovers for all, its silence is no reason to send every call twice.
   if (ledger_readiness_.lost_alone() && settings_.policy.on(mechanism::relays)) {
-    relays = peer_news_.peers_with_ledger(view.m_now, kMostRelays);
+    relays = exchange_.peers_with_ledger(kMostRelays);
   }
   state_->relaying = !relays.empty();
   state_->ledger->SetRelays(std::move(relays), !reaches);
@@ -535,12 +408,10 @@
 }
 
 void GatewayRole::Tick(absl::Time now) {
-  FollowPeers();
+  exchange_.tick({ledger_readiness_.ledger_silent(), configuration_contact_});
   JudgeReadiness();
-  ReportLoad();
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeepingInterval;
-    peer_loads_.Apply(now, state_->runners);
     state_->runners.Prune(now, kKeepGoneRunners);
     state_->pool.Prune(now);
   }
@@ -601,6 +472,20 @@
   metrics.Set("ledger_relayed", static_cast<double>(state_->ledger->relayed()));
   metrics.Set("store_calls", static_cast<double>(store_.calls()));
   metrics.Set("known_runners", static_cast<double>(state_->runners.all().size()));
+  metrics.Set("known_gateways", static_cast<double>(exchange_.peers() + 1));
+  const exchange_stats& told = exchange_.stats();
+  metrics.Set("aggregates", exchange_.aggregates() ? 1 : 0);
+  metrics.Set("aggregator_members", static_cast<double>(exchange_.members()));
+  metrics.Set("reports_sent", static_cast<double>(told.m_reports_sent));
+  metrics.Set("reports_taken", static_cast<double>(told.m_reports_taken));
+  metrics.Set("digests_sent", static_cast<double>(told.m_digests_sent));
+  metrics.Set("digests_taken", static_cast<double>(told.m_digests_taken));
+  metrics.Set("summaries_sent", static_cast<double>(told.m_summaries_sent));
+  metrics.Set("changes_pushed", static_cast<double>(told.m_news_pushed));
+  metrics.Set("changes_asked", static_cast<double>(told.m_news_asked));
+  metrics.Set("datagrams_unreadable", static_cast<double>(told.m_datagrams_unreadable));
+  metrics.Set("peer_bytes_sent", static_cast<double>(transport_.stats().bytes_sent));
+  metrics.Set("peer_bytes_received", static_cast<double>(transport_.stats().bytes_received));
   async_http::HttpHead head;
   head.result(200U);
   head.set("Content-Type", "text/plain; version=0.0.4");
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -1,7 +1,6 @@
 // The gateway role: takes client requests and forwards them; keeps nothing that must last.
 #pragma once
 
-#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -10,7 +9,7 @@
 #include "event_log/event_log.h"
 #include "forwarding/gateway_state.h"
 #include "roles/directory_keys.h"
-#include "roles/load_report.h"
+#include "roles/exchange/zone_exchange.h"
 #include "roles/platform_formats.h"
 #include "roles/readiness/readiness.h"
 #include "roles/role_settings.h"
@@ -46,23 +45,16 @@
  private:
   void OnConfigurationChange(const store::StoreChange& change);
   void OnRunnerChange(const store::StoreChange& change);
-  void OnDirectoryChange(const store::StoreChange& change);
+  /// The ledger's machines or groups changed: they are laid out anew, once for all changes that
+  /// came together.
+  void OnLedgerDirectoryChange();
+  void LayOutLedger();
   void OnContact(const char* what, bool reachable, store::StoreStatus status);
   /// Tells the ledger's clients which machines to ask for which group.
   void SetLedgerGroups(const std::vector<turn_ledger::Machine>& machines);
-  async_http::Task<void> Register();
 
   void OnFrame(const std::string& payload);
-  void OnDatagram(const std::string& payload);
   void SendToLedger(const wire::Endpoint& to, const turn_ledger::LedgerRequest& request);
-  void ReportLoad();
-  void TakeLoadReport(const LoadReport& report);
-  void AnswerNewsRequest(const store::news_request& request);
-  void TakeNews(const store::news_reply& reply);
-  /// Decides who watches the store, and asks peers that know more.
-  void FollowPeers();
-  store::news_digest Digest() const;
-
   void Tick(absl::Time now);
   /// Looks whether the ledger answers, and tells clients to go elsewhere if only this gateway lost
   /// it.
@@ -86,22 +78,15 @@
   async_http::Server metrics_;
   store::PrefixMirror configuration_;
   store::PrefixMirror runners_;
-  store::PrefixMirror directory_;
-
-  std::vector<wire::Endpoint> peers_;  // The other gateways.
-  PeerLoads peer_loads_;
+  store::PrefixMirror ledger_directory_;
+  store::PrefixMirror aggregators_;
+  zone_exchange exchange_;
   Ticker ticker_;
-  std::array<store::PrefixMirror*, store::mirror_count> mirrors_;
-  store::peer_news peer_news_;
-  store::known_changes reported_changes_{};
+
   readiness ledger_readiness_;
-  bool reaches_ledger_ = true;  ///< As far as new clients are concerned.
-  bool reported_silence_ = false;
-  bool watching_ = true;
+  bool reaches_ledger_ = true;          ///< As far as new clients are concerned.
   bool configuration_contact_ = false;  ///< The store answered the last question for it.
-  std::vector<RunnerLoad> reported_;
-  std::vector<Placement> placements_;
-  absl::Time next_report_;
+  bool layout_is_due_ = false;
   absl::Time next_housekeeping_;
   bool stopping_ = false;
   absl::Time stop_asked_at_;
--- /dev/null
+++ b/tests/aggregation/load_sums_test.cc
@@ -0,0 +1,94 @@
+// What the requests of several sources at each runner sum up to.
+#include "aggregation/load_sums.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+namespace martenyard::aggregation {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLifetime{2000};
+constexpr std::uint32_t kA = 1;
+constexpr std::uint32_t kB = 2;
+using Active = absl::flat_hash_map<std::uint32_t, std::uint32_t>;
+
+Active Sum(const load_sums& sums) {
+  Active active;
+  sums.add_to(active);
+  return active;
+}
+
+TEST(LoadSumsTest, LatestReportOfEachSourceCountsAtOnce) {
+  load_sums sums(kLifetime);
+  sums.take(instant(), "g1", {{kA, 3}, {kB, 1}});
+  sums.take(instant(), "g2", {{kA, 2}});
+  EXPECT_EQ(Sum(sums), (Active{{kA, 5}, {kB, 1}}));
+  sums.take(instant(), "g1", {{kA, 1}});
+  EXPECT_EQ(Sum(sums), (Active{{kA, 3}}));
+}
+
+TEST(LoadSumsTest, SilentSourceCountsNoMore) {
+  load_sums sums(kLifetime);
+  sums.take(instant(), "g1", {{kA, 3}});
+  sums.take(instant() + kLifetime, "g2", {{kB, 4}});
+  sums.expire(instant() + kLifetime + milliseconds(1));
+  EXPECT_EQ(Sum(sums), (Active{{kB, 4}}));
+}
+
+RC_GTEST_PROP(LoadSumsPropertyTest, SumsAreThoseOfTheLatestReports, ()) {
+  load_sums sums(kLifetime);
+  std::map<std::string, std::map<std::uint32_t, std::uint32_t>> latest;
+  auto steps = *rc::gen::inRange(1, 40);
+  for (int step = 0; step < steps; ++step) {
+    std::string source = std::to_string(*rc::gen::inRange(0, 3));
+    latest[source].clear();
+    std::vector<runner_load> loads;
+    for (std::uint32_t runner = 0; runner < 4; ++runner) {
+      auto active = *rc::gen::inRange<std::uint16_t>(0, 5);
+      loads.push_back({runner, active});
+      latest[source][runner] = active;
+    }
+    sums.take(instant(), source, loads);
+    Active active = Sum(sums);
+    for (std::uint32_t runner = 0; runner < 4; ++runner) {
+      std::uint32_t expected = 0;
+      for (const auto& [name, told] : latest) {
+        expected += told.at(runner);
+      }
+      RC_ASSERT(active[runner] == expected);
+    }
+  }
+}
+
+TEST(PendingNewsTest, OutcomesAreToldOnceAndWhatDoesNotFitComesWithTheNextMessage) {
+  pending_news news(8);
+  news.note({{kA, 0, 200, 0}, {kB, 0, 1, 2}}, {});
+  news.note({{kA, 0, 200, 0}}, {});
+  std::vector<runner_load> first = news.take_loads({{kB, 3}});
+  ASSERT_EQ(first.size(), 2U);
+  std::sort(first.begin(), first.end(), [](const runner_load& left, const runner_load& right) {
+    return left.m_runner < right.m_runner;
+  });
+  EXPECT_EQ(first[0], (runner_load{kA, 0, 255, 0}));
+  EXPECT_EQ(first[1], (runner_load{kB, 3, 1, 2}));
+  std::vector<runner_load> second = news.take_loads({});
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0], (runner_load{kA, 0, 145, 0}));
+  EXPECT_TRUE(news.take_loads({}).empty());
+}
+
+TEST(PendingNewsTest, PlacementsBeyondTheCapAreDroppedAndCounted) {
+  pending_news news(2);
+  news.note({}, {{1, 10, kA}, {2, 10, kA}, {3, 10, kA}});
+  EXPECT_EQ(news.take_placements().size(), 2U);
+  EXPECT_EQ(news.dropped(), 1U);
+  news.note({}, {{4, 10, kA}});
+  EXPECT_EQ(news.take_placements().size(), 1U);
+}
+
+}  // namespace
+}  // namespace martenyard::aggregation
--- a/tests/platform/peer_news_contract_test.cc
+++ b/tests/platform/aggregator_contract_test.cc
@@ -1,8 +1,10 @@
-// A gateway that the store turns away while it serves the others: its peers tell it what they know.
+// A gateway that the store turns away while it serves the others: the aggregators of its zone tell it
+// what they know.
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include "aggregation/messages.h"
 #include "platform/formats.h"
 #include "platform/store_client.h"
 #include "platform/support/platform_client.h"
@@ -31,11 +33,11 @@
     settings.frontend = {"127.0.0.1", 0};
     settings.readiness = {"127.0.0.1", FreePort(world.loop())};
     // As it registered before the store began to refuse it.
-    turn_ledger::Machine self;
-    self.name = settings.node;
-    self.endpoint = {settings.address, settings.internal_port};
-    self.zone = ZoneName(settings.zone);
-    world.store().Put("martenyard/gateways/edge-2", wire::Encode(self));
+    aggregation::contact self;
+    self.m_name = settings.node;
+    self.m_zone = settings.zone;
+    self.m_endpoint = {settings.address, settings.internal_port};
+    world.store().Put("martenyard/gateways/near/edge-2", wire::Encode(self));
     role_ = std::make_unique<roles::GatewayRole>(world.loop(), settings, formats_, *client_, log_);
     leaf::try_handle_all(
         [&]() -> Result<int> {
@@ -69,7 +71,7 @@
   EXPECT_EQ(world.gateway().state().options.gone_usable, absl::Milliseconds(1200));
 }
 
-TEST(PeerNewsContractTest, GatewayThatTheStoreRefusesServesByWhatItsPeersTell) {
+TEST(AggregatorContractTest, GatewayThatTheStoreRefusesServesByWhatAggregatorsTell) {
   PlatformWorld world;
   world.Start();
   RefusedGateway refused(world);
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "roles/load_report.h"
+#include "aggregation/messages.h"
 #include "turn_ledger/groups/group_layout.h"
 #include "turn_ledger/messages.h"
 
@@ -126,7 +126,7 @@
   }
   constexpr std::size_t kMost = std::size_t{16} << 20U;
   RC_ASSERT(PeakWhileDecoding<Envelope>(bytes) < kMost);
-  RC_ASSERT(PeakWhileDecoding<roles::GatewayDatagram>(bytes) < kMost);
+  RC_ASSERT(PeakWhileDecoding<aggregation::datagram>(bytes) < kMost);
   RC_ASSERT(PeakWhileDecoding<Machine>(bytes) < kMost);
   RC_ASSERT(PeakWhileDecoding<turn_ledger::group_layout>(bytes) < kMost);
 }
