--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -32,6 +32,8 @@
 /// Kept free between the process's own end and the platform's SIGKILL.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(700);
 constexpr std::uint64_t kMemoryShareForBodies = 4;
+/// Of the memory, for frames to peers that don't take them.
+constexpr std::uint64_t kMemoryShareForFrames = 16;
 constexpr std::size_t kDescriptorsKept = 1200;  // For runners, peers, files and the store.
 
 /// At most, between the store's taking a notice and the arrival of a request that was sent on the
@@ -182,6 +184,7 @@
 Result<void> GatewayRole::Start() {
   BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
   settings_.internal_port = bound.port;
+  transport_.LimitUnsent(settings_.memory_bytes / kMemoryShareForFrames);
   frontend_.limits().buffered_body_bytes = settings_.memory_bytes / kMemoryShareForBodies;
   frontend_.limits().connections = settings_.descriptors > 2 * kDescriptorsKept
                                        ? settings_.descriptors - kDescriptorsKept
@@ -381,7 +384,7 @@
   }
   readiness_view view;
   view.m_now = std::chrono::steady_clock::now();
-  view.m_groups = state_->ledger->groups();
+  view.m_groups = state_->ledger->probed_groups();
   view.m_silent_groups = state_->ledger->SilentGroups(absl::FromChrono(knobs.m_silent_after));
   view.m_peers = exchange_.peers();
   view.m_peers_without_ledger = exchange_.peers_without_ledger();
@@ -484,6 +487,7 @@
   metrics.Set("changes_pushed", static_cast<double>(told.m_news_pushed));
   metrics.Set("changes_asked", static_cast<double>(told.m_news_asked));
   metrics.Set("datagrams_unreadable", static_cast<double>(told.m_datagrams_unreadable));
+  metrics.Set("peer_bytes_unsent", static_cast<double>(transport_.unsent()));
   metrics.Set("peer_bytes_sent", static_cast<double>(transport_.stats().bytes_sent));
   metrics.Set("peer_bytes_received", static_cast<double>(transport_.stats().bytes_received));
   async_http::HttpHead head;
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -40,6 +40,8 @@
 constexpr std::size_t kSnapshotStepBytes = std::size_t{64} << 10;
 /// A part of a snapshot to another machine; the next one waits until the connection has taken it.
 constexpr std::size_t kTransferPartBytes = std::size_t{128} << 10;
+/// Of the memory, for frames to peers that don't take them.
+constexpr std::uint64_t kMemoryShareForFrames = 6;
 constexpr char kPeersFile[] = "peers";
 
 std::size_t WantedReplicas(const RoleSettings& settings) {
@@ -114,6 +116,7 @@
 Result<void> LedgerRole::Start() {
   BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
   settings_.internal_port = bound.port;
+  transport_.LimitUnsent(settings_.memory_bytes / kMemoryShareForFrames);
   OpenDisk();
   directory_.Start();
   retirements_.Start();
--- a/src/roles/readiness/readiness.h
+++ b/src/roles/readiness/readiness.h
@@ -29,7 +29,7 @@
     using instant = std::chrono::steady_clock::time_point;
 
     instant m_now;
-    /// groups of the ledger
+    /// groups of the ledger that are asked whether they are there
     std::size_t m_groups = 0;
     /// of them, those silent for @ref readiness_options::m_silent_after
     std::size_t m_silent_groups = 0;
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -19,7 +19,11 @@
 
 LedgerClient::LedgerClient(async_http::asio::io_context& context, Send send,
                            const LedgerClientOptions& options, std::uint64_t first_request)
-    : context_(context), send_(std::move(send)), options_(options), last_request_(first_request) {}
+    : context_(context),
+      send_(std::move(send)),
+      options_(options),
+      last_request_(first_request),
+      probe_offset_(first_request) {}
 
 void LedgerClient::SetGroups(std::vector<std::vector<wire::Endpoint>> groups) {
   groups_.resize(groups.size());
@@ -203,8 +207,19 @@
   co_return result;
 }
 
+std::size_t LedgerClient::probed_groups() const {
+  return std::min(groups_.size(), options_.most_probed);
+}
+
+std::size_t LedgerClient::ProbedGroup(std::size_t place) const {
+  // Neighbouring groups share machines: the probed ones lie apart.
+  std::size_t stride = groups_.size() / probed_groups();
+  return (probe_offset_ + place * stride) % groups_.size();
+}
+
 void LedgerClient::ProbeQuietGroups(absl::Duration quiet) {
-  for (std::size_t index = 0; index < groups_.size(); ++index) {
+  for (std::size_t place = 0; place < probed_groups(); ++place) {
+    std::size_t index = ProbedGroup(place);
     Group& group = groups_[index];
     if (!group.probing && group.last_answer + quiet < SteadyNow()) {
       group.probing = true;
@@ -224,10 +239,11 @@
 }
 
 std::size_t LedgerClient::SilentGroups(absl::Duration limit) const {
-  absl::Time now = SteadyNow();
-  return static_cast<std::size_t>(
-      std::count_if(groups_.begin(), groups_.end(),
-                    [&](const Group& group) { return group.last_answer + limit < now; }));
+  std::size_t silent = 0;
+  for (std::size_t place = 0; place < probed_groups(); ++place) {
+    silent += IsSilent(groups_[ProbedGroup(place)], limit) ? 1 : 0;
+  }
+  return silent;
 }
 
 void LedgerClient::OnReply(const LedgerReply& reply) {
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -26,6 +26,11 @@
   absl::Duration relay_after = absl::Milliseconds(300);
   absl::Duration probe_patience = absl::Milliseconds(300);
   std::size_t most_waiting = 12;
+  /// Groups that are asked whether they are there, for the verdict on whether this gateway reaches
+  /// the ledger. Each gateway asks others, so that all groups together get no more questions with
+  /// more groups: 259 gateways' four questions a second to each of 36 groups would have been a
+  /// thousand a second at each machine.
+  std::size_t most_probed = 5;
 };
 
 /// How a call ended.
@@ -74,9 +79,11 @@
   /// Nothing listens at `replica` any more.
   void OnDead(const wire::Endpoint& replica);
   std::size_t pending() const { return waiting_.size(); }
-  /// Asks each group that answered nothing for `quiet` whether it is there.
+  /// Asks each probed group that answered nothing for `quiet` whether it is there.
   void ProbeQuietGroups(absl::Duration quiet);
-  /// @return how many groups answered nothing for `limit`.
+  /// @return how many groups are probed.
+  std::size_t probed_groups() const;
+  /// @return how many of the probed groups answered nothing for `limit`.
   std::size_t SilentGroups(absl::Duration limit) const;
   bool has_replicas() const { return !groups_.empty() && !groups_.front().machines.empty(); }
   /// Tries beyond the first, over all calls.
@@ -106,6 +113,8 @@
   };
 
   Group* Find(GroupId group);
+  /// @return the index of the `place`th probed group.
+  std::size_t ProbedGroup(std::size_t place) const;
   bool IsBuried(const Group& group) const;
   async_http::Task<void> ProbeGroup(GroupId group);
   /// Tries until the call has ended; `Call` counts those that wait.
@@ -120,6 +129,7 @@
   Send send_;
   LedgerClientOptions options_;
   std::uint64_t last_request_;
+  std::uint64_t probe_offset_;  ///< Where this gateway's probed groups begin.
   std::vector<Group> groups_;
   std::vector<wire::Endpoint> relays_;
   std::size_t next_relay_ = 0;
--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -19,7 +19,8 @@
 
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kMaxFrameBytes = std::size_t{64} << 20;
-constexpr std::size_t kMaxUnsentBytes = std::size_t{128} << 20;
+/// Unless the owner sets its own limit: for daemons with memory to spare.
+constexpr std::size_t kMostUnsentBytes = std::size_t{128} << 20;
 constexpr std::size_t kReadBytes = std::size_t{64} << 10;
 constexpr int kBacklog = 512;
 constexpr int kBindAttempts = 20;
@@ -62,6 +63,7 @@
       on_frame_(std::move(on_frame)),
       on_datagram_(std::move(on_datagram)),
       on_dead_(std::move(on_dead)),
+      most_unsent_(kMostUnsentBytes),
       read_buffer_(kReadBytes) {}
 
 Transport::~Transport() {
@@ -203,11 +205,12 @@
     return;
   }
   Connection& connection = *peers_[peer];
-  if (connection.unsent.size() + payload.size() > kMaxUnsentBytes) {
+  if (unsent_ + payload.size() > most_unsent_) {
     ++stats_.frames_dropped;
     return;
   }
   AppendFrame(connection.unsent, payload);
+  unsent_ += kLengthBytes + payload.size();
   if (!connection.connecting) {
     Flush(peer);
   }
@@ -234,6 +237,7 @@
     }
     stats_.bytes_sent += static_cast<std::uint64_t>(count);
     connection.unsent.erase(0, static_cast<std::size_t>(count));
+    unsent_ -= static_cast<std::size_t>(count);
   }
   loop_.Watch(connection.socket, EPOLLIN | EPOLLRDHUP,
               [this, peer](std::uint32_t events) { OnPeerReady(peer, events); });
@@ -288,6 +292,7 @@
 
 void Transport::ClosePeer(const Endpoint& peer) {
   auto found = peers_.find(peer);
+  unsent_ -= found->second->unsent.size();
   loop_.Unwatch(found->second->socket);
   close(found->second->socket);
   peers_.erase(found);
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -49,6 +49,10 @@
   void SendDatagram(const Endpoint& peer, const std::string& payload);
   /// @return bytes that wait to be sent to the peer.
   std::size_t Unsent(const Endpoint& peer) const;
+  /// Bounds the bytes that wait to be sent to all peers together; frames beyond are dropped.
+  void LimitUnsent(std::size_t bytes) { most_unsent_ = bytes; }
+  /// @return bytes that wait to be sent to all peers.
+  std::size_t unsent() const { return unsent_; }
   const TransportStats& stats() const { return stats_; }
 
  private:
@@ -81,6 +85,8 @@
   int datagrams_ = -1;
   std::map<int, std::unique_ptr<Connection>> accepted_;
   std::map<Endpoint, std::unique_ptr<Connection>> peers_;
+  std::size_t unsent_ = 0;         ///< Over all of `peers_`.
+  std::size_t most_unsent_ = 0;    ///< See `LimitUnsent`.
   std::vector<char> read_buffer_;  // For one read at a time.
   TransportStats stats_;
 };
--- a/tests/turn_ledger/ledger_client_test.cc
+++ b/tests/turn_ledger/ledger_client_test.cc
@@ -5,8 +5,10 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <set>
 #include <vector>
 
+#include "absl/time/clock.h"
 #include "base/clock.h"
 #include "turn_ledger/chain/chain_reader.h"
 #include "turn_ledger/groups/group_layout.h"
@@ -71,6 +73,27 @@
   LedgerClient client_;
 };
 
+TEST_F(LedgerClientTest, FewGroupsAreProbedHoweverManyThereAreAndTheyLieApart) {
+  constexpr std::size_t kGroups = 36;
+  client_.SetGroups(std::vector<std::vector<wire::Endpoint>>(kGroups, {kFirst}));
+  std::size_t most = LedgerClientOptions{}.most_probed;
+  EXPECT_EQ(client_.probed_groups(), most);
+  absl::SleepFor(absl::Milliseconds(5));
+  client_.ProbeQuietGroups(absl::Milliseconds(1));
+  loop_.RunRound(absl::Milliseconds(1));
+  std::set<std::uint32_t> probed;
+  for (const auto& [to, request] : sent_) {
+    probed.insert(request.group.value);
+  }
+  EXPECT_EQ(probed.size(), most);
+  EXPECT_EQ(client_.SilentGroups(absl::Milliseconds(1)), most);
+  std::uint32_t before = 0;
+  for (std::uint32_t group : probed) {
+    EXPECT_TRUE(before == 0 || group - before >= kGroups / most) << "neighbours share machines";
+    before = group;
+  }
+}
+
 TEST_F(LedgerClientTest, SilentGroupGetsAFewReservationsAndTheRestAreRefusedAtOnce) {
   std::size_t most = LedgerClientOptions{}.most_waiting;
   std::vector<std::shared_ptr<std::optional<CallEnd>>> waiting;
