Slots are looked at before they are taken, gateways are registered by their zone's aggregator, and a start waits for a push before it reads the store

Now a gateway reads the slots once, watches them only when its own turn to take one has come, gets the rest pushed (the first report tells that it lacks everything), and aggregators write registrations of 32 gateways at a time. The mirrors' delay before their first watch goes: who need not watch never begins.

--- a/src/aggregation/slots.cc
+++ b/src/aggregation/slots.cc
@@ -125,7 +125,7 @@
     return seen.m_now - last >= patience + pause(number);
 }
 
-std::optional<slot_claim> slot_claims::next(const view& seen, const slot_table& table)
+std::optional<slot_claim> slot_claims::due(const view& seen, const slot_table& table)
 {
     m_began = m_began.value_or(seen.m_now);
     auto zone = table.find(m_self.m_zone);
@@ -147,11 +147,15 @@
         bool just_tried = watched.m_tried && seen.m_now - *watched.m_tried < m_options.m_retry;
         if (is_due(seen, taken, watched, number) && !just_tried)
         {
-            watched.m_tried = seen.m_now;
             return slot_claim{number, taken.m_revision};
         }
     }
     return std::nullopt;
 }
 
+void slot_claims::note_tried(instant now, const slot_claim& claim)
+{
+    m_watched[claim.m_slot].m_tried = now;
+}
+
 }  // namespace martenyard::aggregation
--- a/src/aggregation/slots.h
+++ b/src/aggregation/slots.h
@@ -91,8 +91,11 @@
         const std::map<std::string, instant>* m_heard = nullptr;
     };
 
-    /// @return the slot to try for now, if any; it counts as tried
-    std::optional<slot_claim> next(const view& seen, const slot_table& table);
+    /// @return the slot to take now, if any
+    std::optional<slot_claim> due(const view& seen, const slot_table& table);
+
+    /// @brief the slot was tried for; it isn't due again for a while
+    void note_tried(instant now, const slot_claim& claim);
 
     /// @return the slot that this gateway holds, if any
     std::optional<std::size_t> held(const slot_table& table) const;
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -100,9 +100,11 @@
     m_settings.internal_port = internal_port;
     m_claims.emplace(self(), m_settings.processor_share);
     m_view.emplace(self());
+    m_began = steady_now();
     m_registered.SetPaused(true);
     m_registered.Start();
-    async_http::asio::co_spawn(m_context, register_self(), async_http::asio::detached);
+    judge_watching(m_began);
+    judge_reading(m_began);
 }
 
 contact zone_exchange::self() const
@@ -134,13 +136,26 @@
 void zone_exchange::on_slots_change()
 {
     m_slots = read_slots(m_mirrors.back()->items(), m_log);
-    if (m_view)
+    if (!m_view)
     {
-        m_view->set_slots(m_slots);
-        become(m_claims->held(m_slots));
+        return;
+    }
+    m_view->set_slots(m_slots);
+    become(m_claims->held(m_slots));
+    judge_reading(steady_now());
+    if (!m_mirrors.front()->complete())
+    {
+        report(steady_now());  // What this gateway lacks is pushed at once.
     }
 }
 
+void zone_exchange::on_contact(bool reachable)
+{
+    m_store_answers = reachable;
+    judge_reading(steady_now());
+    m_state.store_reachable = store_reachable();
+}
+
 void zone_exchange::become(std::optional<std::size_t> slot)
 {
     if (slot == m_slot)
@@ -161,22 +176,6 @@
         m_sums.reset();
     }
     m_view->set_aggregates(aggregates);
-    m_registered.SetPaused(!aggregates);
-}
-
-bool zone_exchange::slot_is_vacant() const
-{
-    auto zone = m_slots.find(m_settings.zone);
-    std::size_t taken = 0;
-    if (zone != m_slots.end())
-    {
-        taken = static_cast<std::size_t>(std::count_if(zone->second.begin(), zone->second.end(),
-                                                       [](const auto& entry)
-                                                       {
-                                                           return entry.second.m_holder.has_value();
-                                                       }));
-    }
-    return taken < aggregation::slots_per_zone;
 }
 
 void zone_exchange::claim_slot(instant now)
@@ -185,11 +184,20 @@
     {
         return;
     }
-    auto claim = m_claims->next({now, &m_view->heard()}, m_slots);
-    if (claim)
+    auto claim = m_claims->due({now, &m_view->heard()}, m_slots);
+    if (!claim)
+    {
+        return;
+    }
+    bool looks = m_looked && now - *m_looked < m_options.m_claim_watch;
+    if (!looks)
+    {
+        m_looked = now;
+    }
+    else if (now - *m_looked >= m_options.m_look)
     {
         m_claiming = true;
-        m_claimed = now;
+        m_claims->note_tried(now, *claim);
         async_http::asio::co_spawn(m_context, write_claim(*claim), async_http::asio::detached);
     }
 }
@@ -208,24 +216,68 @@
     m_claiming = false;
 }
 
-async_http::Task<void> zone_exchange::register_self()
+bool zone_exchange::is_first_of_zone() const
 {
-    // Only this gateway writes its key: no condition is needed.
-    std::string key = absl::StrCat(kGatewayMachines, m_settings.zone, "/", m_settings.node);
-    store::StoreStatus status = store::StoreStatus::kUnknown;
-    while (true)
+    auto zone = m_slots.find(m_settings.zone);
+    for (std::size_t number = 0; zone != m_slots.end() && number < aggregation::slots_per_zone; ++number)
+    {
+        auto taken = zone->second.find(number);
+        if (taken != zone->second.end() && taken->second.m_holder)
+        {
+            return taken->second.m_holder == self();
+        }
+    }
+    return false;
+}
+
+void zone_exchange::register_members(instant now)
+{
+    bool just_written = now - m_registered_at < m_options.m_register_pause;
+    if (!is_first_of_zone() || m_registering || just_written || !m_registered.complete())
+    {
+        return;
+    }
+    std::vector<contact> missing;
+    for (const auto& [name, gateway] : m_sums->members())
     {
-        store::Transaction transaction;
-        transaction.puts.push_back({key, wire::Encode(self()), 0});
-        status = co_await m_store.Commit(std::move(transaction));
-        if (status == store::StoreStatus::kDone)
+        bool own = gateway.m_contact.m_zone == m_settings.zone;
+        if (!own || !m_sums->is_live(now, gateway) || missing.size() >= m_options.m_most_registrations)
         {
-            co_return;
+            continue;
         }
-        co_await async_http::Sleep(m_context, absl::FromChrono(m_options.m_register_pause));
+        auto record = m_registered.items().find(absl::StrCat(m_registered.prefix(), name));
+        bool known =
+            record != m_registered.items().end() && record->second.value == wire::Encode(gateway.m_contact);
+        if (!known)
+        {
+            missing.push_back(gateway.m_contact);
+        }
+    }
+    if (!missing.empty())
+    {
+        m_registering = true;
+        m_registered_at = now;
+        async_http::asio::co_spawn(m_context, write_registrations(std::move(missing)),
+                                   async_http::asio::detached);
     }
 }
 
+async_http::Task<void> zone_exchange::write_registrations(std::vector<contact> gateways)
+{
+    // A gateway's record says what it reported itself: no condition is needed.
+    store::Transaction transaction;
+    for (const contact& gateway : gateways)
+    {
+        transaction.puts.push_back(
+            {absl::StrCat(m_registered.prefix(), gateway.m_name), wire::Encode(gateway), 0});
+    }
+    store::StoreStatus status = co_await m_store.Commit(std::move(transaction));
+    m_log.Write(Line("gateways_registered")
+                    .Number("gateways", static_cast<std::int64_t>(gateways.size()))
+                    .Number("status", static_cast<std::int64_t>(status)));
+    m_registering = false;
+}
+
 // ---- What peers tell ----
 
 void zone_exchange::on_datagram(const std::string& payload)
@@ -249,9 +301,14 @@
 {
     ++m_stats.m_reports_taken;
     m_news.heard(now, report.m_from, report.m_changes);
-    if (m_sums)
+    if (!m_sums)
     {
-        m_sums->take(now, report);
+        return;
+    }
+    m_sums->take(now, report);
+    if (report.m_changes.front() == 0)
+    {
+        push_news(now);  // It has just started, and clients may wait for it.
     }
 }
 
@@ -357,11 +414,12 @@
 
 // ---- What is told ----
 
-void zone_exchange::tick(const gateway_status& status)
+void zone_exchange::tick(bool ledger_silent)
 {
     instant now = steady_now();
-    m_status = status;
+    m_ledger_silent = ledger_silent;
     judge_watching(now);
+    judge_reading(now);
     claim_slot(now);
     m_news.expire(now);
     report(now);
@@ -372,6 +430,7 @@
         send_introductions(now);
         send_summary(now);
         push_news(now);
+        register_members(now);
     }
     ask_for_news(now);
     forget_old_loads(now);
@@ -398,14 +457,34 @@
     {
         mirror->SetWatching(watch);
     }
-    // Until the zone has its aggregators, each of its gateways may become one.
-    bool just_claimed = m_claimed && now - *m_claimed < m_options.m_claim_watch;
-    m_mirrors.back()->SetWatching(watch || just_claimed || slot_is_vacant());
+    bool looks = m_looked && now - *m_looked < m_options.m_claim_watch;
+    m_mirrors.back()->SetWatching(watch || looks);
+}
+
+bool zone_exchange::waits_for_push(instant now) const
+{
+    auto patience = m_settings.first_start ? m_options.m_first_read_after : m_options.m_read_after;
+    bool slots_known = m_mirrors.back()->complete();
+    bool somebody_may_push = m_settings.first_start || !m_view->targets(now).empty();
+    return now - m_began < patience && (!slots_known || somebody_may_push);
+}
+
+void zone_exchange::judge_reading(instant now)
+{
+    bool reads = aggregates() || m_watching || !waits_for_push(now);
+    // One question at a time while the store is away: the configuration's.
+    bool store_is_away = !m_store_answers.value_or(true);
+    for (std::size_t mirror = 0; mirror + 1 < m_mirrors.size(); ++mirror)
+    {
+        m_mirrors[mirror]->SetPaused(!reads || (mirror > 0 && store_is_away));
+    }
+    m_registered.SetPaused(!aggregates() || store_is_away);
 }
 
 bool zone_exchange::store_reachable() const
 {
-    return m_status.m_store_answers || (!m_watching && m_view && m_view->hears_contact(steady_now()));
+    bool told = !m_watching && m_view && m_view->hears_contact(steady_now());
+    return m_store_answers.value_or(false) || told;
 }
 
 std::size_t zone_exchange::peers() const
@@ -439,7 +518,7 @@
     member_report fresh;
     fresh.m_from = self();
     fresh.m_changes = changes();
-    fresh.m_ledger_silent = m_status.m_ledger_silent;
+    fresh.m_ledger_silent = m_ledger_silent;
     fresh.m_loads = own_loads(m_state.runners);
     fresh.m_placements = m_placements;
     std::vector<report_target> targets = m_view->targets(now);
@@ -473,7 +552,7 @@
     auto complete = [this](digest& told)
     {
         told.m_changes = changes();
-        told.m_in_contact = m_watching && m_status.m_store_answers;
+        told.m_in_contact = m_watching && m_store_answers.value_or(false);
     };
     if (m_sums->digest_is_due(now))
     {
@@ -513,7 +592,7 @@
     m_introduced_at = now;
     digest brief = m_sums->make_short_digest(now);
     brief.m_changes = changes();
-    brief.m_in_contact = m_watching && m_status.m_store_answers;
+    brief.m_in_contact = m_watching && m_store_answers.value_or(false);
     std::string payload = wire::Encode(datagram(brief));
     for (const auto& [key, item] : m_registered.items())
     {
@@ -540,7 +619,7 @@
     m_summary_sent = now;
     zone_summary summary = m_sums->make_summary(now);
     summary.m_changes = changes();
-    summary.m_in_contact = m_watching && m_status.m_store_answers;
+    summary.m_in_contact = m_watching && m_store_answers.value_or(false);
     std::string payload = wire::Encode(datagram(std::move(summary)));
     for (const wire::Endpoint& aggregator : aggregation::summary_targets(m_slots, self(), m_options.m_spread))
     {
@@ -563,7 +642,7 @@
     for (std::size_t mirror = 0; mirror < m_mirrors.size(); ++mirror)
     {
         // A push or the own watch may still bring it, unless the store is lost to this gateway.
-        bool patient = !m_watching || m_status.m_store_answers;
+        bool patient = !m_watching || m_store_answers.value_or(false);
         auto question = m_news.next_question(now, mirror, m_mirrors[mirror]->last_change(), patient);
         if (question)
         {
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -43,15 +43,6 @@
     store::PrefixMirror& m_aggregators;
 };
 
-/// @brief what the gateway sees by itself, at each tick
-struct gateway_status
-{
-    /// most groups of the ledger don't answer
-    bool m_ledger_silent = false;
-    /// the store answered the last question for the configuration
-    bool m_store_answers = false;
-};
-
 /// @brief named knobs
 struct exchange_options
 {
@@ -69,10 +60,18 @@
     std::chrono::milliseconds m_watch_spread{30000};
     /// without a full digest for this long, other gateways' requests count as none
     std::chrono::milliseconds m_digest_lifetime{1600};
-    /// who tried to take a slot watches the slots' records for so long, whatever came of it
-    std::chrono::milliseconds m_claim_watch{5000};
-    /// between two tries to register
+    /// who may take a slot looks at the slots' records for so long first: another may just have done so
+    std::chrono::milliseconds m_look{300};
+    /// and goes on looking for so long, whatever comes of it
+    std::chrono::milliseconds m_claim_watch{3000};
+    /// a gateway that has just started waits so long for an aggregator to tell it everything before it
+    /// reads the store by itself. When the whole system starts, the slots must be taken first
+    std::chrono::milliseconds m_read_after{400};
+    std::chrono::milliseconds m_first_read_after{2500};
+    /// between two writes of registrations
     std::chrono::milliseconds m_register_pause{1000};
+    /// registrations in one write: the store takes 32 entries
+    std::size_t m_most_registrations = 32;
 };
 
 /// @brief counters since the start, for the metrics address
@@ -113,8 +112,12 @@
     /// @brief a runner is about to read a part of a prompt
     void note_placement(const forwarding::PromptPart& part, std::uint32_t runner);
 
+    /// @brief the store answered the configuration's mirror, or did not
+    void on_contact(bool reachable);
+
     /// @brief does what is due; each tenth of a second
-    void tick(const gateway_status& status);
+    /// @param[in] ledger_silent  most groups of the ledger don't answer
+    void tick(bool ledger_silent);
 
     /// @return whether the configuration is known to be the newest: the store answers, or an aggregator
     ///         says that it does
@@ -153,10 +156,16 @@
     aggregation::contact self() const;
     turn_ledger::Machine machine() const;
     void judge_watching(instant now);
-    bool slot_is_vacant() const;
+    /// which mirrors may ask the store
+    void judge_reading(instant now);
+    bool waits_for_push(instant now) const;
     void claim_slot(instant now);
     async_http::Task<void> write_claim(aggregation::slot_claim claim);
-    async_http::Task<void> register_self();
+    /// @return whether this gateway holds its zone's first slot that is taken
+    bool is_first_of_zone() const;
+    /// writes down where the gateways are that report to this aggregator
+    void register_members(instant now);
+    async_http::Task<void> write_registrations(std::vector<aggregation::contact> gateways);
     void become(std::optional<std::size_t> slot);
 
     void report(instant now);
@@ -191,9 +200,14 @@
     std::unique_ptr<aggregation::aggregator> m_sums;
     std::optional<std::size_t> m_slot;
     bool m_claiming = false;
-    std::optional<instant> m_claimed;
-    bool m_watching = true;
-    gateway_status m_status;
+    std::optional<instant> m_looked;
+    bool m_watching = false;
+    bool m_registering = false;
+    instant m_registered_at;
+    instant m_began;
+    bool m_ledger_silent = false;
+    /// whether the store answered the last question for the configuration; nothing before the first
+    std::optional<bool> m_store_answers;
 
     aggregation::member_report m_reported;
     std::vector<aggregation::report_target> m_reported_to;
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -40,12 +40,12 @@
 /// knowledge before it: the watch's spacing, a peer's news and the way to the runner.
 constexpr absl::Duration kNoticeLag = absl::Milliseconds(800);
 
-/// When all start together, each zone has its aggregators by then, and these watch for all.
-constexpr absl::Duration kFirstWatchDelay = absl::Milliseconds(900);
+/// The slots change together when a fleet starts.
+constexpr absl::Duration kSlotsWatchSpacing = absl::Milliseconds(500);
 
-store::MirrorOptions WatchLater(absl::Duration delay) {
+store::MirrorOptions WatchSlowly() {
   store::MirrorOptions options;
-  options.first_watch_delay = delay;
+  options.watch_spacing = kSlotsWatchSpacing;
   return options;
 }
 
@@ -130,35 +130,28 @@
           loop.context(), store, formats.ConfigurationKey(),
           [this](const store::StoreChange& change) { OnConfigurationChange(change); },
           [this](bool reachable, store::StoreStatus status) {
-            configuration_contact_ = reachable;
-            state_->store_reachable = reachable;
-            // One question at a time while the store is away: the configuration's.
-            runners_.SetPaused(!reachable);
-            ledger_directory_.SetPaused(!reachable);
-            aggregators_.SetPaused(!reachable);
+            exchange_.on_contact(reachable);
             OnContact("configuration", reachable, status);
-          },
-          WatchLater(kFirstWatchDelay)),
+          }),
       runners_(
           loop.context(), store, formats.RunnersPrefix(),
           [this](const store::StoreChange& change) { OnRunnerChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("runners", reachable, status);
-          },
-          WatchLater(kFirstWatchDelay)),
+          }),
       ledger_directory_(
           loop.context(), store, kLedgerPrefix,
           [this](const store::StoreChange&) { OnLedgerDirectoryChange(); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("ledger directory", reachable, status);
-          },
-          WatchLater(kFirstWatchDelay)),
+          }),
       aggregators_(
           loop.context(), store, kAggregators,
           [this](const store::StoreChange&) { exchange_.on_slots_change(); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("aggregators", reachable, status);
-          }),
+          },
+          WatchSlowly()),
       exchange_(loop.context(), settings, store, transport_,
                 {configuration_, runners_, ledger_directory_, aggregators_}, *state_, log),
       ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }) {
@@ -411,7 +404,7 @@
 }
 
 void GatewayRole::Tick(absl::Time now) {
-  exchange_.tick({ledger_readiness_.ledger_silent(), configuration_contact_});
+  exchange_.tick(ledger_readiness_.ledger_silent());
   JudgeReadiness();
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeepingInterval;
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -84,8 +84,7 @@
   Ticker ticker_;
 
   readiness ledger_readiness_;
-  bool reaches_ledger_ = true;          ///< As far as new clients are concerned.
-  bool configuration_contact_ = false;  ///< The store answered the last question for it.
+  bool reaches_ledger_ = true;  ///< As far as new clients are concerned.
   bool layout_is_due_ = false;
   absl::Time next_housekeeping_;
   bool stopping_ = false;
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -47,16 +47,11 @@
 }
 
 Task<void> PrefixMirror::Follow() {
-  bool first = true;
   while (true) {
     if (paused_) {
       co_await resumed_.Wait(kIdlePause);
       continue;
     }
-    if (complete_ && std::exchange(first, false)) {
-      co_await async_http::Sleep(context_, options_.first_watch_delay);
-      continue;
-    }
     if (complete_ && !watching_) {
       co_await async_http::Sleep(context_, kIdlePause);
       continue;
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -18,9 +18,6 @@
 struct MirrorOptions {
   /// Changes that come in quick succession are fetched together.
   absl::Duration watch_spacing = absl::Milliseconds(200);
-  /// Between the first reading and the first watch. When many machines start together, most of
-  /// them find out meanwhile that others watch for them.
-  absl::Duration first_watch_delay = absl::ZeroDuration();
 };
 
 class PrefixMirror {
@@ -37,6 +34,7 @@
   /// Starts following; runs until the loop ends.
   void Start();
   bool complete() const { return complete_; }
+  const std::string& prefix() const { return prefix_; }
   const std::map<std::string, StoreItem>& items() const { return items_; }
   /// @return for how long the store has not confirmed the copy.
   absl::Duration Staleness() const;
--- a/tests/aggregation/fleet_test.cc
+++ b/tests/aggregation/fleet_test.cc
@@ -217,7 +217,8 @@
         Learn(gateway, mirror, store_[mirror], slots_);
       }
     }
-    if (auto claim = gateway.claims.next({now_, &gateway.view.heard()}, gateway.slots)) {
+    if (auto claim = gateway.claims.due({now_, &gateway.view.heard()}, gateway.slots)) {
+      gateway.claims.note_tried(now_, *claim);
       Claim(gateway, *claim);
     }
     gateway.news.expire(now_);
--- a/tests/aggregation/slots_test.cc
+++ b/tests/aggregation/slots_test.cc
@@ -17,7 +17,11 @@
 class SlotClaimsTest : public ::testing::Test {
  protected:
   std::optional<slot_claim> Next(slot_claims& claims, milliseconds at) {
-    return claims.next({instant() + at, &heard_}, table_);
+    auto claim = claims.due({instant() + at, &heard_}, table_);
+    if (claim) {
+      claims.note_tried(instant() + at, *claim);
+    }
+    return claim;
   }
   /// When the gateway first tries for a slot, or nothing within a minute.
   std::optional<milliseconds> FirstTry(slot_claims& claims, milliseconds from = milliseconds(0)) {
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -116,14 +116,11 @@
 }
 
 TEST_F(PrefixMirrorTest, MirrorThatNeedNotWatchNeverBegins) {
-  MirrorOptions options;
-  options.first_watch_delay = absl::Milliseconds(300);
   PrefixMirror other(
-      loop_.context(), *client_, "p/", [](const StoreChange&) {}, [](bool, StoreStatus) {},
-      options);
+      loop_.context(), *client_, "p/", [](const StoreChange&) {}, [](bool, StoreStatus) {});
+  other.SetWatching(false);
   other.Start();
   ASSERT_TRUE(RunUntil([&] { return other.complete(); }));
-  other.SetWatching(false);
   EXPECT_FALSE(RunUntilFor([&] { return client_->calls() > 1; }, absl::Milliseconds(700)));
   other.SetWatching(true);
   EXPECT_TRUE(RunUntil([&] { return client_->calls() > 1; }));
