Ledger role: emptying and the founders' record in files of their own; greetings bounded whatever the number of machines; a replica's role is compared, not written, at each round; failed writes of the peer list are told

Greetings now come at most thirty a second; who may be added as a spare is judged by the same pause.

The list of peers was written with its errors ignored, and a damaged log set aside likewise: both are told now (peer_book_unsaved, peer_book_unreadable, log_set_aside's error).

--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -145,6 +145,7 @@
           [this](bool reachable, store::StoreStatus status) {
             OnContact("ledger directory", reachable, status);
           }),
+      founders_(ledger_directory_, log),
       aggregators_(
           loop.context(), store, kAggregators,
           [this](const store::StoreChange&) { exchange_.on_slots_change(); },
@@ -298,13 +299,8 @@
 }
 
 void GatewayRole::SetLedgerGroups(const std::vector<Machine>& machines) {
-  auto record = ledger_directory_.items().find(kLedgerGroups);
-  if (record == ledger_directory_.items().end()) {
-    return;
-  }
-  auto layout = wire::Decode<turn_ledger::group_layout>(record->second.value);
-  if (!layout) {
-    log_.Write(Line("directory_record_unreadable").Text("key", kLedgerGroups));
+  const turn_ledger::group_layout* layout = founders_.layout();
+  if (layout == nullptr) {
     return;
   }
   std::vector<std::vector<wire::Endpoint>> groups;
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -10,6 +10,7 @@
 #include "forwarding/gateway_state.h"
 #include "roles/directory_keys.h"
 #include "roles/exchange/zone_exchange.h"
+#include "roles/ledger/founders_record.h"
 #include "roles/platform_formats.h"
 #include "roles/readiness/readiness.h"
 #include "roles/role_settings.h"
@@ -79,6 +80,7 @@
   store::PrefixMirror configuration_;
   store::PrefixMirror runners_;
   store::PrefixMirror ledger_directory_;
+  founders_record founders_;
   store::PrefixMirror aggregators_;
   zone_exchange exchange_;
   Ticker ticker_;
--- /dev/null
+++ b/src/roles/ledger/machine_emptying.h
@@ -0,0 +1,67 @@
+// Empties storage machines that the operator wants to take away: tells the groups, notes in the store
+// which groups need a machine no more, and reports when none does.
+//
+// Each group's leader notes for its group; the first group's leader reports to the operator.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "async_http/task.h"
+#include "base/ids.h"
+#include "event_log/event_log.h"
+#include "roles/ledger/founders_record.h"
+#include "roles/platform_formats.h"
+#include "store/metadata_store.h"
+#include "store/prefix_mirror.h"
+#include "turn_ledger/turn_replica.h"
+
+namespace martenyard::roles
+{
+
+/// @brief on the loop's thread only
+class machine_emptying
+{
+  public:
+    /// @return this machine's replica of a group, or null
+    using find_replica = std::function<turn_ledger::TurnReplica*(GroupId group)>;
+    /// told the machines that the operator wants emptied
+    using on_retiring = std::function<void(const std::vector<std::string>& machines)>;
+
+    /// All references must outlive this.
+    machine_emptying(async_http::asio::io_context& context, const PlatformFormats& formats,
+                     store::MetadataStore& store, const store::PrefixMirror& directory,
+                     founders_record& founders, event_log::EventLog& log, find_replica find,
+                     on_retiring told);
+
+    /// @brief begins to follow what the operator asks for
+    void start();
+
+    /// @return the machines that the operator wants emptied
+    std::vector<std::string> retiring() const;
+
+  private:
+    void on_change();
+    async_http::Task<void> report();
+    async_http::Task<void> report_statuses(std::map<std::string, std::string>& reported);
+    /// writes down which of the machines the group needs no more
+    async_http::Task<void> note_group(GroupId group, std::vector<std::string> machines);
+    async_http::Task<void> note(GroupId group, const std::string& machine, bool emptied);
+    /// @return the machines that were noted for the group
+    std::vector<std::string> noted(GroupId group) const;
+    bool all_groups_emptied(const std::string& machine);
+
+    async_http::asio::io_context& m_context;
+    const PlatformFormats& m_formats;
+    store::MetadataStore& m_store;
+    const store::PrefixMirror& m_directory;
+    founders_record& m_founders;
+    event_log::EventLog& m_log;
+    find_replica m_find;
+    on_retiring m_told;
+    store::PrefixMirror m_requests;
+};
+
+}  // namespace martenyard::roles
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -23,6 +23,12 @@
 constexpr absl::Duration kHelloInterval = absl::Milliseconds(250);
 /// Machines with replicas are heard of by most others anyway.
 constexpr absl::Duration kMemberHelloInterval = absl::Milliseconds(400);
+/// For each machine known: thirty messages a second at most, however many machines there are.
+constexpr absl::Duration kHelloPauseForEach = absl::Milliseconds(33);
+/// A machine that may be added was heard within this many of the others' pauses.
+constexpr double kLivePauses = 2.5;
+/// Machines named in one message of a machine that holds nothing yet; others with the next.
+constexpr std::size_t kMostMachinesTold = 16;
 constexpr absl::Duration kReopenPause = absl::Milliseconds(250);
 constexpr absl::Duration kRegisterPause = absl::Seconds(1);
 constexpr absl::Duration kFoundingPause = absl::Milliseconds(200);
@@ -32,7 +38,6 @@
 constexpr absl::Duration kFoundingLinger = absl::Milliseconds(1500);
 constexpr absl::Duration kLoneFoundingLinger = absl::Milliseconds(300);
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(600);
-constexpr absl::Duration kRetireReportInterval = absl::Milliseconds(250);
 constexpr absl::Duration kMemoryInterval = absl::Milliseconds(200);
 constexpr absl::Duration kProgressInterval = absl::Seconds(2);
 /// A snapshot's share of a tick. Four times as much kept a machine with half a core so busy that
@@ -42,6 +47,7 @@
 constexpr std::size_t kTransferPartBytes = std::size_t{128} << 10;
 /// Of the memory, for frames to peers that don't take them.
 constexpr std::uint64_t kMemoryShareForFrames = 6;
+constexpr absl::Duration kFlushInterval = absl::Milliseconds(250);
 constexpr char kPeersFile[] = "peers";
 
 std::size_t WantedReplicas(const RoleSettings& settings) {
@@ -57,13 +63,17 @@
   return kQuickMachine * std::clamp(kQuickShare / settings.processor_share, 1.0, kSlowest);
 }
 
-turn_ledger::ReplicaOptions MakeReplicaOptions(const RoleSettings& settings, GroupId group) {
+turn_ledger::ReplicaOptions MakeReplicaOptions(const RoleSettings& settings, GroupId group,
+                                               std::size_t known_machines) {
   turn_ledger::ReplicaOptions options;
   options.raft.heartbeat_interval = absl::Milliseconds(60);
   options.raft.election_timeout = ElectionTimeout(settings);
   options.raft.start_wait_share = 0.4;
   options.planner.replicas = WantedReplicas(settings);
   options.planner.group = group.value;
+  options.planner.live_within =
+      std::max(options.planner.live_within,
+               kHelloPauseForEach * kLivePauses * static_cast<double>(known_machines));
   options.preferred_leaders =
       group != turn_ledger::group_at(0) && settings.policy.on(mechanism::hand_back);
   if (!settings.policy.on(mechanism::overload_refusal)) {
@@ -105,13 +115,15 @@
           [this](bool reachable, store::StoreStatus) {
             log_.Write(Line(reachable ? "store_regained" : "store_lost").Text("for", "directory"));
           }),
-      retirements_(
-          loop.context(), store, formats.RetirePrefix(),
-          [this](const store::StoreChange& change) { OnRetireChange(change); },
-          [](bool, store::StoreStatus) {}),
-      peers_(settings.data_folder + "/" + kPeersFile),
+      founders_(directory_, log),
+      emptying_(
+          loop.context(), formats, store, directory_, founders_, log,
+          [this](GroupId group) { return Find(group); },
+          [this](const std::vector<std::string>& machines) { OnRetiring(machines); }),
+      peers_(settings.data_folder + "/" + kPeersFile, log),
       ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }),
-      memory_(settings.memory_bytes) {}
+      memory_(settings.memory_bytes),
+      random_(SystemSeed()) {}
 
 Result<void> LedgerRole::Start() {
   BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
@@ -119,10 +131,9 @@
   transport_.LimitUnsent(settings_.memory_bytes / kMemoryShareForFrames);
   OpenDisk();
   directory_.Start();
-  retirements_.Start();
+  emptying_.start();
   async_http::asio::co_spawn(loop_.context(), Register(), async_http::asio::detached);
   async_http::asio::co_spawn(loop_.context(), FoundWhenPossible(), async_http::asio::detached);
-  async_http::asio::co_spawn(loop_.context(), ReportRetirements(), async_http::asio::detached);
   loop_.SetRoundHook([this] { Settle(); });
   ticker_.Start();
   return {};
@@ -162,12 +173,17 @@
 
 void LedgerRole::SetDamagedLogAside() {
   // A log with a hole must not vote: this machine rejoins under a new identity.
-  std::error_code ignored;
   std::filesystem::path folder = std::filesystem::path(settings_.data_folder) / kLogFolder;
   std::filesystem::path aside = folder.string() + ".damaged";
-  std::filesystem::remove_all(aside, ignored);
-  std::filesystem::rename(folder, aside, ignored);
-  log_.Write(Line("log_set_aside").Text("folder", aside.string()));
+  std::error_code error;
+  std::filesystem::remove_all(aside, error);
+  if (!error) {
+    std::filesystem::rename(folder, aside, error);
+  }
+  // The log is opened again in any case; a folder that stayed is found damaged again.
+  log_.Write(Line("log_set_aside")
+                 .Text("folder", aside.string())
+                 .Text("error", error ? error.message() : ""));
 }
 
 Result<void> LedgerRole::LoadDisk() {
@@ -177,6 +193,7 @@
     BOOST_LEAF_CHECK(disk_->SetIdentity(stored.identity));
   }
   identity_ = stored.identity;
+  next_hello_ = SteadyNow();  // The others learn at once who this machine is now.
   std::size_t entries = 0;
   for (const auto& [group, stored_group] : stored.groups) {
     entries += stored_group.entries.size();
@@ -204,13 +221,13 @@
 turn_ledger::TurnReplica& LedgerRole::StartReplica(GroupId group,
                                                    consensus::RestoredState restored) {
   auto replica = std::make_unique<turn_ledger::TurnReplica>(
-      Self(), MakeReplicaOptions(settings_, group), std::move(restored),
+      Self(), MakeReplicaOptions(settings_, group, peers_.machines().size()), std::move(restored),
       [this, group](consensus::EntryId entry) { return ReadStored(group, entry); }, SystemSeed(),
       SteadyNow());
   for (const auto& [name, machine] : peers_.machines()) {
     replica->OnMachine(SteadyNow(), machine, /*spoke=*/false);
   }
-  replica->SetRetiring(Retiring());
+  replica->SetRetiring(emptying_.retiring());
   replicas_[group] = std::move(replica);
   return *replicas_[group];
 }
@@ -401,9 +418,11 @@
     }
   }
   if (now >= next_hello_) {
-    bool alone = replicas_.empty();
-    next_hello_ = now + (alone ? kHelloInterval : kMemberHelloInterval);
+    next_hello_ = now + HelloPause();
     SayHello();
+  }
+  if (now >= next_flush_) {
+    next_flush_ = now + kFlushInterval;
     log_.Flush();
   }
   if (now >= next_progress_) {
@@ -453,6 +472,12 @@
 
 void LedgerRole::LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica) {
   const consensus::Raft& raft = replica.raft();
+  LoggedRole present{raft.role(), raft.term(), raft.configuration()};
+  std::optional<LoggedRole>& logged = logged_roles_[group];
+  if (logged == present) {
+    return;
+  }
+  logged = present;
   std::string members;
   for (NodeId voter : raft.configuration().voters) {
     absl::StrAppend(&members, absl::Hex(voter.value), " ");
@@ -460,10 +485,6 @@
   for (NodeId learner : raft.configuration().learners) {
     absl::StrAppend(&members, "learner:", absl::Hex(learner.value), " ");
   }
-  std::string role = absl::StrCat(RoleName(raft.role()), raft.term(), members);
-  if (std::exchange(logged_roles_[group], role) == role) {
-    return;
-  }
   log_.Write(Line("replica_role")
                  .Number("group", group.value)
                  .Text("role", RoleName(raft.role()))
@@ -572,11 +593,11 @@
   }
 }
 
-bool LedgerRole::HeardAnyway() const {
+bool LedgerRole::HeardAnyway() {
   // With several groups a machine is a spare of those that it is no member of: their leaders must
   // know that it lives.
-  auto layout = Layout();
-  bool single = layout && layout->size() == 1;
+  const turn_ledger::group_layout* layout = founders_.layout();
+  bool single = layout != nullptr && layout->size() == 1;
   const turn_ledger::TurnReplica* first = replica();
   if (!single || first == nullptr) {
     return false;
@@ -585,15 +606,23 @@
   return raft.configuration().IsVoter(identity_) && (raft.IsLeader() || raft.leader() != kNoNode);
 }
 
+absl::Duration LedgerRole::HelloPause() const {
+  absl::Duration least = replicas_.empty() ? kHelloInterval : kMemberHelloInterval;
+  return std::max(least, kHelloPauseForEach * peers_.machines().size());
+}
+
 void LedgerRole::SayHello() {
   if (identity_ == kNoNode || HeardAnyway()) {
     return;
   }
   turn_ledger::Hello hello;
   if (replicas_.empty()) {
+    std::vector<Machine> known;
     for (const auto& [name, machine] : peers_.machines()) {
-      hello.known.push_back(machine);
+      known.push_back(machine);
     }
+    std::sample(known.begin(), known.end(), std::back_inserter(hello.known), kMostMachinesTold,
+                random_.engine());
   }
   for (const auto& [name, machine] : peers_.machines()) {
     SendTo(machine.endpoint, hello);
@@ -656,17 +685,15 @@
   }
 }
 
-std::optional<turn_ledger::group_layout> LedgerRole::Layout() const {
-  auto record = directory_.items().find(kLedgerGroups);
-  if (record == directory_.items().end()) {
-    return std::nullopt;
+void LedgerRole::OnRetiring(const std::vector<std::string>& machines) {
+  for (auto& [group, replica] : replicas_) {
+    replica->SetRetiring(machines);
   }
-  return wire::Decode<turn_ledger::group_layout>(record->second.value);
 }
 
 void LedgerRole::FoundFromRecord() {
-  auto layout = Layout();
-  for (std::size_t index = 0; layout && index < layout->size(); ++index) {
+  const turn_ledger::group_layout* layout = founders_.layout();
+  for (std::size_t index = 0; layout != nullptr && index < layout->size(); ++index) {
     GroupId group = turn_ledger::group_at(index);
     const consensus::Configuration& founders = (*layout)[index];
     if (disk_ == nullptr || Find(group) != nullptr || !founders.IsVoter(identity_)) {
@@ -726,115 +753,4 @@
   }
 }
 
-// ---- Emptying machines ----
-
-std::vector<std::string> LedgerRole::Retiring() const {
-  std::vector<std::string> names;
-  for (const auto& [key, item] : retirements_.items()) {
-    absl::string_view name = key;
-    absl::ConsumePrefix(&name, formats_.RetirePrefix());
-    names.emplace_back(name);
-  }
-  return names;
-}
-
-void LedgerRole::OnRetireChange(const store::StoreChange&) {
-  std::vector<std::string> names = Retiring();
-  log_.Write(Line("retire_asked").Number("machines", static_cast<std::int64_t>(names.size())));
-  for (auto& [group, replica] : replicas_) {
-    replica->SetRetiring(names);
-  }
-}
-
-Task<void> LedgerRole::NoteEmptied(GroupId group, const std::string& machine, bool emptied) {
-  std::string key = absl::StrCat(kLedgerEmptied, machine, "/", group.value);
-  auto present = directory_.items().find(key);
-  bool noted = present != directory_.items().end();
-  if (noted == emptied) {
-    co_return;
-  }
-  store::Transaction transaction;
-  transaction.conditions.push_back({key, noted ? present->second.revision : 0});
-  if (emptied) {
-    transaction.puts.push_back({key, "", 0});
-  } else {
-    transaction.removals.push_back(key);
-  }
-  co_await store_.Commit(std::move(transaction));
-}
-
-bool LedgerRole::AllGroupsEmptied(const std::string& machine) {
-  auto layout = Layout();
-  for (std::size_t index = 0; layout && index < layout->size(); ++index) {
-    GroupId group = turn_ledger::group_at(index);
-    const turn_ledger::TurnReplica* replica = Find(group);
-    bool own = replica != nullptr && replica->LeadsCurrent();
-    std::string key = absl::StrCat(kLedgerEmptied, machine, "/", group.value);
-    bool emptied = own ? replica->MayTakeAway(machine) : directory_.items().contains(key);
-    if (!emptied) {
-      return false;
-    }
-  }
-  return layout.has_value();
-}
-
-std::vector<std::string> LedgerRole::EmptiedInNotes(GroupId group) const {
-  std::vector<std::string> names;
-  for (const auto& [key, item] : directory_.items()) {
-    absl::string_view name = key;
-    bool of_group = absl::ConsumePrefix(&name, kLedgerEmptied) &&
-                    absl::ConsumeSuffix(&name, absl::StrCat("/", group.value));
-    if (of_group) {
-      names.emplace_back(name);
-    }
-  }
-  return names;
-}
-
-Task<void> LedgerRole::NoteAllEmptied(GroupId group, std::vector<std::string> names) {
-  // Notes of machines that are asked for no more go too: their names may come again.
-  std::vector<std::string> noted = EmptiedInNotes(group);
-  names.insert(names.end(), noted.begin(), noted.end());
-  for (const std::string& name : names) {
-    std::vector<std::string> retiring = Retiring();
-    bool asked = std::find(retiring.begin(), retiring.end(), name) != retiring.end();
-    const turn_ledger::TurnReplica* replica = Find(group);
-    if (replica != nullptr && replica->LeadsCurrent()) {
-      bool emptied = asked && replica->MayTakeAway(name);
-      co_await NoteEmptied(group, name, emptied);
-    }
-  }
-}
-
-Task<void> LedgerRole::ReportRetirements() {
-  std::map<std::string, std::string> reported;
-  const GroupId reporter = turn_ledger::group_at(0);
-  while (true) {
-    co_await async_http::Sleep(loop_.context(), kRetireReportInterval);
-    std::vector<std::string> names = Retiring();
-    auto layout = Layout();
-    for (std::size_t index = 1; layout && index < layout->size(); ++index) {
-      co_await NoteAllEmptied(turn_ledger::group_at(index), names);
-    }
-    const turn_ledger::TurnReplica* first = Find(reporter);
-    if (first == nullptr || !first->LeadsCurrent()) {
-      reported.clear();
-      continue;
-    }
-    for (const std::string& name : names) {
-      std::string status = formats_.WriteRetireStatus(AllGroupsEmptied(name));
-      if (reported[name] == status) {
-        continue;
-      }
-      store::Transaction transaction;
-      transaction.puts.push_back({formats_.RetireStatusKey(name), status, 0});
-      store::StoreStatus written = co_await store_.Commit(std::move(transaction));
-      if (written == store::StoreStatus::kDone) {
-        reported[name] = status;
-        log_.Write(Line("retire_status").Text("machine", name).Text("status", status));
-      }
-    }
-  }
-}
-
 }  // namespace martenyard::roles
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -9,8 +9,11 @@
 #include <string>
 #include <vector>
 
+#include "base/random.h"
 #include "event_log/event_log.h"
 #include "roles/directory_keys.h"
+#include "roles/ledger/founders_record.h"
+#include "roles/ledger/machine_emptying.h"
 #include "roles/memory/memory_guard.h"
 #include "roles/peer_book.h"
 #include "roles/platform_formats.h"
@@ -76,34 +79,33 @@
   void OnHello(const turn_ledger::Hello& hello);
   void OnDead(const wire::Endpoint& peer);
   void NoteMachine(const turn_ledger::Machine& machine, bool heard_now);
+  /// @return the time between two greetings: the more machines, the longer.
+  absl::Duration HelloPause() const;
   void SayHello();
   void SendTo(const wire::Endpoint& to, turn_ledger::Body body);
   void SendRaft(GroupId group, const consensus::Outbound& outbound);
   /// True when the others hear of this machine by the log's messages.
-  bool HeardAnyway() const;
+  bool HeardAnyway();
 
   void OnDirectoryChange(const store::StoreChange& change);
-  void OnRetireChange(const store::StoreChange& change);
+  /// The operator wants these machines emptied.
+  void OnRetiring(const std::vector<std::string>& machines);
   async_http::Task<void> Register();
   async_http::Task<void> FoundWhenPossible();
-  async_http::Task<void> ReportRetirements();
-  /// The machines that the operator wants emptied.
-  std::vector<std::string> Retiring() const;
-  /// Tells the other groups' leaders whether a group needs the machine no more.
-  async_http::Task<void> NoteEmptied(GroupId group, const std::string& machine, bool emptied);
-  async_http::Task<void> NoteAllEmptied(GroupId group, std::vector<std::string> names);
-  /// @return the machines that the group was noted to need no more.
-  std::vector<std::string> EmptiedInNotes(GroupId group) const;
-  /// True when every group's leader has said so.
-  bool AllGroupsEmptied(const std::string& machine);
   void FoundFromRecord();
-  /// @return the groups as they were founded, or nothing when that isn't known yet.
-  std::optional<turn_ledger::group_layout> Layout() const;
 
   void LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica);
   void LogProgress(GroupId group, const turn_ledger::TurnReplica& replica);
   turn_ledger::Machine Self() const;
 
+  /// What was logged last of a replica's part in its group.
+  struct LoggedRole {
+    consensus::Role role = consensus::Role::kFollower;
+    consensus::Term term = 0;
+    consensus::Configuration configuration;
+    friend bool operator==(const LoggedRole&, const LoggedRole&) = default;
+  };
+
   wire::EventLoop& loop_;
   RoleSettings settings_;
   const PlatformFormats& formats_;
@@ -112,7 +114,8 @@
   OpenLogStore open_log_store_;
   wire::Transport transport_;
   store::PrefixMirror directory_;
-  store::PrefixMirror retirements_;
+  founders_record founders_;
+  machine_emptying emptying_;
   PeerBook peers_;
   Ticker ticker_;
 
@@ -122,11 +125,13 @@
   bool stopping_ = false;
   absl::Time stop_deadline_;
   absl::Time next_hello_;
+  absl::Time next_flush_;
   absl::Time next_progress_;
-  std::map<GroupId, std::string> logged_roles_;
+  std::map<GroupId, std::optional<LoggedRole>> logged_roles_;
   std::uint64_t synced_writes_ = 0;
   memory_guard memory_;
   absl::Time next_memory_look_;
+  Random random_;
 };
 
 }  // namespace martenyard::roles
--- a/src/roles/peer_book.h
+++ b/src/roles/peer_book.h
@@ -5,14 +5,17 @@
 #include <set>
 #include <string>
 
+#include "event_log/event_log.h"
 #include "turn_ledger/messages.h"
 
 namespace martenyard::roles {
 
 class PeerBook {
  public:
-  /// @param path where the book is kept; a missing or torn file is an empty book.
-  explicit PeerBook(std::string path);
+  /// @param path where the book is kept; a missing file is an empty book, and so is a torn one,
+  /// which is logged. What can't be written is logged: the machine then asks the store again after
+  /// its next start.
+  PeerBook(std::string path, event_log::EventLog& log);
 
   /// Notes what is known of a machine. @return true when that is news.
   bool Note(const turn_ledger::Machine& machine);
@@ -29,7 +32,9 @@
   void Save() const;
 
   std::string path_;
+  event_log::EventLog& log_;
   std::map<std::string, turn_ledger::Machine> machines_;  // By name.
+  std::map<NodeId, std::string> names_;                   // By identity.
   std::set<std::string> heard_;
 };
 
