One aggregator a zone watches the store and exchanges sums; a holder's time runs from when it became known

Now the zone's first aggregator that is heard watches and exchanges sums, and tells them on to the two others within the zone; another stands in when it is out of contact for a second. Storage machines found one after the other; heartbeats follow the election timeout.

Test: SlotClaimsTest.HolderThatBecameKnownLate...

--- a/src/aggregation/aggregator.cc
+++ b/src/aggregation/aggregator.cc
@@ -13,6 +13,7 @@
       m_zone_loads(options.m_lifetime),
       m_other_loads(options.m_lifetime),
       m_zone_news(options.m_most_placements),
+      m_other_news(options.m_most_placements),
       m_all_news(options.m_most_placements),
       m_interval(options.m_least_interval)
 {
@@ -41,8 +42,33 @@
     m_all_news.note(report.m_loads, report.m_placements);
 }
 
+void aggregator::set_speaks(instant now, bool speaks)
+{
+    if (speaks && !m_speaks)
+    {
+        m_zones.erase(m_self.m_zone);
+        m_other_loads.take(now, m_self.m_zone, {});
+    }
+    m_speaks = speaks;
+}
+
+bool aggregator::counts(instant now, const std::string& zone) const
+{
+    if (zone == m_self.m_zone)
+    {
+        return !m_speaks;
+    }
+    auto relayed = m_zones.find(m_self.m_zone);
+    bool is_relayed = relayed != m_zones.end() && now - relayed->second.m_heard < m_options.m_source_patience;
+    return m_speaks || !is_relayed;
+}
+
 void aggregator::take(instant now, const zone_summary& summary)
 {
+    if (!counts(now, summary.m_from.m_zone))
+    {
+        return;
+    }
     other_zone& zone = m_zones[summary.m_from.m_zone];
     bool is_source = zone.m_source == summary.m_from.m_name;
     if (!is_source && now - zone.m_heard < m_options.m_source_patience)
@@ -51,6 +77,7 @@
     }
     zone = {now, summary.m_from.m_name, summary.m_gateways, summary.m_without_ledger};
     m_other_loads.take(now, summary.m_from.m_zone, summary.m_loads);
+    m_other_news.note(summary.m_loads, summary.m_placements);
     m_all_news.note(summary.m_loads, summary.m_placements);
 }
 
@@ -128,6 +155,24 @@
     return summary;
 }
 
+zone_summary aggregator::make_relayed_summary(instant now)
+{
+    zone_summary summary;
+    summary.m_from = m_self;
+    for (const auto& [name, zone] : m_zones)
+    {
+        // What an aggregator of this zone told on isn't told on again.
+        bool live = now - zone.m_heard <= m_options.m_lifetime && name != m_self.m_zone;
+        summary.m_gateways += live ? zone.m_gateways : 0;
+        summary.m_without_ledger += live ? zone.m_without_ledger : 0;
+    }
+    absl::flat_hash_map<std::uint32_t, std::uint32_t> active;
+    m_other_loads.add_to(active);
+    summary.m_loads = m_other_news.take_loads(active);
+    summary.m_placements = m_other_news.take_placements();
+    return summary;
+}
+
 std::vector<wire::Endpoint> aggregator::pick_with_ledger(instant now)
 {
     std::vector<wire::Endpoint> candidates;
--- a/src/aggregation/aggregator.h
+++ b/src/aggregation/aggregator.h
@@ -65,15 +65,24 @@
     /// @brief a gateway of the zone, or one whose own aggregators are gone, told what it does
     void take(instant now, const member_report& report);
 
-    /// @brief an aggregator of another zone told its zone's sums
+    /// @brief an aggregator of another zone told its zone's sums, or one of this zone told on those of
+    ///        all others
     void take(instant now, const zone_summary& summary);
 
+    /// @brief whether this aggregator exchanges sums with other zones for its own; if not, it goes by
+    ///        what the one that does tells on
+    void set_speaks(instant now, bool speaks);
+
     /// @brief forgets who fell silent
     void expire(instant now);
 
     /// @return this zone's sums; what became of requests since the last call is told once
     zone_summary make_summary(instant now);
 
+    /// @return the sums of the other zones, for the zone's other aggregators; what became of requests
+    ///         since the last call is told once
+    zone_summary make_relayed_summary(instant now);
+
     /// @return the sums of all zones; what became of requests since the last call is told once
     digest make_digest(instant now);
 
@@ -106,10 +115,10 @@
     /// @return gateways of all zones that were heard of lately, this one included
     std::uint32_t gateways(instant now) const;
 
-    /// @return placements dropped since the start, over both kinds of messages
+    /// @return placements dropped since the start, over all kinds of messages
     std::uint64_t dropped_placements() const
     {
-        return m_zone_news.dropped() + m_all_news.dropped();
+        return m_zone_news.dropped() + m_other_news.dropped() + m_all_news.dropped();
     }
 
   private:
@@ -123,6 +132,8 @@
         std::uint32_t m_without_ledger = 0;
     };
 
+    /// @return whether the sums of this other zone count, or what an aggregator of this zone told on
+    bool counts(instant now, const std::string& zone) const;
     template <typename Predicate>
     std::uint32_t count_members(instant now, Predicate predicate) const;
     std::vector<wire::Endpoint> pick_with_ledger(instant now);
@@ -136,7 +147,9 @@
     load_sums m_zone_loads;
     load_sums m_other_loads;
     pending_news m_zone_news;
+    pending_news m_other_news;
     pending_news m_all_news;
+    bool m_speaks = false;
     instant m_digest_sent;
     std::chrono::milliseconds m_interval;
 };
--- a/src/aggregation/member_view.cc
+++ b/src/aggregation/member_view.cc
@@ -175,6 +175,10 @@
 void member_view::take(instant now, const zone_summary& told)
 {
     note_heard(now, told.m_from.m_name, told.m_in_contact);
+    if (told.m_in_contact)
+    {
+        (told.m_from.m_zone == m_self.m_zone ? m_own_zone_contact : m_other_zone_contact) = now;
+    }
     take_with_ledger(now, told.m_with_ledger);
 }
 
@@ -257,6 +261,16 @@
                        });
 }
 
+bool member_view::other_zone_has_contact(instant now) const
+{
+    return m_other_zone_contact && now - *m_other_zone_contact <= m_options.m_lost_after;
+}
+
+bool member_view::own_zone_has_contact(instant now) const
+{
+    return m_own_zone_contact && now - *m_own_zone_contact <= m_options.m_lost_after;
+}
+
 std::uint32_t member_view::gateways_without_ledger(instant now) const
 {
     return now - m_counted <= m_options.m_lost_after ? m_without_ledger : 0;
--- a/src/aggregation/member_view.h
+++ b/src/aggregation/member_view.h
@@ -84,9 +84,15 @@
 
     bool hears_anybody(instant now) const;
 
-    /// @return whether an aggregator in contact with the store was heard lately
+    /// @return whether an aggregator in contact with the store, or told so by one, was heard lately
     bool hears_contact(instant now) const;
 
+    /// @return whether another zone's aggregator said lately that the store answers it
+    bool other_zone_has_contact(instant now) const;
+
+    /// @return whether an aggregator of the own zone told on sums lately while the store answered it
+    bool own_zone_has_contact(instant now) const;
+
     /// @return gateways of all zones and those among them without the ledger, as last told
     std::uint32_t gateways() const
     {
@@ -128,6 +134,8 @@
     std::map<std::string, contact> m_introduced;
     std::map<std::string, instant> m_heard;
     std::map<std::string, instant> m_in_contact;
+    std::optional<instant> m_other_zone_contact;
+    std::optional<instant> m_own_zone_contact;
     bool m_aggregates = false;
     std::uint32_t m_gateways = 1;
     std::uint32_t m_without_ledger = 0;
--- a/src/aggregation/messages.h
+++ b/src/aggregation/messages.h
@@ -98,7 +98,8 @@
     }
 };
 
-/// @brief one zone's sums: told by its aggregators to some of the other zones'
+/// @brief sums: one zone's, told by its first aggregator to other zones'; or all other zones', told on by
+///        an aggregator to the others of its zone
 struct zone_summary
 {
     contact m_from;
--- a/src/aggregation/news.cc
+++ b/src/aggregation/news.cc
@@ -1,5 +1,6 @@
 #include "aggregation/news.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace martenyard::aggregation
@@ -29,7 +30,7 @@
                   });
 }
 
-bool news_decisions::is_due(instant now, bool behind, bool primary, push_state& state) const
+bool news_decisions::is_due(instant now, bool behind, bool at_once, push_state& state) const
 {
     if (!behind)
     {
@@ -37,13 +38,14 @@
         return false;
     }
     state.m_behind_since = state.m_behind_since.value_or(now);
-    bool is_ours = primary || now - *state.m_behind_since >= m_options.m_help_after;
+    bool is_ours = at_once || now - *state.m_behind_since >= m_options.m_help_after;
     bool just_pushed = state.m_pushed && now - *state.m_pushed < m_options.m_push_again;
     return is_ours && !just_pushed;
 }
 
 std::vector<news_push> news_decisions::take_due_pushes(instant now, const known_changes& own,
-                                                       const aggregator& sums)
+                                                       const aggregator& sums,
+                                                       const std::vector<contact>& first)
 {
     std::vector<news_push> pushes;
     for (const auto& [name, gateway] : sums.members())
@@ -52,11 +54,16 @@
         {
             continue;
         }
+        bool at_once = gateway.m_primary || std::any_of(first.begin(), first.end(),
+                                                        [&name](const contact& aggregator)
+                                                        {
+                                                            return aggregator.m_name == name;
+                                                        });
         std::array<push_state, mirror_count>& states = m_pushes[name];
         for (std::size_t mirror = 0; mirror < mirror_count; ++mirror)
         {
             bool behind = gateway.m_changes[mirror] < own[mirror];
-            bool due = is_due(now, behind, gateway.m_primary, states[mirror]);
+            bool due = is_due(now, behind, at_once, states[mirror]);
             if (due && pushes.size() < m_options.m_most_pushes)
             {
                 states[mirror].m_pushed = now;
--- a/src/aggregation/news.h
+++ b/src/aggregation/news.h
@@ -66,9 +66,12 @@
     /// @brief forgets peers that fell silent
     void expire(instant now);
 
-    /// @param[in] own  the last changes that this gateway knows
+    /// @param[in] own    the last changes that this gateway knows
+    /// @param[in] first  gateways that are told at once although they go by nobody's digests: the zone's
+    ///                   other aggregators, which tell theirs
     /// @return what an aggregator should push now; it counts as pushed
-    std::vector<news_push> take_due_pushes(instant now, const known_changes& own, const aggregator& sums);
+    std::vector<news_push> take_due_pushes(instant now, const known_changes& own, const aggregator& sums,
+                                           const std::vector<contact>& first = {});
 
     /// @param[in] patient  the changes may still come by a watch or a push
     /// @return the question that is due for a mirror, if any; it counts as asked
@@ -97,7 +100,7 @@
         std::optional<instant> m_asked;
     };
 
-    bool is_due(instant now, bool behind, bool primary, push_state& state) const;
+    bool is_due(instant now, bool behind, bool at_once, push_state& state) const;
 
     news_options m_options;
     Random m_random;
--- a/src/aggregation/slots.cc
+++ b/src/aggregation/slots.cc
@@ -7,28 +7,6 @@
 
 namespace martenyard::aggregation
 {
-namespace
-{
-
-/// @return the number of the slot that the gateway holds, 0 if none
-std::size_t slot_number(const slot_table& table, const contact& gateway)
-{
-    auto zone = table.find(gateway.m_zone);
-    if (zone == table.end())
-    {
-        return 0;
-    }
-    auto held =
-        std::find_if(zone->second.begin(), zone->second.end(),
-                     [&](const auto& entry)
-                     {
-                         return entry.second.m_holder && entry.second.m_holder->m_name == gateway.m_name;
-                     });
-    return held == zone->second.end() ? 0 : held->first;
-}
-
-}  // namespace
-
 std::vector<std::string> near_zones(const slot_table& table, const std::string& zone, std::size_t most)
 {
     std::vector<std::string> circle;
@@ -50,27 +28,21 @@
     return near;
 }
 
-std::vector<wire::Endpoint> summary_targets(const slot_table& table, const contact& self,
-                                            const summary_spread& spread)
+std::vector<contact> holders_of(const slot_table& table, const std::string& zone)
 {
-    std::size_t first = slot_number(table, self);
-    std::vector<wire::Endpoint> targets;
-    for (const std::string& zone : near_zones(table, self.m_zone, spread.m_most_zones))
+    std::vector<contact> holders;
+    auto slots = table.find(zone);
+    if (slots != table.end())
     {
-        std::vector<wire::Endpoint> holders;
-        for (const auto& [number, taken] : table.at(zone))
+        for (const auto& [number, taken] : slots->second)
         {
             if (taken.m_holder)
             {
-                holders.push_back(taken.m_holder->m_endpoint);
+                holders.push_back(*taken.m_holder);
             }
         }
-        for (std::size_t copy = 0; copy < std::min(spread.m_copies, holders.size()); ++copy)
-        {
-            targets.push_back(holders[(first + copy) % holders.size()]);
-        }
     }
-    return targets;
+    return holders;
 }
 
 slot_claims::slot_claims(contact self, double processor_share, const slot_options& options)
@@ -113,21 +85,25 @@
 
 bool slot_claims::is_due(const view& seen, const slot& taken, watched_slot& watched, std::size_t number) const
 {
+    std::string holder = taken.m_holder ? taken.m_holder->m_name : "";
+    if (!watched.m_since || watched.m_holder != holder)
+    {
+        watched.m_holder = holder;
+        watched.m_since = seen.m_now;
+    }
     if (!taken.m_holder)
     {
-        watched.m_since = watched.m_since.value_or(seen.m_now);
         return seen.m_now - *watched.m_since >= pause(number);
     }
-    auto heard = seen.m_heard->find(taken.m_holder->m_name);
-    instant last = heard == seen.m_heard->end() ? *m_began : std::max(*m_began, heard->second);
-    watched.m_since.reset();
+    auto heard = seen.m_heard->find(holder);
+    instant last =
+        heard == seen.m_heard->end() ? *watched.m_since : std::max(*watched.m_since, heard->second);
     auto patience = hears_anybody(seen) ? m_options.m_holder_patience : m_options.m_alone_patience;
     return seen.m_now - last >= patience + pause(number);
 }
 
 std::optional<slot_claim> slot_claims::due(const view& seen, const slot_table& table)
 {
-    m_began = m_began.value_or(seen.m_now);
     auto zone = table.find(m_self.m_zone);
     if (auto own = held(table))
     {
--- a/src/aggregation/slots.h
+++ b/src/aggregation/slots.h
@@ -5,6 +5,7 @@
 // many tries first and the others see its name there.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -41,23 +42,52 @@
     std::uint64_t m_revision = 0;
 };
 
-/// @brief named knobs: who gets a zone's sums
-struct summary_spread
-{
-    /// zones that sums are exchanged with: the next ones on both sides in the circle of names. News of
-    /// the store reach all others through them
-    std::size_t m_most_zones = 8;
-    /// aggregators of each that get them; a datagram, or one of them, may be lost
-    std::size_t m_copies = 2;
-};
-
-/// @return the zones that `zone` exchanges sums with
+/// @return the zones that `zone` exchanges sums with: the next ones on both sides in the circle of names.
+///         News of the store reach all others through them
 std::vector<std::string> near_zones(const slot_table& table, const std::string& zone, std::size_t most);
 
-/// @param[in] self  an aggregator; those of another zone are dealt evenly to the own zone's
-/// @return the aggregators of other zones that it tells its zone's sums
-std::vector<wire::Endpoint> summary_targets(const slot_table& table, const contact& self,
-                                            const summary_spread& spread = {});
+/// @return a zone's aggregators, in the order of their slots
+std::vector<contact> holders_of(const slot_table& table, const std::string& zone);
+
+/// @param[in] hears  whether an aggregator was heard lately
+/// @return the zone's first aggregator that is heard, or `self` if none before it is: it watches the store
+///         and exchanges sums with other zones for the zone
+template <typename Hears>
+contact first_heard(const slot_table& table, const contact& self, Hears hears)
+{
+    for (const contact& holder : holders_of(table, self.m_zone))
+    {
+        if (holder.m_name == self.m_name || hears(holder))
+        {
+            return holder;
+        }
+    }
+    return self;
+}
+
+/// @param[in] hears  whether an aggregator was heard lately
+/// @return of each near zone the aggregator that speaks for it, or all of them while none does
+template <typename Hears>
+std::vector<wire::Endpoint> summary_targets(const slot_table& table, const contact& self, Hears hears,
+                                            std::size_t most_zones)
+{
+    std::vector<wire::Endpoint> targets;
+    for (const std::string& zone : near_zones(table, self.m_zone, most_zones))
+    {
+        std::vector<contact> holders = holders_of(table, zone);
+        auto speaker = std::find_if(holders.begin(), holders.end(), hears);
+        if (speaker != holders.end())
+        {
+            targets.push_back(speaker->m_endpoint);
+            continue;
+        }
+        for (const contact& holder : holders)
+        {
+            targets.push_back(holder.m_endpoint);
+        }
+    }
+    return targets;
+}
 
 /// @brief named knobs
 struct slot_options
@@ -103,7 +133,9 @@
   private:
     struct watched_slot
     {
-        /// since when it has been vacant, or its holder silent
+        /// its holder's name, empty while it is vacant
+        std::string m_holder;
+        /// since when that has been known here: before, the holder could not be heard
         std::optional<instant> m_since;
         std::optional<instant> m_tried;
     };
@@ -117,7 +149,6 @@
     double m_processor_share;
     slot_options m_options;
     std::map<std::size_t, watched_slot> m_watched;
-    std::optional<instant> m_began;
 };
 
 }  // namespace martenyard::aggregation
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "base/hash.h"
 #include "roles/directory_keys.h"
 #include "roles/exchange/slot_records.h"
 #include "wire/codec.h"
@@ -33,13 +32,6 @@
     return std::chrono::steady_clock::now();
 }
 
-/// @return a number's share of its range, 0 to 1
-double point_of(std::uint64_t hash)
-{
-    constexpr double range = 18446744073709551616.0;  // 2^64
-    return static_cast<double>(hash) / range;
-}
-
 std::uint8_t at_most_a_byte(std::uint32_t count)
 {
     return static_cast<std::uint8_t>(std::min<std::uint32_t>(count, UINT8_MAX));
@@ -91,7 +83,8 @@
       m_registered(
           context, store, absl::StrCat(kGatewayMachines, settings.zone, "/"),
           [](const store::StoreChange&) {}, [](bool, store::StoreStatus) {}),
-      m_news(state.random.NextId())
+      m_news(state.random.NextId()),
+      m_watch(settings.node)
 {
 }
 
@@ -131,6 +124,18 @@
     return known;
 }
 
+bool zone_exchange::in_contact() const
+{
+    return m_watching && m_store_answers.value_or(false);
+}
+
+void zone_exchange::complete(instant now, digest& told) const
+{
+    told.m_changes = changes();
+    // Another zone's word is as good; it is passed on in digests only, so that it goes round nowhere.
+    told.m_in_contact = in_contact() || m_view->other_zone_has_contact(now);
+}
+
 // ---- Slots ----
 
 void zone_exchange::on_slots_change()
@@ -216,24 +221,25 @@
     m_claiming = false;
 }
 
-bool zone_exchange::is_first_of_zone() const
+bool zone_exchange::hears(instant now, const contact& aggregator) const
+{
+    auto heard = m_view->heard().find(aggregator.m_name);
+    return heard != m_view->heard().end() && now - heard->second <= m_options.m_speaker_patience;
+}
+
+bool zone_exchange::speaks_for_zone(instant now) const
 {
-    auto zone = m_slots.find(m_settings.zone);
-    for (std::size_t number = 0; zone != m_slots.end() && number < aggregation::slots_per_zone; ++number)
+    auto is_heard = [&](const contact& aggregator)
     {
-        auto taken = zone->second.find(number);
-        if (taken != zone->second.end() && taken->second.m_holder)
-        {
-            return taken->second.m_holder == self();
-        }
-    }
-    return false;
+        return hears(now, aggregator);
+    };
+    return aggregates() && aggregation::first_heard(m_slots, self(), is_heard) == self();
 }
 
 void zone_exchange::register_members(instant now)
 {
     bool just_written = now - m_registered_at < m_options.m_register_pause;
-    if (!is_first_of_zone() || m_registering || just_written || !m_registered.complete())
+    if (!speaks_for_zone(now) || m_registering || just_written || !m_registered.complete())
     {
         return;
     }
@@ -358,6 +364,10 @@
                         .Number("to", static_cast<std::int64_t>(reply.m_delta.m_last_change)));
     }
     mirror.TakeDelta(reply.m_delta);
+    if (m_sums)
+    {
+        push_news(steady_now());  // Its gateways shouldn't wait for the next tick.
+    }
 }
 
 void zone_exchange::apply(instant now, const std::vector<runner_load>& others,
@@ -425,6 +435,7 @@
     report(now);
     if (m_sums)
     {
+        m_sums->set_speaks(now, speaks_for_zone(now));
         m_sums->expire(now);
         send_digests(now);
         send_introductions(now);
@@ -440,14 +451,13 @@
 
 void zone_exchange::judge_watching(instant now)
 {
-    bool in_contact = m_view->hears_contact(now);
-    m_without_contact_since =
-        in_contact ? std::nullopt : std::make_optional(m_without_contact_since.value_or(now));
-    auto own_pause = std::chrono::duration_cast<std::chrono::milliseconds>(
-        m_options.m_watch_spread * point_of(StableHash(m_settings.node)));
-    bool alone =
-        m_without_contact_since && now - *m_without_contact_since >= m_options.m_watch_after + own_pause;
-    bool watch = aggregates() || alone || !m_settings.policy.on(mechanism::peer_news);
+    aggregation::watch_view seen;
+    seen.m_now = now;
+    seen.m_aggregates = aggregates();
+    seen.m_speaks = speaks_for_zone(now);
+    seen.m_zone_has_contact = m_view->own_zone_has_contact(now);
+    seen.m_hears_contact = m_view->hears_contact(now);
+    bool watch = m_watch.judge(seen) || !m_settings.policy.on(mechanism::peer_news);
     if (watch != m_watching)
     {
         m_watching = watch;
@@ -549,15 +559,10 @@
 
 void zone_exchange::send_digests(instant now)
 {
-    auto complete = [this](digest& told)
-    {
-        told.m_changes = changes();
-        told.m_in_contact = m_watching && m_store_answers.value_or(false);
-    };
     if (m_sums->digest_is_due(now))
     {
         digest full = m_sums->make_digest(now);
-        complete(full);
+        complete(now, full);
         std::string payload = wire::Encode(datagram(full));
         m_sums->note_digest_sent(now, payload.size());
         for (const wire::Endpoint& member : m_sums->primary_members(now))
@@ -574,7 +579,7 @@
         return;
     }
     digest brief = m_sums->make_short_digest(now);
-    complete(brief);
+    complete(now, brief);
     std::string payload = wire::Encode(datagram(brief));
     for (const wire::Endpoint& member : due)
     {
@@ -591,8 +596,7 @@
     }
     m_introduced_at = now;
     digest brief = m_sums->make_short_digest(now);
-    brief.m_changes = changes();
-    brief.m_in_contact = m_watching && m_store_answers.value_or(false);
+    complete(now, brief);
     std::string payload = wire::Encode(datagram(brief));
     for (const auto& [key, item] : m_registered.items())
     {
@@ -612,25 +616,48 @@
 
 void zone_exchange::send_summary(instant now)
 {
-    if (now - m_summary_sent < m_options.m_summary_interval)
+    if (now - m_summary_sent < m_options.m_summary_interval || !speaks_for_zone(now))
     {
         return;
     }
     m_summary_sent = now;
     zone_summary summary = m_sums->make_summary(now);
     summary.m_changes = changes();
-    summary.m_in_contact = m_watching && m_store_answers.value_or(false);
+    summary.m_in_contact = in_contact();
     std::string payload = wire::Encode(datagram(std::move(summary)));
-    for (const wire::Endpoint& aggregator : aggregation::summary_targets(m_slots, self(), m_options.m_spread))
+    auto is_heard = [&](const contact& aggregator)
+    {
+        return hears(now, aggregator);
+    };
+    for (const wire::Endpoint& aggregator :
+         aggregation::summary_targets(m_slots, self(), is_heard, m_options.m_most_zones))
     {
         send(aggregator, payload);
         ++m_stats.m_summaries_sent;
     }
+    relay_summary(now);
+}
+
+void zone_exchange::relay_summary(instant now)
+{
+    zone_summary others = m_sums->make_relayed_summary(now);
+    others.m_changes = changes();
+    others.m_in_contact = in_contact();
+    std::string payload = wire::Encode(datagram(std::move(others)));
+    for (const contact& holder : aggregation::holders_of(m_slots, m_settings.zone))
+    {
+        if (holder.m_name != m_settings.node)
+        {
+            send(holder.m_endpoint, payload);
+            ++m_stats.m_summaries_sent;
+        }
+    }
 }
 
 void zone_exchange::push_news(instant now)
 {
-    for (const aggregation::news_push& push : m_news.take_due_pushes(now, changes(), *m_sums))
+    for (const aggregation::news_push& push :
+         m_news.take_due_pushes(now, changes(), *m_sums, aggregation::holders_of(m_slots, m_settings.zone)))
     {
         ++m_stats.m_news_pushed;
         send_changes(push.m_to, push.m_mirror, push.m_since);
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -21,6 +21,7 @@
 #include "aggregation/messages.h"
 #include "aggregation/news.h"
 #include "aggregation/slots.h"
+#include "aggregation/watching.h"
 #include "async_http/task.h"
 #include "event_log/event_log.h"
 #include "forwarding/gateway_state.h"
@@ -50,14 +51,13 @@
     std::chrono::milliseconds m_quiet_interval{1000};
     /// between a zone's sums to the other zones
     std::chrono::milliseconds m_summary_interval{100};
-    /// who gets them
-    aggregation::summary_spread m_spread;
+    /// zones that sums are exchanged with
+    std::size_t m_most_zones = 8;
+    /// an aggregator that said nothing for this long doesn't speak for its zone; digests to other
+    /// aggregators and sums come each half a second at least
+    std::chrono::milliseconds m_speaker_patience{900};
     /// registered gateways that are silent get a short digest so often
     std::chrono::milliseconds m_introduction_interval{1000};
-    /// without an aggregator in contact with the store for this long, a gateway may watch it itself
-    std::chrono::milliseconds m_watch_after{1600};
-    /// such gateways begin one after the other over this time: the store may be down for all
-    std::chrono::milliseconds m_watch_spread{30000};
     /// without a full digest for this long, other gateways' requests count as none
     std::chrono::milliseconds m_digest_lifetime{1600};
     /// who may take a slot looks at the slots' records for so long first: another may just have done so
@@ -153,6 +153,9 @@
     void take(instant now, const store::news_request& request);
 
     aggregation::known_changes changes() const;
+    /// @return whether the store answers this gateway itself
+    bool in_contact() const;
+    void complete(instant now, aggregation::digest& told) const;
     aggregation::contact self() const;
     turn_ledger::Machine machine() const;
     void judge_watching(instant now);
@@ -161,8 +164,9 @@
     bool waits_for_push(instant now) const;
     void claim_slot(instant now);
     async_http::Task<void> write_claim(aggregation::slot_claim claim);
-    /// @return whether this gateway holds its zone's first slot that is taken
-    bool is_first_of_zone() const;
+    bool hears(instant now, const aggregation::contact& aggregator) const;
+    /// @return whether this aggregator watches the store and exchanges sums for its zone
+    bool speaks_for_zone(instant now) const;
     /// writes down where the gateways are that report to this aggregator
     void register_members(instant now);
     async_http::Task<void> write_registrations(std::vector<aggregation::contact> gateways);
@@ -174,6 +178,7 @@
     void send_digests(instant now);
     void send_introductions(instant now);
     void send_summary(instant now);
+    void relay_summary(instant now);
     void push_news(instant now);
     void ask_for_news(instant now);
     void send_changes(const wire::Endpoint& to, std::size_t mirror, std::uint64_t since);
@@ -215,7 +220,7 @@
     std::vector<aggregation::placement> m_placements;
     instant m_summary_sent;
     instant m_introduced_at;
-    std::optional<instant> m_without_contact_since;
+    aggregation::watch_decision m_watch;
     std::optional<instant> m_digest_taken;
 
     /// the last changes sent, encoded: many gateways lack the same
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -36,6 +36,8 @@
 constexpr absl::Duration kFoundingPatience = absl::Seconds(4);
 /// Machines start within some tenths of a second of each other: all should be in the layout.
 constexpr absl::Duration kFoundingLinger = absl::Milliseconds(1500);
+/// Between two machines' tries to found: the store's answer and the watch of it take less.
+constexpr absl::Duration kFoundingTurn = absl::Milliseconds(150);
 constexpr absl::Duration kLoneFoundingLinger = absl::Milliseconds(300);
 constexpr absl::Duration kHandOverLimit = absl::Milliseconds(600);
 constexpr absl::Duration kMemoryInterval = absl::Milliseconds(200);
@@ -63,11 +65,14 @@
   return kQuickMachine * std::clamp(kQuickShare / settings.processor_share, 1.0, kSlowest);
 }
 
+/// Of the election timeout: three heartbeats fit into it, and one may be late.
+constexpr double kHeartbeatShare = 0.28;
+
 turn_ledger::ReplicaOptions MakeReplicaOptions(const RoleSettings& settings, GroupId group,
                                                std::size_t known_machines) {
   turn_ledger::ReplicaOptions options;
-  options.raft.heartbeat_interval = absl::Milliseconds(60);
   options.raft.election_timeout = ElectionTimeout(settings);
+  options.raft.heartbeat_interval = options.raft.election_timeout * kHeartbeatShare;
   options.raft.start_wait_share = 0.4;
   options.planner.replicas = WantedReplicas(settings);
   options.planner.group = group.value;
@@ -82,6 +87,13 @@
   return options;
 }
 
+/// All machines register when the system starts: their records are fetched together.
+store::MirrorOptions DirectoryOptions() {
+  store::MirrorOptions options;
+  options.watch_spacing = absl::Milliseconds(500);
+  return options;
+}
+
 const char* RoleName(consensus::Role role) {
   switch (role) {
     case consensus::Role::kFollower:
@@ -114,7 +126,8 @@
           [this](const store::StoreChange& change) { OnDirectoryChange(change); },
           [this](bool reachable, store::StoreStatus) {
             log_.Write(Line(reachable ? "store_regained" : "store_lost").Text("for", "directory"));
-          }),
+          },
+          DirectoryOptions()),
       founders_(directory_, log),
       emptying_(
           loop.context(), formats, store, directory_, founders_, log,
@@ -739,10 +752,15 @@
       }
     }
     std::size_t wanted = WantedReplicas(settings_);
+    // One after the other: all see the same machines, and one write is enough.
+    auto before = static_cast<double>(
+        std::count_if(machines.begin(), machines.end(),
+                      [this](const Machine& machine) { return machine.name < settings_.node; }));
+    absl::Time own_turn = began + kFoundingTurn * before;
     bool patient = SteadyNow() < began + kFoundingPatience;
     absl::Duration linger = wanted > 1 ? kFoundingLinger : kLoneFoundingLinger;
     bool all_here = machines.size() >= wanted && SteadyNow() > began + linger;
-    if (machines.empty() || (!all_here && patient)) {
+    if (machines.empty() || (!all_here && patient) || SteadyNow() < own_turn + linger) {
       continue;
     }
     store::Transaction transaction;
--- a/tests/aggregation/slots_test.cc
+++ b/tests/aggregation/slots_test.cc
@@ -119,6 +119,25 @@
   EXPECT_LT(*in_touch_try, milliseconds(6000));
 }
 
+TEST_F(SlotClaimsTest, HolderThatBecameKnownLateIsGivenItsTimeFromThenOn) {
+  // The simulated fleet of 1,400: aggregators known only after four seconds were replaced at once.
+  slot_claims claims(Gateway("g"), 0.5);
+  Fill(0, "g-other");
+  hears_others_ = true;
+  heard_["other"] = instant();
+  table_["z"][1] = {Gateway("b"), 1};
+  table_["z"][2] = {Gateway("c"), 1};
+  for (milliseconds at(0); at < milliseconds(6000); at += milliseconds(100)) {
+    heard_["other"] = heard_["g-other"] = heard_["b"] = heard_["c"] = instant() + at;
+    ASSERT_FALSE(Next(claims, at));
+  }
+  Fill(2, "late");
+  for (milliseconds at(6000); at < milliseconds(9900); at += milliseconds(100)) {
+    heard_["other"] = heard_["g-other"] = heard_["b"] = instant() + at;
+    EXPECT_FALSE(Next(claims, at)) << at.count();
+  }
+}
+
 TEST_F(SlotClaimsTest, SlotThatWasJustTriedForIsNotTriedForAgainAtOnce) {
   slot_claims claims(Gateway("g"), 0.5);
   auto at = FirstTry(claims);
