Aggregators take their own zone's gateways before others'

Cause: in the simulation of 1,400 the first aggregators of the fleet were reported to by everybody whose zone had none yet and were full of them for a minute, so that their own zone's gateways never heard them and replaced them. Tests: AggregatorTest.

--- a/src/aggregation/aggregator.cc
+++ b/src/aggregation/aggregator.cc
@@ -19,13 +19,25 @@
 {
 }
 
+bool aggregator::has_room_for(const contact& gateway) const
+{
+    bool is_own = gateway.m_zone == m_self.m_zone;
+    auto taken = std::count_if(m_members.begin(), m_members.end(),
+                               [&](const auto& entry)
+                               {
+                                   return (entry.second.m_contact.m_zone == m_self.m_zone) == is_own;
+                               });
+    std::size_t most = is_own ? m_options.m_most_members : m_options.m_most_foreign;
+    return static_cast<std::size_t>(taken) < most;
+}
+
 void aggregator::take(instant now, const member_report& report)
 {
     const std::string& name = report.m_from.m_name;
     auto known = m_members.find(name);
     if (known == m_members.end())
     {
-        if (m_members.size() >= m_options.m_most_members)
+        if (!has_room_for(report.m_from))
         {
             return;
         }
@@ -70,7 +82,7 @@
         return;
     }
     other_zone& zone = m_zones[summary.m_from.m_zone];
-    bool is_source = zone.m_source == summary.m_from.m_name;
+    bool is_source = zone.m_source.empty() || zone.m_source == summary.m_from.m_name;
     if (!is_source && now - zone.m_heard < m_options.m_source_patience)
     {
         return;
@@ -88,7 +100,10 @@
     std::erase_if(m_members,
                   [&](const auto& entry)
                   {
-                      return now - entry.second.m_heard > m_options.m_remembered;
+                      // Another zone's gateway goes back to its own aggregators.
+                      bool is_own = entry.second.m_contact.m_zone == m_self.m_zone;
+                      auto remembered = is_own ? m_options.m_remembered : m_options.m_lifetime;
+                      return now - entry.second.m_heard > remembered;
                   });
     std::erase_if(m_zones,
                   [&](const auto& entry)
--- a/src/aggregation/aggregator.h
+++ b/src/aggregation/aggregator.h
@@ -30,7 +30,9 @@
     /// its aggregators also when it restarts while the store turns it away
     std::chrono::milliseconds m_remembered{60000};
     /// gateways of the zone that are taken; a larger zone needs more aggregators
-    std::size_t m_most_members = 160;
+    std::size_t m_most_members = 128;
+    /// gateways of other zones that are taken besides, while their own aggregators are lost
+    std::size_t m_most_foreign = 32;
     /// placements passed on in one message: 64 of 16 bytes keep it below a packet
     std::size_t m_most_placements = 64;
     /// bytes a second of full digests to one gateway: two thirds of the 12 KB/s that control may use
@@ -109,6 +111,9 @@
 
     bool is_live(instant now, const member& gateway) const;
 
+    /// @return whether a gateway that reports for the first time can be taken
+    bool has_room_for(const contact& gateway) const;
+
     /// @return whether a gateway was heard lately
     bool hears(instant now, const std::string& name) const;
 
--- a/tests/aggregation/load_sums_test.cc
+++ b/tests/aggregation/load_sums_test.cc
@@ -4,8 +4,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <map>
 
+#include "aggregation/aggregator.h"
+
 namespace martenyard::aggregation {
 namespace {
 
@@ -90,5 +93,45 @@
   EXPECT_EQ(news.take_placements().size(), 1U);
 }
 
+member_report ReportFrom(const std::string& name, const std::string& zone) {
+  member_report report;
+  report.m_from = {name, zone, {"10.0.0.1", 1}};
+  return report;
+}
+
+TEST(AggregatorTest, OtherZonesGatewaysDoNotCrowdOutItsOwn) {
+  // At the start of 1,400 simulated gateways the first aggregator was full of other zones'.
+  aggregator sums({"self", "z", {"10.0.0.1", 1}}, 7);
+  for (int number = 0; number < 500; ++number) {
+    sums.take(instant(), ReportFrom("foreign" + std::to_string(number), "y"));
+  }
+  EXPECT_EQ(sums.members().size(), aggregator_options{}.m_most_foreign);
+  sums.take(instant(), ReportFrom("own", "z"));
+  EXPECT_TRUE(sums.hears(instant(), "own"));
+  sums.expire(instant() + milliseconds(2000));
+  EXPECT_EQ(sums.members().size(), 1U) << "they went back to their own";
+}
+
+TEST(AggregatorTest, SumsToldOnCountOnceWhoeverSpeaksForTheZone) {
+  aggregator sums({"b", "z", {"10.0.0.1", 1}}, 7);
+  zone_summary relayed;
+  relayed.m_from = {"a", "z", {"10.0.0.1", 2}};
+  relayed.m_gateways = 40;
+  relayed.m_loads = {{kA, 5, 0, 0}};
+  zone_summary direct;
+  direct.m_from = {"c", "y", {"10.0.0.1", 3}};
+  direct.m_gateways = 40;
+  direct.m_loads = {{kA, 5, 0, 0}};
+  sums.take(instant(), relayed);
+  sums.take(instant(), direct);
+  EXPECT_EQ(sums.make_digest(instant()).m_loads, (std::vector<runner_load>{{kA, 5, 0, 0}}));
+  EXPECT_EQ(sums.gateways(instant()), 40U);
+  sums.set_speaks(instant(), true);
+  sums.take(instant(), relayed);
+  sums.take(instant(), direct);
+  EXPECT_EQ(sums.make_digest(instant()).m_loads, (std::vector<runner_load>{{kA, 5, 0, 0}}));
+  EXPECT_EQ(sums.gateways(instant()), 40U);
+}
+
 }  // namespace
 }  // namespace martenyard::aggregation
