A watch ends before the store forgets where it began; who need not watch reads nothing anew

The same for every watch of gateways and ledgers. A watch now waits for 0.85 of the store's history; one that has looked at the slots stops once they are taken.

Tests: PrefixMirrorTest.WatchEnds..., ForgottenHistoryIsNotReadAnewByOneThatNeedNot...; pass_limit, read and never used, goes.

--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -82,7 +82,8 @@
       m_mirrors{&mirrors.m_configuration, &mirrors.m_runners, &mirrors.m_ledger, &mirrors.m_aggregators},
       m_registered(
           context, store, absl::StrCat(kGatewayMachines, settings.zone, "/"),
-          [](const store::StoreChange&) {}, [](bool, store::StoreStatus) {}),
+          [](const store::StoreChange&) {}, [](bool, store::StoreStatus) {},
+          {.watch_patience = store::WatchPatience(settings.store_history)}),
       m_news(state.random.NextId()),
       m_watch(settings.node)
 {
@@ -467,7 +468,8 @@
     {
         mirror->SetWatching(watch);
     }
-    bool looks = m_looked && now - *m_looked < m_options.m_claim_watch;
+    bool may_claim = m_claiming || m_claims->due({now, &m_view->heard()}, m_slots).has_value();
+    bool looks = m_looked && now - *m_looked < m_options.m_claim_watch && may_claim;
     m_mirrors.back()->SetWatching(watch || looks);
 }
 
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -43,8 +43,14 @@
 /// The slots change together when a fleet starts.
 constexpr absl::Duration kSlotsWatchSpacing = absl::Milliseconds(500);
 
-store::MirrorOptions WatchSlowly() {
+store::MirrorOptions WatchWith(const RoleSettings& settings) {
   store::MirrorOptions options;
+  options.watch_patience = store::WatchPatience(settings.store_history);
+  return options;
+}
+
+store::MirrorOptions WatchSlowly(const RoleSettings& settings) {
+  store::MirrorOptions options = WatchWith(settings);
   options.watch_spacing = kSlotsWatchSpacing;
   return options;
 }
@@ -132,19 +138,22 @@
           [this](bool reachable, store::StoreStatus status) {
             exchange_.on_contact(reachable);
             OnContact("configuration", reachable, status);
-          }),
+          },
+          WatchWith(settings)),
       runners_(
           loop.context(), store, formats.RunnersPrefix(),
           [this](const store::StoreChange& change) { OnRunnerChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("runners", reachable, status);
-          }),
+          },
+          WatchWith(settings)),
       ledger_directory_(
           loop.context(), store, kLedgerPrefix,
           [this](const store::StoreChange&) { OnLedgerDirectoryChange(); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("ledger directory", reachable, status);
-          }),
+          },
+          WatchWith(settings)),
       founders_(ledger_directory_, log),
       aggregators_(
           loop.context(), store, kAggregators,
@@ -152,7 +161,7 @@
           [this](bool reachable, store::StoreStatus status) {
             OnContact("aggregators", reachable, status);
           },
-          WatchSlowly()),
+          WatchSlowly(settings)),
       exchange_(loop.context(), settings, store, transport_,
                 {configuration_, runners_, ledger_directory_, aggregators_}, *state_, log),
       ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }) {
--- a/src/roles/ledger/machine_emptying.cc
+++ b/src/roles/ledger/machine_emptying.cc
@@ -20,6 +20,13 @@
 /// between two looks at how far machines are emptied: an operator waits for it, and a look costs little
 constexpr std::chrono::milliseconds report_interval{250};
 
+store::MirrorOptions watch_options(const RoleSettings& settings)
+{
+    store::MirrorOptions options;
+    options.watch_patience = store::WatchPatience(settings.store_history);
+    return options;
+}
+
 std::string note_key(const std::string& machine, GroupId group)
 {
     return absl::StrCat(kLedgerEmptied, machine, "/", group.value);
@@ -27,10 +34,10 @@
 
 }  // namespace
 
-machine_emptying::machine_emptying(async_http::asio::io_context& context, const PlatformFormats& formats,
-                                   store::MetadataStore& store, const store::PrefixMirror& directory,
-                                   founders_record& founders, event_log::EventLog& log, find_replica find,
-                                   on_retiring told)
+machine_emptying::machine_emptying(async_http::asio::io_context& context, const RoleSettings& settings,
+                                   const PlatformFormats& formats, store::MetadataStore& store,
+                                   const store::PrefixMirror& directory, founders_record& founders,
+                                   event_log::EventLog& log, find_replica find, on_retiring told)
     : m_context(context),
       m_formats(formats),
       m_store(store),
@@ -48,7 +55,8 @@
           [this](bool reachable, store::StoreStatus)
           {
               m_log.Write(Line(reachable ? "store_regained" : "store_lost").Text("for", "retirements"));
-          })
+          },
+          watch_options(settings))
 {
 }
 
--- a/src/roles/ledger/machine_emptying.h
+++ b/src/roles/ledger/machine_emptying.h
@@ -14,6 +14,7 @@
 #include "event_log/event_log.h"
 #include "roles/ledger/founders_record.h"
 #include "roles/platform_formats.h"
+#include "roles/role_settings.h"
 #include "store/metadata_store.h"
 #include "store/prefix_mirror.h"
 #include "turn_ledger/turn_replica.h"
@@ -31,10 +32,10 @@
     using on_retiring = std::function<void(const std::vector<std::string>& machines)>;
 
     /// All references must outlive this.
-    machine_emptying(async_http::asio::io_context& context, const PlatformFormats& formats,
-                     store::MetadataStore& store, const store::PrefixMirror& directory,
-                     founders_record& founders, event_log::EventLog& log, find_replica find,
-                     on_retiring told);
+    machine_emptying(async_http::asio::io_context& context, const RoleSettings& settings,
+                     const PlatformFormats& formats, store::MetadataStore& store,
+                     const store::PrefixMirror& directory, founders_record& founders,
+                     event_log::EventLog& log, find_replica find, on_retiring told);
 
     /// @brief begins to follow what the operator asks for
     void start();
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -88,8 +88,9 @@
 }
 
 /// All machines register when the system starts: their records are fetched together.
-store::MirrorOptions DirectoryOptions() {
+store::MirrorOptions DirectoryOptions(const RoleSettings& settings) {
   store::MirrorOptions options;
+  options.watch_patience = store::WatchPatience(settings.store_history);
   options.watch_spacing = absl::Milliseconds(500);
   return options;
 }
@@ -127,10 +128,10 @@
           [this](bool reachable, store::StoreStatus) {
             log_.Write(Line(reachable ? "store_regained" : "store_lost").Text("for", "directory"));
           },
-          DirectoryOptions()),
+          DirectoryOptions(settings)),
       founders_(directory_, log),
       emptying_(
-          loop.context(), formats, store, directory_, founders_, log,
+          loop.context(), settings, formats, store, directory_, founders_, log,
           [this](GroupId group) { return Find(group); },
           [this](const std::vector<std::string>& machines) { OnRetiring(machines); }),
       peers_(settings.data_folder + "/" + kPeersFile, log),
--- a/src/roles/role_settings.h
+++ b/src/roles/role_settings.h
@@ -31,7 +31,8 @@
   double processor_share = 1.0;                  ///< Of one core, that this machine may use.
   absl::Duration stop_grace = absl::Seconds(8);  ///< From SIGTERM to SIGKILL.
   absl::Duration drain = absl::Seconds(2);       ///< Leaving runners take work this long.
-  absl::Duration pass_limit = absl::Milliseconds(120);
+  /// How long the store remembers its changes. It may forget them sooner.
+  absl::Duration store_history = absl::Seconds(20);
   policy_switches policy;  ///< For trials; all mechanisms are at work otherwise.
 };
 
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -11,7 +11,10 @@
 
 using async_http::Task;
 
-constexpr absl::Duration kWatchPatience = absl::Seconds(28);
+/// Of the store's history, for one watch: the rest is for its way there and back.
+constexpr double kWatchShareOfHistory = 0.85;
+/// The longest that a watch may wait at the store is 30 s.
+constexpr absl::Duration kLongestWatch = absl::Seconds(28);
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(100);
 constexpr absl::Duration kLongestBackoff = absl::Milliseconds(800);
 constexpr absl::Duration kIdlePause = absl::Milliseconds(200);
@@ -21,6 +24,10 @@
 
 }  // namespace
 
+absl::Duration WatchPatience(absl::Duration history) {
+  return std::min(history * kWatchShareOfHistory, kLongestWatch);
+}
+
 PrefixMirror::PrefixMirror(async_http::asio::io_context& context, MetadataStore& store,
                            std::string prefix, ChangeHandler on_change, ContactHandler on_contact,
                            const MirrorOptions& options)
@@ -101,9 +108,10 @@
 }
 
 Task<bool> PrefixMirror::WatchOnce() {
-  WatchAnswer answer = co_await store_.Watch(prefix_, revision_, kWatchPatience);
+  WatchAnswer answer = co_await store_.Watch(prefix_, revision_, options_.watch_patience);
   if (answer.status == StoreStatus::kHistoryGone) {
-    complete_ = false;
+    // Who need not watch any more lives by what peers tell; the next watch finds out again.
+    complete_ = !watching_;
     co_return true;
   }
   NoteContact(answer.status == StoreStatus::kDone, answer.status);
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -14,10 +14,17 @@
 
 namespace martenyard::store {
 
+/// @return how long a watch may wait at a store that remembers its changes for `history`: what it
+/// answers at its end must still go on from where it began.
+absl::Duration WatchPatience(absl::Duration history);
+
 /// Tunables of a mirror.
 struct MirrorOptions {
   /// Changes that come in quick succession are fetched together.
   absl::Duration watch_spacing = absl::Milliseconds(200);
+  /// How long a watch waits for a change. One that waits for longer than the store remembers its
+  /// changes ends with the need to read everything anew.
+  absl::Duration watch_patience = absl::Seconds(17);
 };
 
 class PrefixMirror {
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -30,7 +30,7 @@
   /// the ledger. Each gateway asks others, so that all groups together get no more questions with
   /// more groups: 259 gateways' four questions a second to each of 36 groups would have been a
   /// thousand a second at each machine.
-  std::size_t most_probed = 5;
+  std::size_t most_probed = 3;
 };
 
 /// How a call ended.
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -126,6 +126,30 @@
   EXPECT_TRUE(RunUntil([&] { return client_->calls() > 1; }));
 }
 
+TEST_F(PrefixMirrorTest, WatchEndsBeforeTheStoreForgetsWhereItBegan) {
+  EXPECT_EQ(WatchPatience(absl::Seconds(20)), absl::Seconds(17));
+  EXPECT_EQ(WatchPatience(absl::Seconds(100)), absl::Seconds(28));
+  EXPECT_LE(MirrorOptions{}.watch_patience, absl::Seconds(20));
+}
+
+TEST_F(PrefixMirrorTest, ForgottenHistoryIsNotReadAnewByOneThatNeedNotWatchAnyMore) {
+  stand_in_.Put("p/a", "1");
+  mirror_->Start();
+  ASSERT_TRUE(RunUntil([&] { return client_->calls() == 2; })) << "a range and a watch that waits";
+  stand_in_.faults().down = true;
+  stand_in_.Put("p/a", "2");  // Ends the watch, with a failure; the next one asks again.
+  ASSERT_TRUE(RunUntil([&] { return !reachable_; }));
+  stand_in_.Compact();
+  stand_in_.faults().down = false;
+  mirror_->SetWatching(false);
+  std::uint64_t calls = client_->calls();
+  RunUntilFor([&] { return false; }, absl::Milliseconds(1200));
+  EXPECT_LE(client_->calls(), calls + 1) << "a try under way, and no whole reading";
+  EXPECT_TRUE(mirror_->complete());
+  mirror_->SetWatching(true);
+  EXPECT_TRUE(RunUntil([&] { return Holds("p/a", "2"); }));
+}
+
 TEST_F(PrefixMirrorTest, ManyRemovalsAreForgottenAndAPeerThatIsBehindStillLosesThem) {
   PrefixMirror other(
       loop_.context(), *client_, "p/", [](const StoreChange&) {}, [](bool, StoreStatus) {});
