--- a/tests/platform/aggregator_contract_test.cc
+++ b/tests/platform/aggregator_contract_test.cc
@@ -1,5 +1,5 @@
-// A gateway that the store turns away while it serves the others: the aggregators of its zone tell it
-// what they know.
+// A gateway that the store turns away while it serves the others: the aggregators of its zone tell
+// it what they know.
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <unistd.h>
