--- a/src/aggregation/news.cc
+++ b/src/aggregation/news.cc
@@ -5,6 +5,19 @@
 
 namespace martenyard::aggregation
 {
+namespace
+{
+
+bool is_among(const std::vector<contact>& gateways, const std::string& name)
+{
+    return std::any_of(gateways.begin(), gateways.end(),
+                       [&name](const contact& gateway)
+                       {
+                           return gateway.m_name == name;
+                       });
+}
+
+}  // namespace
 
 news_decisions::news_decisions(std::uint64_t seed, const news_options& options)
     : m_options(options), m_random(seed)
@@ -54,11 +67,7 @@
         {
             continue;
         }
-        bool at_once = gateway.m_primary || std::any_of(first.begin(), first.end(),
-                                                        [&name](const contact& aggregator)
-                                                        {
-                                                            return aggregator.m_name == name;
-                                                        });
+        bool at_once = gateway.m_primary || is_among(first, name);
         std::array<push_state, mirror_count>& states = m_pushes[name];
         for (std::size_t mirror = 0; mirror < mirror_count; ++mirror)
         {
