--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -65,14 +65,11 @@
   return kQuickMachine * std::clamp(kQuickShare / settings.processor_share, 1.0, kSlowest);
 }
 
-/// Of the election timeout: three heartbeats fit into it, and one may be late.
-constexpr double kHeartbeatShare = 0.28;
-
 turn_ledger::ReplicaOptions MakeReplicaOptions(const RoleSettings& settings, GroupId group,
                                                std::size_t known_machines) {
   turn_ledger::ReplicaOptions options;
   options.raft.election_timeout = ElectionTimeout(settings);
-  options.raft.heartbeat_interval = options.raft.election_timeout * kHeartbeatShare;
+  options.raft.heartbeat_interval = absl::Milliseconds(60);
   options.raft.start_wait_share = 0.4;
   options.planner.replicas = WantedReplicas(settings);
   options.planner.group = group.value;
