Aggregators: one that takes over tells no old outcomes; one way to send to many and to make a short digest

Test: AggregatorTest. WhatAnotherToldBefore..., which failed on the code before.

Tidied, behaviour as before: three loops that send and count are send_all, two makers of short digests are send_short_digest, two clearings of other gateways' requests are clear_peer_loads; an accessor that nobody called is removed.

--- a/src/aggregation/aggregator.cc
+++ b/src/aggregation/aggregator.cc
@@ -60,6 +60,9 @@
     {
         m_zones.erase(m_self.m_zone);
         m_other_loads.take(now, m_self.m_zone, {});
+        // What came before was told by the aggregator that spoke then.
+        m_zone_news = pending_news(m_options.m_most_placements);
+        m_other_news = pending_news(m_options.m_most_placements);
     }
     m_speaks = speaks;
 }
--- a/src/aggregation/aggregator.h
+++ b/src/aggregation/aggregator.h
@@ -111,21 +111,12 @@
 
     bool is_live(instant now, const member& gateway) const;
 
-    /// @return whether a gateway that reports for the first time can be taken
-    bool has_room_for(const contact& gateway) const;
-
     /// @return whether a gateway was heard lately
     bool hears(instant now, const std::string& name) const;
 
     /// @return gateways of all zones that were heard of lately, this one included
     std::uint32_t gateways(instant now) const;
 
-    /// @return placements dropped since the start, over all kinds of messages
-    std::uint64_t dropped_placements() const
-    {
-        return m_zone_news.dropped() + m_other_news.dropped() + m_all_news.dropped();
-    }
-
   private:
     /// What one zone's aggregators told last.
     struct other_zone
@@ -137,6 +128,8 @@
         std::uint32_t m_without_ledger = 0;
     };
 
+    /// @return whether a gateway that reports for the first time can be taken
+    bool has_room_for(const contact& gateway) const;
     /// @return whether the sums of this other zone count, or what an aggregator of this zone told on
     bool counts(instant now, const std::string& zone) const;
     template <typename Predicate>
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -377,10 +377,7 @@
     m_digest_taken = now;
     discovery::RunnerTable& runners = m_state.runners;
     bool counts = m_settings.policy.on(mechanism::peer_loads);
-    for (auto& [id, runner] : runners.all())
-    {
-        runner.peers_active = 0;
-    }
+    clear_peer_loads();
     for (const runner_load& load : others)
     {
         discovery::RunnerState* runner = runners.FindShort(load.m_runner);
@@ -409,6 +406,11 @@
     }
     m_digest_taken.reset();
     m_log.Write(Line("digests_stopped"));
+    clear_peer_loads();
+}
+
+void zone_exchange::clear_peer_loads()
+{
     for (auto& [id, runner] : m_state.runners.all())
     {
         runner.peers_active = 0;
@@ -567,27 +569,22 @@
         complete(now, full);
         std::string payload = wire::Encode(datagram(full));
         m_sums->note_digest_sent(now, payload.size());
-        for (const wire::Endpoint& member : m_sums->primary_members(now))
-        {
-            send(member, payload);
-            ++m_stats.m_digests_sent;
-        }
+        send_all(m_sums->primary_members(now), payload, m_stats.m_digests_sent);
         m_view->take_counts(now, full.m_gateways, full.m_without_ledger);
         apply(now, m_view->without_own(full.m_loads), full.m_placements);
     }
-    std::vector<wire::Endpoint> due = m_sums->take_short_digest_due(now);
-    if (due.empty())
+    send_short_digest(now, m_sums->take_short_digest_due(now));
+}
+
+void zone_exchange::send_short_digest(instant now, const std::vector<wire::Endpoint>& receivers)
+{
+    if (receivers.empty())
     {
         return;
     }
     digest brief = m_sums->make_short_digest(now);
     complete(now, brief);
-    std::string payload = wire::Encode(datagram(brief));
-    for (const wire::Endpoint& member : due)
-    {
-        send(member, payload);
-        ++m_stats.m_digests_sent;
-    }
+    send_all(receivers, wire::Encode(datagram(brief)), m_stats.m_digests_sent);
 }
 
 void zone_exchange::send_introductions(instant now)
@@ -597,9 +594,7 @@
         return;
     }
     m_introduced_at = now;
-    digest brief = m_sums->make_short_digest(now);
-    complete(now, brief);
-    std::string payload = wire::Encode(datagram(brief));
+    std::vector<wire::Endpoint> silent;
     for (const auto& [key, item] : m_registered.items())
     {
         auto gateway = wire::Decode<contact>(item.value);
@@ -611,9 +606,10 @@
         bool is_self = gateway->m_name == m_settings.node;
         if (!is_self && !m_sums->members().contains(gateway->m_name))
         {
-            send(gateway->m_endpoint, payload);
+            silent.push_back(gateway->m_endpoint);
         }
     }
+    send_short_digest(now, silent);
 }
 
 void zone_exchange::send_summary(instant now)
@@ -631,12 +627,8 @@
     {
         return hears(now, aggregator);
     };
-    for (const wire::Endpoint& aggregator :
-         aggregation::summary_targets(m_slots, self(), is_heard, m_options.m_most_zones))
-    {
-        send(aggregator, payload);
-        ++m_stats.m_summaries_sent;
-    }
+    send_all(aggregation::summary_targets(m_slots, self(), is_heard, m_options.m_most_zones), payload,
+             m_stats.m_summaries_sent);
     relay_summary(now);
 }
 
@@ -706,4 +698,14 @@
     m_transport.SendDatagram(to, payload);
 }
 
+void zone_exchange::send_all(const std::vector<wire::Endpoint>& receivers, const std::string& payload,
+                             std::uint64_t& counter)
+{
+    for (const wire::Endpoint& receiver : receivers)
+    {
+        send(receiver, payload);
+        ++counter;
+    }
+}
+
 }  // namespace martenyard::roles
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -177,6 +177,7 @@
                        const std::vector<aggregation::report_target>& targets) const;
     void send_digests(instant now);
     void send_introductions(instant now);
+    void send_short_digest(instant now, const std::vector<wire::Endpoint>& receivers);
     void send_summary(instant now);
     void relay_summary(instant now);
     void push_news(instant now);
@@ -185,7 +186,11 @@
     void apply(instant now, const std::vector<aggregation::runner_load>& others,
                const std::vector<aggregation::placement>& placements);
     void forget_old_loads(instant now);
+    /// takes all other gateways' requests off the runner table
+    void clear_peer_loads();
     void send(const wire::Endpoint& to, const std::string& payload);
+    void send_all(const std::vector<wire::Endpoint>& receivers, const std::string& payload,
+                  std::uint64_t& counter);
 
     async_http::asio::io_context& m_context;
     RoleSettings m_settings;
--- a/tests/aggregation/load_sums_test.cc
+++ b/tests/aggregation/load_sums_test.cc
@@ -133,5 +133,16 @@
   EXPECT_EQ(sums.gateways(instant()), 40U);
 }
 
+TEST(AggregatorTest, WhatAnotherToldBeforeIsNotToldAgainByTheOneThatTakesOver) {
+  aggregator sums({"b", "z", {"10.0.0.1", 1}}, 7);
+  member_report report = ReportFrom("own", "z");
+  report.m_loads = {{kA, 0, 9, 9}};
+  sums.take(instant(), report);
+  sums.set_speaks(instant(), true);
+  EXPECT_TRUE(sums.make_summary(instant()).m_loads.empty()) << "old losses would count as new";
+  sums.take(instant(), report);
+  EXPECT_EQ(sums.make_summary(instant()).m_loads, (std::vector<runner_load>{{kA, 0, 9, 9}}));
+}
+
 }  // namespace
 }  // namespace martenyard::aggregation
