Front door for tenants: API keys, the system's own headers, walls between tenants, and a lease of the configuration that bounds revocation

Ruled out: comparing keys as text (time tells how much of a guess is right, and keys would stand in memory twice); taking a trailer's fields for headers (Beast adds them to the header, beside equal names: counting fields does not tell them apart, so the header is kept as it was before the body); a watch's silence as proof that a configuration is the newest (watches may hear nothing while changes are made); reading the whole configuration for that proof (20 KB each).

Change: src/tenancy (keyed hashes, table of tenants, lease, plan of questions); one list of the headers that only the system sends; ids that clients choose are scoped by tenant, in the ledger too; a keyed request runs only while the configuration is known to have been the newest less than the bound ago, counted from the moment the question was asked, over the hops; one aggregator a zone asks the store by a transaction without effect, the others ask aggregators.

--- a/src/aggregation/messages.h
+++ b/src/aggregation/messages.h
@@ -147,7 +147,39 @@
     }
 };
 
+/// @brief asks an aggregator when it knew its configuration to be the newest
+struct confirmation_question
+{
+    /// where the answer goes
+    wire::Endpoint m_from;
+    /// comes back with the answer, and tells the asker when it asked
+    std::uint64_t m_stamp = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_from, m_stamp);
+    }
+};
+
+/// @brief the answer
+struct confirmation_answer
+{
+    std::uint64_t m_stamp = 0;
+    /// the revision of the configuration that is in force at the sender
+    std::uint64_t m_revision = 0;
+    /// how long ago that one was known to be the newest
+    std::uint32_t m_age_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_stamp, m_revision, m_age_ms);
+    }
+};
+
 /// @brief all that gateways send each other as datagrams
-using datagram = std::variant<member_report, zone_summary, digest, store::news_request>;
+using datagram = std::variant<member_report, zone_summary, digest, store::news_request, confirmation_question,
+                              confirmation_answer>;
 
 }  // namespace martenyard::aggregation
--- a/src/async_http/server.cc
+++ b/src/async_http/server.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -171,11 +172,14 @@
   }
   rests_ = false;
   RequestParser parser;
-  parser.eager(true);
+  // Not eager until the header is whole: the header is then known apart from a chunked body's
+  // trailer.
+  parser.eager(false);
   parser.header_limit(limits.header_bytes);
   parser.body_limit(limits.body_bytes);
   absl::Time began = SteadyNow();
   bool continue_sent = false;
+  std::optional<http::request_header<>> header;
   while (!parser.is_done()) {
     error_code error;
     std::size_t used = parser.put(buffer_.data(), error);
@@ -189,6 +193,12 @@
     } else if (error) {
       co_return co_await Refuse(400, "Bad Request");
     }
+    if (parser.is_header_done() && !parser.eager()) {
+      parser.eager(true);
+      if (parser.chunked()) {
+        header = parser.get().base();
+      }
+    }
     if (parser.is_done()) {
       break;
     }
@@ -217,6 +227,11 @@
   }
   keep_open_ = parser.keep_alive();
   exchange.request_ = parser.release();
+  if (header) {
+    // The parser adds a trailer's fields to the header's. They came after the request was begun,
+    // may repeat any header's name, and none of them is asked for.
+    exchange.request_.base() = std::move(*header);
+  }
   exchange.received_at_ = SteadyNow();
   co_return ReadEnd::kWhole;
 }
--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -16,6 +16,8 @@
 #include "forwarding/route_table.h"
 #include "forwarding/runner_choice.h"
 #include "forwarding/turn_cache.h"
+#include "tenancy/configuration_lease.h"
+#include "tenancy/key_hasher.h"
 #include "turn_ledger/chain/chain_reader.h"
 #include "turn_ledger/ledger_client.h"
 
@@ -46,20 +48,28 @@
 
 struct GatewayState {
   GatewayState(async_http::asio::io_context& io, event_log::EventLog& event_log,
-               const HeaderNames& header_names, const std::string& own_zone)
-      : context(io), log(event_log), names(header_names), zone(own_zone), informed(io) {}
+               const HeaderNames& header_names, const tenancy::key_hasher& hasher,
+               const std::string& own_zone)
+      : context(io),
+        log(event_log),
+        names(header_names),
+        key_hasher(hasher),
+        zone(own_zone),
+        informed(io) {}
 
   async_http::asio::io_context& context;
   event_log::EventLog& log;
   HeaderNames names;
+  const tenancy::key_hasher& key_hasher;
   std::string zone;
   ForwardingOptions options;
   GatewayMetrics metrics;
   Random random{SystemSeed()};
 
   std::shared_ptr<const RouteTable> routes;  ///< Null until a configuration is known.
-  async_http::Signal informed;   ///< A configuration or the ledger's groups became known.
-  bool store_reachable = false;  ///< The configuration is known to be the newest.
+  async_http::Signal informed;         ///< A configuration or the ledger's groups became known.
+  tenancy::configuration_lease lease;  ///< For how long API keys may be taken.
+  bool store_reachable = false;        ///< The configuration is known to be the newest.
   discovery::RunnerTable runners;
   PrefixIndex prefixes{absl::Seconds(30), 40000};
   ConnectionPool pool;
--- a/src/forwarding/header_names.h
+++ b/src/forwarding/header_names.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace martenyard::forwarding {
 
@@ -22,6 +23,11 @@
   std::string program_deadline_ms = "Program-Deadline";
   std::string token_budget = "Budget";
   std::string previous_turn = "Previous";
+  std::string api_key = "Api-Key";  ///< Of a tenant; never passed on.
+  std::string tenant = "Tenant";    ///< Names the key's tenant to the runner.
+  /// Further headers that only this system may send to a runner: what a client sends under such a
+  /// name is dropped, whatever it says.
+  std::vector<std::string> internal = {"Hold", "Pin", "Copy-To", "Copy-From"};
 };
 
 }  // namespace martenyard::forwarding
--- /dev/null
+++ b/src/forwarding/request_admission.cc
@@ -0,0 +1,298 @@
+// RequestRun's admission: finds the route, checks the API key, reserves the turn's tokens, and
+// fetches the history that a kept turn goes on from.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "base/hash.h"
+#include "forwarding/headers/end_to_end.h"
+#include "forwarding/request_run.h"
+
+namespace martenyard::forwarding {
+
+using async_http::Task;
+using event_log::Line;
+
+namespace http = boost::beast::http;
+
+namespace {
+
+absl::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+/// A point in [0, 1) for the choice of a split route's part.
+double SplitPoint(const RequestInfo& info, Random& random) {
+  constexpr double kRange = 18446744073709551616.0;  // 2^64.
+  if (!info.program.value.empty()) {
+    return static_cast<double>(StableHash(info.program.value)) / kRange;
+  }
+  return random.Uniform();
+}
+
+}  // namespace
+
+// ---- Admission ----
+
+absl::Duration RequestRun::TimeLeft() const { return deadline_ - SteadyNow(); }
+
+bool RequestRun::Knows(Knowledge what) const {
+  switch (what) {
+    case Knowledge::kRoutes:
+      return state_->routes != nullptr;
+    case Knowledge::kLedgerGroups:
+      return state_->ledger->groups() > 0;
+    case Knowledge::kLease:
+      return state_->lease.holds(std::chrono::steady_clock::now());
+  }
+  return false;
+}
+
+Task<void> RequestRun::WaitFor(Knowledge what) {
+  absl::Duration allowed = info_.deadline.value_or(absl::Seconds(1)) / 4;
+  absl::Time end = exchange_->received_at() + std::min(state_->options.start_patience, allowed);
+  while (!Knows(what) && SteadyNow() < end) {
+    co_await state_->informed.Wait(end - SteadyNow());
+  }
+}
+
+Task<bool> RequestRun::FindRoute() {
+  co_await WaitFor(Knowledge::kRoutes);
+  routes_ = state_->routes;
+  if (!routes_) {
+    deadline_ = exchange_->received_at() + info_.deadline.value_or(absl::Seconds(1));
+    co_await Refuse("no configuration yet");
+    co_return false;
+  }
+  const auto& request = exchange_->request();
+  route_ = routes_->Match(View(request[http::field::host]), View(request.target()));
+  if (route_ == nullptr) {
+    deadline_ = exchange_->received_at() + info_.deadline.value_or(absl::Seconds(1));
+    if (state_->store_reachable) {
+      co_await AnswerOwn(404, "no such route", std::nullopt);
+    } else {
+      co_await Refuse("no such route known, and the configuration may be old");
+    }
+    co_return false;
+  }
+  absl::Duration allowed = std::min(info_.deadline.value_or(route_->timeout), route_->timeout);
+  deadline_ = exchange_->received_at() + allowed;
+  service_name_ = ChooseService(*route_, SplitPoint(info_, state_->random));
+  service_ = routes_->configuration().FindService(service_name_);
+  co_return true;
+}
+
+Task<bool> RequestRun::CheckKey() {
+  const auto& tenants = routes_->configuration().tenants;
+  if (!tenants.empty() && !state_->lease.confirmed()) {
+    co_await WaitFor(Knowledge::kLease);
+  }
+  auto keys = values_of(exchange_->request(), state_->names.api_key);
+  tenancy::key_check check = tenants.check(keys, route_->is_public, state_->key_hasher);
+  if (check.m_verdict != tenancy::key_verdict::allowed) {
+    bool missing = check.m_verdict == tenancy::key_verdict::missing;
+    if (Knows(Knowledge::kLease)) {
+      co_await AnswerOwn(401, missing ? "one API key is needed" : "unknown API key", std::nullopt);
+    } else {
+      co_await Refuse("the configuration may be too old to know the API key");
+    }
+    co_return false;
+  }
+  tenant_ = check.m_tenant;
+  ScopeIds();
+  if (tenant_ != nullptr && !Knows(Knowledge::kLease)) {
+    co_await Refuse("the configuration may be too old: the API key may be revoked");
+    co_return false;
+  }
+  co_return true;
+}
+
+bool RequestRun::KeyStillHolds() const {
+  if (tenant_ == nullptr) {
+    return true;
+  }
+  if (!Knows(Knowledge::kLease)) {
+    return false;
+  }
+  if (state_->routes == routes_) {
+    return true;
+  }
+  auto keys = values_of(exchange_->request(), state_->names.api_key);
+  const auto& tenants = state_->routes->configuration().tenants;
+  auto check = tenants.check(keys, /*is_public=*/false, state_->key_hasher);
+  return check.m_tenant != nullptr && check.m_tenant->m_name == tenant_->m_name;
+}
+
+Task<void> RequestRun::RefuseKey() {
+  if (exchange_->stream_started()) {
+    exchange_->Break();
+    Close("broken");
+  } else if (may_have_run_) {
+    co_await AnswerOwn(502, "the API key lost its force", std::nullopt);
+  } else {
+    co_await Refuse("the API key may be revoked by now");
+  }
+}
+
+void RequestRun::ScopeIds() {
+  absl::string_view tenant = tenant_ == nullptr ? absl::string_view() : tenant_->m_name;
+  turn_ = turn_ledger::TurnId(tenancy::scoped_id(tenant, info_.id.value));
+  program_ = ProgramId(tenancy::scoped_id(tenant, info_.program.value));
+  if (info_.previous_turn) {
+    previous_turn_ = RequestId(tenancy::scoped_id(tenant, info_.previous_turn->value));
+  }
+}
+
+Task<bool> RequestRun::AdmitTurn() {
+  bool keeps = route_->keeps_turns;
+  if (!info_.token_budget && !keeps) {
+    co_return true;
+  }
+  co_await WaitFor(Knowledge::kLedgerGroups);
+  if (!Knows(Knowledge::kLedgerGroups)) {
+    co_await Refuse("the turn ledger is not known yet");
+    co_return false;
+  }
+  group_ = state_->ledger->GroupOf(program_);
+  if (!info_.token_budget && !previous_turn_) {
+    co_return true;
+  }
+  turn_ledger::ReserveTurn reserve;
+  reserve.program = program_;
+  reserve.turn = turn_;
+  reserve.tokens = info_.most_output_tokens;
+  reserve.budget = info_.token_budget;
+  reserve.retention_ms =
+      static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
+  std::optional<history_fetch> fetch;
+  if (keeps && previous_turn_) {
+    reserve.previous = turn_ledger::TurnId(previous_turn_->value);
+    reserve.has_previous = true;
+    bool readable = state_->options.reads_replicas && !state_->relaying;
+    if (!readable && state_->turns.Find(*previous_turn_) == nullptr) {
+      reserve.has_previous = false;  // The replicas can't be read: the answer brings the chain.
+    } else {
+      fetch.emplace(state_, program_, *previous_turn_);
+    }
+  }
+  absl::Time began = SteadyNow();
+  absl::Time patience =
+      std::min(deadline_ - state_->options.answer_margin, began + state_->options.ledger_patience);
+  reserved_ = true;
+  turn_ledger::CallResult result = co_await Reserve(reserve, patience);
+  state_->metrics.Observe(Stage::kLedger, SteadyNow() - began);
+  Line line("turn_admission");
+  line.Text("request", info_.id.value).Text("program", info_.program.value);
+  line.Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began));
+  if (result.end == turn_ledger::CallEnd::kOverloaded) {
+    reserved_ = false;
+    state_->log.Write(line.Text("verdict", "overloaded"));
+    co_await Refuse("the turn ledger is overloaded");
+    co_return false;
+  }
+  if (!result) {
+    state_->log.Write(line.Text("verdict", "no_answer"));
+    SettleLater(0);
+    co_await Refuse("the turn ledger did not answer");
+    co_return false;
+  }
+  line.Number("most", reserve.tokens).Number("spent", static_cast<std::int64_t>(result->spent));
+  line.Number("reserved", static_cast<std::int64_t>(result->reserved));
+  line.Number("budget", static_cast<std::int64_t>(info_.token_budget.value_or(0)));
+  switch (result->verdict) {
+    case turn_ledger::Verdict::kDone:
+      break;
+    case turn_ledger::Verdict::kBudgetSpent:
+      reserved_ = false;
+      state_->log.Write(line.Text("verdict", "budget_spent"));
+      co_await AnswerOwn(402, "the program's budget is spent", std::nullopt);
+      co_return false;
+    case turn_ledger::Verdict::kUnknownPrevious:
+      reserved_ = false;
+      state_->log.Write(
+          line.Text("verdict", "unknown_previous").Text("previous", info_.previous_turn->value));
+      co_await AnswerOwn(404, "no such turn", std::nullopt);
+      co_return false;
+    case turn_ledger::Verdict::kSettledBefore:
+      reserved_ = false;
+      state_->log.Write(line.Text("verdict", "settled_before"));
+      co_await Refuse("this try was given up before");
+      co_return false;
+  }
+  const turn_ledger::TurnPlace& place = result->previous_place;
+  if (place.runner != 0 && state_->options.uses_turn_places) {
+    state_->prefixes.NoteBeginning(SteadyNow(), info_.prompt, place.tokens, place.runner);
+    line.Number("previous_runner", place.runner);
+  }
+  if (foreign_history_ != nullptr) {
+    history_ = foreign_history_;
+    line.Text("history", name_of(history_source::other_group));
+    body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+  } else if (reserve.previous && !reserve.has_previous) {
+    TakeRelayedHistory(std::move(result->history), line);
+  } else if (fetch && !co_await TakeHistory(*fetch, reserve, patience, line)) {
+    co_return false;
+  }
+  state_->log.Write(line.Text("verdict", "admitted"));
+  co_return true;
+}
+
+Task<turn_ledger::CallResult> RequestRun::Reserve(turn_ledger::ReserveTurn reserve,
+                                                  absl::Time patience) {
+  turn_ledger::CallResult result = co_await state_->ledger->Call(group_, reserve, patience);
+  bool unknown = result && result->verdict == turn_ledger::Verdict::kUnknownPrevious;
+  if (unknown && state_->ledger->groups() > 1) {
+    result = co_await ReserveOnForeignTurn(std::move(reserve), patience);
+  }
+  co_return result;
+}
+
+Task<turn_ledger::CallResult> RequestRun::ReserveOnForeignTurn(turn_ledger::ReserveTurn reserve,
+                                                               absl::Time patience) {
+  foreign_search search = co_await search_other_groups(state_, group_, *previous_turn_, patience);
+  if (search.m_chain != nullptr) {
+    // Kept from now on in this program's group, as the new turn's own beginning.
+    foreign_history_ = search.m_chain;
+    reserve.previous.reset();
+    co_return co_await state_->ledger->Call(group_, reserve, patience);
+  }
+  turn_ledger::CallResult result;
+  if (search.m_complete) {
+    result.end = turn_ledger::CallEnd::kDone;
+    result.result.verdict = turn_ledger::Verdict::kUnknownPrevious;
+  }
+  co_return result;
+}
+
+void RequestRun::TakeRelayedHistory(std::string history, Line& line) {
+  history_ = std::make_shared<std::string>(std::move(history));
+  state_->turns.Put(program_, *previous_turn_, history_);
+  line.Text("history", name_of(history_source::leader));
+  line.Number("history_bytes", static_cast<std::int64_t>(history_->size()));
+  body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+}
+
+Task<bool> RequestRun::TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
+                                   absl::Time patience, Line& line) {
+  history_ = co_await fetch.wait();
+  history_source source = fetch.source();
+  if (history_ == nullptr) {
+    // No replica asked had it yet. The same reservation again is no second one.
+    reserve.has_previous = false;
+    auto result = co_await state_->ledger->Call(group_, reserve, patience);
+    if (!result || result->verdict != turn_ledger::Verdict::kDone) {
+      state_->log.Write(line.Text("verdict", "no_history"));
+      SettleLater(0);
+      co_await Refuse("the turn's history could not be read");
+      co_return false;
+    }
+    history_ = std::make_shared<std::string>(std::move(result->history));
+    state_->turns.Put(program_, *previous_turn_, history_);
+    source = history_source::leader;
+  }
+  line.Text("history", name_of(source));
+  line.Number("history_bytes", static_cast<std::int64_t>(history_->size()));
+  body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+  co_return true;
+}
+
+}  // namespace martenyard::forwarding
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_split.h"
 #include "base/clock.h"
 #include "base/hash.h"
+#include "forwarding/headers/end_to_end.h"
 
 namespace martenyard::forwarding {
 
@@ -22,38 +23,10 @@
 
 absl::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
-/// Headers that concern one connection only, or that this hop writes itself.
-bool IsHopHeader(absl::string_view name) {
-  static constexpr absl::string_view kHopHeaders[] = {
-      "connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "te",
-      "trailer",    "upgrade",    "expect",
-  };
-  std::string lower = absl::AsciiStrToLower(name);
-  return std::find(std::begin(kHopHeaders), std::end(kHopHeaders), lower) != std::end(kHopHeaders);
-}
-
-/// @return the header names that a Connection header lists, in lower case.
-std::set<std::string> ListedByConnection(const http::fields& fields) {
-  std::set<std::string> listed;
-  auto range = fields.equal_range(http::field::connection);
-  for (auto field = range.first; field != range.second; ++field) {
-    for (absl::string_view item : absl::StrSplit(View(field->value()), ',')) {
-      listed.insert(absl::AsciiStrToLower(absl::StripAsciiWhitespace(item)));
-    }
-  }
-  return listed;
-}
-
-/// Copies what may pass a hop.
-void CopyEndToEnd(const http::fields& from, http::fields& to) {
-  std::set<std::string> listed = ListedByConnection(from);
-  for (const auto& field : from) {
-    absl::string_view name = View(field.name_string());
-    if (!IsHopHeader(name) && !listed.contains(absl::AsciiStrToLower(name))) {
-      to.insert(field.name_string(), field.value());
-    }
-  }
-}
+/// Engines know the ranks 0 to 9. A tenant's priority comes before its routes', of which three are
+/// told apart.
+constexpr int kRoutePriorities = 3;
+constexpr int kLastPriority = 9;
 
 const char* NameOf(AttemptEnd end) {
   switch (end) {
@@ -75,15 +48,6 @@
   return "unknown";
 }
 
-/// A point in [0, 1) for the choice of a split route's part.
-double SplitPoint(const RequestInfo& info, Random& random) {
-  constexpr double kRange = 18446744073709551616.0;  // 2^64.
-  if (!info.program.value.empty()) {
-    return static_cast<double>(StableHash(info.program.value)) / kRange;
-  }
-  return random.Uniform();
-}
-
 }  // namespace
 
 RequestRun::RequestRun(std::shared_ptr<GatewayState> state,
@@ -92,7 +56,7 @@
 
 Task<void> RequestRun::Run() {
   info_ = ReadRequestInfo(exchange_->request(), state_->names);
-  if (!co_await FindRoute()) {
+  if (!co_await FindRoute() || !co_await CheckKey()) {
     co_return;
   }
   body_ = std::make_shared<std::string>(std::move(exchange_->request().body()));
@@ -109,202 +73,6 @@
   SettleLater(TokensDelivered());
 }
 
-// ---- Admission ----
-
-absl::Duration RequestRun::TimeLeft() const { return deadline_ - SteadyNow(); }
-
-bool RequestRun::Knows(Knowledge what) const {
-  return what == Knowledge::kRoutes ? state_->routes != nullptr : state_->ledger->groups() > 0;
-}
-
-Task<void> RequestRun::WaitFor(Knowledge what) {
-  absl::Duration allowed = info_.deadline.value_or(absl::Seconds(1)) / 4;
-  absl::Time end = exchange_->received_at() + std::min(state_->options.start_patience, allowed);
-  while (!Knows(what) && SteadyNow() < end) {
-    co_await state_->informed.Wait(end - SteadyNow());
-  }
-}
-
-Task<bool> RequestRun::FindRoute() {
-  co_await WaitFor(Knowledge::kRoutes);
-  routes_ = state_->routes;
-  if (!routes_) {
-    deadline_ = exchange_->received_at() + info_.deadline.value_or(absl::Seconds(1));
-    co_await Refuse("no configuration yet");
-    co_return false;
-  }
-  const auto& request = exchange_->request();
-  route_ = routes_->Match(View(request[http::field::host]), View(request.target()));
-  if (route_ == nullptr) {
-    deadline_ = exchange_->received_at() + info_.deadline.value_or(absl::Seconds(1));
-    if (state_->store_reachable) {
-      co_await AnswerOwn(404, "no such route", std::nullopt);
-    } else {
-      co_await Refuse("no such route known, and the configuration may be old");
-    }
-    co_return false;
-  }
-  absl::Duration allowed = std::min(info_.deadline.value_or(route_->timeout), route_->timeout);
-  deadline_ = exchange_->received_at() + allowed;
-  service_name_ = ChooseService(*route_, SplitPoint(info_, state_->random));
-  service_ = routes_->configuration().FindService(service_name_);
-  co_return true;
-}
-
-Task<bool> RequestRun::AdmitTurn() {
-  bool keeps = route_->keeps_turns;
-  if (!info_.token_budget && !keeps) {
-    co_return true;
-  }
-  co_await WaitFor(Knowledge::kLedgerGroups);
-  if (!Knows(Knowledge::kLedgerGroups)) {
-    co_await Refuse("the turn ledger is not known yet");
-    co_return false;
-  }
-  group_ = state_->ledger->GroupOf(info_.program);
-  if (!info_.token_budget && !info_.previous_turn) {
-    co_return true;
-  }
-  turn_ledger::ReserveTurn reserve;
-  reserve.program = info_.program;
-  reserve.turn = turn_ledger::TurnId(info_.id.value);
-  reserve.tokens = info_.most_output_tokens;
-  reserve.budget = info_.token_budget;
-  reserve.retention_ms =
-      static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
-  std::optional<history_fetch> fetch;
-  if (keeps && info_.previous_turn) {
-    reserve.previous = turn_ledger::TurnId(info_.previous_turn->value);
-    reserve.has_previous = true;
-    bool readable = state_->options.reads_replicas && !state_->relaying;
-    if (!readable && state_->turns.Find(*info_.previous_turn) == nullptr) {
-      reserve.has_previous = false;  // The replicas can't be read: the answer brings the chain.
-    } else {
-      fetch.emplace(state_, info_.program, *info_.previous_turn);
-    }
-  }
-  absl::Time began = SteadyNow();
-  absl::Time patience =
-      std::min(deadline_ - state_->options.answer_margin, began + state_->options.ledger_patience);
-  reserved_ = true;
-  turn_ledger::CallResult result = co_await Reserve(reserve, patience);
-  state_->metrics.Observe(Stage::kLedger, SteadyNow() - began);
-  Line line("turn_admission");
-  line.Text("request", info_.id.value).Text("program", info_.program.value);
-  line.Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began));
-  if (result.end == turn_ledger::CallEnd::kOverloaded) {
-    reserved_ = false;
-    state_->log.Write(line.Text("verdict", "overloaded"));
-    co_await Refuse("the turn ledger is overloaded");
-    co_return false;
-  }
-  if (!result) {
-    state_->log.Write(line.Text("verdict", "no_answer"));
-    SettleLater(0);
-    co_await Refuse("the turn ledger did not answer");
-    co_return false;
-  }
-  line.Number("most", reserve.tokens).Number("spent", static_cast<std::int64_t>(result->spent));
-  line.Number("reserved", static_cast<std::int64_t>(result->reserved));
-  line.Number("budget", static_cast<std::int64_t>(info_.token_budget.value_or(0)));
-  switch (result->verdict) {
-    case turn_ledger::Verdict::kDone:
-      break;
-    case turn_ledger::Verdict::kBudgetSpent:
-      reserved_ = false;
-      state_->log.Write(line.Text("verdict", "budget_spent"));
-      co_await AnswerOwn(402, "the program's budget is spent", std::nullopt);
-      co_return false;
-    case turn_ledger::Verdict::kUnknownPrevious:
-      reserved_ = false;
-      state_->log.Write(
-          line.Text("verdict", "unknown_previous").Text("previous", info_.previous_turn->value));
-      co_await AnswerOwn(404, "no such turn", std::nullopt);
-      co_return false;
-    case turn_ledger::Verdict::kSettledBefore:
-      reserved_ = false;
-      state_->log.Write(line.Text("verdict", "settled_before"));
-      co_await Refuse("this try was given up before");
-      co_return false;
-  }
-  const turn_ledger::TurnPlace& place = result->previous_place;
-  if (place.runner != 0 && state_->options.uses_turn_places) {
-    state_->prefixes.NoteBeginning(SteadyNow(), info_.prompt, place.tokens, place.runner);
-    line.Number("previous_runner", place.runner);
-  }
-  if (foreign_history_ != nullptr) {
-    history_ = foreign_history_;
-    line.Text("history", name_of(history_source::other_group));
-    body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
-  } else if (reserve.previous && !reserve.has_previous) {
-    TakeRelayedHistory(std::move(result->history), line);
-  } else if (fetch && !co_await TakeHistory(*fetch, reserve, patience, line)) {
-    co_return false;
-  }
-  state_->log.Write(line.Text("verdict", "admitted"));
-  co_return true;
-}
-
-Task<turn_ledger::CallResult> RequestRun::Reserve(turn_ledger::ReserveTurn reserve,
-                                                  absl::Time patience) {
-  turn_ledger::CallResult result = co_await state_->ledger->Call(group_, reserve, patience);
-  bool unknown = result && result->verdict == turn_ledger::Verdict::kUnknownPrevious;
-  if (unknown && state_->ledger->groups() > 1) {
-    result = co_await ReserveOnForeignTurn(std::move(reserve), patience);
-  }
-  co_return result;
-}
-
-Task<turn_ledger::CallResult> RequestRun::ReserveOnForeignTurn(turn_ledger::ReserveTurn reserve,
-                                                               absl::Time patience) {
-  foreign_search search =
-      co_await search_other_groups(state_, group_, *info_.previous_turn, patience);
-  if (search.m_chain != nullptr) {
-    // Kept from now on in this program's group, as the new turn's own beginning.
-    foreign_history_ = search.m_chain;
-    reserve.previous.reset();
-    co_return co_await state_->ledger->Call(group_, reserve, patience);
-  }
-  turn_ledger::CallResult result;
-  if (search.m_complete) {
-    result.end = turn_ledger::CallEnd::kDone;
-    result.result.verdict = turn_ledger::Verdict::kUnknownPrevious;
-  }
-  co_return result;
-}
-
-void RequestRun::TakeRelayedHistory(std::string history, Line& line) {
-  history_ = std::make_shared<std::string>(std::move(history));
-  state_->turns.Put(info_.program, *info_.previous_turn, history_);
-  line.Text("history", name_of(history_source::leader));
-  line.Number("history_bytes", static_cast<std::int64_t>(history_->size()));
-  body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
-}
-
-Task<bool> RequestRun::TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
-                                   absl::Time patience, Line& line) {
-  history_ = co_await fetch.wait();
-  history_source source = fetch.source();
-  if (history_ == nullptr) {
-    // No replica asked had it yet. The same reservation again is no second one.
-    reserve.has_previous = false;
-    auto result = co_await state_->ledger->Call(group_, reserve, patience);
-    if (!result || result->verdict != turn_ledger::Verdict::kDone) {
-      state_->log.Write(line.Text("verdict", "no_history"));
-      SettleLater(0);
-      co_await Refuse("the turn's history could not be read");
-      co_return false;
-    }
-    history_ = std::make_shared<std::string>(std::move(result->history));
-    state_->turns.Put(info_.program, *info_.previous_turn, history_);
-    source = history_source::leader;
-  }
-  line.Text("history", name_of(source));
-  line.Number("history_bytes", static_cast<std::int64_t>(history_->size()));
-  body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
-  co_return true;
-}
-
 // ---- Choosing ----
 
 std::uint64_t RequestRun::ConnectionShare(const ServiceName& service) const {
@@ -395,7 +163,14 @@
   const auto& request = exchange_->request();
   const HeaderNames& names = state_->names;
   http::fields fields;
-  CopyEndToEnd(request, fields);
+  copy_end_to_end(request, fields);
+  remove_internal(names, fields);
+  if (tenant_ != nullptr) {
+    fields.set(names.tenant, tenant_->m_name);
+  }
+  if (!info_.id.value.empty()) {
+    fields.set(names.request_id, info_.id.value);  // Also where a Connection header lists it.
+  }
   absl::Duration left = std::max(TimeLeft(), absl::Milliseconds(1));
   fields.set(names.deadline_ms, absl::StrCat(absl::ToInt64Milliseconds(left)));
   fields.set(names.expected_runner, runner.id.value);
@@ -403,7 +178,7 @@
     fields.set(names.last_event_id, events_.last_event_id());
   }
   if (route_->kind == RouteKind::kStream) {
-    fields.set(names.priority, absl::StrCat(std::clamp(route_->priority, 0, 9)));
+    fields.set(names.priority, absl::StrCat(PriorityRank()));
   }
   bool bodiless = body_->empty() &&
                   (request.method() == http::verb::get || request.method() == http::verb::head);
@@ -419,6 +194,11 @@
   return text;
 }
 
+int RequestRun::PriorityRank() const {
+  int tenant_rank = tenant_ == nullptr ? 0 : tenant_->m_priority;
+  return std::clamp(tenant_rank * kRoutePriorities + route_->priority, 0, kLastPriority);
+}
+
 AttemptPlan RequestRun::MakePlan(const discovery::Runner& runner) {
   AttemptPlan plan;
   plan.runner = runner;
@@ -542,6 +322,10 @@
       Close("client_gone");
       co_return;
     }
+    if (!KeyStillHolds()) {
+      co_await RefuseKey();
+      co_return;
+    }
     std::optional<discovery::Runner> runner;
     if (TimeLeft() > kLeastUsefulTime) {
       runner = Choose();
@@ -599,7 +383,7 @@
   HttpHead passed;
   passed.result(head.result());
   passed.reason(head.reason());
-  CopyEndToEnd(head, passed);
+  copy_end_to_end(head, passed);
   stream_head_ = std::move(passed);
 }
 
@@ -622,7 +406,7 @@
   HttpHead passed;
   passed.result(result.answer.head.result());
   passed.reason(result.answer.head.reason());
-  CopyEndToEnd(result.answer.head, passed);
+  copy_end_to_end(result.answer.head, passed);
   SettleLater(0);
   bool sent = co_await exchange_->Send(std::move(passed), std::move(result.answer.body));
   Close(sent ? "answered" : "client_gone");
@@ -649,8 +433,8 @@
 
 Task<bool> RequestRun::CommitTurn() {
   turn_ledger::SettleTurn settle;
-  settle.program = info_.program;
-  settle.turn = turn_ledger::TurnId(info_.id.value);
+  settle.program = program_;
+  settle.turn = turn_;
   settle.tokens = TokensDelivered();
   settle.retention_ms =
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
@@ -658,7 +442,7 @@
   bool goes_on = history_ != nullptr && foreign_history_ == nullptr;
   std::size_t known = goes_on ? history_->size() : 0;
   if (goes_on) {
-    completed.previous = turn_ledger::TurnId(info_.previous_turn->value);
+    completed.previous = turn_ledger::TurnId(previous_turn_->value);
   }
   completed.input = body_->substr(known);
   completed.output = events_.data();
@@ -677,7 +461,7 @@
   if (!result) {
     co_return false;
   }
-  state_->turns.Put(info_.program, info_.id,
+  state_->turns.Put(program_, RequestId(turn_.value),
                     std::make_shared<std::string>(absl::StrCat(*body_, events_.data())));
   co_return true;
 }
@@ -693,8 +477,8 @@
   }
   settled_ = true;
   turn_ledger::SettleTurn settle;
-  settle.program = info_.program;
-  settle.turn = turn_ledger::TurnId(info_.id.value);
+  settle.program = program_;
+  settle.turn = turn_;
   settle.tokens = tokens;
   settle.retention_ms =
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -26,12 +26,21 @@
 
  private:
   /// What a process learns soon after its start.
-  enum class Knowledge { kRoutes, kLedgerGroups };
+  enum class Knowledge { kRoutes, kLedgerGroups, kLease };
   bool Knows(Knowledge what) const;
   /// Waits a little where this process has only just started.
   async_http::Task<void> WaitFor(Knowledge what);
   /// Finds the route; answers itself when there is none. @return false when it answered.
   async_http::Task<bool> FindRoute();
+  /// Checks the API key and names the tenant; answers itself when the key opens nothing.
+  /// @return false when it answered.
+  async_http::Task<bool> CheckKey();
+  /// @return whether the key still opens the door under the configuration in force now.
+  bool KeyStillHolds() const;
+  /// Ends a request whose key lost its force while it waited.
+  async_http::Task<void> RefuseKey();
+  /// Makes the ids that the client chose unique over all tenants.
+  void ScopeIds();
   /// Reserves the turn's tokens and fetches its history. @return false when it answered.
   async_http::Task<bool> AdmitTurn();
   /// Asks the program's group, and the others where it goes on from another program's turn.
@@ -52,6 +61,8 @@
   double LossCost() const;
   AttemptPlan MakePlan(const discovery::Runner& runner);
   std::string RequestHead(const discovery::Runner& runner) const;
+  /// @return the rank that engines are told, 0 for the most urgent.
+  int PriorityRank() const;
   async_http::Task<AttemptResult> RunOnce(const discovery::Runner& runner);
   void NoteResult(const discovery::Runner& runner, const AttemptResult& result, absl::Time began);
   /// Notes whether the runner lost the request.
@@ -75,8 +86,13 @@
   std::shared_ptr<const RouteTable> routes_;
   const Route* route_ = nullptr;
   const Service* service_ = nullptr;
+  const tenancy::tenant* tenant_ = nullptr;  // Of `routes_`; null without a key.
   ServiceName service_name_;
   RequestInfo info_;
+  // What the client named, made unique over all tenants.
+  turn_ledger::TurnId turn_;
+  ProgramId program_;
+  std::optional<RequestId> previous_turn_;
   absl::Time deadline_;
   std::shared_ptr<const std::string> body_;
 
--- a/src/forwarding/service_configuration.h
+++ b/src/forwarding/service_configuration.h
@@ -8,6 +8,7 @@
 
 #include "absl/time/time.h"
 #include "base/ids.h"
+#include "tenancy/tenant_table.h"
 
 namespace martenyard::forwarding {
 
@@ -41,6 +42,7 @@
   int priority = 0;                                     ///< 0 is the most urgent.
   bool sticky = false;
   bool resumable = false;
+  bool is_public = false;    ///< Needs no API key.
   bool keeps_turns = false;  ///< Requests bring only new input; the rest comes from the ledger.
   absl::Duration turn_retention = absl::Seconds(60);
 
@@ -77,6 +79,7 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   ClientLimits limits;
+  tenancy::tenant_table tenants;  ///< Empty: requests need no API key.
 
   const Service* FindService(const ServiceName& name) const {
     for (const Service& service : services) {
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -85,6 +85,17 @@
           [](const store::StoreChange&) {}, [](bool, store::StoreStatus) {},
           {.watch_patience = store::WatchPatience(settings.store_history)}),
       m_news(state.random.NextId()),
+      m_lease(
+          context, store, mirrors.m_configuration, state.lease, log,
+          [this](const wire::Endpoint& to, const datagram& message)
+          {
+              send(to, wire::Encode(message));
+          },
+          [&state]
+          {
+              state.informed.Notify();
+          },
+          state.random.NextId()),
       m_watch(settings.node)
 {
 }
@@ -95,6 +106,7 @@
     m_claims.emplace(self(), m_settings.processor_share);
     m_view.emplace(self());
     m_began = steady_now();
+    m_lease.start(m_settings.revocation.lease(), self().m_endpoint);
     m_registered.SetPaused(true);
     m_registered.Start();
     judge_watching(m_began);
@@ -347,6 +359,47 @@
     }
 }
 
+void zone_exchange::take(instant /*now*/, const aggregation::confirmation_question& question)
+{
+    m_lease.on_question(question);
+}
+
+void zone_exchange::take(instant /*now*/, const aggregation::confirmation_answer& answer)
+{
+    m_lease.on_answer(answer);
+}
+
+lease_peers zone_exchange::peers_for_lease(instant now) const
+{
+    lease_peers peers;
+    if (aggregates())
+    {
+        peers.m_part = speaks_for_zone(now) ? tenancy::zone_part::speaker : tenancy::zone_part::aggregator;
+    }
+    for (const report_target& target : m_view->targets(now))
+    {
+        // The one whose digests this gateway goes by is asked first.
+        auto place = target.m_primary ? peers.m_own_zone.begin() : peers.m_own_zone.end();
+        peers.m_own_zone.insert(place, target.m_endpoint);
+    }
+    for (const std::string& zone : aggregation::near_zones(m_slots, m_settings.zone, m_options.m_most_zones))
+    {
+        for (const contact& holder : aggregation::holders_of(m_slots, zone))
+        {
+            peers.m_other_zones.push_back(holder.m_endpoint);
+        }
+    }
+    return peers;
+}
+
+void zone_exchange::confirm_configuration()
+{
+    if (m_view && m_state.lease.bounded())
+    {
+        m_lease.tick(peers_for_lease(steady_now()));
+    }
+}
+
 void zone_exchange::on_news(const store::news_reply& reply)
 {
     if (reply.m_mirror >= m_mirrors.size())
@@ -447,6 +500,7 @@
         register_members(now);
     }
     ask_for_news(now);
+    confirm_configuration();
     forget_old_loads(now);
     m_state.gateways = std::max<std::uint32_t>(1, m_view->gateways());
     m_state.store_reachable = store_reachable();
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -25,6 +25,7 @@
 #include "async_http/task.h"
 #include "event_log/event_log.h"
 #include "forwarding/gateway_state.h"
+#include "roles/exchange/lease_keeper.h"
 #include "roles/role_settings.h"
 #include "store/metadata_store.h"
 #include "store/prefix_mirror.h"
@@ -115,6 +116,9 @@
     /// @brief the store answered the configuration's mirror, or did not
     void on_contact(bool reachable);
 
+    /// @brief a configuration is in force: asks whether it is the newest, if that is due
+    void confirm_configuration();
+
     /// @brief does what is due; each tenth of a second
     /// @param[in] ledger_silent  most groups of the ledger don't answer
     void tick(bool ledger_silent);
@@ -134,6 +138,10 @@
     {
         return m_sums != nullptr;
     }
+    const lease_stats& leases() const
+    {
+        return m_lease.stats();
+    }
     const exchange_stats& stats() const
     {
         return m_stats;
@@ -151,6 +159,9 @@
     void take(instant now, const aggregation::zone_summary& summary);
     void take(instant now, const aggregation::digest& told);
     void take(instant now, const store::news_request& request);
+    void take(instant now, const aggregation::confirmation_question& question);
+    void take(instant now, const aggregation::confirmation_answer& answer);
+    lease_peers peers_for_lease(instant now) const;
 
     aggregation::known_changes changes() const;
     /// @return whether the store answers this gateway itself
@@ -207,6 +218,7 @@
     std::optional<aggregation::slot_claims> m_claims;
     std::optional<aggregation::member_view> m_view;
     aggregation::news_decisions m_news;
+    lease_keeper m_lease;
     std::unique_ptr<aggregation::aggregator> m_sums;
     std::optional<std::size_t> m_slot;
     bool m_claiming = false;
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -115,7 +115,7 @@
       store_(store),
       log_(log),
       state_(std::make_shared<forwarding::GatewayState>(loop.context(), log, formats.headers(),
-                                                        settings.zone)),
+                                                        formats.key_hasher(), settings.zone)),
       transport_(
           loop, [this](const std::string& payload) { OnFrame(payload); },
           [this](const std::string& payload) { exchange_.on_datagram(payload); },
@@ -243,12 +243,21 @@
   limits.body_bytes = configuration->limits.body_bytes;
   limits.header_timeout = configuration->limits.header_timeout;
   limits.idle_timeout = configuration->limits.idle_timeout;
-  log_.Write(Line("configuration_applied")
-                 .Number("version", static_cast<std::int64_t>(configuration->version))
-                 .Number("routes", static_cast<std::int64_t>(configuration->routes.size()))
-                 .Number("revision", static_cast<std::int64_t>(change.revision)));
+  log_.Write(
+      Line("configuration_applied")
+          .Number("version", static_cast<std::int64_t>(configuration->version))
+          .Number("routes", static_cast<std::int64_t>(configuration->routes.size()))
+          .Number("tenants", static_cast<std::int64_t>(configuration->tenants.tenants().size()))
+          .Number("revision", static_cast<std::int64_t>(change.revision)));
+  for (const std::string& fault : configuration->tenants.faults()) {
+    log_.Write(Line("tenant_faulty")
+                   .Number("version", static_cast<std::int64_t>(configuration->version))
+                   .Text("detail", fault));
+  }
+  state_->lease.set_revision(change.revision);
   state_->routes = std::make_shared<forwarding::RouteTable>(std::move(*configuration));
   state_->informed.Notify();
+  exchange_.confirm_configuration();
 }
 
 void GatewayRole::OnRunnerChange(const store::StoreChange& change) {
@@ -484,6 +493,9 @@
   metrics.Set("summaries_sent", static_cast<double>(told.m_summaries_sent));
   metrics.Set("changes_pushed", static_cast<double>(told.m_news_pushed));
   metrics.Set("changes_asked", static_cast<double>(told.m_news_asked));
+  metrics.Set("lease_store_questions", static_cast<double>(exchange_.leases().m_store_questions));
+  metrics.Set("lease_peer_questions", static_cast<double>(exchange_.leases().m_peer_questions));
+  metrics.Set("lease_peer_answers", static_cast<double>(exchange_.leases().m_peer_answers));
   metrics.Set("datagrams_unreadable", static_cast<double>(told.m_datagrams_unreadable));
   metrics.Set("peer_bytes_unsent", static_cast<double>(transport_.unsent()));
   metrics.Set("peer_bytes_sent", static_cast<double>(transport_.stats().bytes_sent));
--- a/src/roles/platform_formats.h
+++ b/src/roles/platform_formats.h
@@ -16,6 +16,8 @@
  public:
   virtual ~PlatformFormats() = default;
   virtual const forwarding::HeaderNames& headers() const = 0;
+  /// What the API keys of all configurations read here were hashed with.
+  virtual const tenancy::key_hasher& key_hasher() const = 0;
 
   virtual std::string ConfigurationKey() const = 0;
   virtual std::optional<forwarding::ServiceConfiguration> ReadConfiguration(
--- a/src/roles/role_settings.h
+++ b/src/roles/role_settings.h
@@ -8,6 +8,7 @@
 
 #include "absl/time/time.h"
 #include "roles/policy/policy_switches.h"
+#include "tenancy/bounds.h"
 #include "wire/endpoint.h"
 
 namespace martenyard::roles {
@@ -33,7 +34,9 @@
   absl::Duration drain = absl::Seconds(2);       ///< Leaving runners take work this long.
   /// How long the store remembers its changes. It may forget them sooner.
   absl::Duration store_history = absl::Seconds(20);
-  policy_switches policy;  ///< For trials; all mechanisms are at work otherwise.
+  tenancy::revocation_bound revocation;  ///< How soon a key that is taken away opens nothing.
+  tenancy::quota_bounds quota;           ///< How exactly the tenants' limits hold.
+  policy_switches policy;                ///< For trials; all mechanisms are at work otherwise.
 };
 
 }  // namespace martenyard::roles
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -53,6 +53,20 @@
   }
 }
 
+void PrefixMirror::Refresh() {
+  if (refreshing_) {
+    return;
+  }
+  refreshing_ = true;
+  async_http::asio::co_spawn(
+      context_,
+      [this]() -> Task<void> {
+        co_await ReadAll();
+        refreshing_ = false;
+      },
+      async_http::asio::detached);
+}
+
 Task<void> PrefixMirror::Follow() {
   while (true) {
     if (paused_) {
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -52,6 +52,8 @@
   /// A paused mirror asks nothing of the store, even if it never read anything; a call under way
   /// goes on.
   void SetPaused(bool paused);
+  /// Reads all keys again, beside a watch that may hang: something newer is known to be there.
+  void Refresh();
   /// @return the revision of the last change known.
   Revision last_change() const { return last_change_; }
   /// @return what changed after `last_change`, for a peer's mirror of the same prefix.
@@ -83,6 +85,7 @@
   bool watching_ = true;
   bool paused_ = false;
   bool complete_ = false;
+  bool refreshing_ = false;
   bool asked_ = false;  ///< Once, with an answer or none.
   bool reachable_ = false;
   absl::Time confirmed_ = absl::InfinitePast();
--- a/tests/aggregation/fleet_test.cc
+++ b/tests/aggregation/fleet_test.cc
@@ -168,6 +168,9 @@
   void Take(SimulatedGateway& gateway, const store::news_request& request) {
     Deliver(gateway, request.m_port, request.m_mirror);
   }
+  // Leases have a simulation of their own (tests/tenancy).
+  void Take(SimulatedGateway& /*gateway*/, const confirmation_question& /*question*/) {}
+  void Take(SimulatedGateway& /*gateway*/, const confirmation_answer& /*answer*/) {}
 
   /// A whole answer over a connection; it isn't lost.
   void Deliver(SimulatedGateway& from, std::uint16_t to, std::size_t mirror) {
--- a/tests/platform/support/platform_client.cc
+++ b/tests/platform/support/platform_client.cc
@@ -1,5 +1,6 @@
 #include "platform/support/platform_client.h"
 
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -102,4 +103,15 @@
               "idleTimeoutMs":15000}})");
 }
 
+std::string TenantConfiguration(int version, const std::string& tenants) {
+  nlohmann::json document = nlohmann::json::parse(StandardConfiguration(version));
+  nlohmann::json open = document["routes"][0];
+  open["name"] = "public";
+  open["pathPrefix"] = "/public/";
+  open["public"] = true;
+  document["routes"].push_back(open);
+  document["tenants"] = nlohmann::json::parse(tenants);
+  return document.dump();
+}
+
 }  // namespace martenyard::testing
--- a/tests/platform/support/platform_client.h
+++ b/tests/platform/support/platform_client.h
@@ -54,5 +54,8 @@
 
 /// The standard configuration's document: routes /safe/, /unsafe/, /stream/ and /streamkept/.
 std::string StandardConfiguration(int version);
+/// The same with tenants, and a route /public/ that needs no key.
+/// @param tenants the list's document.
+std::string TenantConfiguration(int version, const std::string& tenants);
 
 }  // namespace martenyard::testing
--- a/tests/platform/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -51,7 +51,7 @@
 
 }  // namespace
 
-PlatformWorld::PlatformWorld()
+PlatformWorld::PlatformWorld(const tenancy::revocation_bound& revocation)
     : store_(loop_.context()), near_(loop_.context(), "i-near"), far_(loop_.context(), "i-far") {
   store_.Listen(0);
   log_file_ = open("/tmp", O_TMPFILE | O_RDWR | O_CLOEXEC, 0600);
@@ -74,6 +74,7 @@
         return std::unique_ptr<storage::LogStore>(std::make_unique<FaultyLogStore>(disk));
       });
   settings.node = "edge-1";
+  settings.revocation = revocation;
   readiness_port_ = FreePort(loop_);
   settings.readiness = {"127.0.0.1", readiness_port_};
   settings.frontend = {"127.0.0.1", 0};
--- a/tests/platform/support/platform_world.h
+++ b/tests/platform/support/platform_world.h
@@ -28,7 +28,8 @@
 /// One gateway, one ledger replica, a store, and runners `a` (near) and `b` (far).
 class PlatformWorld {
  public:
-  PlatformWorld();
+  /// @param revocation how soon keys that are taken away must open nothing; see RoleSettings.
+  explicit PlatformWorld(const tenancy::revocation_bound& revocation = {});
   ~PlatformWorld();
 
   /// Puts the standard configuration in force and waits until the gateway serves.
