Limits of tenants, counted by the ledger's leaders; new programs wait while the engines are nearly full

Limits, ways weighed: equal fixed shares (refuses tenants whose clients come through one zone); shares lent by an owner named in the store (its fencing needs a pause of seconds at a takeover, and dies with the store); sums exchanged by aggregators (a lag of 0.3 s, and no bound across a cut). Taken: the leader of the ledger group that the tenant is hashed to counts, in memory, while a quorum confirms its lead; a new leader begins with a third of the room that the bound leaves. One question a request; requests of a tenant that come together share one. Tenants over their limit lose new programs before turns of those under way.

New programs: the ledger's leader alone knows whether a turn begins a program; a gateway whose view of the engines shows more than 0.85 active requests a slot asks it to admit only programs under way. Nothing is written for a refusal.

Tests: bank's bound over changes of leaders (property), share of the limit used, programs under way; lease of leadership when cut off, frozen, handing over; 429 and 503 over sockets.

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -74,6 +74,7 @@
   }
   if (now_ >= next_heartbeat_) {
     next_heartbeat_ = now_ + options_.heartbeat_interval;
+    BeginRound();
     BroadcastAppend(/*even_if_empty=*/true);
   }
 }
@@ -115,6 +116,7 @@
     }
     pending_reads_.clear();
     progress_.clear();
+    round_begun_.clear();
     transfer_target_ = kNoNode;
   }
   role_ = Role::kFollower;
@@ -408,20 +410,40 @@
   // Before an entry of its own term is committed a leader does not know the commit index; the read
   // then waits for its no-op.
   LogIndex index = std::max(commit_, leader_first_index_);
-  ++round_;
+  BeginRound();
   pending_reads_.push_back({read_id, round_, index});
   BroadcastAppend(/*even_if_empty=*/true);
   AdvanceReads();
   return true;
 }
 
-void Raft::AdvanceReads() {
+void Raft::BeginRound() {
+  round_begun_[++round_] = now_;
+  round_begun_.erase(round_begun_.begin(), round_begun_.lower_bound(ConfirmedRound()));
+}
+
+std::uint64_t Raft::ConfirmedRound() const {
   std::vector<std::uint64_t> rounds;
   for (NodeId voter : configuration_.voters) {
-    rounds.push_back(voter == self_ ? round_ : progress_[voter].acknowledged_round);
+    auto progress = progress_.find(voter);
+    std::uint64_t acknowledged =
+        progress == progress_.end() ? 0 : progress->second.acknowledged_round;
+    rounds.push_back(voter == self_ ? round_ : acknowledged);
   }
   std::sort(rounds.rbegin(), rounds.rend());
-  std::uint64_t confirmed = rounds[configuration_.QuorumSize() - 1];
+  return rounds.empty() ? 0 : rounds[configuration_.QuorumSize() - 1];
+}
+
+bool Raft::HoldsLease(absl::Time now) const {
+  if (!LeaderIsCurrent() || transfer_target_ != kNoNode) {
+    return false;
+  }
+  auto begun = round_begun_.find(ConfirmedRound());
+  return begun != round_begun_.end() && now < begun->second + options_.election_timeout;
+}
+
+void Raft::AdvanceReads() {
+  std::uint64_t confirmed = ConfirmedRound();
   auto split = std::find_if(pending_reads_.begin(), pending_reads_.end(),
                             [&](const PendingRead& read) { return read.round > confirmed; });
   for (auto read = pending_reads_.begin(); read != split; ++read) {
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -86,6 +86,9 @@
   bool IsLeader() const { return role_ == Role::kLeader; }
   /// True once an entry of the leader's own term is committed: its state is then current.
   bool LeaderIsCurrent() const;
+  /// True while no other replica can lead: a quorum acknowledged, less than an election timeout
+  /// ago, a message of this leader's, and followers keep from voting for that long after each.
+  bool HoldsLease(absl::Time now) const;
   Term term() const { return hard_state_.term; }
   NodeId leader() const { return leader_; }
   LogIndex commit_index() const { return commit_; }
@@ -148,6 +151,9 @@
   void BroadcastAppend(bool even_if_empty);
   void AdvanceCommit();
   void AdvanceReads();
+  /// @return the newest round that a quorum has acknowledged.
+  std::uint64_t ConfirmedRound() const;
+  void BeginRound();
   void MaybeFinishTransfer(NodeId to);
 
   LogIndex AppendToLog(EntryKind kind, std::string payload);
@@ -194,6 +200,7 @@
   NodeId transfer_target_;
   absl::Time transfer_deadline_;
   std::uint64_t round_ = 0;
+  std::map<std::uint64_t, absl::Time> round_begun_;  // Rounds not older than the confirmed one.
   std::vector<PendingRead> pending_reads_;
 
   Ready ready_;
--- a/src/forwarding/gateway_metrics.cc
+++ b/src/forwarding/gateway_metrics.cc
@@ -7,6 +7,8 @@
 
 const char* NameOf(Stage stage) {
   switch (stage) {
+    case Stage::kQuota:
+      return "quota";
     case Stage::kLedger:
       return "ledger";
     case Stage::kConnect:
@@ -42,7 +44,8 @@
                   .Name("martenyard_state")
                   .Help("Present values, by name.")
                   .Register(registry_)) {
-  for (Stage stage : {Stage::kLedger, Stage::kConnect, Stage::kFirstByte, Stage::kWhole}) {
+  for (Stage stage :
+       {Stage::kQuota, Stage::kLedger, Stage::kConnect, Stage::kFirstByte, Stage::kWhole}) {
     histograms_[stage] = &stages_.Add({{"stage", NameOf(stage)}}, StageBuckets());
   }
 }
--- a/src/forwarding/gateway_metrics.h
+++ b/src/forwarding/gateway_metrics.h
@@ -15,7 +15,7 @@
 namespace martenyard::forwarding {
 
 /// A request's stages, timed one by one.
-enum class Stage { kLedger, kConnect, kFirstByte, kWhole };
+enum class Stage { kQuota, kLedger, kConnect, kFirstByte, kWhole };
 
 class GatewayMetrics {
  public:
--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -9,10 +9,12 @@
 #include "base/random.h"
 #include "discovery/runner_table.h"
 #include "event_log/event_log.h"
+#include "forwarding/admission/program_admission.h"
 #include "forwarding/connection_pool.h"
 #include "forwarding/gateway_metrics.h"
 #include "forwarding/header_names.h"
 #include "forwarding/prefix_index.h"
+#include "forwarding/quota/quota_client.h"
 #include "forwarding/route_table.h"
 #include "forwarding/runner_choice.h"
 #include "forwarding/turn_cache.h"
@@ -29,8 +31,13 @@
   absl::Duration connect_timeout = absl::Milliseconds(250);
   /// Kept over from the deadline for the answer's way back.
   absl::Duration answer_margin = absl::Milliseconds(10);
-  absl::Duration retry_after = absl::Milliseconds(200);      ///< Told with a refusal.
+  absl::Duration retry_after = absl::Milliseconds(200);  ///< Told with a refusal.
+  admission_options admission;
+  /// Told to a new program while the engines are full, and up to twice that: clients take up to a
+  /// third of their time, and those refused together come back apart.
+  absl::Duration program_pause = absl::Milliseconds(500);
   absl::Duration ledger_patience = absl::Milliseconds(900);  ///< Then the turn is refused.
+  absl::Duration quota_patience = absl::Milliseconds(600);   ///< Then the request is refused.
   absl::Duration commit_patience = absl::Seconds(2);         ///< For a kept turn's commit.
   absl::Duration settle_patience = absl::Seconds(20);
   /// A process that has just started learns the configuration and the ledger in some ten
@@ -75,6 +82,7 @@
   ConnectionPool pool;
   TurnCache turns{std::uint64_t{2} << 20};
   std::unique_ptr<turn_ledger::LedgerClient> ledger;
+  std::unique_ptr<quota_client> quotas;
   std::unique_ptr<turn_ledger::chain_reader> chains;
   bool relaying = false;       ///< The ledger is reached through peers only.
   std::uint32_t gateways = 1;  ///< That share the runners' connections.
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -106,6 +106,46 @@
   co_return true;
 }
 
+Task<bool> RequestRun::TakeQuota() {
+  if (tenant_ == nullptr || !tenant_->m_limit.limited()) {
+    co_return true;
+  }
+  co_await WaitFor(Knowledge::kLedgerGroups);
+  if (!Knows(Knowledge::kLedgerGroups)) {
+    co_await Refuse("who counts the tenant's requests is not known yet");
+    co_return false;
+  }
+  absl::Time began = SteadyNow();
+  absl::Time deadline =
+      std::min(began + state_->options.quota_patience, deadline_ - state_->options.answer_margin);
+  std::uint64_t program = program_.value.empty() ? 0 : StableHash(program_.value);
+  std::uint64_t version = routes_->configuration().version;
+  quota_decision decision = co_await state_->quotas->admit(*tenant_, version, program, deadline);
+  state_->metrics.Observe(Stage::kQuota, SteadyNow() - began);
+  if (decision.m_verdict == quota_verdict::granted) {
+    if (decision.m_wait.count() > 0) {
+      co_await async_http::Sleep(state_->context, absl::FromChrono(decision.m_wait));
+    }
+    co_return true;
+  }
+  state_->log.Write(Line("quota_refused")
+                        .Text("request", info_.id.value)
+                        .Text("tenant", tenant_->m_name)
+                        .Flag("known", decision.m_verdict == quota_verdict::refused)
+                        .Real("rate", tenant_->m_limit.m_rate)
+                        .Real("burst", tenant_->m_limit.m_burst)
+                        .Number("configuration", static_cast<std::int64_t>(version))
+                        .Number("retry_after_ms", decision.m_retry_after.count())
+                        .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began)));
+  if (decision.m_verdict == quota_verdict::unknown) {
+    co_await Refuse("the tenant's requests could not be counted");
+    co_return false;
+  }
+  co_await AnswerOwn(429, "the tenant's limit is reached",
+                     absl::FromChrono(decision.m_retry_after) * (1 + state_->random.Uniform()));
+  co_return false;
+}
+
 bool RequestRun::KeyStillHolds() const {
   if (tenant_ == nullptr) {
     return true;
@@ -177,47 +217,20 @@
   absl::Time began = SteadyNow();
   absl::Time patience =
       std::min(deadline_ - state_->options.answer_margin, began + state_->options.ledger_patience);
+  engine_load load = EngineLoad();
+  bool admits = admits_program(load, state_->options.admission);
   reserved_ = true;
-  turn_ledger::CallResult result = co_await Reserve(reserve, patience);
+  turn_ledger::CallResult result = co_await Reserve(
+      reserve, patience, admits ? turn_ledger::Programs::kAll : turn_ledger::Programs::kKnownOnly);
   state_->metrics.Observe(Stage::kLedger, SteadyNow() - began);
   Line line("turn_admission");
   line.Text("request", info_.id.value).Text("program", info_.program.value);
   line.Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began));
-  if (result.end == turn_ledger::CallEnd::kOverloaded) {
-    reserved_ = false;
-    state_->log.Write(line.Text("verdict", "overloaded"));
-    co_await Refuse("the turn ledger is overloaded");
-    co_return false;
-  }
-  if (!result) {
-    state_->log.Write(line.Text("verdict", "no_answer"));
-    SettleLater(0);
-    co_await Refuse("the turn ledger did not answer");
+  line.Number("active", load.m_active).Number("slots", load.m_slots);
+  if (!co_await TakeVerdict(result, line)) {
     co_return false;
   }
-  line.Number("most", reserve.tokens).Number("spent", static_cast<std::int64_t>(result->spent));
-  line.Number("reserved", static_cast<std::int64_t>(result->reserved));
-  line.Number("budget", static_cast<std::int64_t>(info_.token_budget.value_or(0)));
-  switch (result->verdict) {
-    case turn_ledger::Verdict::kDone:
-      break;
-    case turn_ledger::Verdict::kBudgetSpent:
-      reserved_ = false;
-      state_->log.Write(line.Text("verdict", "budget_spent"));
-      co_await AnswerOwn(402, "the program's budget is spent", std::nullopt);
-      co_return false;
-    case turn_ledger::Verdict::kUnknownPrevious:
-      reserved_ = false;
-      state_->log.Write(
-          line.Text("verdict", "unknown_previous").Text("previous", info_.previous_turn->value));
-      co_await AnswerOwn(404, "no such turn", std::nullopt);
-      co_return false;
-    case turn_ledger::Verdict::kSettledBefore:
-      reserved_ = false;
-      state_->log.Write(line.Text("verdict", "settled_before"));
-      co_await Refuse("this try was given up before");
-      co_return false;
-  }
+  line.Number("most", static_cast<std::int64_t>(reserve.tokens));
   const turn_ledger::TurnPlace& place = result->previous_place;
   if (place.runner != 0 && state_->options.uses_turn_places) {
     state_->prefixes.NoteBeginning(SteadyNow(), info_.prompt, place.tokens, place.runner);
@@ -236,9 +249,56 @@
   co_return true;
 }
 
+Task<bool> RequestRun::TakeVerdict(const turn_ledger::CallResult& result, Line& line) {
+  if (result.end == turn_ledger::CallEnd::kNoAnswer) {
+    state_->log.Write(line.Text("verdict", "no_answer"));
+    SettleLater(0);
+    co_await Refuse("the turn ledger did not answer");
+    co_return false;
+  }
+  line.Number("spent", static_cast<std::int64_t>(result->spent));
+  line.Number("reserved", static_cast<std::int64_t>(result->reserved));
+  line.Number("budget", static_cast<std::int64_t>(info_.token_budget.value_or(0)));
+  bool admitted = result && result->verdict == turn_ledger::Verdict::kDone;
+  if (admitted) {
+    co_return true;
+  }
+  reserved_ = false;
+  if (result.end == turn_ledger::CallEnd::kOverloaded) {
+    state_->log.Write(line.Text("verdict", "overloaded"));
+    co_await Refuse("the turn ledger is overloaded");
+  } else if (result->verdict == turn_ledger::Verdict::kNewProgram) {
+    state_->log.Write(line.Text("verdict", "engines_full"));
+    absl::Duration pause = state_->options.program_pause * (1 + state_->random.Uniform());
+    co_await AnswerOwn(503, "no new program can begin now", pause);
+  } else if (result->verdict == turn_ledger::Verdict::kBudgetSpent) {
+    state_->log.Write(line.Text("verdict", "budget_spent"));
+    co_await AnswerOwn(402, "the program's budget is spent", std::nullopt);
+  } else if (result->verdict == turn_ledger::Verdict::kUnknownPrevious) {
+    state_->log.Write(
+        line.Text("verdict", "unknown_previous").Text("previous", info_.previous_turn->value));
+    co_await AnswerOwn(404, "no such turn", std::nullopt);
+  } else {
+    state_->log.Write(line.Text("verdict", "settled_before"));
+    co_await Refuse("this try was given up before");
+  }
+  co_return false;
+}
+
+engine_load RequestRun::EngineLoad() const {
+  engine_load load;
+  for (const discovery::RunnerState* runner : state_->runners.OfService(service_name_)) {
+    load.m_active += runner->Active();
+    load.m_slots += runner->Leaving() ? 0 : runner->runner.slots;
+  }
+  return load;
+}
+
 Task<turn_ledger::CallResult> RequestRun::Reserve(turn_ledger::ReserveTurn reserve,
-                                                  absl::Time patience) {
-  turn_ledger::CallResult result = co_await state_->ledger->Call(group_, reserve, patience);
+                                                  absl::Time patience,
+                                                  turn_ledger::Programs programs) {
+  turn_ledger::CallResult result = co_await state_->ledger->Call(
+      group_, reserve, patience, turn_ledger::Relaying::kAllowed, programs);
   bool unknown = result && result->verdict == turn_ledger::Verdict::kUnknownPrevious;
   if (unknown && state_->ledger->groups() > 1) {
     result = co_await ReserveOnForeignTurn(std::move(reserve), patience);
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -60,7 +60,7 @@
     co_return;
   }
   body_ = std::make_shared<std::string>(std::move(exchange_->request().body()));
-  if (!co_await AdmitTurn()) {
+  if (!co_await TakeQuota() || !co_await AdmitTurn()) {
     co_return;
   }
   exchange_->OnClientGone([this] {
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "async_http/server.h"
+#include "forwarding/admission/program_admission.h"
 #include "forwarding/attempt.h"
 #include "forwarding/gateway_state.h"
 #include "forwarding/history/history_fetch.h"
@@ -35,6 +36,8 @@
   /// Checks the API key and names the tenant; answers itself when the key opens nothing.
   /// @return false when it answered.
   async_http::Task<bool> CheckKey();
+  /// Counts the request against its tenant's limit. @return false when it answered.
+  async_http::Task<bool> TakeQuota();
   /// @return whether the key still opens the door under the configuration in force now.
   bool KeyStillHolds() const;
   /// Ends a request whose key lost its force while it waited.
@@ -45,7 +48,11 @@
   async_http::Task<bool> AdmitTurn();
   /// Asks the program's group, and the others where it goes on from another program's turn.
   async_http::Task<turn_ledger::CallResult> Reserve(turn_ledger::ReserveTurn reserve,
-                                                    absl::Time patience);
+                                                    absl::Time patience,
+                                                    turn_ledger::Programs programs);
+  /// Answers itself where the ledger did not admit the turn. @return false when it answered.
+  async_http::Task<bool> TakeVerdict(const turn_ledger::CallResult& result, event_log::Line& line);
+  engine_load EngineLoad() const;
   /// The program's own group doesn't know the turn that it goes on from: another's may.
   async_http::Task<turn_ledger::CallResult> ReserveOnForeignTurn(turn_ledger::ReserveTurn reserve,
                                                                  absl::Time patience);
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -88,6 +88,9 @@
     health.failures_to_avoid = std::numeric_limits<int>::max() / 2;
     state.runners = discovery::RunnerTable(health);
   }
+  if (!policy.on(mechanism::program_admission)) {
+    options.admission.m_most_load = std::numeric_limits<double>::infinity();
+  }
   options.uses_turn_places = policy.on(mechanism::turn_places);
   options.reads_replicas = policy.on(mechanism::replica_chains);
 }
@@ -173,6 +176,7 @@
         SendToLedger(to, request);
       },
       LedgerOptions(settings.policy), state_->random.NextId() >> 16U);
+  state_->quotas = std::make_unique<forwarding::quota_client>(loop.context(), *state_->ledger);
   state_->chains = std::make_unique<turn_ledger::chain_reader>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::chain_request& request) {
@@ -368,7 +372,9 @@
       settlement ? state_->options.commit_patience : state_->options.ledger_patience;
   absl::Time deadline = SteadyNow() + patience;
   turn_ledger::CallResult result = co_await state_->ledger->Call(
-      request.group, std::move(request.operation), deadline, turn_ledger::Relaying::kDirectOnly);
+      request.group, std::move(request.operation), deadline, turn_ledger::Relaying::kDirectOnly,
+      request.known_programs_only ? turn_ledger::Programs::kKnownOnly
+                                  : turn_ledger::Programs::kAll);
   if (result.end == turn_ledger::CallEnd::kNoAnswer) {
     co_return;  // The peer asks somebody else.
   }
@@ -479,6 +485,7 @@
   metrics.Set("active_requests", static_cast<double>(frontend_.stats().active_exchanges));
   metrics.Set("log_lines_dropped", static_cast<double>(log_.stats().dropped_lines));
   metrics.Set("ledger_retries", static_cast<double>(state_->ledger->retries()));
+  metrics.Set("quota_questions", static_cast<double>(state_->quotas->questions()));
   metrics.Set("ledger_relayed", static_cast<double>(state_->ledger->relayed()));
   metrics.Set("store_calls", static_cast<double>(store_.calls()));
   metrics.Set("known_runners", static_cast<double>(state_->runners.all().size()));
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -72,6 +72,7 @@
   options.raft.heartbeat_interval = absl::Milliseconds(60);
   options.raft.start_wait_share = 0.4;
   options.planner.replicas = WantedReplicas(settings);
+  options.quota = settings.quota;
   options.planner.group = group.value;
   options.planner.live_within =
       std::max(options.planner.live_within,
--- a/src/roles/policy/policy_switches.cc
+++ b/src/roles/policy/policy_switches.cc
@@ -38,6 +38,7 @@
     named_mechanism{mechanism::peer_news, "peer_news"},
     named_mechanism{mechanism::silence_refusal, "silence_refusal"},
     named_mechanism{mechanism::overload_refusal, "overload_refusal"},
+    named_mechanism{mechanism::program_admission, "program_admission"},
     named_mechanism{mechanism::hand_back, "hand_back"},
 };
 
--- a/src/roles/policy/policy_switches.h
+++ b/src/roles/policy/policy_switches.h
@@ -47,6 +47,8 @@
     silence_refusal,
     /// a leader refuses reservations while the oldest waits too long
     overload_refusal,
+    /// new programs wait while the engines are full
+    program_admission,
     /// leadership goes back to the machine that should have it
     hand_back,
 };
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -98,14 +98,16 @@
 }
 
 Task<CallResult> LedgerClient::Call(GroupId group_id, Operation operation, absl::Time deadline,
-                                    Relaying relaying) {
-  bool counted =
-      !std::holds_alternative<SettleTurn>(operation) && !std::holds_alternative<Probe>(operation);
+                                    Relaying relaying, Programs programs) {
+  bool counted = !std::holds_alternative<SettleTurn>(operation) &&
+                 !std::holds_alternative<Probe>(operation) &&
+                 !std::holds_alternative<TakeQuota>(operation);
   // Named, since GCC 12 destroys a braced temporary among a co_await's arguments twice.
   LedgerRequest request;
   request.request = ++last_request_;
   request.operation = std::move(operation);
   request.group = group_id;
+  request.known_programs_only = programs == Programs::kKnownOnly;
   Group* group = Find(group_id);
   if (!counted || group == nullptr) {
     co_return co_await Try(std::move(request), deadline, relaying);
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -53,6 +53,9 @@
 /// Whether a call may go through a peer.
 enum class Relaying { kAllowed, kDirectOnly };
 
+/// Whether a reservation may begin a new program.
+enum class Programs { kAll, kKnownOnly };
+
 /// On the loop's thread only.
 class LedgerClient {
  public:
@@ -67,7 +70,8 @@
   /// try of a reservation.
   /// @param relaying a call that is made for a peer, or to find out who is there, goes straight.
   async_http::Task<CallResult> Call(GroupId group, Operation operation, absl::Time deadline,
-                                    Relaying relaying = Relaying::kAllowed);
+                                    Relaying relaying = Relaying::kAllowed,
+                                    Programs programs = Programs::kAll);
   /// Peers that reach the ledger, for as long as this process doesn't. They make the call in its
   /// place; all operations may be repeated.
   /// @param lost with no peer either, reservations are refused at once.
--- a/src/turn_ledger/messages.h
+++ b/src/turn_ledger/messages.h
@@ -54,9 +54,11 @@
   std::uint64_t request = 0;  ///< Unique per gateway process.
   Operation operation;
   GroupId group{1};
+  /// A reservation is refused if nothing is known of its program: it would begin a new one.
+  bool known_programs_only = false;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(request, operation, group);
+    archive(request, operation, group, known_programs_only);
   }
 };
 
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -12,6 +12,11 @@
 /// Between tries to hand leadership to the member that should have it, and twice the first wait.
 constexpr absl::Duration kHandOverInterval = absl::Seconds(4);
 
+/// The bank counts in the newer code's time; both are steady and begin at the same moment.
+tenancy::instant QuotaTime(absl::Time now) {
+  return tenancy::instant(absl::ToChronoNanoseconds(now - absl::UnixEpoch()));
+}
+
 }  // namespace
 
 TurnReplica::TurnReplica(const Machine& self, const ReplicaOptions& options,
@@ -23,7 +28,8 @@
       raft_(self.identity, options.raft, restored, seed, now),
       state_([this](consensus::EntryId entry) { return ReadEntry(entry); }),
       now_(now),
-      snapshots_(options.snapshot_log_bytes, restored.snapshot) {
+      snapshots_(options.snapshot_log_bytes, restored.snapshot),
+      quotas_(options.quota) {
   const consensus::Snapshot& snapshot = restored.snapshot;
   if (snapshot.index > 0) {
     state_.Restore(snapshot.data);
@@ -107,8 +113,7 @@
     Answer(requester, ReplyStatus::kNotLeader);
     return;
   }
-  if (std::holds_alternative<Probe>(request.operation)) {
-    Answer(requester, raft_.LeaderIsCurrent() ? ReplyStatus::kDone : ReplyStatus::kNotLeader);
+  if (AnswerAtOnce(requester, request)) {
     return;
   }
   if (under_way_.contains(requester)) {
@@ -129,6 +134,33 @@
   under_way_.insert(requester);
 }
 
+bool TurnReplica::AnswerAtOnce(const Requester& requester, const LedgerRequest& request) {
+  if (std::holds_alternative<Probe>(request.operation)) {
+    Answer(requester, raft_.LeaderIsCurrent() ? ReplyStatus::kDone : ReplyStatus::kNotLeader);
+    return true;
+  }
+  if (const auto* quota = std::get_if<TakeQuota>(&request.operation)) {
+    // A leader that was replaced without knowing it must not count beside the next one.
+    if (!raft_.HoldsLease(now_)) {
+      Answer(requester, ReplyStatus::kNotLeader);
+      return true;
+    }
+    OperationResult result;
+    result.quota = quotas_.take(QuotaTime(now_), quota->request);
+    Answer(requester, ReplyStatus::kDone, std::move(result));
+    return true;
+  }
+  const auto* reserve = std::get_if<ReserveTurn>(&request.operation);
+  bool unwanted = reserve != nullptr && request.known_programs_only && raft_.LeaderIsCurrent() &&
+                  !state_.Knows(reserve->program);
+  if (unwanted) {
+    OperationResult result;
+    result.verdict = Verdict::kNewProgram;
+    Answer(requester, ReplyStatus::kDone, std::move(result));
+  }
+  return unwanted;
+}
+
 // ---- Leading ----
 
 LedgerMillis TurnReplica::LedgerNow() const {
@@ -150,6 +182,7 @@
     next_plan_ = now_;
     next_hand_over_ = now_ + kHandOverInterval / 2;
     configuration_logged_ = false;
+    quotas_.reset(QuotaTime(now_));
     return;
   }
   for (const auto& [index, proposal] : proposals_) {
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -13,6 +13,7 @@
 #include "absl/time/time.h"
 #include "consensus/raft.h"
 #include "consensus/snapshot_schedule.h"
+#include "tenancy/quota_bank.h"
 #include "turn_ledger/membership_planner.h"
 #include "turn_ledger/messages.h"
 #include "turn_ledger/transfer/snapshot_transfer.h"
@@ -29,6 +30,7 @@
   absl::Duration overload_after = absl::Milliseconds(350);
   /// Leadership goes to the first sound voter: several groups are then led by different machines.
   bool preferred_leaders = false;
+  tenancy::quota_bounds quota;                                ///< How exactly tenants' limits hold.
   std::uint64_t snapshot_log_bytes = std::uint64_t{2} << 20;  ///< Or the last snapshot's size.
 };
 
@@ -121,6 +123,8 @@
   };
 
   LedgerMillis LedgerNow() const;
+  /// Answers what needs no entry in the log. @return false when it does.
+  bool AnswerAtOnce(const Requester& requester, const LedgerRequest& request);
   /// True when a new reservation would wait so long that its requester gives it up.
   bool Overloaded() const;
   void WatchLeadership();
@@ -169,6 +173,7 @@
   std::map<consensus::LogIndex, Proposal> proposals_;
   std::set<Requester> under_way_;  ///< Of `proposals_`.
   std::vector<ReplyTo> replies_;
+  tenancy::quota_bank quotas_;  ///< Of the tenants hashed to this group, while it leads.
 };
 
 }  // namespace martenyard::turn_ledger
--- a/src/turn_ledger/turn_state.h
+++ b/src/turn_ledger/turn_state.h
@@ -41,6 +41,8 @@
   /// and can be read.
   chain_reply ReadChain(const chain_request& request) const;
 
+  /// @return whether the program has an account: it reserved tokens before.
+  bool Knows(const ProgramId& program) const { return accounts_.contains(program); }
   LedgerMillis now() const { return now_; }
   std::size_t programs() const { return accounts_.size(); }
   std::size_t turns() const { return turns_.size(); }
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "tenancy/quota_bank.h"
 
 namespace martenyard::turn_ledger {
 
@@ -93,7 +94,16 @@
   void serialize(Archive& /*archive*/) {}
 };
 
-using Operation = std::variant<ReserveTurn, SettleTurn, FindTurn, Probe>;
+/// Asks the group's leader whether requests of a tenant are within its limit. Never in the log.
+struct TakeQuota {
+  tenancy::quota_request request;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request);
+  }
+};
+
+using Operation = std::variant<ReserveTurn, SettleTurn, FindTurn, Probe, TakeQuota>;
 
 /// One entry of the replicated log.
 struct Command {
@@ -111,6 +121,7 @@
   kBudgetSpent,      ///< Nothing was reserved: the program's budget doesn't hold the turn.
   kUnknownPrevious,  ///< Nothing was reserved: there is no such turn.
   kSettledBefore,    ///< The turn was given up already: it must not run.
+  kNewProgram,       ///< Nothing was reserved: only programs under way were asked for.
 };
 
 struct OperationResult {
@@ -120,11 +131,12 @@
   std::uint64_t reserved = 0;  ///< Of the program, not settled yet.
   /// The chain was asked for and can't be read here: the answer says nothing.
   bool history_missing = false;
-  TurnPlace previous_place;  ///< Of a reservation: where `previous` ran.
+  TurnPlace previous_place;     ///< Of a reservation: where `previous` ran.
+  tenancy::quota_answer quota;  ///< Of `TakeQuota`.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(verdict, history, spent, reserved, history_missing, previous_place);
+    archive(verdict, history, spent, reserved, history_missing, previous_place, quota);
   }
 };
 
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -355,6 +355,64 @@
   EXPECT_EQ(cluster.failed_reads(), 1U);
 }
 
+/// @return how many replicas hold the lease of leadership now.
+int LeaseHolders(Cluster& cluster) {
+  int holders = 0;
+  for (std::uint64_t id = 1; id <= cluster.size(); ++id) {
+    bool up = cluster.IsUp(NodeId(id));
+    holders += up && cluster.replica(id).HoldsLease(cluster.now()) ? 1 : 0;
+  }
+  return holders;
+}
+
+TEST(RaftTest, LeaderHoldsItsLeaseWhileAQuorumAnswers) {
+  Cluster cluster(5);
+  cluster.Run(absl::Seconds(2));
+  for (int round = 0; round < 100; ++round) {
+    cluster.Run(absl::Milliseconds(10));
+    EXPECT_EQ(LeaseHolders(cluster), 1);
+  }
+}
+
+TEST(RaftTest, LeaderThatIsCutOffLosesItsLeaseBeforeAnotherIsElected) {
+  for (int try_number = 0; try_number < 20; ++try_number) {
+    Cluster cluster(5);
+    cluster.Run(absl::Seconds(2) + absl::Milliseconds(7 * try_number));
+    cluster.Cut(cluster.LeaderId());
+    for (int round = 0; round < 200; ++round) {
+      cluster.Run(absl::Milliseconds(10));
+      EXPECT_LE(LeaseHolders(cluster), 1);
+    }
+    EXPECT_EQ(LeaseHolders(cluster), 1) << "the new leader's";
+  }
+}
+
+TEST(RaftTest, LeaderThatStoodStillHoldsNoLeaseWhateverItReadsThen) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  Raft* frozen = cluster.Leader();
+  cluster.DeliverRound();
+  EXPECT_TRUE(frozen->HoldsLease(cluster.now()));
+  // Acknowledgements of before wait in its buffers; they arrive when it wakes.
+  absl::Time woken = cluster.now() + absl::Seconds(3);
+  AppendReply late;
+  late.term = frozen->term();
+  late.success = true;
+  late.match = 1;
+  late.round = 1;
+  frozen->Step(woken, NodeId(frozen->leader().value % 3 + 1), late);
+  EXPECT_FALSE(frozen->HoldsLease(woken));
+}
+
+TEST(RaftTest, LeaderThatHandsOverHoldsNoLease) {
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  NodeId old = cluster.LeaderId();
+  NodeId next(old.value % 3 + 1);
+  cluster.replica(old.value).TransferLeadership(next);
+  EXPECT_FALSE(cluster.replica(old.value).HoldsLease(cluster.now()));
+}
+
 TEST(RaftTest, RestartedReplicaAppliesItsLogAgainFromTheSnapshot) {
   Cluster cluster(3);
   cluster.Kill(NodeId(2));
