New programs wait from 0.7 of the engines' places on and come back within their own time; a silent runner is waited for where no other may get the request; placements are noted when a runner has read

The engines gave 1,110 turns a second on the way up and 870 while full; turns took 0.53 s at 0.86 active a slot, 0.26 s at 0.4, and programs' objectives are 1.6 times the idle time: at 0.86 about half are late, below 0.8 nearly none. Refused programs came back after 0.5 to 1 s: a ruling is then late whatever follows. The timer for silence ran also where the attempt was the only one allowed, so that giving up was final. A prompt counted as kept at a runner that had refused it.

--- a/src/forwarding/admission/program_admission.h
+++ b/src/forwarding/admission/program_admission.h
@@ -7,7 +7,10 @@
 // of programs under way always go on.
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace martenyard::forwarding
 {
@@ -25,9 +28,26 @@
 {
     /// active requests for each slot from which on no new program begins. About a third of the programs
     /// under way pause or call tools at any moment; measured in docs/design/0008
-    double m_most_load = 0.85;
+    double m_most_load = 0.7;
+    /// of the time that a program has left, until a refused one may come back. Its objective is a multiple
+    /// of what it takes on idle engines, so a short program can't wait long and still end in time
+    double m_pause_share = 0.05;
+    /// a client attempt takes a pause of a third of its time at most
+    std::chrono::milliseconds m_longest_pause{1000};
+    std::chrono::milliseconds m_least_pause{100};
 };
 
+/// @param[in] left    until the program should be over; nothing: it doesn't say
+/// @param[in] spread  0 to 1: those refused together come back apart
+/// @return when a refused new program may come back
+inline std::chrono::milliseconds program_pause(std::optional<std::chrono::milliseconds> left, double spread,
+                                               const admission_options& options)
+{
+    auto wanted = std::chrono::duration_cast<std::chrono::milliseconds>(
+        left.value_or(options.m_longest_pause) * options.m_pause_share * (1 + spread));
+    return std::clamp(wanted, options.m_least_pause, options.m_longest_pause);
+}
+
 /// @return whether a new program may begin
 inline bool admits_program(const engine_load& load, const admission_options& options)
 {
--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -33,9 +33,6 @@
   absl::Duration answer_margin = absl::Milliseconds(10);
   absl::Duration retry_after = absl::Milliseconds(200);  ///< Told with a refusal.
   admission_options admission;
-  /// Told to a new program while the engines are full, and up to twice that: clients take up to a
-  /// third of their time, and those refused together come back apart.
-  absl::Duration program_pause = absl::Milliseconds(500);
   absl::Duration ledger_patience = absl::Milliseconds(900);  ///< Then the turn is refused.
   absl::Duration quota_patience = absl::Milliseconds(600);   ///< Then the request is refused.
   absl::Duration commit_patience = absl::Seconds(2);         ///< For a kept turn's commit.
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -142,7 +142,7 @@
     co_return false;
   }
   co_await AnswerOwn(429, "the tenant's limit is reached",
-                     absl::FromChrono(decision.m_retry_after) * (1 + state_->random.Uniform()));
+                     std::min(absl::FromChrono(decision.m_retry_after), ProgramPause()));
   co_return false;
 }
 
@@ -249,6 +249,14 @@
   co_return true;
 }
 
+absl::Duration RequestRun::ProgramPause() const {
+  std::optional<std::chrono::milliseconds> left;
+  if (info_.program_deadline) {
+    left = std::chrono::milliseconds(absl::ToInt64Milliseconds(*info_.program_deadline));
+  }
+  return absl::FromChrono(program_pause(left, state_->random.Uniform(), state_->options.admission));
+}
+
 Task<bool> RequestRun::TakeVerdict(const turn_ledger::CallResult& result, Line& line) {
   if (result.end == turn_ledger::CallEnd::kNoAnswer) {
     state_->log.Write(line.Text("verdict", "no_answer"));
@@ -269,8 +277,7 @@
     co_await Refuse("the turn ledger is overloaded");
   } else if (result->verdict == turn_ledger::Verdict::kNewProgram) {
     state_->log.Write(line.Text("verdict", "engines_full"));
-    absl::Duration pause = state_->options.program_pause * (1 + state_->random.Uniform());
-    co_await AnswerOwn(503, "no new program can begin now", pause);
+    co_await AnswerOwn(503, "no new program can begin now", ProgramPause());
   } else if (result->verdict == turn_ledger::Verdict::kBudgetSpent) {
     state_->log.Write(line.Text("verdict", "budget_spent"));
     co_await AnswerOwn(402, "the program's budget is spent", std::nullopt);
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -208,8 +208,9 @@
   plan.head_request = exchange_->request().method() == http::verb::head;
   plan.stream = route_->kind == RouteKind::kStream;
   plan.deadline = deadline_;
-  bool may_repeat = route_->Repeatable() && sent_to_ < route_->max_attempts;
-  if (may_repeat) {
+  // Giving up on a silent runner helps only where another one may get the request.
+  bool another_may = route_->Repeatable() && sent_to_ + 1 < route_->max_attempts;
+  if (another_may) {
     absl::Duration silence = std::max(route_->target_latency * state_->options.silence_targets,
                                       state_->options.least_silence);
     plan.first_byte_by = SteadyNow() + silence;
@@ -232,13 +233,7 @@
 Task<AttemptResult> RequestRun::RunOnce(const discovery::Runner& runner) {
   discovery::RunnerState* entry = state_->runners.Find(runner.id);
   ++entry->own_active;
-  std::uint32_t short_id = entry->short_id;
-  last_runner_ = short_id;
-  state_->prefixes.NoteAll(SteadyNow(), info_.prompt, short_id);
-  // Of kept turns the ledger tells it, to whichever gateway gets the next one.
-  if (!info_.prompt.empty() && !route_->keeps_turns && state_->on_placement) {
-    state_->on_placement(info_.prompt.back(), short_id);
-  }
+  last_runner_ = entry->short_id;
   absl::Time began = SteadyNow();
   Attempt attempt(*state_, MakePlan(runner));
   attempt_ = &attempt;
@@ -376,7 +371,16 @@
 
 // ---- Answering ----
 
+void RequestRun::NotePlacement() {
+  state_->prefixes.NoteAll(SteadyNow(), info_.prompt, last_runner_);
+  // Of kept turns the ledger tells it, to whichever gateway gets the next one.
+  if (!info_.prompt.empty() && !route_->keeps_turns && state_->on_placement) {
+    state_->on_placement(info_.prompt.back(), last_runner_);
+  }
+}
+
 void RequestRun::OnHead(const HttpHead& head) {
+  NotePlacement();  // Only now is it known that the runner has read the prompt.
   if (stream_head_) {
     return;  // A resumed stream keeps its first runner's head.
   }
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -53,6 +53,8 @@
   /// Answers itself where the ledger did not admit the turn. @return false when it answered.
   async_http::Task<bool> TakeVerdict(const turn_ledger::CallResult& result, event_log::Line& line);
   engine_load EngineLoad() const;
+  /// @return when a new program that was refused may come back.
+  absl::Duration ProgramPause() const;
   /// The program's own group doesn't know the turn that it goes on from: another's may.
   async_http::Task<turn_ledger::CallResult> ReserveOnForeignTurn(turn_ledger::ReserveTurn reserve,
                                                                  absl::Time patience);
@@ -74,6 +76,8 @@
   void NoteResult(const discovery::Runner& runner, const AttemptResult& result, absl::Time began);
   /// Notes whether the runner lost the request.
   void NoteOutcome(const discovery::Runner& runner, const AttemptResult& result);
+  /// The runner has read the prompt: it, and what it makes, are kept there for a while.
+  void NotePlacement();
   RequestSituation Situation() const;
   async_http::Task<void> PassOn(AttemptResult& result);
   async_http::Task<void> FinishStream();
--- a/src/forwarding/runner_choice.cc
+++ b/src/forwarding/runner_choice.cc
@@ -24,7 +24,8 @@
   if (engine) {
     double missing = std::max(0.0, static_cast<double>(request.prompt_tokens) -
                                        static_cast<double>(candidate.kept_tokens));
-    cost += missing / options.tokens_per_ms;
+    double running = std::min(candidate.active, candidate.slots);
+    cost += missing / options.tokens_per_ms * (1 + running * options.read_stall_share);
   }
   cost += candidate.loss_rate * request.loss_ms;
   cost += candidate.same_zone ? 0.0 : options.other_zone_ms;
--- a/src/forwarding/runner_choice.h
+++ b/src/forwarding/runner_choice.h
@@ -29,7 +29,10 @@
 };
 
 struct ChoiceOptions {
-  double tokens_per_ms = 250;   ///< How fast an engine reads what it doesn't keep.
+  double tokens_per_ms = 250;  ///< How fast an engine reads what it doesn't keep.
+  /// While an engine reads, what runs there stands still: of what reading costs, this share counts
+  /// once more for each running request.
+  double read_stall_share = 0;
   double active_cost_ms = 1.5;  ///< Each running request slows the others by about this.
   double engine_wait_ms = 22;   ///< Each request waiting before this one, at an engine.
   double plain_wait_ms = 6;     ///< The same at a plain service.
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/strip.h"
 #include "base/clock.h"
 #include "forwarding/forwarder.h"
+#include "roles/policy/knobs.h"
 #include "turn_ledger/groups/group_layout.h"
 #include "wire/codec.h"
 
@@ -95,6 +96,19 @@
   options.reads_replicas = policy.on(mechanism::replica_chains);
 }
 
+/// The settings were checked when they were read.
+void ApplyKnobs(const std::string& knobs, forwarding::GatewayState& state) {
+  std::string fault = Recover<policy_error>(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(set_knobs(knobs, state.options));
+        return std::string();
+      },
+      [](const policy_error& error) { return error.m_detail; });
+  if (!fault.empty()) {
+    state.log.Write(Line("settings_faulty").Text("detail", fault));
+  }
+}
+
 turn_ledger::LedgerClientOptions LedgerOptions(const policy_switches& policy) {
   turn_ledger::LedgerClientOptions options;
   if (!policy.on(mechanism::silence_refusal)) {
@@ -170,6 +184,7 @@
       ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }) {
   state_->options.gone_usable = LeavingRunnerUse(settings.drain);
   ApplyPolicy(settings.policy, *state_);
+  ApplyKnobs(settings.knobs, *state_);
   state_->ledger = std::make_unique<turn_ledger::LedgerClient>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::LedgerRequest& request) {
--- /dev/null
+++ b/src/roles/policy/knobs.cc
@@ -0,0 +1,53 @@
+#include "roles/policy/knobs.h"
+
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+
+namespace martenyard::roles
+{
+
+Result<void> set_knobs(absl::string_view text, forwarding::ForwardingOptions& options)
+{
+    const std::map<absl::string_view, double*> knobs = {
+        {"most_load", &options.admission.m_most_load},
+        {"pause_share", &options.admission.m_pause_share},
+        {"tokens_per_ms", &options.choice.tokens_per_ms},
+        {"active_cost_ms", &options.choice.active_cost_ms},
+        {"engine_wait_ms", &options.choice.engine_wait_ms},
+        {"home_ms", &options.choice.home_ms},
+        {"other_zone_ms", &options.choice.other_zone_ms},
+        {"read_stall_share", &options.choice.read_stall_share},
+    };
+    for (absl::string_view pair : absl::StrSplit(text, ',', absl::SkipEmpty()))
+    {
+        std::pair<absl::string_view, absl::string_view> parts = absl::StrSplit(pair, absl::MaxSplits('=', 1));
+        auto knob = knobs.find(parts.first);
+        double value = 0;
+        if (knob == knobs.end())
+        {
+            std::vector<absl::string_view> names;
+            for (const auto& [name, target] : knobs)
+            {
+                names.push_back(name);
+            }
+            return leaf::new_error(policy_error{
+                absl::StrCat("no figure is named ", parts.first, "; there are ", absl::StrJoin(names, ","))});
+        }
+        if (!absl::SimpleAtod(parts.second, &value) || value < 0)
+        {
+            return leaf::new_error(policy_error{
+                absl::StrCat(parts.first, " must be a number from 0, not '", parts.second, "'")});
+        }
+        *knob->second = value;
+    }
+    return {};
+}
+
+}  // namespace martenyard::roles
--- a/src/roles/role_settings.h
+++ b/src/roles/role_settings.h
@@ -36,7 +36,8 @@
   absl::Duration store_history = absl::Seconds(20);
   tenancy::revocation_bound revocation;  ///< How soon a key that is taken away opens nothing.
   tenancy::quota_bounds quota;           ///< How exactly the tenants' limits hold.
-  policy_switches policy;                ///< For trials; all mechanisms are at work otherwise.
+  std::string knobs;       ///< Figures of the policies that are set by name; see policy/knobs.h.
+  policy_switches policy;  ///< For trials; all mechanisms are at work otherwise.
 };
 
 }  // namespace martenyard::roles
--- a/src/tenancy/quota_bank.cc
+++ b/src/tenancy/quota_bank.cc
@@ -8,8 +8,12 @@
 namespace
 {
 
-/// Of the room beyond rate and burst, for each of three uses.
-constexpr double room_share = 1.0 / 3;
+/// Of the room beyond rate and burst: for uneven arrivals, and for what a new leader begins with. The rest
+/// is for requests that reach their runner some time after they were let in.
+constexpr double uneven_share = 0.7;
+constexpr double new_leader_share = 0.15;
+/// A tenant whose level lies above this share of its capacity needs no guard.
+constexpr double pressed_share = 0.5;
 constexpr std::chrono::seconds prune_interval{1};
 /// Told to a refused request at least: sooner than this nothing has changed.
 constexpr double least_retry_s = 0.1;
@@ -43,13 +47,14 @@
 double quota_bank::capacity(const rate_limit& limit) const
 {
     // At least one: a limit of less than a request at once would let none in.
-    return std::max(1.0, limit.m_burst + room(limit) * room_share);
+    return std::max(1.0, limit.m_burst + room(limit) * uneven_share);
 }
 
 double quota_bank::program_capacity(const account& of) const
 {
-    double in_window = of.m_limit.m_rate * seconds(m_bounds.m_window) + capacity(of.m_limit);
-    return std::max(in_window, m_options.m_least_programs * of.m_requests_per_program);
+    // What programs need beyond the rate while they are under way has to come out of the capacity.
+    double spare = of.m_limit.m_rate * seconds(m_options.m_program_burst) + capacity(of.m_limit);
+    return std::max(spare, m_options.m_least_programs * of.m_requests_per_program);
 }
 
 quota_bank::account& quota_bank::find(instant now, const quota_request& request)
@@ -63,7 +68,7 @@
         of.m_version = request.m_version;
         of.m_filled = m_reset;
         of.m_pruned = now;
-        of.m_level = room(of.m_limit) * room_share;
+        of.m_level = room(of.m_limit) * new_leader_share;
         of.m_requests_per_program = m_options.m_requests_per_program;
         of.m_program_level = program_capacity(of);
     }
@@ -115,7 +120,8 @@
 std::int32_t quota_bank::take_one(instant now, account& of, std::uint64_t program) const
 {
     bool begins = begins_program(now, of, program);
-    if (begins && of.m_program_level <= 0)
+    bool pressed = of.m_level < capacity(of.m_limit) * pressed_share;
+    if (begins && pressed && of.m_program_level <= 0)
     {
         return quota_answer::refused;
     }
@@ -125,7 +131,12 @@
         return quota_answer::refused;
     }
     of.m_level -= 1;
-    of.m_program_level -= begins ? of.m_requests_per_program : 0;
+    if (begins)
+    {
+        // Programs let in while the tenant was not pressed must not keep others out for ever after.
+        double least = -program_capacity(of);
+        of.m_program_level = std::max(of.m_program_level - of.m_requests_per_program, least);
+    }
     if (program != 0 && (of.m_programs.contains(program) || of.m_programs.size() < m_options.m_most_programs))
     {
         auto& known = of.m_programs[program];
--- a/src/tenancy/quota_bank.h
+++ b/src/tenancy/quota_bank.h
@@ -5,9 +5,9 @@
 // hashed to, for as long as its lease of leadership holds. A bank is in memory only. A new leader begins
 // with little: whatever the one before it gave out, the sum in a window stays within the bound.
 //
-// The bound leaves room beyond rate and burst: `overage` and `slack` of quota_bounds. A third of it is for
-// uneven arrivals, a third for a change of leaders, and a third for requests that are on their way to a
-// runner for a while after they were let in.
+// The bound leaves room beyond rate and burst: `overage` and `slack` of quota_bounds. Most of it is for
+// uneven arrivals, some for a change of leaders, and some for requests that are on their way to a runner for
+// a while after they were let in.
 #pragma once
 
 #include <chrono>
@@ -61,10 +61,9 @@
 /// @brief named knobs
 struct quota_options
 {
-    /// a request beyond the limit waits this long at most, so that two that come close together are not
-    /// told to come back: an eighth of the shortest objective of the users' routes is 10 ms, the longest
-    /// 25; a tool's call may wait longer at its runner
-    std::chrono::milliseconds m_longest_wait{100};
+    /// a request beyond the limit waits this long at most, so that some that come close together are not
+    /// told to come back: about what a client's coming back costs
+    std::chrono::milliseconds m_longest_wait{250};
     /// programs that nothing was heard of for this long are over: pauses and calls of tools take less
     std::chrono::milliseconds m_program_lifetime{6000};
     /// before a new bank tells new programs from those under way
@@ -73,6 +72,8 @@
     double m_requests_per_program = 12;
     /// weight of the last program that ended in the mean
     double m_learning_rate = 0.02;
+    /// new programs may need this much of the rate at once, on top of the capacity
+    std::chrono::milliseconds m_program_burst{1000};
     /// the least programs at once that a tenant may begin, however many requests each makes
     double m_least_programs = 4;
     /// whether new programs wait while those under way need the limit
