--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -33,6 +33,9 @@
   absl::Duration answer_margin = absl::Milliseconds(10);
   absl::Duration retry_after = absl::Milliseconds(200);  ///< Told with a refusal.
   admission_options admission;
+  /// Told while the configuration may be too old for API keys: the store is away, and that lasts
+  /// for seconds. A program under way survives it if its few tries are spread over them.
+  absl::Duration lease_pause = absl::Milliseconds(800);
   absl::Duration ledger_patience = absl::Milliseconds(900);  ///< Then the turn is refused.
   absl::Duration quota_patience = absl::Milliseconds(600);   ///< Then the request is refused.
   absl::Duration commit_patience = absl::Seconds(2);         ///< For a kept turn's commit.
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -93,14 +93,14 @@
     if (Knows(Knowledge::kLease)) {
       co_await AnswerOwn(401, missing ? "one API key is needed" : "unknown API key", std::nullopt);
     } else {
-      co_await Refuse("the configuration may be too old to know the API key");
+      co_await RefuseWithoutLease("the configuration may be too old to know the API key");
     }
     co_return false;
   }
   tenant_ = check.m_tenant;
   ScopeIds();
   if (tenant_ != nullptr && !Knows(Knowledge::kLease)) {
-    co_await Refuse("the configuration may be too old: the API key may be revoked");
+    co_await RefuseWithoutLease("the configuration may be too old: the API key may be revoked");
     co_return false;
   }
   co_return true;
@@ -162,6 +162,12 @@
   return check.m_tenant != nullptr && check.m_tenant->m_name == tenant_->m_name;
 }
 
+Task<void> RequestRun::RefuseWithoutLease(absl::string_view reason) {
+  // A quarter more or less, so that those refused together come back apart.
+  absl::Duration pause = state_->options.lease_pause * (0.75 + 0.5 * state_->random.Uniform());
+  co_await AnswerOwn(503, reason, pause);
+}
+
 Task<void> RequestRun::RefuseKey() {
   if (exchange_->stream_started()) {
     exchange_->Break();
@@ -169,7 +175,7 @@
   } else if (may_have_run_) {
     co_await AnswerOwn(502, "the API key lost its force", std::nullopt);
   } else {
-    co_await Refuse("the API key may be revoked by now");
+    co_await RefuseWithoutLease("the API key may be revoked by now");
   }
 }
 
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -40,6 +40,8 @@
   async_http::Task<bool> TakeQuota();
   /// @return whether the key still opens the door under the configuration in force now.
   bool KeyStillHolds() const;
+  /// Refuses a keyed request: the configuration may be too old to say whether its key still holds.
+  async_http::Task<void> RefuseWithoutLease(absl::string_view reason);
   /// Ends a request whose key lost its force while it waited.
   async_http::Task<void> RefuseKey();
   /// Makes the ids that the client chose unique over all tenants.
--- a/src/tenancy/confirmation_plan.cc
+++ b/src/tenancy/confirmation_plan.cc
@@ -66,12 +66,9 @@
                           ? nanoseconds(seen.m_now - *seen.m_confirmed)
                           : nanoseconds(seen.m_now - *m_first_look) + share(m_options.m_widely_age);
     confirmation_questions questions;
-    if (age < share(m_options.m_ask_age))
-    {
-        return questions;
-    }
     questions.m_store = store_is_due(seen, age);
-    bool peers_due = !m_peers_asked || seen.m_now - *m_peers_asked >= share(m_options.m_ask_again);
+    bool old = age >= share(m_options.m_peer_ask_age);
+    bool peers_due = old && (!m_peers_asked || seen.m_now - *m_peers_asked >= share(m_options.m_ask_again));
     bool widely = age >= share(m_options.m_widely_age);
     if (peers_due && (seen.m_part != zone_part::speaker || widely))
     {
--- a/src/tenancy/confirmation_plan.h
+++ b/src/tenancy/confirmation_plan.h
@@ -48,8 +48,11 @@
 ///        three
 struct confirmation_options
 {
-    /// age of the last confirmation from which on each part asks
+    /// age of the last confirmation from which on the speaker asks the store. Each call is paid for
     double m_ask_age = 0.2;
+    /// and from which on the others ask their aggregators, which costs next to nothing: what they have left
+    /// when the store goes away is as much longer
+    double m_peer_ask_age = 0.1;
     /// between two questions to peers, or to the store while it doesn't answer
     double m_ask_again = 0.1;
     /// peers of other zones are asked too from this age on
--- a/src/tenancy/key_hasher.h
+++ b/src/tenancy/key_hasher.h
@@ -19,7 +19,7 @@
     friend bool operator==(const key_hash&, const key_hash&) = default;
 
     template <typename H>
-    friend H AbslHashValue(H state, const key_hash& hash)
+    friend H AbslHashValue(H state, const key_hash& hash)  // NOLINT(readability-identifier-naming)
     {
         // The bytes are uniform already.
         std::uint64_t word = 0;
--- a/tests/tenancy/configuration_lease_test.cc
+++ b/tests/tenancy/configuration_lease_test.cc
@@ -118,6 +118,9 @@
   confirmation_plan plan(milliseconds(5000), 0.5);
   auto due = plan.due(See(900, zone_part::speaker, 0));
   EXPECT_FALSE(due.m_store || due.m_own_zone || due.m_widely);
+  due = plan.due(See(400, zone_part::member, 0));
+  EXPECT_FALSE(due.m_store || due.m_own_zone || due.m_widely);
+  EXPECT_TRUE(plan.due(See(500, zone_part::member, 0)).m_own_zone);
 }
 
 TEST(ConfirmationPlanTest, SpeakerAsksTheStoreAndMembersTheirZone) {
