Refusals say when to come back: a limit's own figure with 429, half of the longest pause where a program tells no time

A 429 told the sooner of the bank's figure and the program's pause, so that a client could come back before there was room; without a program's time a refused first turn was told 0.1 s.

--- a/src/forwarding/admission/program_admission.h
+++ b/src/forwarding/admission/program_admission.h
@@ -43,8 +43,10 @@
 inline std::chrono::milliseconds program_pause(std::optional<std::chrono::milliseconds> left, double spread,
                                                const admission_options& options)
 {
-    auto wanted = std::chrono::duration_cast<std::chrono::milliseconds>(
-        left.value_or(options.m_longest_pause) * options.m_pause_share * (1 + spread));
+    using std::chrono::milliseconds;
+    std::chrono::duration<double, std::milli> mean =
+        left ? *left * options.m_pause_share : options.m_longest_pause / 2.0;
+    auto wanted = std::chrono::duration_cast<milliseconds>(mean * (1 + spread));
     return std::clamp(wanted, options.m_least_pause, options.m_longest_pause);
 }
 
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -141,8 +141,10 @@
     co_await Refuse("the tenant's requests could not be counted");
     co_return false;
   }
-  co_await AnswerOwn(429, "the tenant's limit is reached",
-                     std::min(absl::FromChrono(decision.m_retry_after), ProgramPause()));
+  // Up to a quarter more, so that those refused together come back apart.
+  absl::Duration pause =
+      absl::FromChrono(decision.m_retry_after) * (1 + state_->random.Uniform() / 4);
+  co_await AnswerOwn(429, "the tenant's limit is reached", pause);
   co_return false;
 }
 
--- a/tests/platform/program_admission_contract_test.cc
+++ b/tests/platform/program_admission_contract_test.cc
@@ -45,6 +45,7 @@
   EXPECT_EQ(forwarding::program_pause(milliseconds(4000), 1.0, options), milliseconds(400));
   EXPECT_EQ(forwarding::program_pause(milliseconds(100), 0.0, options), milliseconds(100));
   EXPECT_EQ(forwarding::program_pause(milliseconds(60000), 0.5, options), milliseconds(1000));
+  EXPECT_EQ(forwarding::program_pause(std::nullopt, 0.0, options), milliseconds(500));
 }
 
 TEST(ProgramAdmissionTest, ServiceWithoutKnownEnginesRefusesNobody) {
