Explain names limits, leases and full engines; the admission line tells the tokens asked for again, whatever the verdict

Cause: the split of the admission wrote `most` only where a turn was admitted, so a 402's explanation lacked it; no test looked. The test of the spent budget now does, and failed first. A 429, a lost lease and full engines had no cause of their own.

--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -34,6 +34,9 @@
                                                 "log_set_aside",
                                                 "settings_reloaded",
                                                 "readiness_changed",
+                                                "configuration_lease_lost",
+                                                "configuration_lease_held",
+                                                "tenant_faulty",
                                                 "memory_full",
                                                 "memory_free",
                                                 "snapshot_sent",
@@ -85,22 +88,64 @@
   return "the program's group had more than it could do, or was silent: refused, not run";
 }
 
+/// Why a tenant's limit, or nobody's answer about it, ended the request.
+std::string CauseOfQuota(const json& refusal) {
+  if (Field(refusal, "known") == "false") {
+    return absl::StrCat("nobody who counts the requests of tenant ", Field(refusal, "tenant"),
+                        " answered within ", Field(refusal, "ms"), " ms: refused, not run");
+  }
+  return absl::StrCat("tenant ", Field(refusal, "tenant"), " was beyond its limit of ",
+                      Field(refusal, "rate"), " requests a second and ", Field(refusal, "burst"),
+                      " at once (configuration ", Field(refusal, "configuration"),
+                      "): refused, not run; it could come back after ",
+                      Field(refusal, "retry_after_ms"), " ms");
+}
+
+/// Why a gateway took no API keys.
+std::string CauseOfLease(const std::string& gateway, const std::string& detail,
+                         const std::vector<LogLine>& around) {
+  std::string cause = absl::StrCat(detail, ": refused, not run");
+  for (const LogLine& line : around) {
+    if (line.event == "configuration_lease_lost" && line.node == gateway) {
+      json object = json::parse(line.text, nullptr, /*allow_exceptions=*/false);
+      absl::StrAppend(&cause, "; ", gateway, " had last known it to be the newest ",
+                      Field(object, "confirmed_ms_ago"), " ms before it lost its lease");
+    }
+  }
+  return cause;
+}
+
 /// What the last attempt and the surroundings say of a refusal or a break.
 std::string CauseOf(const std::vector<LogLine>& own, const std::vector<LogLine>& around) {
   json last;
   json attempt;
   json admission;
+  json quota;
   for (const LogLine& line : own) {
     json object = json::parse(line.text, nullptr, /*allow_exceptions=*/false);
     last = line.event == "request_ended" ? object : last;
     attempt = line.event == "attempt_ended" ? object : attempt;
     admission = line.event == "turn_admission" ? object : admission;
+    quota = line.event == "quota_refused" ? object : quota;
   }
   std::string outcome = last.is_object() ? Field(last, "outcome") : "unknown";
   std::string verdict = admission.is_object() ? Field(admission, "verdict") : "";
   if (outcome == "unknown") {
     return "its gateway wrote no end: the process was killed, or the line was dropped";
   }
+  if (quota.is_object()) {
+    return CauseOfQuota(quota);
+  }
+  std::string detail = Field(last, "detail");
+  if (absl::StrContains(detail, "API key may be revoked") ||
+      absl::StrContains(detail, "configuration may be too old")) {
+    return CauseOfLease(own.back().node, detail, around);
+  }
+  if (verdict == "engines_full") {
+    return absl::StrCat("it would have begun a program while ", Field(admission, "active"),
+                        " requests were at engines with ", Field(admission, "slots"),
+                        " slots: refused, not run; its program could come back later");
+  }
   if (verdict == "budget_spent") {
     return absl::StrCat("the program's budget of ", Field(admission, "budget"),
                         " tokens did not hold this turn's ", Field(admission, "most"), ": ",
@@ -139,7 +184,7 @@
                         Field(attempt, "ms"), " ms; ", Field(last, "sent_to"),
                         " runners had it, and the route allowed no other");
   }
-  return Field(last, "detail");
+  return detail;
 }
 
 }  // namespace
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -235,10 +235,10 @@
   line.Text("request", info_.id.value).Text("program", info_.program.value);
   line.Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began));
   line.Number("active", load.m_active).Number("slots", load.m_slots);
+  line.Number("most", static_cast<std::int64_t>(reserve.tokens));
   if (!co_await TakeVerdict(result, line)) {
     co_return false;
   }
-  line.Number("most", static_cast<std::int64_t>(reserve.tokens));
   const turn_ledger::TurnPlace& place = result->previous_place;
   if (place.runner != 0 && state_->options.uses_turn_places) {
     state_->prefixes.NoteBeginning(SteadyNow(), info_.prompt, place.tokens, place.runner);
--- a/tests/platform/explain_test.cc
+++ b/tests/platform/explain_test.cc
@@ -29,9 +29,46 @@
   Account account = ExplainIn(world, "attempt-2");
   EXPECT_EQ(account.outcome, "own_402");
   EXPECT_TRUE(absl::StrContains(account.cause, "budget of 150")) << account.cause;
+  EXPECT_TRUE(absl::StrContains(account.cause, "this turn's 100")) << account.cause;
   EXPECT_TRUE(absl::StrContains(account.cause, "100 were spent")) << account.cause;
 }
 
+TEST(ExplainTest, FullEnginesAreNamedWithTheirFigures) {
+  PlatformWorld world;
+  world.Start();
+  world.gateway().state().options.admission.m_most_load = 0;
+  ClientRequest request;
+  request.target = "/stream/1";
+  request.headers = {"Program-Id: p", "Token-Budget: 150", "Token-Usage: 10,100"};
+  ASSERT_EQ(world.Ask(request).status, 503U);
+  Account account = ExplainIn(world, "attempt-1");
+  EXPECT_TRUE(absl::StrContains(account.cause, "0 requests were at engines with 16 slots"))
+      << account.cause;
+}
+
+TEST(ExplainTest, LimitOfATenantIsNamedWithItsFigures) {
+  std::string refused =
+      R"({"time_us":2000000,"sequence":8,"node":"edge-1","event":"quota_refused","request":"r","tenant":"north","known":true,"rate":4.0,"burst":8.0,"configuration":7,"retry_after_ms":250,"ms":2.1})"
+      "\n"
+      R"({"time_us":2000100,"sequence":9,"node":"edge-1","event":"request_ended","request":"r","outcome":"own_429","detail":"the tenant's limit is reached"})"
+      "\n";
+  Account account = Explain(ReadLines(refused), "r");
+  EXPECT_TRUE(absl::StrContains(account.cause, "tenant north was beyond its limit of 4.0"))
+      << account.cause;
+  EXPECT_TRUE(absl::StrContains(account.cause, "(configuration 7)")) << account.cause;
+}
+
+TEST(ExplainTest, LostLeaseIsNamedWithItsAge) {
+  std::string lines =
+      R"({"time_us":1500000,"sequence":7,"node":"edge-1","event":"configuration_lease_lost","revision":90,"confirmed_ms_ago":4751})"
+      "\n"
+      R"({"time_us":2000100,"sequence":9,"node":"edge-1","event":"request_ended","request":"r","outcome":"own_503","detail":"the configuration may be too old: the API key may be revoked"})"
+      "\n";
+  Account account = Explain(ReadLines(lines), "r");
+  EXPECT_TRUE(absl::StrContains(account.cause, "edge-1 had last known it to be the newest 4751 ms"))
+      << account.cause;
+}
+
 TEST(ExplainTest, LedgerWithoutADiskIsNamed) {
   PlatformWorld world;
   world.Start();
