The counter of tenants' requests is a rate limiter with token buckets, by name too; comments without images

Read as a newcomer: "bank" and "door" are ours, the field says rate limiter, token bucket and valid key.

--- a/src/forwarding/quota/quota_client.h
+++ b/src/forwarding/quota/quota_client.h
@@ -1,5 +1,5 @@
-// A gateway's way to the tenants' limits: asks the bank of a request's tenant, and puts requests of one
-// tenant that come together into one question.
+// A gateway's way to the tenants' limits: asks whoever counts the requests of a tenant, and puts requests of
+// one tenant that come together into one question.
 #pragma once
 
 #include <chrono>
@@ -11,7 +11,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "async_http/task.h"
-#include "tenancy/quota_bank.h"
+#include "tenancy/rate_limiter.h"
 #include "turn_ledger/ledger_client.h"
 
 namespace martenyard::forwarding
@@ -22,7 +22,7 @@
 {
     granted,
     refused,
-    /// the bank did not answer in time
+    /// nobody answered in time
     unknown,
 };
 
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -38,7 +38,7 @@
   async_http::Task<bool> CheckKey();
   /// Counts the request against its tenant's limit. @return false when it answered.
   async_http::Task<bool> TakeQuota();
-  /// @return whether the key still opens the door under the configuration in force now.
+  /// @return whether the key is still valid under the configuration in force now.
   bool KeyStillHolds() const;
   /// Refuses a keyed request: the configuration may be too old to say whether its key still holds.
   async_http::Task<void> RefuseWithoutLease(absl::string_view reason);
--- a/src/tenancy/configuration_lease.h
+++ b/src/tenancy/configuration_lease.h
@@ -1,7 +1,7 @@
 // Until when a gateway may go by its configuration. Decision code: no I/O, no clock.
 //
-// A key that was taken away must not open the door for longer than a bound, on any machine: also on one
-// that hears nothing of the change. So a gateway takes a key only for as long as it can show that its
+// A revoked key must not be accepted for longer than a bound, on any machine: also on one that hears
+// nothing of the change. So a gateway takes a key only for as long as it can show that its
 // configuration was the newest at a moment that lies less than the bound ago. Such a moment is never later
 // than the one at which the question was asked, by this process's steady clock; how long the question and
 // its answer were on the way, or this process stood still, then makes no difference.
--- a/src/tenancy/quota_bank.cc
+++ b/src/tenancy/rate_limiter.cc
@@ -1,4 +1,4 @@
-#include "tenancy/quota_bank.h"
+#include "tenancy/rate_limiter.h"
 
 #include <algorithm>
 #include <cmath>
@@ -27,37 +27,37 @@
 
 }  // namespace
 
-quota_bank::quota_bank(const quota_bounds& bounds, const quota_options& options)
+rate_limiter::rate_limiter(const quota_bounds& bounds, const rate_limiter_options& options)
     : m_bounds(bounds), m_options(options)
 {
 }
 
-void quota_bank::reset(instant now)
+void rate_limiter::reset(instant now)
 {
     m_reset = now;
     m_accounts.clear();
 }
 
-double quota_bank::room(const rate_limit& limit) const
+double rate_limiter::room(const rate_limit& limit) const
 {
     double in_window = limit.m_rate * seconds(m_bounds.m_window) + limit.m_burst;
     return in_window * m_bounds.m_overage + m_bounds.m_slack;
 }
 
-double quota_bank::capacity(const rate_limit& limit) const
+double rate_limiter::capacity(const rate_limit& limit) const
 {
     // At least one: a limit of less than a request at once would let none in.
     return std::max(1.0, limit.m_burst + room(limit) * uneven_share);
 }
 
-double quota_bank::program_capacity(const account& of) const
+double rate_limiter::program_capacity(const account& of) const
 {
     // What programs need beyond the rate while they are under way has to come out of the capacity.
     double spare = of.m_limit.m_rate * seconds(m_options.m_program_burst) + capacity(of.m_limit);
     return std::max(spare, m_options.m_least_programs * of.m_requests_per_program);
 }
 
-quota_bank::account& quota_bank::find(instant now, const quota_request& request)
+rate_limiter::account& rate_limiter::find(instant now, const quota_request& request)
 {
     auto [found, added] = m_accounts.try_emplace(request.m_tenant);
     account& of = found->second;
@@ -82,7 +82,7 @@
     return of;
 }
 
-void quota_bank::fill(instant now, account& of) const
+void rate_limiter::fill(instant now, account& of) const
 {
     double passed = std::max(0.0, seconds(now - of.m_filled));
     of.m_filled = std::max(of.m_filled, now);
@@ -90,7 +90,7 @@
     of.m_program_level = std::min(of.m_program_level + passed * of.m_limit.m_rate, program_capacity(of));
 }
 
-void quota_bank::prune(instant now, account& of) const
+void rate_limiter::prune(instant now, account& of) const
 {
     if (now - of.m_pruned < prune_interval)
     {
@@ -110,14 +110,14 @@
                    });
 }
 
-bool quota_bank::begins_program(instant now, const account& of, std::uint64_t program) const
+bool rate_limiter::begins_program(instant now, const account& of, std::uint64_t program) const
 {
     bool learned = now - m_reset > m_options.m_learning;
     return m_options.m_guards_programs && learned && program != 0 && !of.m_programs.contains(program) &&
            of.m_programs.size() < m_options.m_most_programs;
 }
 
-std::int32_t quota_bank::take_one(instant now, account& of, std::uint64_t program) const
+std::int32_t rate_limiter::take_one(instant now, account& of, std::uint64_t program) const
 {
     bool begins = begins_program(now, of, program);
     bool pressed = of.m_level < capacity(of.m_limit) * pressed_share;
@@ -146,7 +146,7 @@
     return static_cast<std::int32_t>(std::ceil(wait_s * 1000));
 }
 
-quota_answer quota_bank::take(instant now, const quota_request& request)
+quota_answer rate_limiter::take(instant now, const quota_request& request)
 {
     quota_answer answer;
     if (!request.m_limit.limited())
--- a/src/tenancy/quota_bank.h
+++ b/src/tenancy/rate_limiter.h
@@ -1,9 +1,9 @@
 // Counts the requests of tenants against their limits, in one place for all gateways. Decision code: no
 // I/O, no clock.
 //
-// For each tenant one process at a time keeps a bank: the leader of the ledger group that the tenant is
-// hashed to, for as long as its lease of leadership holds. A bank is in memory only. A new leader begins
-// with little: whatever the one before it gave out, the sum in a window stays within the bound.
+// For each tenant one process at a time keeps the token buckets: the leader of the ledger group that the
+// tenant is hashed to, for as long as its lease of leadership holds. They are in memory only. A new leader
+// begins with little: whatever the one before it gave out, the sum in a window stays within the bound.
 //
 // The bound leaves room beyond rate and burst: `overage` and `slack` of quota_bounds. Most of it is for
 // uneven arrivals, some for a change of leaders, and some for requests that are on their way to a runner for
@@ -59,14 +59,14 @@
 };
 
 /// @brief named knobs
-struct quota_options
+struct rate_limiter_options
 {
     /// a request beyond the limit waits this long at most, so that some that come close together are not
     /// told to come back: about what a client's coming back costs
     std::chrono::milliseconds m_longest_wait{250};
     /// programs that nothing was heard of for this long are over: pauses and calls of tools take less
     std::chrono::milliseconds m_program_lifetime{6000};
-    /// before a new bank tells new programs from those under way
+    /// before a new limiter tells new programs from those under way
     std::chrono::milliseconds m_learning{4000};
     /// requests that a program makes, until programs that ended tell it: 5 turns and 7 calls of tools
     double m_requests_per_program = 12;
@@ -82,12 +82,12 @@
     std::size_t m_most_programs = 4000;
 };
 
-class quota_bank
+class rate_limiter
 {
   public:
-    explicit quota_bank(const quota_bounds& bounds, const quota_options& options = {});
+    explicit rate_limiter(const quota_bounds& bounds, const rate_limiter_options& options = {});
 
-    /// @brief begins anew: another process may have kept the bank until now
+    /// @brief begins anew: another process may have counted until now
     void reset(instant now);
 
     /// @brief decides about requests, in their order
@@ -131,7 +131,7 @@
     std::int32_t take_one(instant now, account& of, std::uint64_t program) const;
 
     quota_bounds m_bounds;
-    quota_options m_options;
+    rate_limiter_options m_options;
     instant m_reset;
     absl::flat_hash_map<std::string, account> m_accounts;
 };
--- a/src/tenancy/tenant_table.cc
+++ b/src/tenancy/tenant_table.cc
@@ -41,7 +41,7 @@
             }
         }
     }
-    // Nobody can tell whose it is: it opens neither tenant's door.
+    // Nobody can tell whose it is: it is valid for neither tenant.
     for (const key_hash& key : claimed_twice)
     {
         m_by_key.erase(key);
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -12,7 +12,7 @@
 /// Between tries to hand leadership to the member that should have it, and twice the first wait.
 constexpr absl::Duration kHandOverInterval = absl::Seconds(4);
 
-/// The bank counts in the newer code's time; both are steady and begin at the same moment.
+/// The limiter counts in the newer code's time; both are steady and begin at the same moment.
 tenancy::instant QuotaTime(absl::Time now) {
   return tenancy::instant(absl::ToChronoNanoseconds(now - absl::UnixEpoch()));
 }
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -13,7 +13,7 @@
 #include "absl/time/time.h"
 #include "consensus/raft.h"
 #include "consensus/snapshot_schedule.h"
-#include "tenancy/quota_bank.h"
+#include "tenancy/rate_limiter.h"
 #include "turn_ledger/membership_planner.h"
 #include "turn_ledger/messages.h"
 #include "turn_ledger/transfer/snapshot_transfer.h"
@@ -173,7 +173,7 @@
   std::map<consensus::LogIndex, Proposal> proposals_;
   std::set<Requester> under_way_;  ///< Of `proposals_`.
   std::vector<ReplyTo> replies_;
-  tenancy::quota_bank quotas_;  ///< Of the tenants hashed to this group, while it leads.
+  tenancy::rate_limiter quotas_;  ///< Of the tenants hashed to this group, while it leads.
 };
 
 }  // namespace martenyard::turn_ledger
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "tenancy/quota_bank.h"
+#include "tenancy/rate_limiter.h"
 
 namespace martenyard::turn_ledger {
 
--- a/tests/sites/derive.sh
+++ b/tests/sites/derive.sh
@@ -4,6 +4,7 @@
 #   kinds  every kind of trouble, those that the site itself doesn't list too
 #   slow   slower disks and processors, longer links, a small store quota
 #   small  fewer gateways, fewer runners with fewer slots, fewer connections
+#   strict clients' leaving, truthful refusals, connections and shares of split routes are judged too
 #   resume streams that may (or may not) be resumed where the site's may not (or may), more attempts
 set -euo pipefail
 
@@ -64,6 +65,10 @@
             s/batch = 1[26]/batch = 8/; s/conn_cap = 1[0-9]+/conn_cap = 48/g; s/queue = (48|36)/queue = 12/;
             s/per_s = ([0-9.]+), clients/per_s = 4.5, clients/' "$site"
     ;;
+  strict)
+    sed -E 's/^\[bounds\]/[bounds]\neven = true\ncloses = true\nattends = true/;
+            s/^\[timing\]/[timing]\ntruthful = true/' "$site"
+    ;;
   resume)
     sed -E 's/resume = true/resume = SWAP/; s/resume = false/resume = true/; s/resume = SWAP/resume = false/;
             s/attempts = [12]/attempts = 3/' "$site"
--- a/tests/tenancy/quota_bank_test.cc
+++ b/tests/tenancy/rate_limiter_test.cc
@@ -1,4 +1,4 @@
-#include "tenancy/quota_bank.h"
+#include "tenancy/rate_limiter.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -46,48 +46,49 @@
   return most;
 }
 
-TEST(QuotaBankTest, NoLimitLetsAllIn) {
-  quota_bank bank({});
-  bank.reset(At(0));
-  EXPECT_EQ(Granted(bank.take(At(0), Ask(0, 0, std::vector<std::uint64_t>(500, 0)))), 500);
+TEST(RateLimiterTest, NoLimitLetsAllIn) {
+  rate_limiter limiter({});
+  limiter.reset(At(0));
+  EXPECT_EQ(Granted(limiter.take(At(0), Ask(0, 0, std::vector<std::uint64_t>(500, 0)))), 500);
 }
 
-TEST(QuotaBankTest, SteadyRequestsBelowTheRateAreNeverRefused) {
-  quota_bank bank({});
-  bank.reset(At(0));
+TEST(RateLimiterTest, SteadyRequestsBelowTheRateAreNeverRefused) {
+  rate_limiter limiter({});
+  limiter.reset(At(0));
   for (int now = 0; now < 60000; now += 100) {
-    EXPECT_EQ(Granted(bank.take(At(now), Ask(10, 10, {0}))), 1) << now;
+    EXPECT_EQ(Granted(limiter.take(At(now), Ask(10, 10, {0}))), 1) << now;
   }
 }
 
-TEST(QuotaBankTest, BurstOnTopOfTheRateIsLetIn) {
-  quota_bank bank({});
-  bank.reset(At(0));
-  bank.take(At(0), Ask(20, 50, {0}));
-  EXPECT_GE(Granted(bank.take(At(10000), Ask(20, 50, std::vector<std::uint64_t>(50, 0)))), 50);
+TEST(RateLimiterTest, BurstOnTopOfTheRateIsLetIn) {
+  rate_limiter limiter({});
+  limiter.reset(At(0));
+  limiter.take(At(0), Ask(20, 50, {0}));
+  EXPECT_GE(Granted(limiter.take(At(10000), Ask(20, 50, std::vector<std::uint64_t>(50, 0)))), 50);
 }
 
-TEST(QuotaBankTest, RefusalTellsWhenToComeBack) {
-  quota_bank bank({});
-  bank.reset(At(0));
-  quota_answer answer = bank.take(At(0), Ask(2, 0, std::vector<std::uint64_t>(100, 0)));
+TEST(RateLimiterTest, RefusalTellsWhenToComeBack) {
+  rate_limiter limiter({});
+  limiter.reset(At(0));
+  quota_answer answer = limiter.take(At(0), Ask(2, 0, std::vector<std::uint64_t>(100, 0)));
   EXPECT_LT(Granted(answer), 100);
   EXPECT_GE(answer.m_retry_after_ms, 100U);
   EXPECT_LE(answer.m_retry_after_ms, 1000U);
 }
 
-TEST(QuotaBankTest, NewestLimitCounts) {
-  quota_bank bank({});
-  bank.reset(At(0));
-  bank.take(At(0), Ask(100, 100, {0}, 1));
-  bank.take(At(5000), Ask(1, 0, {0}, 2));
-  EXPECT_LE(Granted(bank.take(At(5000), Ask(100, 100, std::vector<std::uint64_t>(200, 0), 1))), 20)
+TEST(RateLimiterTest, NewestLimitCounts) {
+  rate_limiter limiter({});
+  limiter.reset(At(0));
+  limiter.take(At(0), Ask(100, 100, {0}, 1));
+  limiter.take(At(5000), Ask(1, 0, {0}, 2));
+  EXPECT_LE(Granted(limiter.take(At(5000), Ask(100, 100, std::vector<std::uint64_t>(200, 0), 1))),
+            20)
       << "a gateway that has not heard of the lower limit";
 }
 
-TEST(QuotaBankTest, ProgramsUnderWayGoOnWhileNewOnesWait) {
-  quota_bank bank({});
-  bank.reset(At(0));
+TEST(RateLimiterTest, ProgramsUnderWayGoOnWhileNewOnesWait) {
+  rate_limiter limiter({});
+  limiter.reset(At(0));
   // Ten programs of 20 requests each second need twice the limit.
   std::map<std::uint64_t, int> left;
   std::uint64_t next = 1;
@@ -100,7 +101,7 @@
     for (const auto& [program, requests] : left) {
       asked.push_back(program);
     }
-    quota_answer answer = bank.take(At(now), Ask(100, 100, asked));
+    quota_answer answer = limiter.take(At(now), Ask(100, 100, asked));
     for (std::size_t index = 0; index < asked.size(); ++index) {
       bool refused = answer.m_waits_ms[index] < 0;
       int& requests = left[asked[index]];
@@ -126,26 +127,26 @@
   int requests_per_second;
 };
 
-// Whatever the limit, the demand and how often the bank moves to another process: what is let in
+// Whatever the limit, the demand and how often the count moves to another process: what is let in
 // stays within the bound in every window, and nearly all of the limit is used.
-RC_GTEST_PROP(QuotaBankProperty, StaysWithinTheBoundOverChangesOfLeaders, ()) {
+RC_GTEST_PROP(RateLimiterProperty, StaysWithinTheBoundOverChangesOfLeaders, ()) {
   quota_bounds bounds;
   double rate = *rc::gen::inRange(1, 400);
   double burst = *rc::gen::inRange(0, 400);
   int per_step = *rc::gen::inRange(1, 200);
   int change_every = *rc::gen::inRange(5000, 30000);
-  quota_options options;
+  rate_limiter_options options;
   options.m_guards_programs = false;
-  quota_bank bank(bounds, options);
-  bank.reset(At(0));
+  rate_limiter limiter(bounds, options);
+  limiter.reset(At(0));
   std::vector<int> let_in;
   const int end = 60000;
   for (int now = 0; now < end; now += 100) {
     if (now % change_every < 100) {
-      bank.reset(At(now));
+      limiter.reset(At(now));
     }
     quota_answer answer =
-        bank.take(At(now), Ask(rate, burst, std::vector<std::uint64_t>(per_step, 0)));
+        limiter.take(At(now), Ask(rate, burst, std::vector<std::uint64_t>(per_step, 0)));
     for (std::int32_t wait : answer.m_waits_ms) {
       if (wait >= 0) {
         let_in.push_back(now + wait);
