Includes that the split of RequestRun and the lease keeper left unused

Read in the diff: request_run.cc kept the headers of what moved to headers/end_to_end.cc, lease_keeper.cc one it never used, and it lacked that of std::back_inserter. Includes only; behaviour as it was.

--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -3,10 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
-#include "absl/strings/str_split.h"
 #include "base/clock.h"
 #include "base/hash.h"
 #include "forwarding/headers/end_to_end.h"
--- a/src/roles/exchange/lease_keeper.cc
+++ b/src/roles/exchange/lease_keeper.cc
@@ -1,10 +1,9 @@
 #include "roles/exchange/lease_keeper.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
-
 namespace martenyard::roles
 {
 
