--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -28,6 +28,14 @@
   return {found->value().data(), found->value().size()};
 }
 
+/// @return how an answer tells where it ends, for the log.
+const char* FramingOf(const async_http::ResponseParser& parser) {
+  if (parser.chunked()) {
+    return "chunked";
+  }
+  return parser.content_length() ? "length" : "close";
+}
+
 bool IsEventStream(const async_http::HttpHead& head) {
   return http::to_status_class(head.result()) == http::status_class::successful;
 }
@@ -83,6 +91,7 @@
   bool not_run = !FieldOf(answer, state_.names.not_run).empty();
   result.wrong_runner = answer.result_int() == 421;
   result.runner_leaves = !connection_->parser().keep_alive();
+  result.framing = FramingOf(connection_->parser());
   bool streams = plan_.stream && IsEventStream(answer) && !not_run;
   if (streams) {
     co_await PassStream(result, sink);
--- a/src/forwarding/attempt.h
+++ b/src/forwarding/attempt.h
@@ -45,13 +45,14 @@
 
 struct AttemptResult {
   AttemptEnd end = AttemptEnd::kNotSent;
-  WholeAnswer answer;          ///< Of `kAnswered` and `kNotRun`, unless a stream was passed on.
-  bool streamed = false;       ///< The answer went to the sink.
-  bool runner_leaves = false;  ///< It asked to close the connection.
-  bool wrong_runner = false;   ///< The address belongs to another by now.
-  bool sent = false;           ///< Some of the request left.
-  bool reused = false;         ///< On a kept connection.
-  std::string detail;          ///< For the log.
+  WholeAnswer answer;            ///< Of `kAnswered` and `kNotRun`, unless a stream was passed on.
+  bool streamed = false;         ///< The answer went to the sink.
+  bool runner_leaves = false;    ///< It asked to close the connection.
+  bool wrong_runner = false;     ///< The address belongs to another by now.
+  bool sent = false;             ///< Some of the request left.
+  bool reused = false;           ///< On a kept connection.
+  const char* framing = "none";  ///< How the answer tells its end: see `FramingOf`.
+  std::string detail;            ///< For the log.
 };
 
 /// Can be ended from outside, by the client's leaving or by an alarm.
--- a/src/forwarding/event_stream.cc
+++ b/src/forwarding/event_stream.cc
@@ -74,6 +74,9 @@
       has_data = true;
     } else if (absl::ConsumePrefix(&line, "id:")) {
       last_event_id_ = std::string(ValueOf(line));
+      if (first_event_id_.empty()) {
+        first_event_id_ = last_event_id_;
+      }
     }
   }
   if (has_data) {
--- a/src/forwarding/event_stream.h
+++ b/src/forwarding/event_stream.h
@@ -17,11 +17,15 @@
   /// elsewhere and passed on when the runner ended its answer properly.
   const std::string& partial() const { return partial_; }
   void DropPartial();
+  /// Another run's bytes follow.
+  void BeginRun() { first_event_id_.clear(); }
 
   /// Events that carried data and were whole, over all runs.
   std::uint64_t events() const { return events_; }
   /// The id of the last whole event that had one; empty before the first.
   const std::string& last_event_id() const { return last_event_id_; }
+  /// The id of the present run's first whole event that had one; empty before it.
+  const std::string& first_event_id() const { return first_event_id_; }
   /// The data of each whole event, each followed by a line feed.
   const std::string& data() const { return data_; }
 
@@ -32,6 +36,7 @@
   std::size_t scanned_ = 0;  // Bytes of `partial_` known to hold no event's end.
   std::uint64_t events_ = 0;
   std::string last_event_id_;
+  std::string first_event_id_;
   std::string data_;
 };
 
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -232,7 +232,9 @@
   discovery::RunnerState* entry = state_->runners.Find(runner.id);
   ++entry->own_active;
   last_runner_ = entry->short_id;
+  tried_runner_ = runner.id.value;
   absl::Time began = SteadyNow();
+  events_.BeginRun();
   Attempt attempt(*state_, MakePlan(runner));
   attempt_ = &attempt;
   if (exchange_->client_gone()) {
@@ -278,15 +280,19 @@
   }
   NoteOutcome(runner, result);
   state_->metrics.CountAttempt(NameOf(result.end));
-  state_->log.Write(Line("attempt_ended")
-                        .Text("request", info_.id.value)
-                        .Text("runner", runner.id.value)
-                        .Text("end", NameOf(result.end))
-                        .Number("status", result.answer.head.result_int())
-                        .Number("events", static_cast<std::int64_t>(events_.events()))
-                        .Flag("reused", result.reused)
-                        .Text("detail", result.detail)
-                        .Real("ms", absl::ToDoubleMilliseconds(now - began)));
+  state_->log.Write(
+      Line("attempt_ended")
+          .Text("request", info_.id.value)
+          .Text("runner", runner.id.value)
+          .Text("end", NameOf(result.end))
+          .Number("status", result.answer.head.result_int())
+          .Number("events", static_cast<std::int64_t>(events_.events()))
+          .Text("first_event", events_.first_event_id())
+          .Number("unfinished_bytes", static_cast<std::int64_t>(events_.partial().size()))
+          .Text("framing", result.framing)
+          .Flag("reused", result.reused)
+          .Text("detail", result.detail)
+          .Real("ms", absl::ToDoubleMilliseconds(now - began)));
 }
 
 void RequestRun::NoteOutcome(const discovery::Runner& runner, const AttemptResult& result) {
@@ -387,6 +393,7 @@
   passed.reason(head.reason());
   copy_end_to_end(head, passed);
   stream_head_ = std::move(passed);
+  head_runner_ = tried_runner_;
 }
 
 Task<bool> RequestRun::OnBytes(std::string bytes) {
@@ -405,6 +412,7 @@
     co_await FinishStream();
     co_return;
   }
+  head_runner_ = tried_runner_;
   HttpHead passed;
   passed.result(result.answer.head.result());
   passed.reason(result.answer.head.reason());
@@ -499,6 +507,7 @@
 Task<void> RequestRun::AnswerOwn(unsigned status, absl::string_view reason,
                                  std::optional<absl::Duration> retry_after) {
   last_detail_ = absl::StrCat(reason, last_detail_.empty() ? "" : ": ", last_detail_);
+  head_runner_.clear();
   HttpHead head;
   head.result(status);
   head.set(http::field::content_type, "application/json");
@@ -522,6 +531,7 @@
                         .Text("route", route_ == nullptr ? "" : route_->name)
                         .Text("outcome", outcome)
                         .Text("detail", last_detail_)
+                        .Text("head_of", head_runner_)
                         .Number("sent_to", sent_to_)
                         .Number("events", static_cast<std::int64_t>(events_.events()))
                         .Real("ms", absl::ToDoubleMilliseconds(took)));
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -124,6 +124,8 @@
   std::string last_detail_;
   Choice last_choice_;
   std::uint32_t last_runner_ = 0;  // Its short id.
+  std::string tried_runner_;       // The same runner's whole id.
+  std::string head_runner_;        // Whose answer's head the client gets; empty for an own answer.
 };
 
 }  // namespace martenyard::forwarding
