A run's head and unfinished bytes live and end with the run

Cause: RequestRun kept what a run had left (the bytes of an event without an end, the response's head) beside what the client had been given, and took it for the answer's. Where the request was begun anew, the next runner's first event was joined to those bytes and went out under the first runner's head (hypothesis 1). The same confusion twice more: the end of a close-delimited response was believed inside an event (hypothesis 2), and a resumed run was joined wherever it began (hypothesis 3). Change: one stream_run an attempt owns its head, its event_cutter and its first id; what the client has been given is passed_events, the only thing that runs hand on. A run that was to go on must begin right after the last event passed on, else it counts as broken off; a close-delimited stream is whole only after a whole event. The client's own Last-Event-Id is the place from which the first run must go on. RequestRun is no stream sink any more. Weighed: dropping head and bytes before each attempt (four lines; the state stays where the next reader will keep one more thing), and passing over a resumed run's events up to the last one given: its text may differ from the run before, so a stream that looks whole could be of two.

--- a/src/async_http/connection.h
+++ b/src/async_http/connection.h
@@ -50,6 +50,8 @@
   bool IsStale();
   /// @return true when the last answer left no bytes behind and the peer keeps the connection.
   bool MayBeReused() const;
+  /// @return true when only the end of the connection told where the answer ends.
+  bool ended_by_close() const { return ended_by_close_; }
   /// Any byte of the present request was handed to the system for sending.
   bool any_sent() const { return any_sent_; }
   const wire::Endpoint& peer() const { return peer_; }
--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -222,24 +222,45 @@
   ReadStep step = connection_->parser().is_done() ? ReadStep::kWhole : ReadStep::kProgress;
   while (true) {
     std::string bytes = std::exchange(connection_->parser().get().body(), std::string());
-    if (!bytes.empty() && !co_await sink.OnBytes(std::move(bytes))) {
+    StreamStep passed = StreamStep::kPassed;
+    if (!bytes.empty()) {
+      passed = co_await sink.OnBytes(std::move(bytes));
+    }
+    if (passed == StreamStep::kClientGone) {
       Abort(AttemptEnd::kClientGone);
       result.end = AttemptEnd::kClientGone;
       co_return;
     }
+    if (passed == StreamStep::kOutOfPlace) {
+      result.detail = "the run does not go on where the stream stood";
+      Abort(AttemptEnd::kBrokeOff);
+      result.end = abort_end_;
+      co_return;
+    }
     if (step != ReadStep::kProgress) {
       break;
     }
     step = co_await connection_->ReadBody();
   }
-  if (step != ReadStep::kWhole) {
-    result.detail = "the stream broke off";
+  if (const char* cut = WhyCut(step, sink)) {
+    result.detail = cut;
     result.end = FailureEnd(AttemptEnd::kBrokeOff);
     co_return;
   }
   result.end = AttemptEnd::kAnswered;
 }
 
+const char* Attempt::WhyCut(ReadStep last, const StreamSink& sink) const {
+  if (last != ReadStep::kWhole) {
+    return "the stream broke off";
+  }
+  // The end of the connection alone does not say that the runner was done.
+  if (connection_->ended_by_close() && !sink.EndsAfterWholeEvent()) {
+    return "the stream ended with its connection, and not after a whole event";
+  }
+  return nullptr;
+}
+
 void Attempt::Finish(AttemptResult& result) {
   if (sending_done_) {
     *sending_done_ = nullptr;
--- a/src/forwarding/attempt.h
+++ b/src/forwarding/attempt.h
@@ -10,7 +10,6 @@
 #include "async_http/connection.h"
 #include "async_http/server.h"
 #include "forwarding/attempt_outcome.h"
-#include "forwarding/event_stream.h"
 #include "forwarding/gateway_state.h"
 
 namespace martenyard::forwarding {
@@ -33,14 +32,23 @@
   std::string body;
 };
 
-/// Takes a stream's parts as they come.
+/// What became of a stream's bytes.
+enum class StreamStep {
+  kPassed,      ///< The client has what was whole of them.
+  kClientGone,  ///< The client can't be reached.
+  kOutOfPlace,  ///< The run does not go on where the client's stream stands; nothing was passed on.
+};
+
+/// Takes a stream's parts as they come, of one attempt.
 class StreamSink {
  public:
   virtual ~StreamSink() = default;
-  /// The runner's head of a good stream. Told once an attempt.
+  /// The runner's head of a good stream. Told once.
   virtual void OnHead(const async_http::HttpHead& head) = 0;
-  /// Bytes of the answer's body. @return false when the client can't be reached.
-  virtual async_http::Task<bool> OnBytes(std::string bytes) = 0;
+  /// Bytes of the answer's body.
+  virtual async_http::Task<StreamStep> OnBytes(std::string bytes) = 0;
+  /// @return whether the bytes so far end with a whole event.
+  virtual bool EndsAfterWholeEvent() const = 0;
 };
 
 struct AttemptResult {
@@ -73,6 +81,8 @@
   async_http::Task<bool> SkipForeignAnswer();
   async_http::Task<void> ReadWhole(AttemptResult& result);
   async_http::Task<void> PassStream(AttemptResult& result, StreamSink& sink);
+  /// @return why the stream is not whole, or null when it is.
+  const char* WhyCut(async_http::ReadStep last, const StreamSink& sink) const;
   void Finish(AttemptResult& result);
   AttemptEnd FailureEnd(AttemptEnd otherwise) const;
 
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -78,6 +78,9 @@
   deadline_ = exchange_->received_at() + allowed;
   service_name_ = ChooseService(*route_, SplitPoint(info_, state_->random));
   service_ = routes_->configuration().FindService(service_name_);
+  if (route_->kind == RouteKind::kStream && route_->resumable) {
+    passed_ = passed_events(info_.last_event_id);
+  }
   co_return true;
 }
 
--- a/src/forwarding/request_info.cc
+++ b/src/forwarding/request_info.cc
@@ -81,7 +81,7 @@
   if (!previous.empty()) {
     info.previous_turn = RequestId(std::string(previous));
   }
-  info.resumes = !Find(fields, names.last_event_id).empty();
+  info.last_event_id = std::string(Find(fields, names.last_event_id));
   return info;
 }
 
--- a/src/forwarding/request_info.h
+++ b/src/forwarding/request_info.h
@@ -34,7 +34,7 @@
   std::optional<std::uint64_t> token_budget;  ///< What the program may generate in all.
   std::optional<RequestId> previous_turn;     ///< The turn that this one goes on from.
   std::optional<absl::Duration> program_deadline;
-  bool resumes = false;  ///< The client names the last event it has.
+  std::string last_event_id;  ///< Of the last event that the client has; empty: none.
 };
 
 /// Reads the headers. Unreadable values count as absent.
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -172,8 +172,8 @@
   absl::Duration left = std::max(TimeLeft(), absl::Milliseconds(1));
   fields.set(names.deadline_ms, absl::StrCat(absl::ToInt64Milliseconds(left)));
   fields.set(names.expected_runner, runner.id.value);
-  if (stream_head_ && !events_.last_event_id().empty()) {
-    fields.set(names.last_event_id, events_.last_event_id());
+  if (passed_.can_be_resumed()) {
+    fields.set(names.last_event_id, passed_.last_id());
   }
   if (route_->kind == RouteKind::kStream) {
     fields.set(names.priority, absl::StrCat(PriorityRank()));
@@ -220,7 +220,7 @@
   RequestSituation situation;
   situation.repeatable = route_->Repeatable();
   situation.can_resume =
-      route_->kind == RouteKind::kStream && route_->resumable && !events_.last_event_id().empty();
+      route_->kind == RouteKind::kStream && route_->resumable && passed_.can_be_resumed();
   situation.answer_started = exchange_->stream_started();
   situation.may_have_run = may_have_run_;
   situation.attempts_left = route_->max_attempts - sent_to_;
@@ -228,29 +228,30 @@
   return situation;
 }
 
-Task<AttemptResult> RequestRun::RunOnce(const discovery::Runner& runner) {
+Task<AttemptResult> RequestRun::RunOnce(const discovery::Runner& runner, stream_run& run) {
   discovery::RunnerState* entry = state_->runners.Find(runner.id);
   ++entry->own_active;
   last_runner_ = entry->short_id;
-  tried_runner_ = runner.id.value;
   absl::Time began = SteadyNow();
-  events_.BeginRun();
   Attempt attempt(*state_, MakePlan(runner));
   attempt_ = &attempt;
   if (exchange_->client_gone()) {
     attempt.Abort(AttemptEnd::kClientGone);
   }
-  AttemptResult result = co_await attempt.Run(*this);
+  AttemptResult result = co_await attempt.Run(run);
   attempt_ = nullptr;
   if (discovery::RunnerState* after = state_->runners.Find(runner.id)) {
     --after->own_active;
   }
-  NoteResult(runner, result, began);
+  if (run.gave_head()) {
+    head_runner_ = runner.id.value;
+  }
+  NoteResult(runner, result);
+  LogAttempt(runner, result, run, began);
   co_return result;
 }
 
-void RequestRun::NoteResult(const discovery::Runner& runner, const AttemptResult& result,
-                            absl::Time began) {
+void RequestRun::NoteResult(const discovery::Runner& runner, const AttemptResult& result) {
   using discovery::RunnerSignal;
   absl::Time now = SteadyNow();
   bool ran = result.sent && result.end != AttemptEnd::kNotRun;
@@ -279,6 +280,10 @@
       break;
   }
   NoteOutcome(runner, result);
+}
+
+void RequestRun::LogAttempt(const discovery::Runner& runner, const AttemptResult& result,
+                            const stream_run& run, absl::Time began) {
   state_->metrics.CountAttempt(NameOf(result.end));
   state_->log.Write(
       Line("attempt_ended")
@@ -286,13 +291,13 @@
           .Text("runner", runner.id.value)
           .Text("end", NameOf(result.end))
           .Number("status", result.answer.head.result_int())
-          .Number("events", static_cast<std::int64_t>(events_.events()))
-          .Text("first_event", events_.first_event_id())
-          .Number("unfinished_bytes", static_cast<std::int64_t>(events_.partial().size()))
+          .Number("events", static_cast<std::int64_t>(passed_.count()))
+          .Text("first_event", run.first_id())
+          .Number("unfinished_bytes", static_cast<std::int64_t>(run.unfinished_bytes()))
           .Text("framing", result.framing)
           .Flag("reused", result.reused)
           .Text("detail", result.detail)
-          .Real("ms", absl::ToDoubleMilliseconds(now - began)));
+          .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began)));
 }
 
 void RequestRun::NoteOutcome(const discovery::Runner& runner, const AttemptResult& result) {
@@ -331,9 +336,11 @@
     }
     AttemptEnd end = AttemptEnd::kNotSent;
     AttemptResult result;
+    // What a run leaves unfinished ends with it: the next one begins without its head and bytes.
+    stream_run run(*exchange_, passed_, [this] { NotePlacement(); });
     RequestSituation situation = Situation();
     if (runner) {
-      result = co_await RunOnce(*runner);
+      result = co_await RunOnce(*runner, run);
       end = result.end;
       situation = Situation();
     } else {
@@ -343,15 +350,17 @@
     bool client_fault = end == AttemptEnd::kNotRun && result.answer.head.result_int() == 400;
     switch (client_fault ? NextStep::kPassOn : DecideNextStep(end, situation)) {
       case NextStep::kPassOn:
-        co_await PassOn(result);
+        if (head_runner_.empty()) {
+          head_runner_ = runner->id.value;
+        }
+        co_await PassOn(result, run);
         co_return;
       case NextStep::kTryAnother:
         continue;
       case NextStep::kResume:
-        events_.DropPartial();
         state_->log.Write(Line("stream_resumed")
                               .Text("request", info_.id.value)
-                              .Text("after", events_.last_event_id()));
+                              .Text("after", passed_.last_id()));
         continue;
       case NextStep::kRefuse:
         co_await Refuse(runner ? "no runner took it" : "no runner to send it to");
@@ -383,36 +392,11 @@
   }
 }
 
-void RequestRun::OnHead(const HttpHead& head) {
-  NotePlacement();  // Only now is it known that the runner has read the prompt.
-  if (stream_head_) {
-    return;  // A resumed stream keeps its first runner's head.
-  }
-  HttpHead passed;
-  passed.result(head.result());
-  passed.reason(head.reason());
-  copy_end_to_end(head, passed);
-  stream_head_ = std::move(passed);
-  head_runner_ = tried_runner_;
-}
-
-Task<bool> RequestRun::OnBytes(std::string bytes) {
-  std::string whole = events_.Feed(bytes);
-  if (whole.empty()) {
-    co_return true;
-  }
-  if (!exchange_->stream_started() && !co_await exchange_->StartStream(*stream_head_)) {
-    co_return false;
-  }
-  co_return co_await exchange_->Write(whole);
-}
-
-Task<void> RequestRun::PassOn(AttemptResult& result) {
+Task<void> RequestRun::PassOn(AttemptResult& result, stream_run& run) {
   if (result.streamed) {
-    co_await FinishStream();
+    co_await FinishStream(run);
     co_return;
   }
-  head_runner_ = tried_runner_;
   HttpHead passed;
   passed.result(result.answer.head.result());
   passed.reason(result.answer.head.reason());
@@ -422,12 +406,8 @@
   Close(sent ? "answered" : "client_gone");
 }
 
-Task<void> RequestRun::FinishStream() {
-  if (!exchange_->stream_started() && !co_await exchange_->StartStream(*stream_head_)) {
-    Close("client_gone");
-    co_return;
-  }
-  if (!events_.partial().empty() && !co_await exchange_->Write(events_.partial())) {
+Task<void> RequestRun::FinishStream(stream_run& run) {
+  if (!co_await run.pass_rest()) {
     Close("client_gone");
     co_return;
   }
@@ -455,7 +435,7 @@
     completed.previous = turn_ledger::TurnId(previous_turn_->value);
   }
   completed.input = body_->substr(known);
-  completed.output = events_.data();
+  completed.output = passed_.data();
   auto made = static_cast<std::uint32_t>(TokensDelivered());
   completed.place = {last_runner_, info_.prompt_tokens + made};
   settle.completed = std::move(completed);
@@ -465,20 +445,20 @@
       co_await state_->ledger->Call(group_, settle, began + state_->options.commit_patience);
   state_->log.Write(Line("turn_committed")
                         .Text("request", info_.id.value)
-                        .Number("events", static_cast<std::int64_t>(events_.events()))
+                        .Number("events", static_cast<std::int64_t>(passed_.count()))
                         .Flag("known", static_cast<bool>(result))
                         .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began)));
   if (!result) {
     co_return false;
   }
   state_->turns.Put(program_, RequestId(turn_.value),
-                    std::make_shared<std::string>(absl::StrCat(*body_, events_.data())));
+                    std::make_shared<std::string>(absl::StrCat(*body_, passed_.data())));
   co_return true;
 }
 
 std::uint64_t RequestRun::TokensDelivered() const {
   bool engine = service_ != nullptr && service_->engine;
-  return events_.events() * (engine ? service_->engine->tokens_per_event : 1);
+  return passed_.count() * (engine ? service_->engine->tokens_per_event : 1);
 }
 
 void RequestRun::SettleLater(std::uint64_t tokens) {
@@ -533,7 +513,7 @@
                         .Text("detail", last_detail_)
                         .Text("head_of", head_runner_)
                         .Number("sent_to", sent_to_)
-                        .Number("events", static_cast<std::int64_t>(events_.events()))
+                        .Number("events", static_cast<std::int64_t>(passed_.count()))
                         .Real("ms", absl::ToDoubleMilliseconds(took)));
 }
 
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -12,19 +12,18 @@
 #include "forwarding/attempt.h"
 #include "forwarding/gateway_state.h"
 #include "forwarding/history/history_fetch.h"
+#include "forwarding/streams/passed_events.h"
+#include "forwarding/streams/stream_run.h"
 
 namespace martenyard::forwarding {
 
-class RequestRun : public StreamSink {
+class RequestRun {
  public:
   RequestRun(std::shared_ptr<GatewayState> state, std::shared_ptr<async_http::Exchange> exchange);
 
   /// Handles the request to its end.
   async_http::Task<void> Run();
 
-  void OnHead(const async_http::HttpHead& head) override;
-  async_http::Task<bool> OnBytes(std::string bytes) override;
-
  private:
   /// What a process learns soon after its start.
   enum class Knowledge { kRoutes, kLedgerGroups, kLease };
@@ -74,15 +73,17 @@
   std::string RequestHead(const discovery::Runner& runner) const;
   /// @return the rank that engines are told, 0 for the most urgent.
   int PriorityRank() const;
-  async_http::Task<AttemptResult> RunOnce(const discovery::Runner& runner);
-  void NoteResult(const discovery::Runner& runner, const AttemptResult& result, absl::Time began);
+  async_http::Task<AttemptResult> RunOnce(const discovery::Runner& runner, stream_run& run);
+  void NoteResult(const discovery::Runner& runner, const AttemptResult& result);
+  void LogAttempt(const discovery::Runner& runner, const AttemptResult& result,
+                  const stream_run& run, absl::Time began);
   /// Notes whether the runner lost the request.
   void NoteOutcome(const discovery::Runner& runner, const AttemptResult& result);
   /// The runner has read the prompt: it, and what it makes, are kept there for a while.
   void NotePlacement();
   RequestSituation Situation() const;
-  async_http::Task<void> PassOn(AttemptResult& result);
-  async_http::Task<void> FinishStream();
+  async_http::Task<void> PassOn(AttemptResult& result, stream_run& run);
+  async_http::Task<void> FinishStream(stream_run& run);
   /// Commits a kept turn. @return false when it is not known to be committed.
   async_http::Task<bool> CommitTurn();
   void SettleLater(std::uint64_t tokens);
@@ -119,12 +120,10 @@
   int sent_to_ = 0;  // Runners that the request was sent to.
   bool may_have_run_ = false;
   Attempt* attempt_ = nullptr;
-  EventStream events_;
-  std::optional<async_http::HttpHead> stream_head_;
+  passed_events passed_;  // All that runs leave behind for the next one.
   std::string last_detail_;
   Choice last_choice_;
   std::uint32_t last_runner_ = 0;  // Its short id.
-  std::string tried_runner_;       // The same runner's whole id.
   std::string head_runner_;        // Whose answer's head the client gets; empty for an own answer.
 };
 
--- /dev/null
+++ b/src/forwarding/streams/event_cutter.cc
@@ -0,0 +1,93 @@
+#include "forwarding/streams/event_cutter.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace martenyard::forwarding
+{
+
+namespace
+{
+
+/// @param[in,out] from  where to search; moved to where a later search must begin
+/// @return the position after the first blank line, or npos
+std::size_t end_of_event(absl::string_view text, std::size_t& from)
+{
+    std::size_t feed = text.find('\n', from);
+    while (feed != absl::string_view::npos)
+    {
+        std::size_t next = feed + 1;
+        if (next < text.size() && text[next] == '\r')
+        {
+            ++next;
+        }
+        if (next >= text.size())
+        {
+            from = feed;
+            return absl::string_view::npos;
+        }
+        if (text[next] == '\n')
+        {
+            return next + 1;
+        }
+        feed = text.find('\n', feed + 1);
+    }
+    from = text.size();
+    return absl::string_view::npos;
+}
+
+/// @return a field's value without the one blank that may follow its colon
+absl::string_view value_of(absl::string_view rest)
+{
+    absl::ConsumePrefix(&rest, " ");
+    return rest;
+}
+
+stream_event read_event(absl::string_view text)
+{
+    stream_event event;
+    event.m_text = std::string(text);
+    for (absl::string_view line : absl::StrSplit(text, '\n'))
+    {
+        absl::ConsumeSuffix(&line, "\r");
+        if (absl::ConsumePrefix(&line, "id:"))
+        {
+            event.m_id = std::string(value_of(line));
+        }
+        else if (absl::ConsumePrefix(&line, "data:"))
+        {
+            std::string before = event.m_data ? *event.m_data + "\n" : std::string();
+            event.m_data = absl::StrCat(before, value_of(line));
+        }
+    }
+    return event;
+}
+
+}  // namespace
+
+std::vector<stream_event> event_cutter::feed(absl::string_view bytes)
+{
+    absl::StrAppend(&m_unfinished, bytes);
+    std::vector<stream_event> events;
+    std::size_t taken = 0;
+    while (true)
+    {
+        absl::string_view rest = absl::string_view(m_unfinished).substr(taken);
+        std::size_t from = taken == 0 ? m_scanned : 0;
+        std::size_t end = end_of_event(rest, from);
+        if (end == absl::string_view::npos)
+        {
+            m_scanned = from;
+            break;
+        }
+        events.push_back(read_event(rest.substr(0, end)));
+        taken += end;
+    }
+    m_unfinished.erase(0, taken);
+    return events;
+}
+
+}  // namespace martenyard::forwarding
--- /dev/null
+++ b/src/forwarding/streams/passed_events.cc
@@ -0,0 +1,81 @@
+#include "forwarding/streams/passed_events.h"
+
+#include <optional>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace martenyard::forwarding
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> number_of(const std::string& id)
+{
+    std::uint64_t number = 0;
+    if (!absl::SimpleAtoi(id, &number))
+    {
+        return std::nullopt;
+    }
+    return number;
+}
+
+}  // namespace
+
+passed_events::passed_events(std::string after) : m_last_id(std::move(after))
+{
+}
+
+bool passed_events::may_follow(const stream_event& event) const
+{
+    if (m_last_id.empty())
+    {
+        return true;
+    }
+    if (!event.m_id)
+    {
+        // Nothing says where it belongs. The client named its own place; there the runner's word is all.
+        return m_count == 0;
+    }
+    std::optional<std::uint64_t> last = number_of(m_last_id);
+    std::optional<std::uint64_t> next = number_of(*event.m_id);
+    if (!last || !next)
+    {
+        return *event.m_id != m_last_id;
+    }
+    bool step_known = m_count > 0 && m_step > 0;
+    return step_known ? *next == *last + m_step : *next > *last;
+}
+
+void passed_events::take(const stream_event& event)
+{
+    if (event.m_id)
+    {
+        note_step(*event.m_id);
+        m_last_id = *event.m_id;
+    }
+    if (event.m_data)
+    {
+        absl::StrAppend(&m_data, *event.m_data, "\n");
+        ++m_count;
+        m_last_has_id = event.m_id.has_value();
+    }
+}
+
+void passed_events::note_step(const std::string& id)
+{
+    std::optional<std::uint64_t> last = number_of(m_last_id);
+    std::optional<std::uint64_t> next = number_of(id);
+    if (m_count == 0 || !last || !next || *next <= *last)
+    {
+        return;
+    }
+    std::uint64_t step = *next - *last;
+    bool first = m_steps_seen == 0;
+    ++m_steps_seen;
+    m_step = first || step == m_step ? step : 0;
+}
+
+}  // namespace martenyard::forwarding
--- /dev/null
+++ b/src/forwarding/streams/passed_events.h
@@ -0,0 +1,65 @@
+// What a client has been given of a streamed answer, over all runs that had a part in it.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "forwarding/streams/event_cutter.h"
+
+namespace martenyard::forwarding
+{
+
+/// @brief the events passed on so far; a run's unfinished bytes and its head are not among them
+class passed_events
+{
+  public:
+    /// @param[in] after  the id of the event after which the client asked to go on; empty: from the start
+    explicit passed_events(std::string after = {});
+
+    /// @brief tells whether a run that was asked to go on after `last_id` begins at the right place
+    ///
+    /// Ids rise. They are taken to count by one until two passed events say otherwise, so that a run that
+    /// leaves an event out is told from one that does not.
+    /// @param[in] event  the run's first event with data
+    bool may_follow(const stream_event& event) const;
+
+    void take(const stream_event& event);
+
+    /// @return events with data
+    std::uint64_t count() const
+    {
+        return m_count;
+    }
+
+    /// @return the data of each event, each followed by a line feed
+    const std::string& data() const
+    {
+        return m_data;
+    }
+
+    /// @return the id of the last event that had one, else of the one that the client named
+    const std::string& last_id() const
+    {
+        return m_last_id;
+    }
+
+    /// @return whether `last_id` names the last event with data, so that another run can go on after it
+    bool can_be_resumed() const
+    {
+        return m_count > 0 && m_last_has_id;
+    }
+
+  private:
+    void note_step(const std::string& id);
+
+    std::uint64_t m_count = 0;
+    std::string m_data;
+    std::string m_last_id;
+    bool m_last_has_id = false;
+    /// by how much ids rise from one event to the next; 0 when it is not always the same
+    std::uint64_t m_step = 1;
+    /// pairs of events whose ids were compared
+    std::uint64_t m_steps_seen = 0;
+};
+
+}  // namespace martenyard::forwarding
--- a/tests/forwarding/forwarding_units_test.cc
+++ b/tests/forwarding/forwarding_units_test.cc
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "forwarding/attempt_outcome.h"
-#include "forwarding/event_stream.h"
 #include "forwarding/prefix_index.h"
 #include "forwarding/request_info.h"
 #include "forwarding/route_table.h"
@@ -81,40 +80,6 @@
   EXPECT_FALSE(info.token_budget.has_value());
 }
 
-RC_GTEST_PROP(EventStreamTest, AnyCutOfTheBytesGivesTheSameEvents, ()) {
-  auto count = *rc::gen::inRange(0, 8);
-  bool carriage = *rc::gen::arbitrary<bool>();
-  std::string end = carriage ? "\r\n" : "\n";
-  std::string bytes;
-  std::string data;
-  for (int number = 1; number <= count; ++number) {
-    bytes += "id: " + std::to_string(number) + end + "data: e" + std::to_string(number) + end + end;
-    data += "e" + std::to_string(number) + "\n";
-  }
-  std::string tail = "id: 99" + end + "dat";
-  std::string whole = bytes + tail;
-  EventStream stream;
-  std::string passed;
-  std::size_t at = 0;
-  while (at < whole.size()) {
-    auto piece = *rc::gen::inRange<std::size_t>(1, 12);
-    passed += stream.Feed(whole.substr(at, piece));
-    at += piece;
-  }
-  RC_ASSERT(passed == bytes);
-  RC_ASSERT(stream.partial() == tail);
-  RC_ASSERT(stream.data() == data);
-  RC_ASSERT(stream.events() == static_cast<std::uint64_t>(count));
-  RC_ASSERT(stream.last_event_id() == (count == 0 ? "" : std::to_string(count)));
-}
-
-TEST(EventStreamTest, VersionLinesAreNoDataAndSeveralDataLinesAreOneEvent) {
-  EventStream stream;
-  stream.Feed("weight-versions: 2\nid: 1\ndata: a\ndata: b\n\n: comment\n\n");
-  EXPECT_EQ(stream.events(), 1U);
-  EXPECT_EQ(stream.data(), "a\nb\n");
-}
-
 TEST(PrefixIndexTest, CountsLeadingPartsOnlyAndForgets) {
   PrefixIndex index(absl::Seconds(10), 100);
   absl::Time now = absl::FromUnixSeconds(100);
--- /dev/null
+++ b/tests/forwarding/streams/passed_events_test.cc
@@ -0,0 +1,101 @@
+#include "forwarding/streams/passed_events.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <vector>
+
+namespace martenyard::forwarding
+{
+namespace
+{
+
+/// @param[in] id  empty: without one
+stream_event event_with(const std::string& id)
+{
+    stream_event event;
+    event.m_text = "id: " + id + "\ndata: d\n\n";
+    event.m_data = "d";
+    if (!id.empty())
+    {
+        event.m_id = id;
+    }
+    return event;
+}
+
+/// Whether a run that was asked to go on may begin with an event.
+struct follow_case
+{
+    const char* m_name;
+    /// that the client named itself
+    std::string m_after;
+    std::vector<std::string> m_passed;
+    std::string m_next;
+    bool m_may_follow;
+    bool m_can_be_resumed;
+};
+
+class FollowTest : public ::testing::TestWithParam<follow_case>
+{
+};
+
+TEST_P(FollowTest, IsAsTheTableSays)
+{
+    const follow_case& test = GetParam();
+    passed_events passed(test.m_after);
+    for (const std::string& id : test.m_passed)
+    {
+        passed.take(event_with(id));
+    }
+    EXPECT_EQ(passed.may_follow(event_with(test.m_next)), test.m_may_follow);
+    EXPECT_EQ(passed.can_be_resumed(), test.m_can_be_resumed);
+}
+
+const follow_case follow_cases[] = {
+    {"FreshStreamBeginsAnywhere", "", {}, "7", true, false},
+    {"FreshStreamWithoutIds", "", {}, "", true, false},
+    {"NextAfterOne", "", {"1"}, "2", true, true},
+    {"GapAfterOne", "", {"1"}, "3", false, true},
+    {"SameAgain", "", {"1", "2"}, "2", false, true},
+    {"FromTheStart", "", {"1", "2"}, "1", false, true},
+    {"GapAfterMany", "", {"1", "2", "3"}, "5", false, true},
+    {"OwnStep", "", {"10", "20"}, "30", true, true},
+    {"GapInOwnStep", "", {"10", "20"}, "40", false, true},
+    {"UnevenIdsNeedOnlyRise", "", {"1", "4", "9"}, "12", true, true},
+    {"UnevenIdsMayNotFall", "", {"1", "4", "9"}, "4", false, true},
+    {"WordsMayNotRepeat", "", {"a", "b"}, "b", false, true},
+    {"OtherWords", "", {"a", "b"}, "c", true, true},
+    {"NoIdAfterIds", "", {"1", "2"}, "", false, true},
+    {"LastPassedHadNone", "", {"1", ""}, "2", true, false},
+    {"ClientsOwnNext", "12", {}, "13", true, false},
+    {"ClientsOwnRises", "12", {}, "15", true, false},
+    {"ClientsOwnPassedOver", "12", {}, "1", false, false},
+    {"ClientsOwnThenMore", "12", {"13"}, "14", true, true},
+    {"ClientsOwnThenGap", "12", {"13"}, "15", false, true},
+    {"LargestNumber", "", {"18446744073709551614", "18446744073709551615"}, "1", false, true},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, FollowTest, ::testing::ValuesIn(follow_cases),
+                         [](const auto& info)
+                         {
+                             return std::string(info.param.m_name);
+                         });
+
+RC_GTEST_PROP(PassedEventsTest, OfARunThatBeginsElsewhereNothingFollows, ())
+{
+    auto first = *rc::gen::inRange<std::uint64_t>(0, 1000);
+    auto step = *rc::gen::inRange<std::uint64_t>(1, 50);
+    auto count = *rc::gen::inRange<std::uint64_t>(2, 20);
+    auto begins = *rc::gen::inRange<std::uint64_t>(0, 3000);
+    passed_events passed;
+    for (std::uint64_t number = 0; number < count; ++number)
+    {
+        passed.take(event_with(std::to_string(first + number * step)));
+    }
+    bool in_place = begins == first + count * step;
+    RC_ASSERT(passed.may_follow(event_with(std::to_string(begins))) == in_place);
+    RC_ASSERT(passed.may_follow(event_with(std::to_string(first + count * step))));
+}
+
+}  // namespace
+}  // namespace martenyard::forwarding
