--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -115,6 +115,29 @@
   return cause;
 }
 
+/// Which runners had a part in an answer that was passed on.
+std::string CauseOfAnswer(const std::vector<LogLine>& own, const json& last) {
+  std::string broken;
+  json attempt;
+  for (const LogLine& line : own) {
+    if (line.event != "attempt_ended") {
+      continue;
+    }
+    attempt = json::parse(line.text, nullptr, /*allow_exceptions=*/false);
+    if (Field(attempt, "end") != "answered") {
+      absl::StrAppend(&broken, "; before it runner ", Field(attempt, "runner"), " ended with ",
+                      Field(attempt, "end"), " (", Field(attempt, "detail"), ") after ",
+                      Field(attempt, "events"), " events, and ", Field(attempt, "unfinished_bytes"),
+                      " bytes of the next were dropped");
+    }
+  }
+  if (broken.empty()) {
+    return "it was answered; its runner's answer was passed on unchanged";
+  }
+  return absl::StrCat("it was answered by runner ", Field(attempt, "runner"),
+                      ", under the head of runner ", Field(last, "head_of"), broken);
+}
+
 /// What the last attempt and the surroundings say of a refusal or a break.
 std::string CauseOf(const std::vector<LogLine>& own, const std::vector<LogLine>& around) {
   json last;
@@ -173,7 +196,7 @@
     return CauseOfOverload(own.back().node, around);
   }
   if (outcome == "answered") {
-    return "it was answered; its runner's answer was passed on unchanged";
+    return CauseOfAnswer(own, last);
   }
   if (outcome == "client_gone") {
     return "the client left before its answer was whole";
--- a/tests/platform/explain_test.cc
+++ b/tests/platform/explain_test.cc
@@ -139,6 +139,47 @@
   EXPECT_EQ(attempts, 2);
 }
 
+TEST(ExplainTest, RunsThatHadAPartInAStreamAreNamed) {
+  struct Case {
+    RunnerBehavior first;
+    const char* head;
+    const char* broken;
+  };
+  const Case cases[] = {
+      {RunnerBehavior::kBreakMidEvent, "under the head of runner i-near",
+       "runner i-near ended with broke_off (the stream broke off) after 2 events, and 8 bytes"},
+      {RunnerBehavior::kBreakInFirst, "under the head of runner i-far",
+       "runner i-near ended with broke_off (the stream broke off) after 0 events, and 8 bytes"},
+  };
+  for (const Case& test : cases) {
+    PlatformWorld world;
+    world.Start();
+    world.a().Script({test.first});
+    ClientRequest request;
+    request.target = "/stream/1";
+    ASSERT_TRUE(world.Ask(request).whole);
+    Account account = ExplainIn(world, "attempt-1");
+    EXPECT_EQ(account.outcome, "answered");
+    EXPECT_TRUE(absl::StrContains(account.cause, "answered by runner i-far")) << account.cause;
+    EXPECT_TRUE(absl::StrContains(account.cause, test.head)) << account.cause;
+    EXPECT_TRUE(absl::StrContains(account.cause, test.broken)) << account.cause;
+  }
+}
+
+TEST(ExplainTest, RunThatGoesOnElsewhereIsNamed) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kBreakMidEvent});
+  world.b().Script({RunnerBehavior::kStreamFromStart});
+  ClientRequest request;
+  request.target = "/stream/1";
+  ASSERT_FALSE(world.Ask(request).whole);
+  Account account = ExplainIn(world, "attempt-1");
+  EXPECT_EQ(account.outcome, "broken");
+  EXPECT_TRUE(absl::StrContains(account.cause, "does not go on where the stream stood"))
+      << account.cause;
+}
+
 TEST(ExplainTest, RequestWithoutALineAndWithoutAnEndAreSaidSo) {
   EXPECT_FALSE(Explain({}, "x").found);
   std::vector<LogLine> lines = ReadLines(
