Test that fails: a kept turn that its client resumes is kept without its first events

Cause: the same confusion of a part with the whole: a client names its last event on a route that keeps turns, the run goes on after it, and what is committed as the turn's output lacks the events before. Measured: fails as it is (200 for 503, one run for none). No deployment at hand has a route that is both kept and resumable.

--- a/tests/platform/stream_continuation_test.cc
+++ b/tests/platform/stream_continuation_test.cc
@@ -135,6 +135,29 @@
   EXPECT_EQ(world.Ask(request).status, 404U);
 }
 
+TEST(StreamContinuationTest, KeptTurnIsNotKeptFromAPartOfItsEvents) {
+  // The client had the events up to its last id from an attempt that broke; this gateway never had
+  // them, so what it could keep would lack them in every later turn of the chain.
+  PlatformWorld world;
+  world.Start();
+  ClientRequest request;
+  request.target = kKept;
+  request.body = "first|";
+  request.headers = {"Program-Id: p", "Token-Budget: 100000", "Token-Usage: 10,200",
+                     "Last-Event-Id: 2"};
+  EXPECT_EQ(world.Ask(request).status, 503U);
+  EXPECT_EQ(world.a().runs() + world.b().runs(), 0);
+  // From its start it is served and kept.
+  request.id = "attempt-2";
+  request.headers.pop_back();
+  ASSERT_TRUE(world.Ask(request).whole);
+  request.id = "attempt-3";
+  request.body = "second|";
+  request.headers.push_back("Previous-Turn: attempt-2");
+  ASSERT_TRUE(world.Ask(request).whole);
+  EXPECT_EQ(world.a().seen().back().body, "first|event-1\nevent-2\nevent-3\nevent-4\nsecond|");
+}
+
 TEST(StreamContinuationTest, ResumedStreamHasNoEventTwiceAndNoneMissing) {
   Check({
       {"ResumesAsAsked", kResumable, RunnerBehavior::kBreakMidEvent, RunnerBehavior::kServe, true,
