A kept turn is answered from its start only

Weighed: answering from the start in spite of the client's id gives it events twice; passing the stream on without keeping the turn makes it unknown to the next one, though it ended whole. Both break a promise; a refusal that nothing ran breaks none, and has no Retry-After since the same request can't be served later either.

--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -198,6 +198,11 @@
   if (!info_.token_budget && !keeps) {
     co_return true;
   }
+  if (keeps && !info_.last_event_id.empty()) {
+    // What the client had before is not known here: the turn would be kept without it.
+    co_await AnswerOwn(503, "a turn that is kept is answered from its start only", std::nullopt);
+    co_return false;
+  }
   co_await WaitFor(Knowledge::kLedgerGroups);
   if (!Knows(Knowledge::kLedgerGroups)) {
     co_await Refuse("the turn ledger is not known yet");
