--- a/tests/platform/stream_continuation_test.cc
+++ b/tests/platform/stream_continuation_test.cc
@@ -83,6 +83,9 @@
       auto told = headers.find("last-event-id");
       EXPECT_EQ(told == headers.end() ? "" : told->second, test.b_asked_after);
     }
+    if (::testing::Test::HasFailure()) {
+      FAIL() << world.Log();
+    }
   }
 }
 
