RequestRun: choice and settlement in files of their own; a chain is put before the body in one place, a settlement built in one

The point is made of the hash's upper 53 bits, since the last of 2^64 rounded to 1: choices differ from before only there. Behaviour is otherwise as before.

--- a/src/base/hash.cc
+++ b/src/base/hash.cc
@@ -8,4 +8,11 @@
   return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+double StableUnitPoint(std::string_view bytes, std::uint64_t seed) {
+  // As many bits as a double holds exactly: rounding can't reach 1.
+  constexpr int kDroppedBits = 11;
+  constexpr double kRange = 9007199254740992.0;  // 2^53.
+  return static_cast<double>(StableHash(bytes, seed) >> kDroppedBits) / kRange;
+}
+
 }  // namespace martenyard
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -22,9 +22,8 @@
 
 /// A point in [0, 1) for the choice of a split route's part.
 double SplitPoint(const RequestInfo& info, Random& random) {
-  constexpr double kRange = 18446744073709551616.0;  // 2^64.
   if (!info.program.value.empty()) {
-    return static_cast<double>(StableHash(info.program.value)) / kRange;
+    return StableUnitPoint(info.program.value);
   }
   return random.Uniform();
 }
@@ -217,8 +216,7 @@
   reserve.turn = turn_;
   reserve.tokens = info_.most_output_tokens;
   reserve.budget = info_.token_budget;
-  reserve.retention_ms =
-      static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
+  reserve.retention_ms = RetentionMilliseconds();
   std::optional<history_fetch> fetch;
   if (keeps && previous_turn_) {
     reserve.previous = turn_ledger::TurnId(previous_turn_->value);
@@ -253,9 +251,8 @@
     line.Number("previous_runner", place.runner);
   }
   if (foreign_history_ != nullptr) {
-    history_ = foreign_history_;
     line.Text("history", name_of(history_source::other_group));
-    body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+    PutHistoryFirst(foreign_history_);
   } else if (reserve.previous && !reserve.has_previous) {
     TakeRelayedHistory(std::move(result->history), line);
   } else if (fetch && !co_await TakeHistory(*fetch, reserve, patience, line)) {
@@ -346,19 +343,24 @@
   co_return result;
 }
 
+void RequestRun::PutHistoryFirst(std::shared_ptr<const std::string> history) {
+  history_ = std::move(history);
+  body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+}
+
 void RequestRun::TakeRelayedHistory(std::string history, Line& line) {
-  history_ = std::make_shared<std::string>(std::move(history));
-  state_->turns.Put(program_, *previous_turn_, history_);
+  auto chain = std::make_shared<const std::string>(std::move(history));
+  state_->turns.Put(program_, *previous_turn_, chain);
   line.Text("history", name_of(history_source::leader));
-  line.Number("history_bytes", static_cast<std::int64_t>(history_->size()));
-  body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+  line.Number("history_bytes", static_cast<std::int64_t>(chain->size()));
+  PutHistoryFirst(std::move(chain));
 }
 
 Task<bool> RequestRun::TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
                                    absl::Time patience, Line& line) {
-  history_ = co_await fetch.wait();
+  std::shared_ptr<const std::string> chain = co_await fetch.wait();
   history_source source = fetch.source();
-  if (history_ == nullptr) {
+  if (chain == nullptr) {
     // No replica asked had it yet. The same reservation again is no second one.
     reserve.has_previous = false;
     auto result = co_await state_->ledger->Call(group_, reserve, patience);
@@ -368,13 +370,13 @@
       co_await Refuse("the turn's history could not be read");
       co_return false;
     }
-    history_ = std::make_shared<std::string>(std::move(result->history));
-    state_->turns.Put(program_, *previous_turn_, history_);
+    chain = std::make_shared<const std::string>(std::move(result->history));
+    state_->turns.Put(program_, *previous_turn_, chain);
     source = history_source::leader;
   }
   line.Text("history", name_of(source));
-  line.Number("history_bytes", static_cast<std::int64_t>(history_->size()));
-  body_ = std::make_shared<std::string>(absl::StrCat(*history_, *body_));
+  line.Number("history_bytes", static_cast<std::int64_t>(chain->size()));
+  PutHistoryFirst(std::move(chain));
   co_return true;
 }
 
--- /dev/null
+++ b/src/forwarding/request_choice.cc
@@ -0,0 +1,109 @@
+// RequestRun's choice of a runner: what is known of each, and what its loss would cost.
+#include <algorithm>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "forwarding/request_run.h"
+
+namespace martenyard::forwarding {
+
+using event_log::Line;
+
+namespace {
+
+/// Engines know the ranks 0 to 9. A tenant's priority comes before its routes', of which three are
+/// told apart.
+constexpr int kRoutePriorities = 3;
+constexpr int kLastPriority = 9;
+
+}  // namespace
+
+std::uint64_t RequestRun::ConnectionShare(const ServiceName& service) const {
+  const Service* found = routes_->configuration().FindService(service);
+  std::uint64_t most = found == nullptr ? 64 : found->max_connections;
+  return std::max<std::uint64_t>(4, most / std::max<std::uint32_t>(1, state_->gateways));
+}
+
+std::vector<Candidate> RequestRun::Candidates() {
+  absl::Time now = SteadyNow();
+  auto steady_now = std::chrono::steady_clock::now();
+  std::vector<Candidate> candidates;
+  std::uint64_t share = ConnectionShare(service_name_);
+  for (discovery::RunnerState* runner : state_->runners.OfService(service_name_)) {
+    bool leaving = runner->Leaving();
+    if (leaving && runner->left_at + state_->options.gone_usable < now) {
+      continue;
+    }
+    Candidate candidate;
+    candidate.id = runner->runner.id.value;
+    candidate.same_zone = runner->runner.zone.value == state_->zone;
+    candidate.slots = runner->runner.slots;
+    candidate.active = runner->Active();
+    candidate.kept_tokens = state_->prefixes.KeptTokens(now, info_.prompt, runner->short_id);
+    candidate.loss_rate = runner->losses.rate(steady_now);
+    candidate.leaving = leaving;
+    candidate.avoided = runner->avoid_until > now || runner->full_until > now;
+    candidate.tried = tried_.contains(candidate.id);
+    candidate.no_connection =
+        state_->pool.Open(runner->runner.id) >= share && state_->pool.Idle(runner->runner.id) == 0;
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+double RequestRun::LossCost() const {
+  const ChoiceOptions& options = state_->options.choice;
+  if (route_->Repeatable()) {
+    return options.repeatable_loss_ms;
+  }
+  return route_->kind == RouteKind::kStream ? options.turn_loss_ms : options.call_loss_ms;
+}
+
+std::optional<discovery::Runner> RequestRun::Choose() {
+  std::vector<Candidate> candidates = Candidates();
+  ChoiceRequest request;
+  request.prompt_tokens = info_.prompt_tokens;
+  request.loss_ms = LossCost();
+  request.home_key = info_.prompt.empty() ? 0 : info_.prompt.front().id;
+  if (request.home_key == 0 && route_->sticky && !info_.affinity.empty()) {
+    request.home_key = StableHash(info_.affinity);
+  }
+  auto choice = ChooseRunner(candidates, request, state_->options.choice);
+  if (!choice) {
+    // Another part of a split route may have one.
+    for (const WeightedService& part : route_->services) {
+      if (choice || part.service == service_name_) {
+        continue;
+      }
+      service_name_ = part.service;
+      candidates = Candidates();
+      choice = ChooseRunner(candidates, request, state_->options.choice);
+    }
+  }
+  if (!choice) {
+    return std::nullopt;
+  }
+  last_choice_ = *choice;
+  const Candidate& chosen = candidates[choice->index];
+  discovery::RunnerState* runner = state_->runners.Find(discovery::RunnerId(chosen.id));
+  state_->log.Write(
+      Line("runner_chosen")
+          .Text("request", info_.id.value)
+          .Text("runner", chosen.id)
+          .Number("configuration", static_cast<std::int64_t>(routes_->configuration().version))
+          .Number("candidates", static_cast<std::int64_t>(candidates.size()))
+          .Number("active", chosen.active)
+          .Number("kept_tokens", chosen.kept_tokens)
+          .Number("prompt_tokens", info_.prompt_tokens)
+          .Real("loss_rate", chosen.loss_rate)
+          .Real("cost_ms", choice->cost_ms));
+  return runner->runner;
+}
+
+int RequestRun::PriorityRank() const {
+  int tenant_rank = tenant_ == nullptr ? 0 : tenant_->m_priority;
+  return std::clamp(tenant_rank * kRoutePriorities + route_->priority, 0, kLastPriority);
+}
+
+}  // namespace martenyard::forwarding
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -21,11 +21,6 @@
 
 absl::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
-/// Engines know the ranks 0 to 9. A tenant's priority comes before its routes', of which three are
-/// told apart.
-constexpr int kRoutePriorities = 3;
-constexpr int kLastPriority = 9;
-
 const char* NameOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kNotSent:
@@ -71,90 +66,6 @@
   SettleLater(TokensDelivered());
 }
 
-// ---- Choosing ----
-
-std::uint64_t RequestRun::ConnectionShare(const ServiceName& service) const {
-  const Service* found = routes_->configuration().FindService(service);
-  std::uint64_t most = found == nullptr ? 64 : found->max_connections;
-  return std::max<std::uint64_t>(4, most / std::max<std::uint32_t>(1, state_->gateways));
-}
-
-std::vector<Candidate> RequestRun::Candidates() {
-  absl::Time now = SteadyNow();
-  auto steady_now = std::chrono::steady_clock::now();
-  std::vector<Candidate> candidates;
-  std::uint64_t share = ConnectionShare(service_name_);
-  for (discovery::RunnerState* runner : state_->runners.OfService(service_name_)) {
-    bool leaving = runner->Leaving();
-    if (leaving && runner->left_at + state_->options.gone_usable < now) {
-      continue;
-    }
-    Candidate candidate;
-    candidate.id = runner->runner.id.value;
-    candidate.same_zone = runner->runner.zone.value == state_->zone;
-    candidate.slots = runner->runner.slots;
-    candidate.active = runner->Active();
-    candidate.kept_tokens = state_->prefixes.KeptTokens(now, info_.prompt, runner->short_id);
-    candidate.loss_rate = runner->losses.rate(steady_now);
-    candidate.leaving = leaving;
-    candidate.avoided = runner->avoid_until > now || runner->full_until > now;
-    candidate.tried = tried_.contains(candidate.id);
-    candidate.no_connection =
-        state_->pool.Open(runner->runner.id) >= share && state_->pool.Idle(runner->runner.id) == 0;
-    candidates.push_back(std::move(candidate));
-  }
-  return candidates;
-}
-
-double RequestRun::LossCost() const {
-  const ChoiceOptions& options = state_->options.choice;
-  if (route_->Repeatable()) {
-    return options.repeatable_loss_ms;
-  }
-  return route_->kind == RouteKind::kStream ? options.turn_loss_ms : options.call_loss_ms;
-}
-
-std::optional<discovery::Runner> RequestRun::Choose() {
-  std::vector<Candidate> candidates = Candidates();
-  ChoiceRequest request;
-  request.prompt_tokens = info_.prompt_tokens;
-  request.loss_ms = LossCost();
-  request.home_key = info_.prompt.empty() ? 0 : info_.prompt.front().id;
-  if (request.home_key == 0 && route_->sticky && !info_.affinity.empty()) {
-    request.home_key = StableHash(info_.affinity);
-  }
-  auto choice = ChooseRunner(candidates, request, state_->options.choice);
-  if (!choice) {
-    // Another part of a split route may have one.
-    for (const WeightedService& part : route_->services) {
-      if (choice || part.service == service_name_) {
-        continue;
-      }
-      service_name_ = part.service;
-      candidates = Candidates();
-      choice = ChooseRunner(candidates, request, state_->options.choice);
-    }
-  }
-  if (!choice) {
-    return std::nullopt;
-  }
-  last_choice_ = *choice;
-  const Candidate& chosen = candidates[choice->index];
-  discovery::RunnerState* runner = state_->runners.Find(discovery::RunnerId(chosen.id));
-  state_->log.Write(
-      Line("runner_chosen")
-          .Text("request", info_.id.value)
-          .Text("runner", chosen.id)
-          .Number("configuration", static_cast<std::int64_t>(routes_->configuration().version))
-          .Number("candidates", static_cast<std::int64_t>(candidates.size()))
-          .Number("active", chosen.active)
-          .Number("kept_tokens", chosen.kept_tokens)
-          .Number("prompt_tokens", info_.prompt_tokens)
-          .Real("loss_rate", chosen.loss_rate)
-          .Real("cost_ms", choice->cost_ms));
-  return runner->runner;
-}
-
 // ---- Trying ----
 
 std::string RequestRun::RequestHead(const discovery::Runner& runner) const {
@@ -192,11 +103,6 @@
   return text;
 }
 
-int RequestRun::PriorityRank() const {
-  int tenant_rank = tenant_ == nullptr ? 0 : tenant_->m_priority;
-  return std::clamp(tenant_rank * kRoutePriorities + route_->priority, 0, kLastPriority);
-}
-
 AttemptPlan RequestRun::MakePlan(const discovery::Runner& runner) {
   AttemptPlan plan;
   plan.runner = runner;
@@ -421,65 +327,6 @@
   Close(finished ? "answered" : "client_gone");
 }
 
-Task<bool> RequestRun::CommitTurn() {
-  turn_ledger::SettleTurn settle;
-  settle.program = program_;
-  settle.turn = turn_;
-  settle.tokens = TokensDelivered();
-  settle.retention_ms =
-      static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
-  turn_ledger::CompletedTurn completed;
-  bool goes_on = history_ != nullptr && foreign_history_ == nullptr;
-  std::size_t known = goes_on ? history_->size() : 0;
-  if (goes_on) {
-    completed.previous = turn_ledger::TurnId(previous_turn_->value);
-  }
-  completed.input = body_->substr(known);
-  completed.output = passed_.data();
-  auto made = static_cast<std::uint32_t>(TokensDelivered());
-  completed.place = {last_runner_, info_.prompt_tokens + made};
-  settle.completed = std::move(completed);
-  settled_ = true;
-  absl::Time began = SteadyNow();
-  auto result =
-      co_await state_->ledger->Call(group_, settle, began + state_->options.commit_patience);
-  state_->log.Write(Line("turn_committed")
-                        .Text("request", info_.id.value)
-                        .Number("events", static_cast<std::int64_t>(passed_.count()))
-                        .Flag("known", static_cast<bool>(result))
-                        .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began)));
-  if (!result) {
-    co_return false;
-  }
-  state_->turns.Put(program_, RequestId(turn_.value),
-                    std::make_shared<std::string>(absl::StrCat(*body_, passed_.data())));
-  co_return true;
-}
-
-std::uint64_t RequestRun::TokensDelivered() const {
-  bool engine = service_ != nullptr && service_->engine;
-  return passed_.count() * (engine ? service_->engine->tokens_per_event : 1);
-}
-
-void RequestRun::SettleLater(std::uint64_t tokens) {
-  if (!reserved_ || settled_) {
-    return;
-  }
-  settled_ = true;
-  turn_ledger::SettleTurn settle;
-  settle.program = program_;
-  settle.turn = turn_;
-  settle.tokens = tokens;
-  settle.retention_ms =
-      static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
-  async_http::asio::co_spawn(
-      state_->context,
-      [state = state_, group = group_, settle = std::move(settle)]() -> Task<void> {
-        co_await state->ledger->Call(group, settle, SteadyNow() + state->options.settle_patience);
-      },
-      async_http::asio::detached);
-}
-
 Task<void> RequestRun::Refuse(absl::string_view reason) {
   co_await AnswerOwn(503, reason, state_->options.retry_after);
 }
--- a/src/forwarding/request_run.h
+++ b/src/forwarding/request_run.h
@@ -62,6 +62,8 @@
   /// Puts the chain before the turn's own input. @return false when it answered.
   async_http::Task<bool> TakeHistory(history_fetch& fetch, turn_ledger::ReserveTurn reserve,
                                      absl::Time patience, event_log::Line& line);
+  /// From here on the request brings its turn's whole chain.
+  void PutHistoryFirst(std::shared_ptr<const std::string> history);
   /// The same with a chain that came with the ledger's verdict.
   void TakeRelayedHistory(std::string history, event_log::Line& line);
   async_http::Task<void> TryRunners();
@@ -84,6 +86,9 @@
   RequestSituation Situation() const;
   async_http::Task<void> PassOn(AttemptResult& result, stream_run& run);
   async_http::Task<void> FinishStream(stream_run& run);
+  std::uint32_t RetentionMilliseconds() const;
+  /// @return what tells the ledger that the turn ended with so many tokens.
+  turn_ledger::SettleTurn Settlement(std::uint64_t tokens) const;
   /// Commits a kept turn. @return false when it is not known to be committed.
   async_http::Task<bool> CommitTurn();
   void SettleLater(std::uint64_t tokens);
--- /dev/null
+++ b/src/forwarding/request_settlement.cc
@@ -0,0 +1,76 @@
+// RequestRun's settlement: what a turn cost is told to the ledger, and a kept turn is committed
+// there.
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "forwarding/request_run.h"
+
+namespace martenyard::forwarding {
+
+using async_http::Task;
+using event_log::Line;
+
+std::uint32_t RequestRun::RetentionMilliseconds() const {
+  return static_cast<std::uint32_t>(absl::ToInt64Milliseconds(route_->turn_retention));
+}
+
+turn_ledger::SettleTurn RequestRun::Settlement(std::uint64_t tokens) const {
+  turn_ledger::SettleTurn settle;
+  settle.program = program_;
+  settle.turn = turn_;
+  settle.tokens = tokens;
+  settle.retention_ms = RetentionMilliseconds();
+  return settle;
+}
+
+Task<bool> RequestRun::CommitTurn() {
+  turn_ledger::SettleTurn settle = Settlement(TokensDelivered());
+  turn_ledger::CompletedTurn completed;
+  bool goes_on = history_ != nullptr && foreign_history_ == nullptr;
+  std::size_t known = goes_on ? history_->size() : 0;
+  if (goes_on) {
+    completed.previous = turn_ledger::TurnId(previous_turn_->value);
+  }
+  completed.input = body_->substr(known);
+  completed.output = passed_.data();
+  auto made = static_cast<std::uint32_t>(TokensDelivered());
+  completed.place = {last_runner_, info_.prompt_tokens + made};
+  settle.completed = std::move(completed);
+  settled_ = true;
+  absl::Time began = SteadyNow();
+  auto result =
+      co_await state_->ledger->Call(group_, settle, began + state_->options.commit_patience);
+  state_->log.Write(Line("turn_committed")
+                        .Text("request", info_.id.value)
+                        .Number("events", static_cast<std::int64_t>(passed_.count()))
+                        .Flag("known", static_cast<bool>(result))
+                        .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - began)));
+  if (!result) {
+    co_return false;
+  }
+  state_->turns.Put(program_, RequestId(turn_.value),
+                    std::make_shared<std::string>(absl::StrCat(*body_, passed_.data())));
+  co_return true;
+}
+
+std::uint64_t RequestRun::TokensDelivered() const {
+  bool engine = service_ != nullptr && service_->engine;
+  return passed_.count() * (engine ? service_->engine->tokens_per_event : 1);
+}
+
+void RequestRun::SettleLater(std::uint64_t tokens) {
+  if (!reserved_ || settled_) {
+    return;
+  }
+  settled_ = true;
+  turn_ledger::SettleTurn settle = Settlement(tokens);
+  async_http::asio::co_spawn(
+      state_->context,
+      [state = state_, group = group_, settle = std::move(settle)]() -> Task<void> {
+        co_await state->ledger->Call(group, settle, SteadyNow() + state->options.settle_patience);
+      },
+      async_http::asio::detached);
+}
+
+}  // namespace martenyard::forwarding
--- a/src/forwarding/runner_choice.cc
+++ b/src/forwarding/runner_choice.cc
@@ -7,12 +7,6 @@
 namespace martenyard::forwarding {
 namespace {
 
-/// A uniform value in [0, 1) that all gateways draw alike.
-double Draw(const Candidate& candidate, std::uint64_t key) {
-  constexpr double kRange = 18446744073709551616.0;  // 2^64.
-  return static_cast<double>(StableHash(candidate.id, key)) / kRange;
-}
-
 double Cost(const Candidate& candidate, const ChoiceRequest& request,
             const ChoiceOptions& options) {
   bool engine = request.prompt_tokens > 0;
@@ -29,7 +23,9 @@
   }
   cost += candidate.loss_rate * request.loss_ms;
   cost += candidate.same_zone ? 0.0 : options.other_zone_ms;
-  cost += request.home_key == 0 ? 0.0 : (1.0 - Draw(candidate, request.home_key)) * options.home_ms;
+  cost += request.home_key == 0
+              ? 0.0
+              : (1.0 - StableUnitPoint(candidate.id, request.home_key)) * options.home_ms;
   return cost;
 }
 
