Test that fails: a resumed run's failure is written into the stream

Cause: a runner that answers a resumed run with a whole failure ends the attempt as answered, and that is passed on whatever the client has: a second head and body stand behind the events, on a connection that stays open for the next request. Measured: fails as it is for a 500 and for a 400 that did not run.

--- a/emulator/platform/runner_stand_in.cc
+++ b/emulator/platform/runner_stand_in.cc
@@ -131,8 +131,9 @@
 
 Task<bool> RunnerStandIn::AnswerOne(async_http::Socket& socket, SeenRequest request,
                                     RunnerBehavior behavior) {
-  bool turned_away =
-      behavior == RunnerBehavior::kShed || behavior == RunnerBehavior::kWrongInstance;
+  bool turned_away = behavior == RunnerBehavior::kShed ||
+                     behavior == RunnerBehavior::kWrongInstance ||
+                     behavior == RunnerBehavior::kRefuseRequest;
   request.ran = !turned_away;
   seen_.push_back(request);
   std::string signature = absl::StrCat("Server-Signature: ", Signature(request), "\r\n");
@@ -166,6 +167,9 @@
     case RunnerBehavior::kFail:
       co_await Write(socket, Whole(500, request.id, "failed", signature));
       co_return true;
+    case RunnerBehavior::kRefuseRequest:
+      co_await Write(socket, Whole(400, request.id, "faulty", "Not-Executed: 1\r\n"));
+      co_return true;
     case RunnerBehavior::kReset:
       Reset(socket);
       co_return false;
--- a/emulator/platform/runner_stand_in.h
+++ b/emulator/platform/runner_stand_in.h
@@ -23,6 +23,7 @@
   kShed,              ///< 503: full, not run.
   kWrongInstance,     ///< 421: another runner has the address.
   kFail,              ///< 500 of its own, run.
+  kRefuseRequest,     ///< 400: the request is faulty, not run.
   kReset,             ///< Reads the request and resets.
   kClose,             ///< Reads the request and closes.
   kCutAnswer,         ///< Half of the promised length, then a close.
--- a/tests/platform/stream_continuation_test.cc
+++ b/tests/platform/stream_continuation_test.cc
@@ -16,7 +16,10 @@
 // length, and the place where a resumed run begins.
 #include <gtest/gtest.h>
 
-#include <deque>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -138,6 +141,56 @@
   EXPECT_EQ(world.Ask(request).status, 404U);
 }
 
+/// Every byte that a connection brings until its other end closes it.
+struct RawDialogue {
+  std::string bytes;
+  bool closed = false;
+};
+
+async_http::Task<void> TalkRaw(async_http::asio::io_context& context, wire::Endpoint gateway,
+                               std::string text, std::shared_ptr<RawDialogue> dialogue) {
+  async_http::Socket socket(context);
+  auto address = async_http::asio::ip::make_address(gateway.address);
+  co_await socket.async_connect({address, gateway.port}, async_http::kAwait);
+  co_await async_http::asio::async_write(socket, async_http::asio::buffer(text),
+                                         async_http::kAwait);
+  std::array<char, 4096> piece;
+  while (!dialogue->closed) {
+    auto [error, count] =
+        co_await socket.async_read_some(async_http::asio::buffer(piece), async_http::kAwait);
+    dialogue->bytes.append(piece.data(), count);
+    dialogue->closed = static_cast<bool>(error);
+  }
+}
+
+TEST(StreamContinuationTest, NoSecondHeadFollowsAStreamThatHasBegun) {
+  // A runner that fails a resumed run answers with a head and a body of its own. Written behind the
+  // events that the client has, they are bytes that belong to no answer on a connection that stays
+  // open.
+  for (RunnerBehavior next : {RunnerBehavior::kFail, RunnerBehavior::kRefuseRequest}) {
+    PlatformWorld world;
+    world.Start();
+    world.a().Script({RunnerBehavior::kBreakMidEvent});
+    world.b().Script({next});
+    ClientRequest request;
+    request.target = kResumable;
+    auto dialogue = std::make_shared<RawDialogue>();
+    async_http::asio::co_spawn(
+        world.loop().context(),
+        TalkRaw(world.loop().context(), {"127.0.0.1", world.gateway().frontend_port()},
+                RequestText(request), dialogue),
+        async_http::asio::detached);
+    auto ended = [&] {
+      return world.Log().find("\"event\":\"request_ended\"") != std::string::npos;
+    };
+    ASSERT_TRUE(world.RunUntil(ended));
+    EXPECT_TRUE(world.RunUntil([&] { return dialogue->closed; })) << "the connection stays open";
+    EXPECT_EQ(dialogue->bytes.rfind("HTTP/1.1 "), 0U) << dialogue->bytes;
+    EXPECT_NE(dialogue->bytes.find("event-2"), std::string::npos);
+    EXPECT_EQ(dialogue->bytes.find("\r\n0\r\n"), std::string::npos) << "it looks complete";
+  }
+}
+
 TEST(StreamContinuationTest, KeptTurnIsNotKeptFromAPartOfItsEvents) {
   // The client had the events up to its last id from an attempt that broke; this gateway never had
   // them, so what it could keep would lack them in every later turn of the chain.
