Nothing but the stream itself follows a stream that has begun

Change: such an answer is no answer to what was asked for: the stream is resumed elsewhere where it may be, else broken (the pure table of outcomes); the server breaks the connection rather than write a second head, whoever asks for it.

--- a/src/async_http/server.cc
+++ b/src/async_http/server.cc
@@ -361,6 +361,10 @@
 }
 
 Task<bool> Exchange::Send(HttpHead head, std::string body) {
+  if (stream_started_) {
+    Break();  // Two heads in one answer would let the rest pass for another request's.
+    co_return false;
+  }
   answered_ = true;
   bool closes = false;
   std::string text = absl::StrCat(HeadText(head), connection_.ConnectionFields(&closes));
--- a/src/async_http/server.h
+++ b/src/async_http/server.h
@@ -54,7 +54,8 @@
   void OnClientGone(std::function<void()> on_gone);
   void ClearOnClientGone() { on_gone_ = nullptr; }
 
-  /// Sends a whole answer. @return false when the client could not be reached.
+  /// Sends a whole answer. Where one was started as a stream, it breaks the connection instead.
+  /// @return false when the client could not be reached.
   Task<bool> Send(HttpHead head, std::string body);
   /// Starts an answer of unknown length.
   Task<bool> StartStream(HttpHead head);
--- a/src/forwarding/attempt_outcome.cc
+++ b/src/forwarding/attempt_outcome.cc
@@ -35,7 +35,9 @@
     case AttemptEnd::kNotRun:
       return AfterNotRun(situation);
     case AttemptEnd::kAnswered:
-      return NextStep::kPassOn;
+      // A second head behind the first one's events would belong to no answer.
+      return situation.answer_started && !situation.streamed ? AfterNoAnswer(situation)
+                                                             : NextStep::kPassOn;
     case AttemptEnd::kNoAnswer:
     case AttemptEnd::kBrokeOff:
       return AfterNoAnswer(situation);
--- a/src/forwarding/attempt_outcome.h
+++ b/src/forwarding/attempt_outcome.h
@@ -27,6 +27,7 @@
   bool may_have_run = false;    ///< By an earlier attempt.
   int attempts_left = 0;        ///< Runners that it may still be sent to.
   absl::Duration time_left;
+  bool streamed = false;  ///< The attempt's answer went to the client as it came.
 };
 
 enum class NextStep {
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -249,11 +249,13 @@
       result = co_await RunOnce(*runner, run);
       end = result.end;
       situation = Situation();
+      situation.streamed = result.streamed;
     } else {
       situation.attempts_left = 0;  // There is nobody to send it to.
     }
     // A client's own fault is told by the runner's answer, also where it did not run.
-    bool client_fault = end == AttemptEnd::kNotRun && result.answer.head.result_int() == 400;
+    bool client_fault = end == AttemptEnd::kNotRun && !situation.answer_started &&
+                        result.answer.head.result_int() == 400;
     switch (client_fault ? NextStep::kPassOn : DecideNextStep(end, situation)) {
       case NextStep::kPassOn:
         if (head_runner_.empty()) {
--- a/tests/forwarding/forwarding_units_test.cc
+++ b/tests/forwarding/forwarding_units_test.cc
@@ -219,6 +219,20 @@
 INSTANTIATE_TEST_SUITE_P(Table, AttemptOutcomeTest, ::testing::ValuesIn(kOutcomes),
                          [](const auto& info) { return std::string(info.param.name); });
 
+TEST(AttemptOutcomeOfStreamsTest, WholeAnswerBehindAStreamThatBeganIsABreak) {
+  RequestSituation situation;
+  situation.answer_started = true;
+  situation.may_have_run = true;
+  situation.time_left = absl::Milliseconds(900);
+  EXPECT_EQ(DecideNextStep(AttemptEnd::kAnswered, situation), NextStep::kBreak);
+  situation.attempts_left = 1;
+  EXPECT_EQ(DecideNextStep(AttemptEnd::kAnswered, situation), NextStep::kBreak);
+  situation.can_resume = true;
+  EXPECT_EQ(DecideNextStep(AttemptEnd::kAnswered, situation), NextStep::kResume);
+  situation.streamed = true;
+  EXPECT_EQ(DecideNextStep(AttemptEnd::kAnswered, situation), NextStep::kPassOn);
+}
+
 TEST(TurnCacheTest, KeepsTheLatestWithinItsBytes) {
   TurnCache cache(100);
   auto chain = std::make_shared<std::string>(std::string(40, 'x'));
