A client's own resumption is held to the step that its service's ids are known to have

Cause: found by the soak of real processes: a client named event 4 as its last, the first run broke inside its first event, the next began at 6 and was passed on, since before the first event nothing told by how much ids rise. Weighed: taking one for granted there would refuse every resumption of a service that counts otherwise; asking only for rising ids lets the gap pass. Until a gateway has passed on a stream of two events of the service, the gap still passes.

--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -17,6 +17,7 @@
 #include "forwarding/quota/quota_client.h"
 #include "forwarding/route_table.h"
 #include "forwarding/runner_choice.h"
+#include "forwarding/streams/id_steps.h"
 #include "forwarding/turn_cache.h"
 #include "tenancy/configuration_lease.h"
 #include "tenancy/key_hasher.h"
@@ -78,6 +79,7 @@
   tenancy::configuration_lease lease;  ///< For how long API keys may be taken.
   bool store_reachable = false;        ///< The configuration is known to be the newest.
   discovery::RunnerTable runners;
+  id_steps id_steps_of_services;  ///< Of the services' event ids.
   PrefixIndex prefixes{absl::Seconds(30), 40000};
   ConnectionPool pool;
   TurnCache turns{std::uint64_t{2} << 20};
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -78,7 +78,8 @@
   service_name_ = ChooseService(*route_, SplitPoint(info_, state_->random));
   service_ = routes_->configuration().FindService(service_name_);
   if (route_->kind == RouteKind::kStream && route_->resumable) {
-    passed_ = passed_events(info_.last_event_id);
+    passed_ =
+        passed_events(info_.last_event_id, state_->id_steps_of_services.step_of(service_name_));
   }
   co_return true;
 }
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -319,6 +319,9 @@
     Close("client_gone");
     co_return;
   }
+  if (auto step = passed_.step()) {
+    state_->id_steps_of_services.note(service_name_, *step);
+  }
   if (route_->keeps_turns && !co_await CommitTurn()) {
     exchange_->Break();
     Close("commit_unknown");
--- a/src/forwarding/streams/passed_events.cc
+++ b/src/forwarding/streams/passed_events.cc
@@ -24,7 +24,8 @@
 
 }  // namespace
 
-passed_events::passed_events(std::string after) : m_last_id(std::move(after))
+passed_events::passed_events(std::string after, std::uint64_t step)
+    : m_last_id(std::move(after)), m_known_step(step)
 {
 }
 
@@ -45,8 +46,28 @@
     {
         return *event.m_id != m_last_id;
     }
-    bool step_known = m_count > 0 && m_step > 0;
-    return step_known ? *next == *last + m_step : *next > *last;
+    std::uint64_t step = expected_step();
+    return step == 0 ? *next > *last : *next == *last + step;
+}
+
+std::uint64_t passed_events::expected_step() const
+{
+    if (m_steps_seen > 0)
+    {
+        return m_step;
+    }
+    // One event says nothing of the step: most services count by one.
+    bool assumes_one = m_count > 0 && m_known_step == 0;
+    return assumes_one ? 1 : m_known_step;
+}
+
+std::optional<std::uint64_t> passed_events::step() const
+{
+    if (m_steps_seen == 0)
+    {
+        return std::nullopt;
+    }
+    return m_step;
 }
 
 void passed_events::take(const stream_event& event)
--- a/tests/forwarding/streams/passed_events_test.cc
+++ b/tests/forwarding/streams/passed_events_test.cc
@@ -33,6 +33,8 @@
     std::string m_next;
     bool m_may_follow;
     bool m_can_be_resumed;
+    /// known of the service's other streams
+    std::uint64_t m_known_step = 0;
 };
 
 class FollowTest : public ::testing::TestWithParam<follow_case>
@@ -42,7 +44,7 @@
 TEST_P(FollowTest, IsAsTheTableSays)
 {
     const follow_case& test = GetParam();
-    passed_events passed(test.m_after);
+    passed_events passed(test.m_after, test.m_known_step);
     for (const std::string& id : test.m_passed)
     {
         passed.take(event_with(id));
@@ -72,6 +74,12 @@
     {"ClientsOwnPassedOver", "12", {}, "1", false, false},
     {"ClientsOwnThenMore", "12", {"13"}, "14", true, true},
     {"ClientsOwnThenGap", "12", {"13"}, "15", false, true},
+    {"ClientsOwnNextInAKnownStep", "12", {}, "13", true, false, 1},
+    {"ClientsOwnGapInAKnownStep", "12", {}, "14", false, false, 1},
+    {"ClientsOwnInAKnownLongerStep", "12", {}, "37", true, false, 25},
+    {"NextAfterOneInAKnownStep", "", {"25"}, "50", true, true, 25},
+    {"GapAfterOneInAKnownStep", "", {"25"}, "75", false, true, 25},
+    {"OwnStepGoesBeforeTheKnownOne", "", {"10", "20"}, "30", true, true, 1},
     {"LargestNumber", "", {"18446744073709551614", "18446744073709551615"}, "1", false, true},
 };
 
--- a/tests/platform/stream_continuation_test.cc
+++ b/tests/platform/stream_continuation_test.cc
@@ -163,6 +163,21 @@
   }
 }
 
+TEST(StreamContinuationTest, ClientsOwnResumptionMissesNoEventOnceTheStepIsKnown) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kServe, RunnerBehavior::kSkipEvent});
+  ClientRequest request;
+  request.target = kResumable;
+  ASSERT_TRUE(world.Ask(request).whole);
+  request.id = "attempt-2";
+  request.headers = {"Last-Event-Id: 2"};
+  ClientAnswer answer = world.Ask(request);
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Events(3, 4));
+  EXPECT_EQ(answer.headers["server-signature"], "sig-i-far-attempt-2");
+}
+
 TEST(StreamContinuationTest, NoSecondHeadFollowsAStreamThatHasBegun) {
   // A runner that fails a resumed run answers with a head and a body of its own. Written behind the
   // events that the client has, they are bytes that belong to no answer on a connection that stays
