--- a/emulator/platform/runner_stand_in.cc
+++ b/emulator/platform/runner_stand_in.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 
 namespace martenyard::emulator {
 
@@ -43,6 +44,10 @@
   return absl::StrCat("id: ", number, "\ndata: event-", number, "\n\n");
 }
 
+std::string WithId(const std::string& text, const std::string& id) {
+  return absl::StrReplaceAll(text, {{"@", id}});
+}
+
 std::string Chunk(const std::string& bytes) {
   return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
 }
@@ -203,6 +208,9 @@
       co_await async_http::Sleep(context_, absl::Milliseconds(5));
       Reset(socket);
       co_return false;
+    case RunnerBehavior::kRaw:
+      co_await Write(socket, WithId(raw, request.id));
+      co_return false;
     case RunnerBehavior::kEarly:
       co_return true;  // Handled before the body was read.
   }
--- a/emulator/platform/runner_stand_in.h
+++ b/emulator/platform/runner_stand_in.h
@@ -38,6 +38,7 @@
   kSkipEvent,         ///< Leaves out the first event that was asked for.
   kResetUnframed,     ///< Part of an unframed answer, then a reset.
   kEarly,             ///< Answers before the body is read, and reads on later.
+  kRaw,               ///< Sends `raw` as it is, with the request's id for each `@`, then closes.
 };
 
 /// A request as a runner saw it.
@@ -66,6 +67,7 @@
   int abandoned() const { return abandoned_; }
   int events = 4;            ///< Of a stream.
   absl::Duration event_gap;  ///< Between two events.
+  std::string raw;           ///< What `kRaw` sends.
 
  private:
   async_http::Task<void> AcceptAll();
