Every part of a resumed run is compared with where the stream stands

Change: a run's events with an id or data are compared until one with data was in place, and nothing is noted of one that is refused; what stands behind the last blank line is compared, passed on, and counts as the event that the client has; a resumed run must be an event stream by its content type; a close-delimited body that is none is believed, and spare blank lines at its end are no cut event. Weighed: holding back comments before the first event would delay the head of engines that send them while they read the prompt; they go out.

--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -242,23 +242,19 @@
     }
     step = co_await connection_->ReadBody();
   }
-  if (const char* cut = WhyCut(step, sink)) {
-    result.detail = cut;
+  if (const char* reason = WhyIncomplete(step, sink)) {
+    result.detail = reason;
     result.end = FailureEnd(AttemptEnd::kBrokeOff);
     co_return;
   }
   result.end = AttemptEnd::kAnswered;
 }
 
-const char* Attempt::WhyCut(ReadStep last, const StreamSink& sink) const {
+const char* Attempt::WhyIncomplete(ReadStep last, const StreamSink& sink) const {
   if (last != ReadStep::kWhole) {
     return "the stream broke off";
   }
-  // The end of the connection alone does not say that the runner was done.
-  if (connection_->ended_by_close() && !sink.EndsAfterWholeEvent()) {
-    return "the stream ended with its connection, and not after a whole event";
-  }
-  return nullptr;
+  return sink.WhyIncomplete(connection_->ended_by_close());
 }
 
 void Attempt::Finish(AttemptResult& result) {
--- a/src/forwarding/attempt.h
+++ b/src/forwarding/attempt.h
@@ -36,7 +36,7 @@
 enum class StreamStep {
   kPassed,      ///< The client has what was whole of them.
   kClientGone,  ///< The client can't be reached.
-  kOutOfPlace,  ///< The run does not go on where the client's stream stands; nothing was passed on.
+  kOutOfPlace,  ///< The run does not go on after the last event that the client has.
 };
 
 /// Takes a stream's parts as they come, of one attempt.
@@ -47,8 +47,10 @@
   virtual void OnHead(const async_http::HttpHead& head) = 0;
   /// Bytes of the answer's body.
   virtual async_http::Task<StreamStep> OnBytes(std::string bytes) = 0;
-  /// @return whether the bytes so far end with a whole event.
-  virtual bool EndsAfterWholeEvent() const = 0;
+  /// The runner's answer has ended.
+  /// @param ended_by_close only the end of the connection told so, no length and no last chunk.
+  /// @return why the stream is not whole, for the log; null when it is.
+  virtual const char* WhyIncomplete(bool ended_by_close) const = 0;
 };
 
 struct AttemptResult {
@@ -82,7 +84,7 @@
   async_http::Task<void> ReadWhole(AttemptResult& result);
   async_http::Task<void> PassStream(AttemptResult& result, StreamSink& sink);
   /// @return why the stream is not whole, or null when it is.
-  const char* WhyCut(async_http::ReadStep last, const StreamSink& sink) const;
+  const char* WhyIncomplete(async_http::ReadStep last, const StreamSink& sink) const;
   void Finish(AttemptResult& result);
   AttemptEnd FailureEnd(AttemptEnd otherwise) const;
 
--- a/src/forwarding/request_run.cc
+++ b/src/forwarding/request_run.cc
@@ -315,7 +315,7 @@
 }
 
 Task<void> RequestRun::FinishStream(stream_run& run) {
-  if (!co_await run.pass_rest()) {
+  if (!co_await run.pass_unfinished()) {
     Close("client_gone");
     co_return;
   }
--- a/src/forwarding/streams/event_cutter.cc
+++ b/src/forwarding/streams/event_cutter.cc
@@ -90,4 +90,9 @@
     return events;
 }
 
+stream_event event_cutter::unfinished_event() const
+{
+    return read_event(m_unfinished);
+}
+
 }  // namespace martenyard::forwarding
--- a/src/forwarding/streams/event_cutter.h
+++ b/src/forwarding/streams/event_cutter.h
@@ -34,6 +34,9 @@
         return m_unfinished;
     }
 
+    /// @return what the unfinished bytes say, as if a blank line followed
+    stream_event unfinished_event() const;
+
   private:
     std::string m_unfinished;
     /// bytes of `m_unfinished` that are known to hold no event's end
--- a/src/forwarding/streams/passed_events.cc
+++ b/src/forwarding/streams/passed_events.cc
@@ -22,6 +22,11 @@
     return number;
 }
 
+bool names_place(const stream_event& event)
+{
+    return event.m_id && !event.m_id->empty();
+}
+
 }  // namespace
 
 passed_events::passed_events(std::string after, std::uint64_t step)
@@ -35,7 +40,7 @@
     {
         return true;
     }
-    if (!event.m_id)
+    if (!names_place(event))
     {
         // Nothing says where it belongs. The client named its own place; there the runner's word is all.
         return m_count == 0;
@@ -72,7 +77,7 @@
 
 void passed_events::take(const stream_event& event)
 {
-    if (event.m_id)
+    if (names_place(event))
     {
         note_step(*event.m_id);
         m_last_id = *event.m_id;
@@ -81,7 +86,7 @@
     {
         absl::StrAppend(&m_data, *event.m_data, "\n");
         ++m_count;
-        m_last_has_id = event.m_id.has_value();
+        m_last_has_id = names_place(event);
     }
 }
 
--- a/src/forwarding/streams/passed_events.h
+++ b/src/forwarding/streams/passed_events.h
@@ -23,7 +23,7 @@
     /// Ids rise. By how much is known from the service's other streams or from the events passed on; after a
     /// single event of a service that nothing is known of, they are taken to count by one. A run that leaves
     /// an event out is so told from one that does not.
-    /// @param[in] event  the run's first event with data
+    /// @param[in] event  the run's first event with an id or data
     bool may_follow(const stream_event& event) const;
 
     void take(const stream_event& event);
@@ -46,7 +46,8 @@
         return m_last_id;
     }
 
-    /// @return whether `last_id` names the last event with data, so that another run can go on after it
+    /// @return whether `last_id` names the last event with data, so that another run can go on after it;
+    /// an empty id names none
     bool can_be_resumed() const
     {
         return m_count > 0 && m_last_has_id;
--- a/src/forwarding/streams/stream_run.cc
+++ b/src/forwarding/streams/stream_run.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "forwarding/headers/end_to_end.h"
 
@@ -12,7 +14,10 @@
 using async_http::Task;
 
 stream_run::stream_run(async_http::Exchange& exchange, passed_events& passed, std::function<void()> on_head)
-    : m_exchange(exchange), m_passed(passed), m_on_head(std::move(on_head))
+    : m_exchange(exchange),
+      m_passed(passed),
+      m_on_head(std::move(on_head)),
+      m_resumes(exchange.stream_started())
 {
 }
 
@@ -26,24 +31,38 @@
     m_head = std::move(passed);
 }
 
+bool stream_run::is_in_place(const stream_event& event) const
+{
+    bool says_where = event.m_id || event.m_data;
+    return m_place_checked || !says_where || m_passed.may_follow(event);
+}
+
 bool stream_run::take(const stream_event& event)
 {
-    if (event.m_data && !m_in_place)
-    {
-        if (!m_passed.may_follow(event))
-        {
-            return false;
-        }
-        m_in_place = true;
-    }
     if (event.m_id && m_first_id.empty())
     {
         m_first_id = *event.m_id;
     }
+    if (!is_in_place(event))
+    {
+        return false;
+    }
+    m_place_checked = m_place_checked || event.m_data;
     m_passed.take(event);
     return true;
 }
 
+bool stream_run::is_event_stream() const
+{
+    auto type = m_head->find(boost::beast::http::field::content_type);
+    if (type == m_head->end())
+    {
+        return true;
+    }
+    std::string name = absl::AsciiStrToLower(absl::string_view(type->value().data(), type->value().size()));
+    return absl::StrContains(name, "text/event-stream");
+}
+
 Task<StreamStep> stream_run::OnBytes(std::string bytes)
 {
     std::string whole;
@@ -64,9 +83,23 @@
     co_return passed ? StreamStep::kPassed : StreamStep::kClientGone;
 }
 
-bool stream_run::EndsAfterWholeEvent() const
+const char* stream_run::WhyIncomplete(bool ended_by_close) const
 {
-    return m_in_place && m_cutter.unfinished().empty();
+    const std::string& rest = m_cutter.unfinished();
+    bool only_blank = rest.find_first_not_of("\r\n") == std::string::npos;
+    if (!is_event_stream())
+    {
+        return m_resumes ? "the run that was to go on is no event stream" : nullptr;
+    }
+    // The end of the connection alone does not say that the runner was done.
+    if (ended_by_close && (!only_blank || !m_place_checked))
+    {
+        return "the stream ended with its connection, and not after a whole event";
+    }
+    stream_event last = m_cutter.unfinished_event();
+    bool says_where = last.m_id || last.m_data;
+    bool fits = only_blank || m_place_checked || (says_where ? m_passed.may_follow(last) : !m_resumes);
+    return fits ? nullptr : "the run does not go on where the stream stood";
 }
 
 Task<bool> stream_run::start_stream()
@@ -79,11 +112,13 @@
     co_return co_await m_exchange.StartStream(*m_head);
 }
 
-Task<bool> stream_run::pass_rest()
+Task<bool> stream_run::pass_unfinished()
 {
     bool passed = co_await start_stream();
     if (passed && !m_cutter.unfinished().empty())
     {
+        // The client has these bytes as the body's last event: they count as one.
+        m_passed.take(m_cutter.unfinished_event());
         passed = co_await m_exchange.Write(m_cutter.unfinished());
     }
     co_return passed;
--- a/src/forwarding/streams/stream_run.h
+++ b/src/forwarding/streams/stream_run.h
@@ -27,13 +27,12 @@
 
     void OnHead(const async_http::HttpHead& head) override;
     async_http::Task<StreamStep> OnBytes(std::string bytes) override;
-    bool EndsAfterWholeEvent() const override;
+    const char* WhyIncomplete(bool ended_by_close) const override;
 
-    /// @brief ends the client's answer as far as this run's body goes; its end mark is the caller's
-    ///
-    /// A run whose body is whole may have no blank line behind its last event: those bytes go on as they are.
+    /// @brief passes on what stands behind the last blank line of a body that is whole; the end mark of the
+    /// client's answer is the caller's
     /// @return false when the client can't be reached
-    async_http::Task<bool> pass_rest();
+    async_http::Task<bool> pass_unfinished();
 
     /// @return whether the client got this run's head
     bool gave_head() const
@@ -53,8 +52,12 @@
     }
 
   private:
-    /// @return false when the event does not follow on what the client has
+    /// @return whether an event may stand where the client's stream is
+    bool is_in_place(const stream_event& event) const;
+    /// @return false when it may not; then nothing is noted of it
     bool take(const stream_event& event);
+    /// @return whether the body is an event stream by its head; one that does not say counts as such
+    bool is_event_stream() const;
     /// @return false when the client can't be reached
     async_http::Task<bool> start_stream();
 
@@ -65,8 +68,10 @@
     event_cutter m_cutter;
     std::string m_first_id;
     bool m_gave_head = false;
-    /// an event with data was found to follow on what earlier runs gave
-    bool m_in_place = false;
+    /// the client had events of an earlier run when this one began
+    const bool m_resumes;
+    /// an event with data was compared with what the client has: from there on the runner's order counts
+    bool m_place_checked = false;
 };
 
 }  // namespace martenyard::forwarding
--- a/tests/forwarding/streams/passed_events_test.cc
+++ b/tests/forwarding/streams/passed_events_test.cc
@@ -80,6 +80,7 @@
     {"NextAfterOneInAKnownStep", "", {"25"}, "50", true, true, 25},
     {"GapAfterOneInAKnownStep", "", {"25"}, "75", false, true, 25},
     {"OwnStepGoesBeforeTheKnownOne", "", {"10", "20"}, "30", true, true, 1},
+    {"FirstEventAfterTheClientsOwnIsNoStep", "12", {"37"}, "38", true, true},
     {"LargestNumber", "", {"18446744073709551614", "18446744073709551615"}, "1", false, true},
 };
 
--- a/tests/platform/stream_corners_test.cc
+++ b/tests/platform/stream_corners_test.cc
@@ -169,5 +169,138 @@
   EXPECT_FALSE(absl::StrContains(answer.body, "event-8")) << answer.body;
 }
 
+// An empty id sets the last id back: it names no place to go on from.
+
+TEST(StreamCornersTest, EmptyIdIsNoPlaceToGoOnFrom) {
+  PlatformWorld world;
+  ClientAnswer answer =
+      AskRaw(world, Broken(Events(1, 2) + "id:\ndata: event-3\n\n"), WithLength(Events(1, 4)));
+  EXPECT_FALSE(answer.whole) << answer.body;
+  EXPECT_FALSE(absl::StrContains(answer.body.substr(Events(1, 2).size()), "event-1"));
+  EXPECT_EQ(world.b().runs(), 0);
+}
+
+// An answer without a body gets no end mark of one.
+
+TEST(StreamCornersTest, HeadRequestGetsNoBytesBehindTheHead) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kRaw});
+  world.a().raw = absl::StrCat(kStreamHead, "Transfer-Encoding: chunked\r\n\r\n");
+  ClientRequest request = Resumable();
+  request.method = "HEAD";
+  std::string bytes = BytesOf(world, RequestText(request));
+  ASSERT_TRUE(absl::StrContains(bytes, "\r\n\r\n"));
+  EXPECT_EQ(bytes.substr(bytes.find("\r\n\r\n") + 4), "");
+}
+
+TEST(StreamCornersTest, NoContentGetsNoBytesBehindTheHead) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kRaw});
+  world.a().raw = "HTTP/1.1 204 No Content\r\nAttempt-Id: @\r\nServer-Signature: sig-raw\r\n\r\n";
+  std::string bytes = BytesOf(world, RequestText(Resumable()));
+  ASSERT_TRUE(absl::StrContains(bytes, "\r\n\r\n"));
+  EXPECT_EQ(bytes.substr(bytes.find("\r\n\r\n") + 4), "");
+}
+
+// The log tells where a refused run began.
+
+TEST(StreamCornersTest, RefusedRunsFirstEventIsLogged) {
+  PlatformWorld world;
+  AskRaw(world, Broken(Events(1, 2)), WithLength(Events(1, 4)));
+  EXPECT_TRUE(absl::StrContains(world.Log(),
+                                "\"first_event\":\"1\",\"unfinished_bytes\":0,"
+                                "\"framing\":\"length\",\"reused\":false,"
+                                "\"detail\":\"the run does not go on"))
+      << world.Log().substr(world.Log().size() > 3000 ? world.Log().size() - 3000 : 0);
+}
+
+// Rows for each part of the comparison, so that none of them can be left out unseen.
+
+TEST(StreamCornersTest, ClientsOwnResumptionThatNoRunnerHonoursIsNoRefusal) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kStreamFromStart});
+  world.b().Script({RunnerBehavior::kStreamFromStart});
+  ClientRequest request = Resumable();
+  request.headers = {"Last-Event-Id: 2"};
+  ClientAnswer answer = world.Ask(request);
+  EXPECT_EQ(answer.status, 502U) << "both ran it: a refusal would say that none did";
+  EXPECT_EQ(world.a().runs() + world.b().runs(), 2);
+}
+
+TEST(StreamCornersTest, CommentBeforeTheFirstEventDoesNotStandForIt) {
+  PlatformWorld world;
+  ClientAnswer answer =
+      AskRaw(world, Broken(Events(1, 2)), WithLength(": warm\n\n" + Events(1, 4)));
+  EXPECT_FALSE(answer.whole);
+  EXPECT_FALSE(absl::StrContains(answer.body.substr(Events(1, 2).size()), "event-1"))
+      << answer.body;
+}
+
+TEST(StreamCornersTest, LaterEventsOfARunThatIsInPlaceAreTheRunners) {
+  PlatformWorld world;
+  std::string uneven = Events(3, 3) + Events(7, 8);
+  ClientAnswer answer = AskRaw(world, Broken(Events(1, 2)), WithLength(uneven));
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Events(1, 2) + uneven);
+}
+
+TEST(StreamCornersTest, CloseDelimitedStreamWithoutAnEventIsNotWhole) {
+  PlatformWorld world;
+  ClientAnswer answer = AskRaw(world, absl::StrCat(kStreamHead, "\r\n"), WithLength(Events(1, 4)));
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Events(1, 4)) << "the other runner's";
+}
+
+TEST(StreamCornersTest, CloseDelimitedStreamMayEndWithSpareBlankLines) {
+  PlatformWorld world;
+  std::string body = Events(1, 4) + "\n";
+  ClientAnswer answer = AskRaw(world, absl::StrCat(kStreamHead, "\r\n", body), "");
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, body);
+  EXPECT_EQ(world.b().runs(), 0);
+}
+
+TEST(StreamCornersTest, CloseDelimitedBodyThatIsNoStreamIsBelieved) {
+  PlatformWorld world;
+  std::string head =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nServer-Signature: sig-raw\r\n"
+      "Content-Type: application/json\r\n\r\n";
+  ClientAnswer answer = AskRaw(world, absl::StrCat(head, "{}"), "");
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, "{}");
+}
+
+TEST(StreamCornersTest, LastEventWithoutABlankLineIsPassedOnAndKept) {
+  PlatformWorld world;
+  std::string body = "id: 1\ndata: event-1\n\nid: 2\ndata: event-2\n";
+  ClientRequest request;
+  request.target = "/streamkept/1";
+  request.body = "first|";
+  request.headers = {"Program-Id: p", "Token-Budget: 100000", "Token-Usage: 10,200"};
+  ClientAnswer answer = AskRaw(world, WithLength(body), "", request);
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, body);
+  world.a().Script({RunnerBehavior::kServe});
+  request.id = "attempt-2";
+  request.body = "second|";
+  request.headers.push_back("Previous-Turn: attempt-1");
+  ASSERT_TRUE(world.Ask(request).whole);
+  EXPECT_EQ(world.a().seen().back().body, "first|event-1\nevent-2\nsecond|");
+}
+
+TEST(StreamCornersTest, LogNamesTheHeadsRunnerAndEachRunsFirstEvent) {
+  PlatformWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kBreakMidEvent});
+  ASSERT_TRUE(world.Ask(Resumable()).whole);
+  std::string log = world.Log();
+  EXPECT_TRUE(absl::StrContains(log, "\"first_event\":\"1\",\"unfinished_bytes\":8")) << log;
+  EXPECT_TRUE(absl::StrContains(log, "\"first_event\":\"3\",\"unfinished_bytes\":0")) << log;
+  EXPECT_TRUE(absl::StrContains(log, "\"head_of\":\"i-near\"")) << log;
+}
+
 }  // namespace
 }  // namespace martenyard::testing
