Tests that fail: what a back end sent taken for an answer that no run was proven to have made

Cause, by reading src/clients and src/http: a chunk that can't be read is passed over in silence and [DONE] then makes the rest a whole turn; text behind [DONE] and the bodies of failures are taken as the answer's text; a resumed run's text is joined whether or not the engine went on where it was asked to; a chunk whose content is null throws through libcurl; and libcurl sends a request again by itself when a kept connection closes before any byte of the answer. Ruled out: callbacks and bodies of a cancelled transfer reaching the next one (CancelledTransferLeavesNothingToTheNext passes). Two service calls reach the server as three requests, and the second is told as run.

--- /dev/null
+++ b/tests/clients/http_backends_test.cc
@@ -0,0 +1,264 @@
+// The contract of clients::BackendClient over HTTP: what a back end sent becomes the caller's
+// answer only if one run is proven to have made it, whole and once.
+//
+// Symptoms: the stored turn lacked a piece in the middle, went on behind its own end, or held its
+// beginning twice; the process ended on a chunk without text; a tool that may run once ran twice.
+// Sequences and causes: a chunk that could not be read was passed over in silence, and `[DONE]`
+// then made the rest a whole answer. Text behind `[DONE]`, and the body of a failure, went the same
+// way as the answer's text. An engine that does not know `resume_text` began from the start, and
+// nothing compared its text with what had been passed on. `"content":null` threw through libcurl. A
+// connection that was kept from an earlier transfer closed before any byte of the answer came, and
+// libcurl then sent the request a second time by itself.
+// What settled it: the joined text and the outcome below, and the requests that the server counted:
+// 3 where 2 calls were made.
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "clients/backends.h"
+#include "support/scripted_server.h"
+
+namespace martenyard::clients {
+namespace {
+
+using nlohmann::json;
+using testing::Framed;
+using testing::ScriptedReply;
+using testing::ScriptedServer;
+using testing::Unframed;
+using Status = ModelOutcome::Status;
+
+/// Runs tasks where the test waits, one after the other, as an event loop does.
+class TaskQueue {
+ public:
+  void Post(std::function<void()> task) {
+    absl::MutexLock lock(&mutex_);
+    tasks_.push_back(std::move(task));
+  }
+  void RunUntil(const std::function<bool()>& reached) {
+    while (!reached()) {
+      Await();
+      RunOne();
+    }
+  }
+  /// Returns when a task waits, which it leaves there.
+  void Await() {
+    absl::MutexLock lock(&mutex_);
+    mutex_.Await(absl::Condition(
+        +[](std::deque<std::function<void()>>* tasks) { return !tasks->empty(); }, &tasks_));
+  }
+  void RunAll() {
+    while (RunOne()) {
+    }
+  }
+
+ private:
+  bool RunOne() {
+    std::function<void()> task;
+    {
+      absl::MutexLock lock(&mutex_);
+      if (tasks_.empty()) {
+        return false;
+      }
+      task = std::move(tasks_.front());
+      tasks_.pop_front();
+    }
+    task();
+    return true;
+  }
+
+  absl::Mutex mutex_;
+  std::deque<std::function<void()>> tasks_;
+};
+
+/// A client with one scripted back end.
+class HttpBackends {
+ public:
+  explicit HttpBackends(std::vector<ScriptedReply> replies) : server_(std::move(replies)) {}
+
+  BackendClient& client() { return *backends_; }
+  ScriptedServer& server() { return server_; }
+  TaskQueue& tasks() { return tasks_; }
+
+  ModelRequest Model(const std::string& resume_text) const {
+    ModelRequest request;
+    request.url = server_.url();
+    request.messages = "[]";
+    request.resume_text = resume_text;
+    return request;
+  }
+
+  ModelOutcome RunModel(const std::string& resume_text, std::string* text) {
+    std::optional<ModelOutcome> outcome;
+    backends_->StartModel(
+        Model(resume_text), [text](const std::string& piece) { *text += piece; },
+        [&outcome](ModelOutcome told) { outcome = std::move(told); });
+    tasks_.RunUntil([&] { return outcome.has_value(); });
+    tasks_.RunAll();
+    return *outcome;
+  }
+
+  ServiceOutcome RunService() {
+    ServiceRequest request;
+    request.url = server_.url();
+    request.request_key = "program/key";
+    request.arguments = "{}";
+    std::optional<ServiceOutcome> outcome;
+    backends_->StartService(request,
+                            [&outcome](ServiceOutcome told) { outcome = std::move(told); });
+    tasks_.RunUntil([&] { return outcome.has_value(); });
+    return *outcome;
+  }
+
+ private:
+  ScriptedServer server_;
+  TaskQueue tasks_;
+  std::unique_ptr<http::Client> http_ = http::Client::Create();
+  std::unique_ptr<BackendClient> backends_ = CreateHttpBackendClient(
+      *http_, server_.url(), [this](std::function<void()> task) { tasks_.Post(std::move(task)); });
+};
+
+std::string Data(const std::string& data) { return absl::StrCat("data: ", data, "\n\n"); }
+
+std::string Text(const std::string& text) {
+  return Data(json{{"choices", {{{"index", 0}, {"delta", {{"content", text}}}}}}}.dump());
+}
+
+std::string Usage(int completion_tokens) {
+  return Data(json{{"choices", json::array()},
+                   {"usage", {{"prompt_tokens", 5}, {"completion_tokens", completion_tokens}}}}
+                  .dump());
+}
+
+std::string ResumedAt(int bytes) { return Data(absl::StrCat("{\"resumed_bytes\":", bytes, "}")); }
+
+constexpr char kDone[] = "data: [DONE]\n\n";
+
+/// What must become of one run's stream.
+struct StreamCase {
+  const char* name;
+  std::string body;
+  Status status;
+  std::string text;  ///< Passed on, exactly.
+  int http_status = 200;
+};
+
+void Check(const std::string& resume_text, const std::vector<StreamCase>& cases) {
+  for (const StreamCase& test : cases) {
+    SCOPED_TRACE(test.name);
+    HttpBackends backends({Unframed(test.http_status, test.body)});
+    std::string text;
+    ModelOutcome outcome = backends.RunModel(resume_text, &text);
+    EXPECT_EQ(outcome.status, test.status) << outcome.detail;
+    EXPECT_EQ(text, test.text);
+    bool told = outcome.status == Status::kFinished || !outcome.detail.empty();
+    EXPECT_TRUE(told) << "a failure has no detail";
+  }
+}
+
+TEST(HttpBackendsTest, OnlyAStreamThatWasReadWholeIsAnAnswer) {
+  Check(
+      "",
+      {
+          {"Whole", Text("ab") + Text("cd") + Usage(2) + kDone, Status::kFinished, "abcd"},
+          {"UsageOfNothing", Text("ab") + Data(R"({"choices":[],"usage":null})") + kDone,
+           Status::kFinished, "ab"},
+          {"NoDone", Text("ab") + Usage(2), Status::kBroken, "ab"},
+          {"EndsInsideDone", Text("ab") + "data: [DONE]\n", Status::kBroken, "ab"},
+          {"EndsInsideAChunk", Text("ab") + "data: {\"choices\":", Status::kBroken, "ab"},
+          {"ChunkCutShort", Text("ab") + Data("{\"choices\":[{") + Text("ef") + kDone,
+           Status::kBroken, "ab"},
+          {"ChunkIsNoObject", Text("ab") + Data("7") + Text("ef") + kDone, Status::kBroken, "ab"},
+          {"ChoicesAreNoList", Text("ab") + Data(R"({"choices":{"a":1}})") + kDone, Status::kBroken,
+           "ab"},
+          {"ChoiceIsNoObject", Text("ab") + Data(R"({"choices":["cd"]})") + kDone, Status::kBroken,
+           "ab"},
+          {"ContentIsNoText", Text("ab") + Data(R"({"choices":[{"delta":{"content":7}}]})") + kDone,
+           Status::kBroken, "ab"},
+          {"UsageIsNoNumber", Text("ab") + Data(R"({"usage":{"completion_tokens":"2"}})") + kDone,
+           Status::kBroken, "ab"},
+          {"AnotherChoice",
+           Text("ab") + Data(R"({"choices":[{"index":1,"delta":{"content":"XX"}}]})") + kDone,
+           Status::kBroken, "ab"},
+          {"EngineTellsAnError", Text("ab") + Data(R"({"error":{"message":"no memory"}})") + kDone,
+           Status::kBroken, "ab"},
+          {"ErrorEvent", Text("ab") + "event: error\n" + Data("{}") + kDone, Status::kBroken, "ab"},
+          {"TextBehindDone", Text("ab") + kDone + Text("cd"), Status::kFinished, "ab"},
+          {"JunkBehindDone", Text("ab") + kDone + Data("{"), Status::kFinished, "ab"},
+          {"BodyOfAFailure", Text("ab") + kDone, Status::kBroken, "", 500},
+          {"BodyOfARefusal", Text("ab") + kDone, Status::kRefused, "", 503},
+          {"BodyOfARejection", Text("ab") + kDone, Status::kRejected, "", 400},
+          {"Leaving", R"({"error":{"code":"leaving"}})", Status::kLeaving, "", 503},
+      });
+}
+
+TEST(HttpBackendsTest, ChunkWithoutTextIsNoFault) {
+  Check("", {
+                {"RoleFirst",
+                 Data(R"({"choices":[{"index":0,"delta":{"role":"assistant","content":null}}]})") +
+                     Text("ab") + kDone,
+                 Status::kFinished, "ab"},
+                {"NoDelta", Text("ab") + Data(R"({"choices":[{"index":0,"delta":null}]})") + kDone,
+                 Status::kFinished, "ab"},
+                {"NoChoices", Text("ab") + Data(R"({"choices":null})") + kDone, Status::kFinished,
+                 "ab"},
+                {"Comment", ": still here\n\n" + Text("ab") + kDone, Status::kFinished, "ab"},
+            });
+}
+
+TEST(HttpBackendsTest, ResumedRunIsJoinedOnlyWhereItsPlaceIsProven) {
+  Check("abcd",
+        {
+            {"SaysThatItGoesOn", ResumedAt(4) + Text("ef") + kDone, Status::kFinished, "ef"},
+            {"NothingWasLeft", ResumedAt(4) + kDone, Status::kFinished, ""},
+            {"BeginsAnewAlike", Text("abc") + Text("def") + kDone, Status::kFinished, "ef"},
+            {"BeginsAnewAlikeByteByByte",
+             Text("a") + Text("b") + Text("c") + Text("d") + Text("e") + kDone, Status::kFinished,
+             "e"},
+            {"BeginsAnewInOtherWords", Text("abX") + Text("Yef") + kDone, Status::kBroken, ""},
+            {"BeginsAnewAndEndsSooner", Text("abc") + kDone, Status::kBroken, ""},
+            {"GoesOnWithoutSayingSo", Text("ef") + kDone, Status::kBroken, ""},
+            {"GoesOnSomewhereElse", ResumedAt(2) + Text("cdef") + kDone, Status::kBroken, ""},
+            {"PlaceIsNoNumber", Data(R"({"resumed_bytes":"4"})") + Text("ef") + kDone,
+             Status::kBroken, ""},
+            {"SaysItTooLate", Text("abcdef") + ResumedAt(4) + kDone, Status::kBroken, "ef"},
+        });
+  Check("", {{"ResumedThoughNotAsked", ResumedAt(4) + Text("ef") + kDone, Status::kBroken, ""}});
+}
+
+TEST(HttpBackendsTest, RequestIsSentOnceThoughAKeptConnectionCloses) {
+  HttpBackends backends({Framed(200, R"({"run":1})"), {"", true}, Framed(200, R"({"run":3})")});
+  EXPECT_EQ(backends.RunService().status, ServiceOutcome::Status::kRan);
+  ServiceOutcome second = backends.RunService();
+  EXPECT_EQ(second.status, ServiceOutcome::Status::kUnknown) << second.result;
+  EXPECT_EQ(backends.server().requests().size(), 2U);
+}
+
+TEST(HttpBackendsTest, CancelledTransferLeavesNothingToTheNext) {
+  std::string head = "HTTP/1.1 200 Status\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string chunk = Text("old");
+  std::string first = absl::StrCat(head, absl::Hex(chunk.size()), "\r\n", chunk, "\r\n");
+  HttpBackends backends({{first, false}, Unframed(200, Text("new") + kDone)});
+  std::string text;
+  bool ended = false;
+  auto handle = backends.client().StartModel(
+      backends.Model(""), [&text](const std::string& piece) { text += piece; },
+      [&ended](const ModelOutcome&) { ended = true; });
+  backends.tasks().Await();  // Its text waits for the loop while it is cancelled.
+  backends.client().Cancel(handle);
+  EXPECT_EQ(backends.RunModel("", &text).status, Status::kFinished);
+  EXPECT_EQ(text, "new");
+  EXPECT_FALSE(ended);
+}
+
+}  // namespace
+}  // namespace martenyard::clients
