Model streams: only what one run is proven to have made becomes the answer

Cause: the reader of an engine's stream passed over what it could not read, went on behind [DONE], did not look at the answer's status, and joined a resumed run's text without knowing where that run began. Ruled out: a header instead of a chunk for the place (the client hands on no headers, and what is read in order with the text can't be told apart from it); refusing every resumed run that does not say its place (an engine that does not know resume_text and makes the same text again is as good as one run). Change: clients/model_stream is decision code of its own. A chunk that can't be read, an error chunk or event and a choice that was not asked for end the run as broken, with the reason in the log and in the call's detail; null members are no fault; nothing counts behind [DONE]. An engine that goes on says so by resumed_bytes; of one that does not, the text must begin with the earlier text again, which is not handed on twice. The HTTP client gives a data callback the bodies of 2xx answers only. A run with a fault is ended at once instead of being read to its end. Not provable: an engine that says the right place and goes on elsewhere; text carries no ids. Conclusion: an engine that honours resume_text without saying so is no longer resumed from; its calls go on elsewhere or end as unknown.

--- a/apps/cli/program_commands.cc
+++ b/apps/cli/program_commands.cc
@@ -86,7 +86,9 @@
         parser.Feed(bytes);
       });
   if (!ended.ok()) {
-    ended.body = raw;
+    if (ended.body.empty()) {
+      ended.body = raw;  // What came of a successful answer before it broke off.
+    }
     return Report(ended);
   }
   return code;
--- a/emulator/engine.cc
+++ b/emulator/engine.cc
@@ -86,6 +86,7 @@
   request->priority = body.value("priority", 0);
   request->length = AnswerLength(request->messages, body.value("max_tokens", 512));
   std::string resumed = body.value("resume_text", "");
+  request->resumed_bytes = resumed.size();
   request->next_token = static_cast<int>(CountTokens(resumed.size()));
   request->prompt_tokens = CountTokens(request->messages.size() + resumed.size());
   request->responder = std::move(responder);
@@ -130,6 +131,10 @@
   loop_.After(prefill + faults_.delay, [this, request] {
     if (!request->gone) {
       request->responder->StartStream(200, {{"Content-Type", "text/event-stream"}});
+      if (request->resumed_bytes > 0) {
+        Json place = {{"resumed_bytes", request->resumed_bytes}};
+        request->responder->Write(clients::FormatSseEvent("", place.dump()));
+      }
     }
     EmitToken(request);
   });
--- a/emulator/engine.h
+++ b/emulator/engine.h
@@ -53,6 +53,7 @@
     std::string context;
     std::string messages;
     int priority = 0;
+    std::size_t resumed_bytes = 0;  ///< Of another engine's text, behind which this one goes on.
     int next_token = 0;
     int length = 0;
     std::int64_t prompt_tokens = 0;
--- a/src/clients/backends.h
+++ b/src/clients/backends.h
@@ -40,8 +40,11 @@
   std::string request_id;  ///< Names program, call and attempt; in the engine's records.
   std::string context_id;  ///< The program: whose prefix the engine may keep.
   std::string model;
-  std::string messages;     ///< JSON array, chat-completions form.
-  std::string resume_text;  ///< What an earlier engine had generated already.
+  std::string messages;  ///< JSON array, chat-completions form.
+  /// What an earlier engine had generated already. An engine that goes on behind it says so by
+  /// `"resumed_bytes": <its size>` in a chunk before the first text; of one that does not, the text
+  /// must begin with this again.
+  std::string resume_text;
   std::int64_t max_tokens = 0;
   int priority = 0;
   absl::Duration timeout = absl::Seconds(120);
@@ -60,7 +63,7 @@
     kLeaving,   ///< The engine takes no new work; nothing ran.
     kRefused,   ///< The engine refused or could not be reached; nothing ran.
     kRejected,  ///< The engine calls the request invalid; no other would take it.
-    kBroken,    ///< The stream ended early; `text` callbacks gave what came.
+    kBroken,    ///< The stream ended early or can't be relied on; callbacks gave what is sure.
   };
   Status status = Status::kBroken;
   ModelUsage usage;
--- a/src/clients/http_backends.cc
+++ b/src/clients/http_backends.cc
@@ -3,18 +3,22 @@
 #include <set>
 #include <utility>
 
+#include "base/logging.h"
 #include "clients/backends.h"
-#include "clients/sse.h"
+#include "clients/model_stream.h"
 
 namespace martenyard::clients {
 namespace {
 
 using nlohmann::json;
 
+constexpr char kLog[] = "backends";
 constexpr absl::Duration kControlTimeout = absl::Seconds(2);
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
+/// Of a rejection's body, told to the caller; an engine may send any amount.
+constexpr std::size_t kMostDetailBytes = 4096;
 
 std::optional<BackendKind> ReadKind(const std::string& text) {
   if (text == "engine") {
@@ -55,56 +59,25 @@
   }
 }
 
-/// What a model stream has told so far; lives on the HTTP client's thread.
-struct ModelStream {
-  explicit ModelStream(std::function<void(std::string)> on_text)
-      : parser([this, on_text = std::move(on_text)](const std::string&, const std::string& data) {
-          Take(data, on_text);
-        }) {}
-
-  void Take(const std::string& data, const std::function<void(std::string)>& on_text) {
-    if (data == "[DONE]") {
-      finished = true;
-      return;
-    }
-    json chunk = json::parse(data, nullptr, /*allow_exceptions=*/false);
-    if (!chunk.is_object()) {
-      return;
-    }
-    if (chunk.contains("usage") && chunk["usage"].is_object()) {
-      usage.prompt_tokens = chunk["usage"].value("prompt_tokens", std::int64_t{0});
-      usage.cached_tokens = chunk["usage"].value("cached_tokens", std::int64_t{0});
-      usage.completion_tokens = chunk["usage"].value("completion_tokens", std::int64_t{0});
-    }
-    for (const json& choice : chunk.value("choices", json::array())) {
-      std::string text = choice.value("delta", json::object()).value("content", "");
-      if (!text.empty()) {
-        on_text(std::move(text));
-      }
-    }
-  }
-
-  std::string raw;  // Kept for the words of a refusal.
-  SseParser parser;
-  ModelUsage usage;
-  bool finished = false;
-};
-
 ModelOutcome ReadModelOutcome(const http::ClientResult& result, const ModelStream& stream) {
   ModelOutcome outcome;
-  outcome.usage = stream.usage;
-  outcome.detail = result.error;
-  if (result.ok() && stream.finished) {
+  outcome.usage = stream.usage();
+  outcome.detail = stream.fault().empty() ? result.error : stream.fault();
+  if (result.ok() && stream.finished()) {
     outcome.status = ModelOutcome::Status::kFinished;
   } else if (result.status == kServiceUnavailable &&
-             stream.raw.find("leaving") != std::string::npos) {
+             result.body.find("leaving") != std::string::npos) {
     outcome.status = ModelOutcome::Status::kLeaving;
   } else if (!result.connected || result.status == kServiceUnavailable ||
              result.status == kTooManyRequests) {
     outcome.status = ModelOutcome::Status::kRefused;
   } else if (result.status >= 400 && result.status < 500) {
     outcome.status = ModelOutcome::Status::kRejected;
-    outcome.detail = stream.raw;
+    outcome.detail = result.body.substr(0, kMostDetailBytes);
+  }
+  if (outcome.detail.empty()) {
+    outcome.detail =
+        result.ok() ? "the stream ended without [DONE]" : "status " + std::to_string(result.status);
   }
   return outcome;
 }
@@ -162,14 +135,21 @@
     auto text_on_loop = [this, handle, on_text = std::move(on_text)](std::string text) {
       IfLive(handle, [on_text, text = std::move(text)] { on_text(text); });
     };
-    auto stream = std::make_shared<ModelStream>(std::move(text_on_loop));
-    auto on_data = [stream](std::string_view bytes) {
-      if (!stream->finished && stream->raw.size() < 4096) {
-        stream->raw.append(bytes);
+    auto stream = std::make_shared<ModelStream>(request.resume_text, std::move(text_on_loop));
+    auto on_data = [this, handle, stream, on_done, url = request.url](std::string_view bytes) {
+      bool sound = stream->fault().empty();
+      stream->Feed(bytes);
+      if (sound && !stream->fault().empty()) {
+        MARTENYARD_LOG_WARN(kLog, "Broke off a run at " << url << ": " << stream->fault() << ".");
+        ModelOutcome outcome;
+        outcome.detail = stream->fault();
+        IfLive(handle, [this, handle, on_done, outcome] {
+          Cancel(handle);  // Its tokens are of no use to anybody.
+          on_done(outcome);
+        });
       }
-      stream->parser.Feed(bytes);
     };
-    auto on_end = [this, handle, stream, on_done = std::move(on_done)](http::ClientResult result) {
+    auto on_end = [this, handle, stream, on_done](http::ClientResult result) {
       ModelOutcome outcome = ReadModelOutcome(result, *stream);
       IfLive(handle, [this, handle, on_done, outcome] {
         Forget(handle);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -33,10 +33,14 @@
   }
 };
 
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
 std::size_t ReceiveBody(char* data, std::size_t size, std::size_t count, void* context) {
   auto& transfer = *static_cast<Transfer*>(context);
   std::string_view chunk(data, size * count);
-  if (transfer.on_data) {
+  long status = 0;
+  curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+  if (transfer.on_data && IsSuccess(static_cast<int>(status))) {
     transfer.on_data(chunk);
   } else {
     transfer.result.body.append(chunk);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -26,7 +26,7 @@
 /// How a transfer ended. `status` is 0 when no answer came.
 struct ClientResult {
   int status = 0;
-  std::string body;        ///< Empty when a data callback took it.
+  std::string body;        ///< Empty when the data callback took it.
   std::string error;       ///< Empty when the whole answer arrived.
   bool connected = false;  ///< False: the request surely never left this machine.
   std::optional<int> retry_after_seconds;
@@ -44,7 +44,9 @@
 class Client {
  public:
   virtual ~Client() = default;
-  /// Thread-safe. `on_data` may be empty: then the body is gathered into the result.
+  /// Thread-safe. `on_data` gets the body of an answer of status 2xx as it comes; any other body is
+  /// gathered into the result, so that a failure's words are never taken for the answer's. It may
+  /// be empty: then every body is gathered.
   virtual TransferId Start(ClientRequest request, DataCallback on_data, DoneCallback on_done) = 0;
   /// Thread-safe; ends the transfer soon. Unknown ids are ignored.
   virtual void Cancel(TransferId id) = 0;
