Calls to back ends are sent over a connection of their own: libcurl repeated them by itself

Cause: when a connection kept from an earlier transfer closes before the first byte of the answer, libcurl sends the request again on a new one, POST or not, and tells nobody. A tool that took the call and died before answering ran twice in one dispatch, and the call was told as run once. Ruled out: the coordinator's retries (dispatches was 1); a request body that can't be rewound (the repeat would end as an error, but an idle connection that the server closes at the wrong moment would then make calls unknown that never left). Change: ClientRequest::send_once takes a fresh connection and keeps it from the pool; the HTTP back end client sets it for calls to engines and services. The test's clients are joined before what their thread calls into, as the daemon's members are. The cost of a connection a call is not measured. Conclusion: at most once holds against the transport, too.

--- a/src/clients/http_backends.cc
+++ b/src/clients/http_backends.cc
@@ -223,6 +223,7 @@
     request.headers = {"Content-Type: application/json"};
     request.body = body.dump();
     request.timeout = timeout;
+    request.send_once = true;  // It makes a back end work.
     return request;
   }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -69,6 +69,11 @@
   }
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(absl::ToInt64Milliseconds(request.connect_timeout)));
+  if (request.send_once) {
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE,
+                     1L);  // Nothing else may wait in the pool for it.
+  }
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -21,6 +21,10 @@
   std::string body;
   absl::Duration timeout = absl::Seconds(30);  ///< For the whole transfer; infinite allowed.
   absl::Duration connect_timeout = absl::Seconds(1);
+  /// Goes over a connection of its own. Over one kept from an earlier transfer, libcurl sends a
+  /// request again by itself if that connection closes before the answer's first byte, and nothing
+  /// tells whether the first one was taken: for requests that must not run twice.
+  bool send_once = false;
 };
 
 /// How a transfer ended. `status` is 0 when no answer came.
--- a/tests/clients/http_backends_test.cc
+++ b/tests/clients/http_backends_test.cc
@@ -16,7 +16,6 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -24,6 +23,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
+#include "base/logging.h"
 #include "clients/backends.h"
 #include "support/scripted_server.h"
 
@@ -83,7 +83,11 @@
 /// A client with one scripted back end.
 class HttpBackends {
  public:
-  explicit HttpBackends(std::vector<ScriptedReply> replies) : server_(std::move(replies)) {}
+  explicit HttpBackends(std::vector<ScriptedReply> replies) : server_(std::move(replies)) {
+    static const bool quiet = InitLogging("off", LogFormat::kText);
+    EXPECT_TRUE(quiet);
+  }
+  ~HttpBackends() { http_.reset(); }  // Its thread calls into the others until it is joined.
 
   BackendClient& client() { return *backends_; }
   ScriptedServer& server() { return server_; }
