Test that fails: a conditional write that libcurl sent twice is told as lost to another writer

Cause: the key-value client left it to libcurl whether a request is sent again over a new connection. Ruled out: the roll manager's own reading back (it asks only after an uncertain answer, and this answer is certain). Measured: one read and one write were three requests, answered kConditionFailed; uncertain is the truth.

--- a/tests/clients/key_value_test.cc
+++ b/tests/clients/key_value_test.cc
@@ -13,6 +13,7 @@
 #include "emulator/emulator.h"
 #include "emulator/key_value_store.h"
 #include "sim/sim_platform.h"
+#include "support/scripted_server.h"
 
 namespace martenyard::clients {
 namespace {
@@ -140,6 +141,34 @@
 INSTANTIATE_TEST_SUITE_P(Implementations, KeyValueContract, ::testing::Values(true, false),
                          [](const auto& info) { return info.param ? "Etcd" : "Simulated"; });
 
+/// Symptom: a conditional write that took effect was told as lost to another writer.
+/// Sequence: the service does the write on a connection kept from an earlier request and closes it
+/// without an answer; libcurl sends the write again by itself, whose condition no longer holds.
+/// Cause: the client left it to libcurl whether a request may be sent twice.
+/// What settled it: the server counted three requests for one read and one write, and the answer
+/// was `kConditionFailed`.
+TEST(EtcdKeyValueTest, ConditionalWriteIsSentOnceThoughAKeptConnectionCloses) {
+  testing::ScriptedServer server(
+      {testing::Framed(200, "{}"), {"", true}, testing::Framed(200, R"({"succeeded":false})")});
+  std::unique_ptr<http::Client> client = http::Client::Create();
+  auto store = CreateEtcdKeyValue(*client, server.url(), [](auto task) { task(); });
+  auto await = [](const std::function<void(KeyValue::Callback)>& start) {
+    KeyValueAnswer answer;
+    absl::Notification done;
+    start([&](KeyValueAnswer told) {
+      answer = std::move(told);
+      done.Notify();
+    });
+    done.WaitForNotification();
+    return answer;
+  };
+  auto read = await([&](KeyValue::Callback done) { store->Get("k", std::move(done)); });
+  EXPECT_EQ(read.status, KeyValueStatus::kDone);
+  auto write = await([&](KeyValue::Callback done) { store->PutIf("k", 0, "v", std::move(done)); });
+  EXPECT_EQ(write.status, KeyValueStatus::kUncertain);
+  EXPECT_EQ(server.requests().size(), 2U);
+}
+
 class KeyValueStoreTest : public ::testing::Test {
  protected:
   nlohmann::json Ask(const std::string& path, const nlohmann::json& body) {
