--- a/src/clients/etcd_key_value.cc
+++ b/src/clients/etcd_key_value.cc
@@ -107,6 +107,7 @@
     request.headers = {"Content-Type: application/json"};
     request.body = body.dump();
     request.timeout = kTimeout;
+    request.send_once = true;  // A write repeated behind its own effect fails its own condition.
     auto deliver = [executor = executor_, reader,
                     on_answer = std::move(on_answer)](http::ClientResult result) {
       executor([answer = ReadAnswer(result, reader), on_answer] { on_answer(answer); });
