A stop cuts streams off instead of finishing them, and waiting requests are told an unknown outcome

Cause: Exchange::Abort called Finish, which sends the end marker of a whole answer behind half a stream. Ruled out: ending the calls with an error event first (the loop that owns them has ended by then, and what is in flight at their engines goes on to be told by the ledger). Change: Abort cuts; what waits gets a problem whose outcome is unknown, as docs/api.md says of a daemon that stops. Conclusion: no stream of the caller's API looks complete without its done or error event.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t kStreamBlockBytes = 16384;
+constexpr char kProblemType[] = "application/problem+json";
 
 /// The state of one request from its first header to the last byte of its answer.
 ///
@@ -126,12 +127,15 @@
     }
   }
 
-  /// Ends the answer because the server stops.
+  /// Ends the answer because the server stops. A stream is cut: with a proper end, what its owner
+  /// had written so far would look like the whole answer.
   void Abort() {
     Response response;
     response.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+    response.headers["Content-Type"] = kProblemType;
+    response.body = R"({"title":"the server stops","status":503,"outcome":"unknown"})";
     Send(std::move(response));
-    Finish();
+    Cut();
   }
 
   std::string& request_body() { return request_body_; }
@@ -279,7 +283,7 @@
     if (exchange->body_too_large) {
       Response response;
       response.status = MHD_HTTP_CONTENT_TOO_LARGE;
-      response.headers["Content-Type"] = "application/problem+json";
+      response.headers["Content-Type"] = kProblemType;
       response.body = R"({"title":"body too large","status":413,"outcome":"not_run"})";
       exchange->Send(std::move(response));
       return;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -70,7 +70,8 @@
   virtual ~Server() = default;
   /// @return the port listened on.
   virtual std::uint16_t port() const = 0;
-  /// Ends answers under way with 503 and stops. Called by the destructor too.
+  /// Ends requests that wait with a 503 of unknown outcome, cuts streams off so that none looks
+  /// whole, and stops. Called by the destructor too.
   virtual void Stop() = 0;
   /// Errors: HttpError::kCannotListen.
   static Result<std::unique_ptr<Server>> Start(const ServerOptions& options, Handler handler);
