Tests that fail: one dispatch's or attempt's part told of the whole call

Ruled out: text twice or missing for a caller that joins between two runs (CallerThatJoinsLateGetsTheTextOfAllRunsOnce passes); callbacks of an earlier dispatch (the client drops them, HttpBackendsTest).

--- a/tests/ledger/ledger_test.cc
+++ b/tests/ledger/ledger_test.cc
@@ -159,6 +159,45 @@
   EXPECT_EQ(program().spent, 10);
 }
 
+/// Symptom: a caller was told `not_run` of a key whose first attempt may have run.
+/// Sequence: an attempt lapses, so its outcome is unknown; the caller asks again with the same key;
+/// no engine takes the second attempt, which is settled as not run.
+/// Cause: what is known of one attempt was stored as what is known of the key.
+/// What settled it: the stored record, attempt 2 and state `kNotRun`.
+TEST_F(LedgerTest, LaterAttemptThatDidNotRunLeavesTheKeyUnknown) {
+  BeginCall begin = Beginning("k");
+  begin.repeatable = true;
+  Apply(begin);
+  Apply(LapseCall{{kProgram, CallKey("k"), 1}});
+  begin.admission = AdmissionId(8);
+  ASSERT_EQ(Apply(begin), Verdict::kDone);
+  FinishCall finish = Finishing("k", CallState::kNotRun, 0);
+  finish.grant.attempt = 2;
+  ApplyResult result = ledger_.Apply(At(1000, finish));
+  EXPECT_EQ(result.verdict, Verdict::kDone);
+  EXPECT_EQ(result.call->state, CallState::kUnknown);
+  EXPECT_EQ(program().spent, 100) << "only the attempt that may have run is charged whole";
+  EXPECT_EQ(program().reserved, 0);
+  ApplyResult again = ledger_.Apply(At(1000, finish));
+  EXPECT_EQ(again.verdict, Verdict::kAlready);
+  EXPECT_EQ(again.call->state, CallState::kUnknown);
+  begin.admission = AdmissionId(9);
+  ASSERT_EQ(Apply(begin), Verdict::kDone) << "the same key may run still";
+  finish = Finishing("k", CallState::kRan, 0);
+  finish.grant.attempt = 3;
+  EXPECT_EQ(ledger_.Apply(At(1000, finish)).call->state, CallState::kRan);
+}
+
+TEST_F(LedgerTest, FirstAttemptThatDidNotRunVoidsTheKey) {
+  BeginCall begin = Beginning("k");
+  begin.repeatable = true;
+  Apply(begin);
+  EXPECT_EQ(ledger_.Apply(At(1000, Finishing("k", CallState::kNotRun, 0))).call->state,
+            CallState::kNotRun);
+  begin.admission = AdmissionId(8);
+  EXPECT_EQ(Apply(begin), Verdict::kAlready);
+}
+
 TEST_F(LedgerTest, VoidKeyNeverBegins) {
   ASSERT_EQ(Apply(VoidCall{kProgram, CallKey("a"), 1}), Verdict::kDone);
   ApplyResult begun = ledger_.Apply(At(1000, Beginning("a")));
