Ledger: a later attempt that did not run leaves its call unknown

Cause: FinishCall's outcome is one attempt's, and was stored as the call's; an earlier attempt of unknown outcome may have run, and not_run promises that none did. Ruled out: mending it in the coordinator by committing unknown, which would charge the whole reservation for an attempt that surely used nothing, at every repeat while engines are away. Change: the state after an attempt is a function of the attempt's number and outcome; the charge stays the attempt's own. The command's form on the log is as before, its effect on a later attempt is not: replicas of both versions at once would differ in the state of such a call. Conclusion: not_run is said only of keys of which no attempt was left unknown.

--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -34,6 +34,13 @@
   return result;
 }
 
+/// What a finished attempt makes known of its call. That a later attempt did not run says nothing
+/// of the ones before it, of which it is only known that they may have run.
+CallState StateAfter(const CallRecord& call, CallState outcome) {
+  bool first = call.attempt == kFirstAttempt;
+  return outcome == CallState::kNotRun && !first ? CallState::kUnknown : outcome;
+}
+
 /// The state as it is stored in a snapshot.
 struct StoredLedger {
   UnixMillis now_ms = 0;
@@ -278,12 +285,13 @@
   if (call == nullptr) {
     const CallRecord* stored = program->Find(command.grant.key);
     bool repeated = stored != nullptr && stored->attempt == command.grant.attempt &&
-                    stored->state == command.outcome && stored->result == command.result;
+                    stored->state == StateAfter(*stored, command.outcome) &&
+                    stored->result == command.result;
     return stored == nullptr
                ? Refuse(Verdict::kStaleGrant)
                : WithCall(repeated ? Verdict::kAlready : Verdict::kStaleGrant, *stored);
   }
-  // Nobody can use more than was reserved; an unknown outcome is charged whole.
+  // Nobody can use more than was reserved; an attempt of unknown outcome is charged whole.
   Tokens charge = std::clamp<Tokens>(command.used, 0, call->reserved);
   if (command.outcome == CallState::kUnknown) {
     charge = call->reserved;
@@ -293,7 +301,7 @@
     program->history_bytes += command.result.size();
   }
   NoteEngine(*program, command.engine);
-  Settle(*program, *call, command.outcome, charge);
+  Settle(*program, *call, StateAfter(*call, command.outcome), charge);
   return WithCall(Verdict::kDone, *call);
 }
 
--- a/src/ledger/types.h
+++ b/src/ledger/types.h
@@ -17,6 +17,9 @@
 /// Model tokens.
 using Tokens = std::int64_t;
 
+/// The number of a call's first attempt; each later one follows an outcome that is unknown.
+inline constexpr std::uint32_t kFirstAttempt = 1;
+
 enum class CallKind : std::uint8_t { kModel, kTool, kApplication };
 
 /// What is known of a call.
@@ -62,7 +65,7 @@
   CallKind kind = CallKind::kModel;
   bool repeatable = false;
   CallState state = CallState::kRunning;
-  std::uint32_t attempt = 1;
+  std::uint32_t attempt = kFirstAttempt;
   AdmissionId admission;  ///< Whose request began the present attempt.
   NodeId gateway;         ///< The daemon that runs it.
   Tokens reserved = 0;
@@ -156,6 +159,7 @@
 
 struct FinishCall {
   Grant grant;
+  /// Of this attempt; `kNotRun` of a later one leaves the call unknown.
   CallState outcome = CallState::kRan;
   Tokens used = 0;
   BackendName engine;  ///< The engine that now holds the program's context; may be empty.
