A model call is charged for the text of all the runs that made its answer

Cause: the usage told by the engine that finished was taken for the whole answer's, and an engine that told none made it free. Ruled out: adding the runs' reports up (a run that broke off tells none, and an engine that goes on may report the whole text or its own part: the two stand-ins differ). Change: an answer that went on from an earlier run's text, or came without a count, counts at least what its text is estimated at, four bytes a token as everywhere else; the same figure is charged and stored. Not provable: prompt and cached tokens of runs that broke off; they stay uncounted.

--- a/src/gateway/call_coordinator.cc
+++ b/src/gateway/call_coordinator.cc
@@ -324,6 +324,7 @@
   request.model = call.spec.service;
   request.messages = call.messages;
   request.resume_text = call.text;
+  call.resumed = !call.text.empty();
   request.max_tokens = call.spec.max_tokens;
   request.priority = call.priority;
   request.timeout = std::max(absl::Milliseconds(1), call.spec.deadline - host_.Now());
@@ -352,14 +353,14 @@
   call->may_have_run = call->may_have_run || outcome.status == Status::kBroken;
   switch (outcome.status) {
     case Status::kFinished:
-      call->usage = outcome.usage;
+      call->usage = UsageOfAnswer(*call, outcome.usage);
       stats_.prompt_tokens += static_cast<std::uint64_t>(outcome.usage.prompt_tokens);
       stats_.cached_tokens += static_cast<std::uint64_t>(outcome.usage.cached_tokens);
       retry_budget_ =
           std::min(options_.retry_budget_cap, retry_budget_ + options_.retry_budget_share);
       Commit(*call, CallState::kRan,
-             BuildModelResult(call->text, outcome.usage.prompt_tokens, outcome.usage.cached_tokens,
-                              outcome.usage.completion_tokens));
+             BuildModelResult(call->text, call->usage.prompt_tokens, call->usage.cached_tokens,
+                              call->usage.completion_tokens));
       break;
     case Status::kRejected:
       call->status_if_not_run = 422;
@@ -374,6 +375,18 @@
   }
 }
 
+/// The engine that finished reports on its own run. Of an answer that went on from another
+/// engine's, nothing tells whether the report is of the whole; one without a report is not free
+/// either. Both count at least what the text is estimated at.
+clients::ModelUsage CallCoordinator::UsageOfAnswer(const Call& call,
+                                                   const clients::ModelUsage& reported) {
+  clients::ModelUsage usage = reported;
+  if (call.resumed || usage.completion_tokens == 0) {
+    usage.completion_tokens = std::max(usage.completion_tokens, EstimateTokens(call.text));
+  }
+  return usage;
+}
+
 void CallCoordinator::LeaveEngine(Call& call, bool engine_leaves) {
   if (call.holds_permit || call.stage == Stage::kWaitingForPermit) {
     host_.SendPermitRelease({call.grant, call.backend.name, engine_leaves});
--- a/src/gateway/call_coordinator.h
+++ b/src/gateway/call_coordinator.h
@@ -96,7 +96,8 @@
     bool may_have_run = false;  // Some back end took it and did not say that it did not run.
     absl::Time resume_at;       // kPlacing and kBackingOff: when to try again.
     std::map<BackendName, absl::Time> avoided;
-    std::string text;  // Generated so far.
+    std::string text;      // Generated so far, by all dispatches.
+    bool resumed = false;  // The present dispatch goes on from an earlier one's text.
     clients::ModelUsage usage;
     int status_if_not_run = 409;
     std::string reason;
@@ -119,6 +120,7 @@
   void AskPermit(Call& call);
   void RunModel(Call& call);
   void OnModelDone(CallId id, const clients::ModelOutcome& outcome);
+  static clients::ModelUsage UsageOfAnswer(const Call& call, const clients::ModelUsage& reported);
   void LeaveEngine(Call& call, bool engine_leaves);
   void Redispatch(Call& call, const std::string& reason);
 
