A dispatch's failure is not told of a later dispatch's end

Cause: Call::reason of a failed or impossible dispatch stayed and was told when a later one ran out of time. Ruled out: the status, which every end sets together with the reason. Change: a new dispatch begins without a reason.

--- a/src/gateway/call_coordinator.cc
+++ b/src/gateway/call_coordinator.cc
@@ -313,9 +313,15 @@
   }
 }
 
-void CallCoordinator::RunModel(Call& call) {
+/// How an earlier dispatch failed is not why this one ends.
+void CallCoordinator::BeginDispatch(Call& call) {
   call.stage = Stage::kRunning;
   ++call.dispatches;
+  call.reason.clear();
+}
+
+void CallCoordinator::RunModel(Call& call) {
+  BeginDispatch(call);
   clients::ModelRequest request;
   request.url = call.backend.url;
   request.request_id = call.spec.program.value + "/" + call.spec.key.value + "/" +
@@ -426,8 +432,7 @@
     return;
   }
   call.backend = fresh[random_.Below(fresh.size())];
-  call.stage = Stage::kRunning;
-  ++call.dispatches;
+  BeginDispatch(call);
   clients::ServiceRequest request;
   request.url = call.backend.url;
   request.request_key = call.spec.program.value + "/" + call.spec.key.value;
--- a/src/gateway/call_coordinator.h
+++ b/src/gateway/call_coordinator.h
@@ -100,7 +100,7 @@
     bool resumed = false;  // The present dispatch goes on from an earlier one's text.
     clients::ModelUsage usage;
     int status_if_not_run = 409;
-    std::string reason;
+    std::string reason;  // Why it ends, if it ends now without a result.
   };
 
   Call* Find(CallId id);
@@ -118,6 +118,7 @@
 
   void Place(Call& call);
   void AskPermit(Call& call);
+  void BeginDispatch(Call& call);
   void RunModel(Call& call);
   void OnModelDone(CallId id, const clients::ModelOutcome& outcome);
   static clients::ModelUsage UsageOfAnswer(const Call& call, const clients::ModelUsage& reported);
