Gateway: a call's answer as callers get it is a unit of its own

Cause: what a stream tells at its end could only be tested through a whole daemon. Change: the sinks and AnswerOf move from caller_api.cc to call_answer as they were; no behaviour changes.

--- a/src/gateway/caller_api.cc
+++ b/src/gateway/caller_api.cc
@@ -6,7 +6,7 @@
 
 #include "absl/strings/str_split.h"
 #include "bundle/signature.h"
-#include "clients/sse.h"
+#include "gateway/call_answer.h"
 #include "gateway/call_request.h"
 #include "gateway/problem.h"
 
@@ -18,32 +18,6 @@
 
 constexpr int kRetrySoonSeconds = 1;
 
-std::string Dump(const json& value) {
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-json ParsedOrNull(const std::string& text) {
-  json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
-  return value.is_discarded() ? json() : value;
-}
-
-/// The answer to a call that ran, as it is stored.
-json AnswerOf(const ledger::CallRecord& call) {
-  json answer = {{"call_id", call.key.value},
-                 {"sequence", call.sequence},
-                 {"outcome", OutcomeName(call.state)}};
-  if (call.state != CallState::kRan) {
-    return answer;
-  }
-  json result = ParsedOrNull(call.result);
-  if (call.kind == ledger::CallKind::kModel && result.is_object()) {
-    answer.update(result);
-  } else {
-    answer["result"] = std::move(result);
-  }
-  return answer;
-}
-
 std::string KindName(ledger::CallKind kind) {
   switch (kind) {
     case ledger::CallKind::kModel:
@@ -82,60 +56,6 @@
   return {{"program_id", program.id.value}, {"turns", std::move(turns)}};
 }
 
-http::Response EndResponse(const CallEnd& end) {
-  if (end.record) {
-    return JsonResponse(200, Dump(AnswerOf(*end.record)));
-  }
-  return Problem(end.status, end.title, end.outcome, end.retry_after_seconds);
-}
-
-/// Waits for the end and sends it as one answer.
-class WholeSink : public CallSink {
- public:
-  explicit WholeSink(std::shared_ptr<http::Responder> responder)
-      : responder_(std::move(responder)) {}
-  void OnText(const std::string& /*text*/) override {}
-  void OnEnd(const CallEnd& end) override { responder_->Send(EndResponse(end)); }
-
- private:
-  std::shared_ptr<http::Responder> responder_;
-};
-
-/// Relays text as server-sent events; the last event, `done` or `error`, tells the committed end.
-class StreamSink : public CallSink {
- public:
-  explicit StreamSink(std::shared_ptr<http::Responder> responder)
-      : responder_(std::move(responder)) {}
-
-  void OnText(const std::string& text) override {
-    Open();
-    responder_->Write(clients::FormatSseEvent("", Dump({{"text", text}})));
-  }
-
-  void OnEnd(const CallEnd& end) override {
-    if (!open_ && !end.record) {
-      responder_->Send(EndResponse(end));
-      return;
-    }
-    Open();
-    http::Response response = EndResponse(end);
-    responder_->Write(clients::FormatSseEvent(end.record ? "done" : "error", response.body));
-    responder_->Finish();
-  }
-
- private:
-  void Open() {
-    if (!open_) {
-      open_ = true;
-      responder_->StartStream(
-          200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}});
-    }
-  }
-
-  std::shared_ptr<http::Responder> responder_;
-  bool open_ = false;
-};
-
 http::Response LedgerUnreachable(LedgerAnswer::Status status) {
   bool certain = status == LedgerAnswer::Status::kNotProposed;
   return Problem(503, "the program's ledger can't be reached",
@@ -314,12 +234,8 @@
     exchange.responder->Send(Problem(request.status, request.problem, CallState::kNotRun));
     return;
   }
-  std::shared_ptr<CallSink> sink;
-  if (request.stream) {
-    sink = std::make_shared<StreamSink>(exchange.responder);
-  } else {
-    sink = std::make_shared<WholeSink>(exchange.responder);
-  }
+  std::shared_ptr<CallSink> sink =
+      request.stream ? CreateStreamSink(exchange.responder) : CreateWholeSink(exchange.responder);
   coordinator_.Start(*request.spec, std::move(sink));
 }
 
