A stream ends in done only if its text is the stored answer's

Ruled out: sending the rest as text where the stored answer begins with what was streamed (two attempts' parts in one stream again, alike only by chance). Cost: the text of a streamed call once more in memory while it runs. Conclusion: the text before done is the committed answer's.

--- a/src/gateway/call_answer.cc
+++ b/src/gateway/call_answer.cc
@@ -11,6 +11,8 @@
 using ledger::CallState;
 using nlohmann::json;
 
+constexpr int kRetrySoonSeconds = 1;
+
 http::Response EndResponse(const CallEnd& end) {
   if (end.record) {
     return JsonResponse(200, Dump(AnswerOf(*end.record)));
@@ -18,6 +20,13 @@
   return Problem(end.status, end.title, end.outcome, end.retry_after_seconds);
 }
 
+/// Another attempt's answer was stored while this one's was streamed. The key gives it, and runs
+/// nothing.
+http::Response OtherAnswerStored() {
+  return Problem(409, "the answer that is stored is not the one that was streamed",
+                 CallState::kUnknown, kRetrySoonSeconds);
+}
+
 class WholeSink : public CallSink {
  public:
   explicit WholeSink(std::shared_ptr<http::Responder> responder)
@@ -36,6 +45,7 @@
 
   void OnText(const std::string& text) override {
     Open();
+    streamed_ += text;
     responder_->Write(clients::FormatSseEvent("", Dump({{"text", text}})));
   }
 
@@ -45,8 +55,9 @@
       return;
     }
     Open();
-    http::Response response = EndResponse(end);
-    responder_->Write(clients::FormatSseEvent(end.record ? "done" : "error", response.body));
+    bool done = end.record && IsAnswer(*end.record);
+    http::Response response = end.record && !done ? OtherAnswerStored() : EndResponse(end);
+    responder_->Write(clients::FormatSseEvent(done ? "done" : "error", response.body));
     responder_->Finish();
   }
 
@@ -59,7 +70,18 @@
     }
   }
 
+  /// @return true if the caller was sent the stored answer's text, or none at all.
+  bool IsAnswer(const ledger::CallRecord& record) const {
+    if (streamed_.empty()) {
+      return true;
+    }
+    json result = ParsedOrNull(record.result);
+    const auto content = json::json_pointer("/message/content");
+    return result.is_object() && result.contains(content) && result[content] == streamed_;
+  }
+
   std::shared_ptr<http::Responder> responder_;
+  std::string streamed_;
   bool open_ = false;
 };
 
