--- a/tests/clients/key_value_test.cc
+++ b/tests/clients/key_value_test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 
+#include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
 #include "clients/base64.h"
 #include "emulator/emulator.h"
@@ -141,6 +142,23 @@
 INSTANTIATE_TEST_SUITE_P(Implementations, KeyValueContract, ::testing::Values(true, false),
                          [](const auto& info) { return info.param ? "Etcd" : "Simulated"; });
 
+KeyValueAnswer AwaitEtcd(const std::function<void(KeyValue::Callback)>& start) {
+  KeyValueAnswer answer;
+  absl::Notification done;
+  start([&](KeyValueAnswer told) {
+    answer = std::move(told);
+    done.Notify();
+  });
+  done.WaitForNotification();
+  return answer;
+}
+
+KeyValueAnswer EtcdGet(const testing::ScriptedServer& server) {
+  std::unique_ptr<http::Client> client = http::Client::Create();
+  auto store = CreateEtcdKeyValue(*client, server.url(), [](auto task) { task(); });
+  return AwaitEtcd([&](KeyValue::Callback done) { store->Get("k", std::move(done)); });
+}
+
 /// Symptom: a conditional write that took effect was told as lost to another writer.
 /// Sequence: the service does the write on a connection kept from an earlier request and closes it
 /// without an answer; libcurl sends the write again by itself, whose condition no longer holds.
@@ -152,23 +170,32 @@
       {testing::Framed(200, "{}"), {"", true}, testing::Framed(200, R"({"succeeded":false})")});
   std::unique_ptr<http::Client> client = http::Client::Create();
   auto store = CreateEtcdKeyValue(*client, server.url(), [](auto task) { task(); });
-  auto await = [](const std::function<void(KeyValue::Callback)>& start) {
-    KeyValueAnswer answer;
-    absl::Notification done;
-    start([&](KeyValueAnswer told) {
-      answer = std::move(told);
-      done.Notify();
-    });
-    done.WaitForNotification();
-    return answer;
-  };
-  auto read = await([&](KeyValue::Callback done) { store->Get("k", std::move(done)); });
+  auto read = AwaitEtcd([&](KeyValue::Callback done) { store->Get("k", std::move(done)); });
   EXPECT_EQ(read.status, KeyValueStatus::kDone);
-  auto write = await([&](KeyValue::Callback done) { store->PutIf("k", 0, "v", std::move(done)); });
+  auto write =
+      AwaitEtcd([&](KeyValue::Callback done) { store->PutIf("k", 0, "v", std::move(done)); });
   EXPECT_EQ(write.status, KeyValueStatus::kUncertain);
   EXPECT_EQ(server.requests().size(), 2U);
 }
 
+/// Symptom: an entry whose bytes could not be read was taken for one with an empty key and value.
+/// Sequence: an answer of the service, or of what stands before it, holds no Base64 text.
+/// Cause: the failed decoding was turned into an empty text.
+/// What settled it: the answer was `kDone` with one entry, both texts empty.
+TEST(EtcdKeyValueTest, EntryThatCannotBeReadIsNoAnswer) {
+  for (const char* entry : {R"({"key":"aw==","value":"!!"})", R"({"key":"!!","value":"dg=="})",
+                            R"({"key":7,"value":"dg=="})"}) {
+    SCOPED_TRACE(entry);
+    testing::ScriptedServer server({testing::Framed(200, absl::StrCat("{\"kvs\":[", entry, "]}"))});
+    EXPECT_EQ(EtcdGet(server).status, KeyValueStatus::kUncertain);
+  }
+  testing::ScriptedServer server(
+      {testing::Framed(200, R"({"kvs":[{"key":"aw==","mod_revision":"3"}]})")});
+  KeyValueAnswer empty = EtcdGet(server);
+  ASSERT_EQ(empty.status, KeyValueStatus::kDone) << "the service leaves empty values out";
+  EXPECT_EQ(empty.entries.at(0).value, "");
+}
+
 class KeyValueStoreTest : public ::testing::Test {
  protected:
   nlohmann::json Ask(const std::string& path, const nlohmann::json& body) {
