Key-value answers with an entry that can't be read are uncertain, and logged

Cause: a failed Base64 decoding became an empty key or value. Change: reading entries gives all of them or nothing; nothing is an uncertain answer, with a log line.

--- a/src/clients/etcd_key_value.cc
+++ b/src/clients/etcd_key_value.cc
@@ -1,6 +1,8 @@
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
+#include "base/logging.h"
 #include "clients/base64.h"
 #include "clients/key_value.h"
 
@@ -9,6 +11,7 @@
 
 using nlohmann::json;
 
+constexpr char kLog[] = "key-value";
 constexpr absl::Duration kTimeout = absl::Seconds(2);
 constexpr int kTooManyRequests = 429;
 
@@ -34,32 +37,38 @@
   return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>();
 }
 
-std::vector<KeyValueEntry> ReadEntries(const json& range) {
+/// @return the entries, or nothing if one can't be read: an entry with a part missing would be
+/// taken for what is stored.
+std::optional<std::vector<KeyValueEntry>> ReadEntries(const json& range) {
   std::vector<KeyValueEntry> entries;
   for (const json& item : range.value("kvs", json::array())) {
-    KeyValueEntry entry;
-    entry.key = FromBase64(item.value("key", "")).value_or("");
-    entry.value = FromBase64(item.value("value", "")).value_or("");
-    entry.revision = ReadInteger(item, "mod_revision");
-    entries.push_back(std::move(entry));
+    std::optional<std::string> key = FromBase64(item.value("key", ""));
+    std::optional<std::string> value = FromBase64(item.value("value", ""));
+    if (!key || !value) {
+      return std::nullopt;
+    }
+    entries.push_back({std::move(*key), std::move(*value), ReadInteger(item, "mod_revision")});
   }
   return entries;
 }
 
+/// @return the answer that holds a range's entries; uncertain if they can't be read.
+KeyValueAnswer AnswerWith(KeyValueStatus status, const json& range) {
+  std::optional<std::vector<KeyValueEntry>> entries = ReadEntries(range);
+  return entries ? KeyValueAnswer{status, std::move(*entries)} : KeyValueAnswer{};
+}
+
 KeyValueAnswer ReadTransaction(const json& body) {
-  KeyValueAnswer answer;
   if (body.value("succeeded", false)) {
-    answer.status = KeyValueStatus::kDone;
-    return answer;
+    return {KeyValueStatus::kDone, {}};
   }
-  answer.status = KeyValueStatus::kConditionFailed;
   for (const json& response : body.value("responses", json::array())) {
     auto range = response.find("response_range");
     if (range != response.end()) {
-      answer.entries = ReadEntries(*range);
+      return AnswerWith(KeyValueStatus::kConditionFailed, *range);
     }
   }
-  return answer;
+  return {KeyValueStatus::kConditionFailed, {}};
 }
 
 class EtcdKeyValue : public KeyValue {
@@ -94,9 +103,7 @@
   using Reader = KeyValueAnswer (*)(const json&);
 
   void Range(const json& body, Callback on_answer) {
-    Reader reader = [](const json& reply) {
-      return KeyValueAnswer{KeyValueStatus::kDone, ReadEntries(reply)};
-    };
+    Reader reader = [](const json& reply) { return AnswerWith(KeyValueStatus::kDone, reply); };
     Post("/v3/kv/range", body, reader, std::move(on_answer));
   }
 
@@ -125,10 +132,14 @@
       return answer;
     }
     try {
-      return reader(json::parse(result.body));
+      answer = reader(json::parse(result.body));
     } catch (const std::exception&) {
-      return answer;
+      answer = {};
     }
+    if (answer.status == KeyValueStatus::kUncertain) {
+      MARTENYARD_LOG_WARN(kLog, "An answer of the key-value service can't be read.");
+    }
+    return answer;
   }
 
   http::Client& client_;
