Test that fails: a number cut short by its connection's end is stored as a tool's whole result

Cause: the end of an answer without a length is believed. Ruled out: every other JSON text, cut short it is none (rows UnframedCutShort, FramedCutShort).

--- a/tests/clients/http_backends_test.cc
+++ b/tests/clients/http_backends_test.cc
@@ -247,6 +247,45 @@
   EXPECT_EQ(backends.server().requests().size(), 2U);
 }
 
+/// Symptom: a tool's result was cut short and stored as whole.
+/// Sequence: a service that sends no length dies after the first bytes of a number.
+/// Cause: the connection's end was believed to be the answer's; most JSON texts tell their own end,
+/// a number does not.
+/// What settled it: `12` of `123` was told as run.
+TEST(HttpBackendsTest, ResultIsWholeOnlyIfSomethingTellsItsEnd) {
+  struct Case {
+    const char* name;
+    ScriptedReply reply;
+    ServiceOutcome::Status status;
+  };
+  using Outcome = ServiceOutcome::Status;
+  for (const Case& test : {
+           Case{"Framed", Framed(200, R"({"a":1})"), Outcome::kRan},
+           Case{"FramedNumber", Framed(200, "12"), Outcome::kRan},
+           Case{"ChunkedNumber",
+                {"HTTP/1.1 200 Status\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n0\r\n\r\n"},
+                Outcome::kRan},
+           Case{"FramedCutShort",
+                {"HTTP/1.1 200 Status\r\nContent-Length: 3\r\n\r\n12", true},
+                Outcome::kUnknown},
+           Case{"Unframed", Unframed(200, R"({"a":1})"), Outcome::kRan},
+           Case{"UnframedList", Unframed(200, "[1]"), Outcome::kRan},
+           Case{"UnframedText", Unframed(200, R"("a")"), Outcome::kRan},
+           Case{"UnframedCutShort", Unframed(200, R"({"a":1)"), Outcome::kUnknown},
+           Case{"UnframedNumber", Unframed(200, "12"), Outcome::kUnknown},
+           Case{"UnframedFraction", Unframed(200, "-1.5"), Outcome::kUnknown},
+           Case{"NoBody", Framed(200, ""), Outcome::kUnknown},
+           Case{"NotJson", Framed(200, "ok"), Outcome::kUnknown},
+           Case{"Failed", Framed(500, "{}"), Outcome::kUnknown},
+           Case{"Refused", Framed(503, "{}"), Outcome::kNotRun},
+       }) {
+    SCOPED_TRACE(test.name);
+    HttpBackends backends({test.reply});
+    EXPECT_EQ(backends.RunService().status, test.status);
+    EXPECT_EQ(backends.server().requests().size(), 1U);
+  }
+}
+
 TEST(HttpBackendsTest, CancelledTransferLeavesNothingToTheNext) {
   std::string head = "HTTP/1.1 200 Status\r\nTransfer-Encoding: chunked\r\n\r\n";
   std::string chunk = Text("old");
