A tool's result is whole only if its framing or its own text tells its end

Cause: where an answer has no length, the connection's end was believed to be the body's, and a number cut short by it is a number. Ruled out: refusing every answer without a length (other JSON texts tell their own end). Change: the HTTP client says whether the answer was framed; the back end client takes a number only then, else the outcome is unknown. A result that is no whole JSON text is told as that instead of 'status 200'. Not provable: an engine or service that sends a wrong text of the right length.

--- a/src/clients/http_backends.cc
+++ b/src/clients/http_backends.cc
@@ -82,12 +82,21 @@
   return outcome;
 }
 
+/// @return true if the body is a JSON text that is surely not cut short. A number that the
+/// connection's end cut short is a number still; every other text tells its own end.
+bool IsWholeResult(const http::ClientResult& result) {
+  json value = json::parse(result.body, nullptr, /*allow_exceptions=*/false);
+  return !value.is_discarded() && (result.framed || !value.is_number());
+}
+
 ServiceOutcome ReadServiceOutcome(const http::ClientResult& result) {
   ServiceOutcome outcome;
   outcome.result = result.body;
   outcome.detail = result.error.empty() ? "status " + std::to_string(result.status) : result.error;
-  if (result.ok() && json::accept(result.body)) {
+  if (result.ok() && IsWholeResult(result)) {
     outcome.status = ServiceOutcome::Status::kRan;
+  } else if (result.ok()) {
+    outcome.detail = "its result is no whole JSON text";
   } else if (!result.connected || result.status == kServiceUnavailable ||
              result.status == kTooManyRequests) {
     outcome.status = ServiceOutcome::Status::kNotRun;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -6,14 +6,21 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <string_view>
 #include <thread>
 #include <utility>
 
+#include "absl/strings/match.h"
+#include "absl/strings/string_view.h"
+
 namespace martenyard::http {
 namespace {
 
 constexpr int kPollMilliseconds = 1000;
 constexpr long kMaxIdleConnections = 256;
+constexpr absl::string_view kStatusLineStart = "HTTP/";
+constexpr absl::string_view kLengthHeader = "content-length:";
+constexpr absl::string_view kChunksHeader = "transfer-encoding:";
 
 /// One transfer, owned by the client's thread once it runs.
 struct Transfer {
@@ -48,6 +55,19 @@
   return chunk.size();
 }
 
+/// Sees each header line of an answer, that of an interim one, too.
+std::size_t ReceiveHeader(char* data, std::size_t size, std::size_t count, void* context) {
+  auto& transfer = *static_cast<Transfer*>(context);
+  absl::string_view line(data, size * count);
+  if (absl::StartsWith(line, kStatusLineStart)) {
+    transfer.result.framed = false;  // Another answer begins.
+  }
+  for (absl::string_view name : {kLengthHeader, kChunksHeader}) {
+    transfer.result.framed = transfer.result.framed || absl::StartsWithIgnoreCase(line, name);
+  }
+  return line.size();
+}
+
 void Configure(Transfer& transfer) {
   const ClientRequest& request = transfer.request;
   CURL* handle = curl_easy_init();
@@ -79,6 +99,8 @@
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &ReceiveBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &ReceiveHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
   curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -30,8 +30,11 @@
 /// How a transfer ended. `status` is 0 when no answer came.
 struct ClientResult {
   int status = 0;
-  std::string body;        ///< Empty when the data callback took it.
-  std::string error;       ///< Empty when the whole answer arrived.
+  std::string body;   ///< Empty when the data callback took it.
+  std::string error;  ///< Empty when the whole answer arrived.
+  /// True if the answer said where its body ends, by a length or by chunks. The end of any other is
+  /// the connection's, and a body cut short by that looks whole.
+  bool framed = false;
   bool connected = false;  ///< False: the request surely never left this machine.
   std::optional<int> retry_after_seconds;
 
