Lists of machines and contexts that can't be read are logged; why nothing is owed elsewhere is said

Cause: three places dropped what they could not read without a word. Change: a warning for the lists; a comment for datagrams (anybody may send one, and a lost one is expected) and for the gateway's own JSON.

--- a/src/clients/http_backends.cc
+++ b/src/clients/http_backends.cc
@@ -121,11 +121,16 @@
                     std::optional<std::vector<Backend>> machines;
                     if (result.ok()) {
                       machines = ReadMachines(result.body);
+                      if (!machines) {
+                        MARTENYARD_LOG_WARN(kLog, "The machine list can't be read.");
+                      }
                     }
                     executor([machines, on_list] { on_list(machines); });
                   });
   }
 
+  // The JSON texts of both kinds of request are the gateway's own: a parse that fails can't occur.
+
   Handle StartModel(const ModelRequest& request, std::function<void(std::string)> on_text,
                     std::function<void(ModelOutcome)> on_done) override {
     json body = {{"model", request.model},
@@ -218,6 +223,9 @@
                     std::optional<std::vector<HeldContext>> contexts;
                     if (result.ok()) {
                       contexts = ReadContexts(result.body);
+                      if (!contexts) {
+                        MARTENYARD_LOG_WARN(kLog, "An engine's list of contexts can't be read.");
+                      }
                     }
                     executor([contexts, on_list] { on_list(contexts); });
                   });
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -204,6 +204,8 @@
 }
 
 void Daemon::OnDatagram(const std::string& payload) {
+  // One that can't be read may come from anybody and is like a lost one, which membership expects;
+  // a line for each would let anybody fill the log.
   if (auto packet = wire::Decode<membership::Packet>(payload)) {
     node_->OnPacket(SteadyNow(), *packet);
   }
