Tests: a connection's half frame and its unsent bytes end with it

Cause: nothing showed that internal frames keep a connection's bytes apart from the next connection's, the class of the joined events. Ruled out: a fault. Each accepted connection has its own buffer (ReadFrames), and ClosePeer drops what was not sent with the connection. Change: two tests: half a frame before, beside and after another connection's frames; a peer that takes part of a frame, ends, and starts again at its address.

--- a/tests/wire/transport_test.cc
+++ b/tests/wire/transport_test.cc
@@ -1,4 +1,4 @@
-// Frames to peers that don't take them: what waits is bounded over all peers.
+// Frames between peers: what waits is bounded over all peers, and no connection's bytes outlive it.
 #include "wire/transport.h"
 
 #include <arpa/inet.h>
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,103 @@
   Endpoint endpoint_;
 };
 
+constexpr absl::Duration kPatience = absl::Seconds(20);
+
+bool RunUntil(EventLoop& loop, const std::function<bool()>& condition) {
+  for (absl::Time end = SteadyNow() + kPatience; SteadyNow() < end;) {
+    if (condition()) {
+      return true;
+    }
+    loop.RunRound(absl::Milliseconds(5));
+  }
+  return condition();
+}
+
+/// A connection that sends what a test says, whole frames or not.
+class RawPeer {
+ public:
+  explicit RawPeer(const Endpoint& to) : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  }
+  ~RawPeer() { Close(); }
+  void Send(const std::string& bytes) const {
+    send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  void Close() {
+    if (socket_ >= 0) {
+      close(socket_);
+    }
+    socket_ = -1;
+  }
+
+ private:
+  int socket_;
+};
+
+std::string FrameOf(const std::string& payload) {
+  std::uint32_t length = htonl(static_cast<std::uint32_t>(payload.size()));
+  return std::string(reinterpret_cast<const char*>(&length), sizeof(length)) + payload;
+}
+
+TEST(TransportTest, HalfFrameIsNeverJoinedToAnotherConnectionsBytes) {
+  EventLoop loop;
+  std::vector<std::string> frames;
+  Transport transport(
+      loop, [&](std::string payload) { frames.push_back(std::move(payload)); },
+      [](const std::string&) {}, [](const Endpoint&, absl::Time) {});
+  auto bound = transport.Listen({"127.0.0.1", 0});
+  ASSERT_TRUE(bound);
+  std::string whole = FrameOf("first-of-the-old");
+  std::string half = FrameOf(std::string(40, 'o')).substr(0, 24);
+  RawPeer old_connection(*bound);
+  old_connection.Send(whole + half);
+  ASSERT_TRUE(RunUntil(loop, [&] { return frames.size() == 1; }));
+  RawPeer new_connection(*bound);
+  new_connection.Send(FrameOf("of-the-new"));
+  ASSERT_TRUE(RunUntil(loop, [&] { return frames.size() == 2; })) << "while the old one is open";
+  old_connection.Close();
+  new_connection.Send(FrameOf("after-the-old"));
+  ASSERT_TRUE(RunUntil(loop, [&] { return frames.size() == 3; }));
+  EXPECT_EQ(frames, (std::vector<std::string>{"first-of-the-old", "of-the-new", "after-the-old"}));
+}
+
+TEST(TransportTest, UnsentBytesOfABrokenConnectionAreNotSentOnTheNextOne) {
+  EventLoop loop;
+  // Between two connections nothing else is watched, and the loop would end.
+  auto guard = boost::asio::make_work_guard(loop.context());
+  std::vector<std::string> frames;
+  Transport sender(
+      loop, [](const std::string&) {}, [](const std::string&) {},
+      [](const Endpoint&, absl::Time) {});
+  Endpoint endpoint;
+  {
+    DeafPeer deaf;
+    endpoint = deaf.endpoint();
+    // More than the sockets' buffers hold: some of a frame has left, the rest waits.
+    for (int frame = 0; frame < 32; ++frame) {
+      sender.SendFrame(endpoint, std::string(std::size_t{1} << 20U, 'o'));
+    }
+    ASSERT_TRUE(RunUntil(loop, [&] { return sender.stats().bytes_sent > 0; }));
+    ASSERT_GT(sender.Unsent(endpoint), 0U);
+  }
+  ASSERT_TRUE(RunUntil(loop, [&] { return sender.Unsent(endpoint) == 0; })) << "dropped with it";
+  EXPECT_EQ(sender.unsent(), 0U);
+  Transport restarted(
+      loop, [&](std::string payload) { frames.push_back(std::move(payload)); },
+      [](const std::string&) {}, [](const Endpoint&, absl::Time) {});
+  ASSERT_TRUE(restarted.Listen(endpoint));
+  ASSERT_TRUE(RunUntil(loop, [&] {
+    sender.SendFrame(endpoint, "new");
+    loop.RunRound(absl::Milliseconds(1));
+    return !frames.empty();
+  }));
+  EXPECT_EQ(frames.front(), "new");
+}
+
 TEST(TransportTest, WhatWaitsForAllPeersTogetherIsBounded) {
   constexpr std::size_t kLimit = std::size_t{4} << 20U;
   constexpr std::size_t kFrame = std::size_t{1} << 20U;
