Tests that fail: what one request leaves on its HTTP connection

Cause: three ways in which one request's bytes, or its client's end, are taken for another's (each test's head says what happened).

--- /dev/null
+++ b/tests/async_http/connection_test.cc
@@ -0,0 +1,156 @@
+// The client side of HTTP over a peer that a test plays byte by byte: where one answer ends.
+#include "async_http/connection.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+#include "async_http/task.h"
+
+namespace martenyard::async_http {
+namespace {
+
+constexpr char kAnswer[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: keep-alive\r\n\r\nwhole";
+
+/// Listens on loopback; the test writes what it answers, piece by piece.
+class ScriptedPeer {
+ public:
+  ScriptedPeer() : listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    listen(listener_, 4);
+    socklen_t size = sizeof(address);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    endpoint_ = {"127.0.0.1", ntohs(address.sin_port)};
+  }
+  ~ScriptedPeer() {
+    close(accepted_);
+    close(listener_);
+  }
+  const wire::Endpoint& endpoint() const { return endpoint_; }
+  void Accept() { accepted_ = accept(listener_, nullptr, nullptr); }
+  void Say(const std::string& bytes) const {
+    send(accepted_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+
+ private:
+  int listener_;
+  int accepted_ = -1;
+  wire::Endpoint endpoint_;
+};
+
+struct ReadAnswer {
+  unsigned status = 0;
+  std::string body;
+  bool reusable = false;
+};
+
+/// Sends one request; the peer says the pieces, each once the one before was taken in.
+ReadAnswer Exchange(const std::vector<std::string>& pieces) {
+  asio::io_context context;
+  ScriptedPeer peer;
+  ReadAnswer answer;
+  auto run = [&]() -> Task<void> {
+    Connection connection(context, peer.endpoint());
+    if (!co_await connection.Connect()) {
+      co_return;
+    }
+    peer.Accept();
+    connection.BeginAnswer(/*head_request=*/false);
+    co_await connection.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    asio::co_spawn(
+        context,
+        [&]() -> Task<void> {
+          for (const std::string& piece : pieces) {
+            peer.Say(piece);
+            co_await asio::post(context, asio::use_awaitable);
+          }
+        },
+        asio::detached);
+    ReadStep step = ReadStep::kProgress;
+    while (step == ReadStep::kProgress) {
+      step = co_await connection.ReadBody();
+    }
+    if (step == ReadStep::kWhole) {
+      answer = {connection.parser().get().result_int(), connection.parser().get().body(),
+                connection.MayBeReused()};
+    }
+  };
+  asio::co_spawn(context, run, asio::detached);
+  context.run();
+  return answer;
+}
+
+// Symptom: an answer of status 100 or 103 without a body, and the answer proper taken for the one
+// to the next request on the connection. Sequence: the peer sends an interim answer before its
+// final one; the connection counts as free. Cause: the first head was taken for the whole answer's,
+// whatever its status. What settled it: the same bytes in one piece and in several: only those of
+// one piece left bytes behind, for which the connection was not used again.
+TEST(ConnectionTest, InterimAnswerIsNoAnswer) {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n";
+  struct InterimCase {
+    const char* name;
+    std::vector<std::string> pieces;
+  };
+  const InterimCase cases[] = {
+      {"none", {kAnswer}},
+      {"apart", {interim, kAnswer}},
+      {"in one piece", {interim + kAnswer}},
+      {"with fields", {hints, kAnswer}},
+      {"several", {interim, hints + interim, kAnswer}},
+      {"cut in its head",
+       {interim.substr(0, 9), interim.substr(9) + hints.substr(0, 30), hints.substr(30) + kAnswer}},
+  };
+  for (const InterimCase& test : cases) {
+    SCOPED_TRACE(test.name);
+    ReadAnswer answer = Exchange(test.pieces);
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.body, "whole");
+    EXPECT_TRUE(answer.reusable);
+  }
+}
+
+TEST(ConnectionTest, BytesBehindAWholeAnswerAreNeverTheNextOnes) {
+  ReadAnswer answer = Exchange({std::string(kAnswer) + "HTTP/1.1 200 OK\r\n"});
+  EXPECT_EQ(answer.body, "whole");
+  EXPECT_FALSE(answer.reusable);
+}
+
+TEST(ConnectionTest, AnswerToHeadEndsWithItsHead) {
+  // The peer's answer to GET has a body of the same length: the framing is the request's.
+  asio::io_context context;
+  ScriptedPeer peer;
+  std::vector<std::string> bodies;
+  auto run = [&]() -> Task<void> {
+    Connection connection(context, peer.endpoint());
+    co_await connection.Connect();
+    peer.Accept();
+    std::string head = std::string(kAnswer).substr(0, sizeof(kAnswer) - 1 - 5);
+    for (bool is_head : {true, false, true}) {
+      connection.BeginAnswer(is_head);
+      peer.Say(is_head ? head : kAnswer);
+      ReadStep step = ReadStep::kProgress;
+      while (step == ReadStep::kProgress) {
+        step = co_await connection.ReadBody();
+      }
+      EXPECT_EQ(step, ReadStep::kWhole);
+      EXPECT_TRUE(connection.MayBeReused());
+      bodies.push_back(connection.parser().get().body());
+    }
+  };
+  asio::co_spawn(context, run, asio::detached);
+  context.run();
+  EXPECT_EQ(bodies, (std::vector<std::string>{"", "whole", ""}));
+}
+
+}  // namespace
+}  // namespace martenyard::async_http
--- /dev/null
+++ b/tests/async_http/server_test.cc
@@ -0,0 +1,199 @@
+// The HTTP server over raw clients on loopback: what one request leaves to the next on its
+// connection, and whether a client that leaves is noticed.
+#include "async_http/server.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "wire/event_loop.h"
+
+namespace martenyard::async_http {
+namespace {
+
+constexpr absl::Duration kPatience = absl::Seconds(5);
+/// Enough rounds for the loop to take in what lies at its sockets.
+constexpr int kSomeRounds = 20;
+
+/// How a client ends its connection.
+enum class Leaving { kClose, kReset, kHalfClose };
+
+class RawClient {
+ public:
+  explicit RawClient(std::uint16_t port) : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  }
+  ~RawClient() { Leave(Leaving::kClose); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  void Say(const std::string& bytes) const {
+    send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  }
+  void Leave(Leaving how) {
+    if (socket_ < 0) {
+      return;
+    }
+    if (how == Leaving::kHalfClose) {
+      shutdown(socket_, SHUT_WR);
+      return;
+    }
+    if (how == Leaving::kReset) {
+      linger at_once{1, 0};
+      setsockopt(socket_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    }
+    close(socket_);
+    socket_ = -1;
+  }
+  /// @return all that came so far.
+  const std::string& Heard() {
+    char bytes[4096];
+    for (ssize_t count = 1; count > 0;) {
+      count = recv(socket_, bytes, sizeof(bytes), MSG_DONTWAIT);
+      heard_.append(bytes, count > 0 ? static_cast<std::size_t>(count) : 0);
+    }
+    return heard_;
+  }
+
+ private:
+  int socket_;
+  std::string heard_;
+};
+
+class ServerTest : public ::testing::Test {
+ protected:
+  void Serve(ExchangeHandler handler) {
+    server_ = std::make_unique<Server>(loop_.context(), std::move(handler));
+    ASSERT_TRUE(server_->Listen({"127.0.0.1", 0}));
+  }
+  bool RunUntil(const std::function<bool()>& condition) {
+    for (absl::Time end = SteadyNow() + kPatience; SteadyNow() < end;) {
+      if (condition()) {
+        return true;
+      }
+      loop_.RunRound(absl::Milliseconds(5));
+    }
+    return condition();
+  }
+
+  wire::EventLoop loop_;
+  std::unique_ptr<Server> server_;
+};
+
+// Symptom: a request went on to be worked on, and its tokens were charged, after its client had
+// left. Sequence: the client sends its next request, or part of it, before the answer to the
+// present one; then it leaves. Cause: the first early byte ended the watch for the client's end,
+// which was told by readability. What settled it: the same clients without an early byte, whose
+// leaving was always noticed.
+TEST_F(ServerTest, ClientThatSentItsNextRequestEarlyIsStillSeenToLeave) {
+  struct LeavingCase {
+    const char* name;
+    std::string early;
+    Leaving leaving;
+  };
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  const LeavingCase cases[] = {
+      {"nothing early, closes", "", Leaving::kClose},
+      {"nothing early, resets", "", Leaving::kReset},
+      {"nothing early, closes its sending half", "", Leaving::kHalfClose},
+      {"whole request early, closes", request, Leaving::kClose},
+      {"whole request early, resets", request, Leaving::kReset},
+      {"whole request early, closes its sending half", request, Leaving::kHalfClose},
+      {"part of a request early, closes", request.substr(0, 7), Leaving::kClose},
+      {"one byte early, resets", "G", Leaving::kReset},
+      {"more early than one reading takes, closes",
+       absl::StrCat("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n",
+                    std::string(60000, 'x')),
+       Leaving::kClose},
+  };
+  for (const LeavingCase& test : cases) {
+    SCOPED_TRACE(test.name);
+    int begun = 0;
+    int gone = 0;
+    Signal left(loop_.context());
+    Serve([&](std::shared_ptr<Exchange> exchange) -> Task<void> {
+      ++begun;
+      exchange->OnClientGone([&] {
+        ++gone;
+        left.Notify();
+      });
+      if (!exchange->client_gone()) {
+        co_await left.Wait(kPatience * 2);
+      }
+      exchange->Break();
+    });
+    RawClient client(server_->port());
+    client.Say(request);
+    ASSERT_TRUE(RunUntil([&] { return begun == 1; }));
+    client.Say(test.early);
+    for (int round = 0; round < kSomeRounds; ++round) {
+      loop_.RunRound(absl::Milliseconds(1));
+    }
+    EXPECT_EQ(gone, 0) << "an early request is no leaving";
+    client.Leave(test.leaving);
+    EXPECT_TRUE(RunUntil([&] { return gone == 1; }));
+    left.Notify();
+    EXPECT_TRUE(RunUntil([&] { return server_->stats().open_connections == 0; }));
+  }
+}
+
+TEST_F(ServerTest, EarlyRequestsAreAnsweredInTheirOrder) {
+  int begun = 0;
+  Signal may_answer(loop_.context());
+  Serve([&](std::shared_ptr<Exchange> exchange) -> Task<void> {
+    ++begun;
+    co_await may_answer.Wait(absl::Milliseconds(20));
+    std::string target(exchange->request().target());
+    HttpHead head;
+    head.result(200);
+    co_await exchange->Send(head, absl::StrCat("answer to ", target, ";"));
+  });
+  RawClient client(server_->port());
+  client.Say("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return begun == 1; }));
+  client.Say("GET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return absl::StrContains(client.Heard(), "answer to /3;"); }));
+  std::size_t first = client.Heard().find("answer to /1;");
+  std::size_t second = client.Heard().find("answer to /2;");
+  ASSERT_NE(first, std::string::npos);
+  ASSERT_NE(second, std::string::npos);
+  EXPECT_LT(first, second);
+  EXPECT_LT(second, client.Heard().find("answer to /3;"));
+}
+
+// Symptom: the answer after one to HEAD began with bytes that belong to no answer.
+// Sequence: HEAD for what is answered as a stream, then any request on the same connection.
+// Cause: the stream's chunks and their end were sent as for GET, but an answer to HEAD ends with
+// its head. What settled it: the same requests answered whole instead of as a stream.
+TEST_F(ServerTest, StreamedAnswerToHeadIsItsHeadAlone) {
+  Serve([&](std::shared_ptr<Exchange> exchange) -> Task<void> {
+    HttpHead head;
+    head.result(200);
+    co_await exchange->StartStream(head);
+    EXPECT_TRUE(co_await exchange->Write("data: x\n\n"));
+    EXPECT_TRUE(co_await exchange->Finish());
+  });
+  RawClient client(server_->port());
+  client.Say("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+  client.Say("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return absl::EndsWith(client.Heard(), "0\r\n\r\n"); }));
+  std::size_t head_end = client.Heard().find("\r\n\r\n") + 4;
+  ASSERT_TRUE(RunUntil([&] { return client.Heard().size() > head_end + 5; }));
+  EXPECT_EQ(client.Heard().substr(head_end, 13), "HTTP/1.1 200 ");
+}
+
+}  // namespace
+}  // namespace martenyard::async_http
