A streamed answer to HEAD is its head alone

Cause: Exchange::Write and Finish sent a stream's chunks and its end mark whatever the request; an answer to HEAD ends with its head, so the next answer on the connection began with them. Ruled out: the client's framing (ConnectionTest.AnswerToHeadEndsWithItsHead passes); whole answers (Send leaves the body out). Change: both send nothing for HEAD. Measured: StreamedAnswerToHeadIsItsHeadAlone fails before, passes after, 5 runs of 5. Conclusion: mended where every handler of the server passes.

--- a/src/async_http/server.cc
+++ b/src/async_http/server.cc
@@ -424,7 +424,7 @@
 }
 
 Task<bool> Exchange::Write(absl::string_view bytes) {
-  if (bytes.empty()) {
+  if (bytes.empty() || request_.method() == http::verb::head) {
     co_return true;
   }
   std::string chunk = absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
@@ -433,6 +433,9 @@
 
 Task<bool> Exchange::Finish() {
   answered_ = true;
+  if (request_.method() == http::verb::head) {
+    co_return true;  // Its answer ended with the head: more would be read as the next one's.
+  }
   co_return co_await connection_.SendBytes("0\r\n\r\n");
 }
 
--- a/src/async_http/server.h
+++ b/src/async_http/server.h
@@ -56,7 +56,7 @@
 
   /// Sends a whole answer. @return false when the client could not be reached.
   Task<bool> Send(HttpHead head, std::string body);
-  /// Starts an answer of unknown length.
+  /// Starts an answer of unknown length; to HEAD its head is all that is sent.
   Task<bool> StartStream(HttpHead head);
   Task<bool> Write(absl::string_view bytes);
   /// Ends a started answer properly.
