Interim answers are passed over, not taken for the answer

Cause: a head of status 1xx ends its message, so 100 or 103 was the whole answer to whoever reads a connection, and the connection counted as free while the answer proper was still to come: the next request on it got that one, where nothing tells answers apart (the store's client). Ruled out: attempts at runners: they refuse an answer without the request's id, so there it cost an attempt only. Change: Connection begins anew behind each head of 1xx but 101. Conclusion: mended in the plumbing that attempts and the store's client share.

--- a/src/async_http/connection.cc
+++ b/src/async_http/connection.cc
@@ -22,6 +22,15 @@
 /// Bytes that the peer doesn't take in this time break the connection.
 constexpr unsigned kUserTimeoutMilliseconds = 1000;
 
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kSwitchingProtocols = 101;
+
+/// @return whether the answer proper follows. By number: Beast has no name for some of these.
+bool IsInterim(const ResponseParser& parser) {
+  unsigned status = parser.get().result_int();
+  return status < kFirstFinalStatus && status != kSwitchingProtocols;
+}
+
 }  // namespace
 
 Connection::Connection(asio::io_context& context, const wire::Endpoint& peer)
@@ -63,11 +72,16 @@
   any_sent_ = false;
   ended_by_close_ = false;
   ++uses_;
+  head_request_ = head_request;
+  StartParser();
+}
+
+void Connection::StartParser() {
   parser_ = std::make_unique<ResponseParser>();
   parser_->eager(true);
   parser_->header_limit(kHeaderLimit);
   parser_->body_limit(kBodyLimit);
-  parser_->skip(head_request);
+  parser_->skip(head_request_);
 }
 
 Task<ReadStep> Connection::ReadHead() { return Parse(/*head_only=*/true); }
@@ -92,6 +106,10 @@
         break;
       }
     }
+    if (parser_->is_done() && IsInterim(*parser_)) {
+      StartParser();
+      continue;
+    }
     if (parser_->is_done()) {
       NoteKeepAlive();
       co_return ReadStep::kWhole;
--- a/src/async_http/connection.h
+++ b/src/async_http/connection.h
@@ -34,7 +34,7 @@
   Task<bool> Connect();
   /// Sends bytes. @return false when the connection failed; some may have left.
   Task<bool> Send(absl::string_view bytes);
-  /// Starts reading the next answer.
+  /// Starts reading the next answer; interim ones (1xx) before it are passed over.
   /// @param head_request answers to HEAD carry no body.
   void BeginAnswer(bool head_request);
   /// Reads until the head is whole, or beyond.
@@ -62,6 +62,7 @@
   std::uint64_t uses() const { return uses_; }
 
  private:
+  void StartParser();
   Task<ReadStep> Parse(bool head_only);
   void NoteKeepAlive();
 
@@ -69,6 +70,7 @@
   wire::Endpoint peer_;
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<ResponseParser> parser_;
+  bool head_request_ = false;
   bool any_sent_ = false;
   bool ended_by_close_ = false;
   absl::Time idle_since_;
