LedgerClient is told who sent a reply; a test waits for the call it means

Cause: a reply's sender was thrown away, so no decision could tell which try of a call it answers. Change: OnReply takes the sender's endpoint; no decision reads it yet. SilentGroupIsAskedThroughAPeer... waited for "a request numbered above 2", which the probe before already was: its last step answered the probe a second time and passed when the call ran out after 10 s. It now waits for a further request, and asks that the call ends done. Conclusion: no behaviour changed; the test is stricter.

--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -369,7 +369,7 @@
     return;
   }
   if (const auto* reply = std::get_if<turn_ledger::LedgerReply>(&envelope->body)) {
-    state_->ledger->OnReply(*reply);
+    state_->ledger->OnReply(envelope->from.endpoint, *reply);
   } else if (auto* chain = std::get_if<turn_ledger::chain_reply>(&envelope->body)) {
     state_->chains->on_reply(std::move(*chain));
   } else if (const auto* news = std::get_if<store::news_reply>(&envelope->body)) {
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -248,7 +248,7 @@
   return silent;
 }
 
-void LedgerClient::OnReply(const LedgerReply& reply) {
+void LedgerClient::OnReply(const wire::Endpoint& /*from*/, const LedgerReply& reply) {
   auto found = waiting_.find(reply.request);
   if (found == waiting_.end()) {
     return;
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -79,7 +79,8 @@
   /// @return the group that has the program. Only once groups are known.
   GroupId GroupOf(const ProgramId& program) const;
   std::size_t groups() const { return groups_.size(); }
-  void OnReply(const LedgerReply& reply);
+  /// @param from the endpoint that the reply names as its sender.
+  void OnReply(const wire::Endpoint& from, const LedgerReply& reply);
   /// Nothing listens at `replica` any more.
   void OnDead(const wire::Endpoint& replica);
   std::size_t pending() const { return waiting_.size(); }
--- a/tests/turn_ledger/ledger_client_test.cc
+++ b/tests/turn_ledger/ledger_client_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <vector>
@@ -37,13 +38,13 @@
 
 class LedgerClientTest : public ::testing::Test {
  protected:
-  LedgerClientTest()
+  explicit LedgerClientTest(const LedgerClientOptions& options = {})
       : client_(
             loop_.context(),
             [this](const wire::Endpoint& to, const LedgerRequest& request) {
               sent_.emplace_back(to, request);
             },
-            LedgerClientOptions{}, 1) {
+            options, 1) {
     client_.SetGroups({{kFirst, kSecond}});
   }
 
@@ -60,11 +61,18 @@
     return end;
   }
 
+  /// Answers as the one that was asked last.
   void Answer(const LedgerRequest& request, ReplyStatus status) {
+    auto asked = std::find_if(sent_.rbegin(), sent_.rend(), [&](const auto& sent) {
+      return sent.second.request == request.request;
+    });
+    AnswerFrom(asked->first, request, status);
+  }
+  void AnswerFrom(const wire::Endpoint& from, const LedgerRequest& request, ReplyStatus status) {
     LedgerReply reply;
     reply.request = request.request;
     reply.status = status;
-    client_.OnReply(reply);
+    client_.OnReply(from, reply);
   }
 
   wire::EventLoop loop_;
@@ -161,11 +169,13 @@
   ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.back().first != peer; })) << "probes go straight";
   Answer(sent_.back().second, ReplyStatus::kDone);
   ASSERT_TRUE(RunUntil(loop_, [&] { return client_.SilentGroups(absl::Milliseconds(300)) == 0; }));
+  std::size_t before = sent_.size();
   auto next = Start(ReserveTurn{}, absl::Seconds(10));
-  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.back().second.request > 2; }));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() > before; }));
   EXPECT_NE(sent_.back().first, peer);
   Answer(sent_.back().second, ReplyStatus::kDone);
-  EXPECT_TRUE(RunUntil(loop_, [&] { return next->has_value(); }));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return next->has_value(); }));
+  EXPECT_EQ(**next, CallEnd::kDone);
 }
 
 TEST_F(LedgerClientTest, LostLedgerWithoutAPeerRefusesAtOnce) {
@@ -204,7 +214,7 @@
       reply.request = request.request;
       reply.status = ReplyStatus::kNotLeader;
       reply.leader = to == kFirst ? kSecond : kFirst;
-      client_.OnReply(reply);
+      client_.OnReply(to, reply);
     }
     return call->has_value();
   });
