Tests that fail: a ledger's late reply taken for the present try's

Cause: whatever answers a call is credited to the target of its present try (each test's head says what happened). Change: LateReplyTest, tries that end only by the news that nothing listens, with the replies of earlier tries behind them.

--- a/tests/turn_ledger/ledger_client_test.cc
+++ b/tests/turn_ledger/ledger_client_test.cc
@@ -222,6 +222,104 @@
   EXPECT_LT(sent_.size(), 100U) << "a pause after a few hints";
 }
 
+/// Tries that end only when the test says that nothing listens at their target.
+class LateReplyTest : public LedgerClientTest {
+ protected:
+  LateReplyTest() : LedgerClientTest(PatientOptions()) {}
+
+  static LedgerClientOptions PatientOptions() {
+    LedgerClientOptions options;
+    options.try_timeout = options.longest_try = absl::Seconds(60);
+    return options;
+  }
+  /// @return the target of a further call, which is answered there.
+  wire::Endpoint TargetOfNextCall() {
+    std::size_t before = sent_.size();
+    auto end = Start(ReserveTurn{}, absl::Seconds(60));
+    EXPECT_TRUE(RunUntil(loop_, [&] { return sent_.size() > before; }));
+    wire::Endpoint target = sent_.back().first;
+    Answer(sent_.back().second, ReplyStatus::kDone);
+    EXPECT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
+    return target;
+  }
+};
+
+// Symptom: calls went to a replica that is no leader, or to a peer gateway as if it led the group,
+// and the group counted as reached while only a peer reached it.
+// Sequence: a try is given up and the next replica asked, or peers are no longer wanted; then the
+// answer of the one asked before arrives.
+// Cause: whatever answered a call was taken for the target of its present try.
+// What settled it: the answers of the same calls, with and without a try in between.
+TEST_F(LateReplyTest, AnswerIsCreditedToTheOneThatGaveIt) {
+  const wire::Endpoint peer{"10.0.0.77", 1};
+  struct LateCase {
+    const char* name;
+    bool through_peer;  ///< The first try goes through a peer, which then is no longer wanted.
+    bool tried_again;   ///< The first try is given up before its answer arrives.
+    wire::Endpoint next_target;
+    std::size_t silent_groups;
+  };
+  const LateCase cases[] = {
+      {"the replica asked first, in time", false, false, kFirst, 0},
+      {"the replica asked first, after another was asked", false, true, kFirst, 0},
+      {"a peer that is no longer wanted", true, false, kFirst, 1},
+      {"a peer, after a replica was asked", true, true, kSecond, 1},
+  };
+  const absl::Duration limit = LedgerClientOptions{}.relay_after;
+  for (const LateCase& test : cases) {
+    SCOPED_TRACE(test.name);
+    client_.SetGroups({});
+    client_.SetGroups({{kFirst, kSecond}});
+    sent_.clear();
+    ASSERT_TRUE(RunUntil(loop_, [&] { return client_.SilentGroups(limit) == 1; }));
+    if (test.through_peer) {
+      client_.SetRelays({peer}, /*lost=*/false);
+    }
+    auto end = Start(ReserveTurn{}, absl::Seconds(60));
+    ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() == 1; }));
+    auto [first, request] = sent_.front();
+    EXPECT_EQ(first == peer, test.through_peer);
+    client_.SetRelays({}, /*lost=*/false);
+    if (test.tried_again) {
+      client_.OnDead(first);
+      ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() == 2; }));
+      EXPECT_NE(sent_.back().first, first);
+    }
+    AnswerFrom(first, request, ReplyStatus::kDone);
+    ASSERT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
+    EXPECT_EQ(**end, CallEnd::kDone);
+    EXPECT_EQ(client_.SilentGroups(limit), test.silent_groups) << "a peer's word is no contact";
+    EXPECT_EQ(TargetOfNextCall(), test.next_target);
+  }
+}
+
+// Symptom: a replica that was working on a call was given up for another, once for each late
+// refusal. Sequence: a try is given up and the next replica asked; then the first one says that it
+// does not lead. Cause: the refusal was taken for the answer of the replica that is asked now. What
+// settled it: the present replica's answer, which came and was no longer waited for.
+TEST_F(LateReplyTest, LateRefusalDoesNotEndThePresentTry) {
+  for (ReplyStatus refusal :
+       {ReplyStatus::kNotLeader, ReplyStatus::kUncertain, ReplyStatus::kOverloaded}) {
+    SCOPED_TRACE(static_cast<int>(refusal));
+    sent_.clear();
+    auto end = Start(SettleTurn{}, absl::Seconds(60));
+    ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() == 1; }));
+    auto [first, request] = sent_.front();
+    client_.OnDead(first);
+    ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() == 2; }));
+    wire::Endpoint second = sent_.back().first;
+    std::uint64_t retries = client_.retries();
+    AnswerFrom(first, request, refusal);
+    // Whatever the refusal sets off is done once all that is ready has run.
+    loop_.context().poll();
+    EXPECT_EQ(client_.retries(), retries);
+    AnswerFrom(second, request, ReplyStatus::kDone);
+    ASSERT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
+    EXPECT_EQ(**end, CallEnd::kDone);
+    EXPECT_EQ(TargetOfNextCall(), second);
+  }
+}
+
 class ChainReaderTest : public ::testing::Test {
  protected:
   ChainReaderTest()
