A ledger's reply is credited to the try that it answers

Cause: a reply belongs to a call, and a call has many tries. A late answer made the present target the leader, counted a peer's word as the group's own, and, when the peers had been dropped meanwhile, made a peer gateway the group's leader: its calls then went through that peer for good, and the group counted as reached. A late refusal ended a try that was going well. Ruled out: replies of an earlier process (calls are numbered from a random start), of another call (numbers), lost commits (an operation repeats). The group's count of waiting calls would underflow if groups became fewer; the layout's record never changes. Change: a call keeps its tries, each with whether a peer was to make it; a reply is credited to its sender's, and refusals of earlier tries are passed over.

--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -52,7 +52,7 @@
     }
   }
   for (auto& [request, waiting] : waiting_) {
-    if (waiting->target == replica) {
+    if (!waiting->tries.empty() && waiting->tries.back().target == replica) {
       waiting->arrived.Notify();
     }
   }
@@ -156,7 +156,7 @@
       co_await async_http::Sleep(context_, std::min(options_.pause, deadline - SteadyNow()));
       continue;
     }
-    waiting.target = *target;
+    waiting.tries.push_back({*target, IsRelay(*target)});
     send_(*target, request);
     co_await waiting.arrived.Wait(std::min(try_timeout, deadline - SteadyNow()));
     if (!waiting.reply) {
@@ -170,11 +170,11 @@
     if (group == nullptr) {
       continue;
     }
-    bool through_peer = IsRelay(*target);
+    const Asked answered = waiting.answered;
     if (reply.status == ReplyStatus::kDone) {
       group->last_sign = SteadyNow();
-      if (!through_peer) {
-        group->leader = target;
+      if (!answered.through_peer) {
+        group->leader = answered.target;
         group->last_answer = group->last_sign;
       }
       result = {CallEnd::kDone, std::move(waiting.reply->result)};
@@ -182,8 +182,8 @@
     }
     may_be_committed = may_be_committed || reply.status == ReplyStatus::kUncertain;
     if (reply.status == ReplyStatus::kOverloaded) {
-      if (!through_peer) {
-        group->leader = target;
+      if (!answered.through_peer) {
+        group->leader = answered.target;
         group->last_answer = SteadyNow();
       }
       if (!settlement && !may_be_committed) {
@@ -193,7 +193,7 @@
       co_await async_http::Sleep(context_, std::min(try_timeout, deadline - SteadyNow()));
       continue;
     }
-    bool hint = reply.leader.port != 0 && reply.leader != *target;
+    bool hint = reply.leader.port != 0 && reply.leader != answered.target;
     if (hint && ++hints <= kMostHints) {
       group->leader = reply.leader;
       continue;
@@ -248,13 +248,21 @@
   return silent;
 }
 
-void LedgerClient::OnReply(const wire::Endpoint& /*from*/, const LedgerReply& reply) {
+void LedgerClient::OnReply(const wire::Endpoint& from, const LedgerReply& reply) {
   auto found = waiting_.find(reply.request);
-  if (found == waiting_.end()) {
-    return;
+  if (found == waiting_.end() || found->second->tries.empty()) {
+    return;  // Its call has ended: a late answer to a call that another try has answered.
   }
-  found->second->reply = reply;
-  found->second->arrived.Notify();
+  Waiting& waiting = *found->second;
+  auto answered = std::find_if(waiting.tries.rbegin(), waiting.tries.rend(),
+                               [&](const Asked& asked) { return asked.target == from; });
+  bool present = answered == waiting.tries.rbegin() || answered == waiting.tries.rend();
+  if (!present && reply.status != ReplyStatus::kDone) {
+    return;  // A try that counts as lost already: what it says is nothing of the present one.
+  }
+  waiting.reply = reply;
+  waiting.answered = present ? waiting.tries.back() : *answered;
+  waiting.arrived.Notify();
 }
 
 }  // namespace martenyard::turn_ledger
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -97,11 +97,18 @@
   std::uint64_t relayed() const { return relayed_; }
 
  private:
+  /// Whom one try of a call went to.
+  struct Asked {
+    wire::Endpoint target;
+    bool through_peer = false;  ///< A peer was to make the call, whoever is wanted as one now.
+  };
+
   struct Waiting {
     explicit Waiting(async_http::asio::io_context& context) : arrived(context) {}
     async_http::Signal arrived;
     std::optional<LedgerReply> reply;
-    wire::Endpoint target;
+    Asked answered;            ///< The try that `reply` answers.
+    std::vector<Asked> tries;  ///< The last one is waited for now.
   };
 
   /// What is known of one group.
