--- a/tests/aggregation/load_sums_test.cc
+++ b/tests/aggregation/load_sums_test.cc
@@ -133,6 +133,52 @@
   EXPECT_EQ(sums.gateways(instant()), 40U);
 }
 
+// Symptom: for up to a source's lifetime an aggregator told twice as many requests and gateways of
+// the other zones as there were.
+// Sequence: it speaks for its zone, or hears no speaker, and takes the other zones' own sums; then
+// one of its zone speaks again and tells the sums of all the others on; or the other way round.
+// Cause: each kind of sum was kept under its own sender, beside the one of the other kind that it
+// contains, until that one's lifetime was over.
+// What settled it: the change of speaker alone, at one instant, with the same five requests.
+TEST(AggregatorTest, ChangeOfSpeakerNeverAddsTheSumsBeforeToThoseAfter) {
+  zone_summary relayed;
+  relayed.m_from = {"a", "z", {"10.0.0.1", 2}};
+  relayed.m_gateways = 40;
+  relayed.m_without_ledger = 4;
+  relayed.m_loads = {{kA, 5, 0, 0}};
+  zone_summary direct = relayed;
+  direct.m_from = {"c", "y", {"10.0.0.1", 3}};
+  const milliseconds silence = aggregator_options{}.m_source_patience;
+  struct SpeakerCase {
+    const char* name;
+    bool speaks_before;
+    zone_summary before;
+    zone_summary after;
+    milliseconds between;
+  };
+  const SpeakerCase cases[] = {
+      {"stops speaking, another tells on", true, direct, relayed, milliseconds(0)},
+      {"heard no speaker, then one", false, direct, relayed, milliseconds(0)},
+      {"the speaker fell silent", false, relayed, direct, silence},
+      {"takes over from the speaker", false, relayed, direct, milliseconds(0)},
+  };
+  for (const SpeakerCase& test : cases) {
+    SCOPED_TRACE(test.name);
+    aggregator sums({"b", "z", {"10.0.0.1", 1}}, 7);
+    instant now;
+    sums.set_speaks(now, test.speaks_before);
+    sums.take(now, test.before);
+    now += test.between;
+    bool takes_over = test.after.m_from.m_zone != "z" && test.between == milliseconds(0);
+    sums.set_speaks(now, takes_over);
+    sums.take(now, test.after);
+    digest told = sums.make_digest(now);
+    EXPECT_EQ(told.m_loads, (std::vector<runner_load>{{kA, 5, 0, 0}}));
+    EXPECT_EQ(told.m_gateways, 40U);
+    EXPECT_EQ(told.m_without_ledger, 4U);
+  }
+}
+
 TEST(AggregatorTest, WhatAnotherToldBeforeIsNotToldAgainByTheOneThatTakesOver) {
   aggregator sums({"b", "z", {"10.0.0.1", 1}}, 7);
   member_report report = ReportFrom("own", "z");
