A change of speaker does not add the sums before it to those after

Cause: sums told on by a zone's speaker contain the other zones' own sums, and were kept beside them under another sender until the older ones' lifetime (1.6 s) was over: for so long every load, and the count of gateways, stood twice in the digests. Ruled out: take-over by the aggregator itself (set_speaks drops what was told on); a gateway that restarts (its report replaces the one before). Change: taking the one kind drops the other. Sums come each 100 ms, so what is dropped is told again at once.

--- a/src/aggregation/aggregator.cc
+++ b/src/aggregation/aggregator.cc
@@ -91,11 +91,30 @@
         return;
     }
     zone = {now, summary.m_from.m_name, summary.m_gateways, summary.m_without_ledger};
+    forget_contained(now, summary.m_from.m_zone);
     m_other_loads.take(now, summary.m_from.m_zone, summary.m_loads);
     m_other_news.note(summary.m_loads, summary.m_placements);
     m_all_news.note(summary.m_loads, summary.m_placements);
 }
 
+void aggregator::forget_contained(instant now, const std::string& zone)
+{
+    // Told on by this zone's speaker are all other zones' sums at once: each kind contains the other.
+    bool is_told_on = zone == m_self.m_zone;
+    for (const auto& [name, other] : m_zones)
+    {
+        if ((name == m_self.m_zone) != is_told_on)
+        {
+            m_other_loads.take(now, name, {});
+        }
+    }
+    std::erase_if(m_zones,
+                  [&](const auto& entry)
+                  {
+                      return (entry.first == m_self.m_zone) != is_told_on;
+                  });
+}
+
 void aggregator::expire(instant now)
 {
     m_zone_loads.expire(now);
--- a/src/aggregation/aggregator.h
+++ b/src/aggregation/aggregator.h
@@ -132,6 +132,9 @@
     bool has_room_for(const contact& gateway) const;
     /// @return whether the sums of this other zone count, or what an aggregator of this zone told on
     bool counts(instant now, const std::string& zone) const;
+    /// @brief this zone's sums were taken: drops those of the other kind, told on or the zones' own,
+    ///        which the taken ones contain
+    void forget_contained(instant now, const std::string& zone);
     template <typename Predicate>
     std::uint32_t count_members(instant now, Predicate predicate) const;
     std::vector<wire::Endpoint> pick_with_ledger(instant now);
