Tests that fail: a mirror's late answers, forgotten removals, and changes meant for another process

Cause: three ways in which one reading's or one process's part is taken for the whole copy (each test's head says what happened). Change: ScriptedMirrorTest, over a store whose answers the test gives one by one, in any order.

--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -1,9 +1,12 @@
-// The mirror over the real store client and the stand-in of the platform's store, with its faults.
+// The mirror over the real store client and the stand-in of the platform's store, with its faults;
+// and over a store whose answers a test gives one by one, in any order.
 #include "store/prefix_mirror.h"
 
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <memory>
+#include <vector>
 
 #include "base/clock.h"
 #include "emulator/platform/store_stand_in.h"
@@ -212,5 +215,232 @@
   }
 }
 
+/// A store that answers when the test says so.
+class ScriptedStore : public MetadataStore {
+ public:
+  template <typename Answer>
+  struct Pending {
+    explicit Pending(async_http::asio::io_context& context) : given(context) {}
+    void Give(Answer value) {
+      answer = std::move(value);
+      given.Notify();
+    }
+    Revision after = 0;
+    async_http::Signal given;
+    std::optional<Answer> answer;
+  };
+
+  explicit ScriptedStore(async_http::asio::io_context& context) : context_(context) {}
+
+  async_http::Task<ReadAnswer> Get(std::string /*key*/) override { co_return ReadAnswer{}; }
+  async_http::Task<ReadAnswer> Range(std::string /*prefix*/) override {
+    ranges.push_back(std::make_shared<Pending<ReadAnswer>>(context_));
+    return AnswerOf(ranges.back());
+  }
+  async_http::Task<WatchAnswer> Watch(std::string /*prefix*/, Revision after,
+                                      absl::Duration /*patience*/) override {
+    watches.push_back(std::make_shared<Pending<WatchAnswer>>(context_));
+    watches.back()->after = after;
+    return AnswerOf(watches.back());
+  }
+  async_http::Task<StoreStatus> Commit(Transaction /*transaction*/) override {
+    co_return StoreStatus::kUnavailable;
+  }
+  std::uint64_t calls() const override { return ranges.size() + watches.size(); }
+
+  std::vector<std::shared_ptr<Pending<ReadAnswer>>> ranges;
+  std::vector<std::shared_ptr<Pending<WatchAnswer>>> watches;
+
+ private:
+  template <typename Kind>
+  static async_http::Task<Kind> AnswerOf(std::shared_ptr<Pending<Kind>> pending) {
+    while (!pending->answer) {
+      co_await pending->given.Wait(kPatience);
+    }
+    co_return *pending->answer;
+  }
+
+  async_http::asio::io_context& context_;
+};
+
+ReadAnswer Reading(Revision revision, std::vector<StoreItem> items) {
+  return {StoreStatus::kDone, std::move(items), revision};
+}
+
+WatchAnswer Watched(Revision revision, std::vector<StoreChange> changes) {
+  return {StoreStatus::kDone, std::move(changes), revision};
+}
+
+mirror_delta FullDelta(Revision last_change, std::vector<relayed_item> items) {
+  return {last_change, true, std::move(items), {}};
+}
+
+class ScriptedMirrorTest : public ::testing::Test {
+ protected:
+  using Mirror = std::unique_ptr<PrefixMirror>;
+
+  Mirror MakeMirror() {
+    MirrorOptions options;
+    options.watch_spacing = absl::Milliseconds(1);
+    return std::make_unique<PrefixMirror>(
+        loop_.context(), store_, "p/", [](const StoreChange&) {}, [](bool, StoreStatus) {},
+        options);
+  }
+  bool RunUntil(const std::function<bool()>& condition) {
+    for (absl::Time end = SteadyNow() + kPatience; SteadyNow() < end;) {
+      if (condition()) {
+        return true;
+      }
+      loop_.RunRound(absl::Milliseconds(5));
+    }
+    return condition();
+  }
+  /// Starts a mirror that knows p/a of revision 2 and watches on from revision 3.
+  Mirror StartedMirror() {
+    Mirror mirror = MakeMirror();
+    mirror->Start();
+    EXPECT_TRUE(RunUntil([&] { return store_.ranges.size() == 1; }));
+    store_.ranges[0]->Give(Reading(3, {{"p/a", "1", 2}}));
+    EXPECT_TRUE(RunUntil([&] { return store_.watches.size() == 1; }));
+    return mirror;
+  }
+
+  wire::EventLoop loop_;
+  ScriptedStore store_{loop_.context()};
+  std::vector<Mirror> kept_;  ///< Their coroutines run until the loop is destroyed.
+};
+
+// Symptom: a key that was removed came back at a gateway, and stayed until everything was read
+// anew. Sequence: a key is written and removed; the answer of a watch or of a reading from between
+// the two arrives after a newer reading, or a peer's whole copy, that has the key no more. Cause:
+// of the newer copy only the keys stayed, not what it says of all others; the late answer's key was
+// new, and the next watch went on from the newer revision, after the removal. What settled it: the
+// same answers in the order of their revisions.
+TEST_F(ScriptedMirrorTest, LateAnswerBringsNoKeyBackThatANewerCopyNoLongerHas) {
+  struct LateCase {
+    const char* name;
+    std::function<void(PrefixMirror&)> newer_copy_then_late_answer;
+  };
+  const StoreChange put{"p/k", "late", 5};
+  const LateCase cases[] = {
+      {"a watch after a reading",
+       [&](PrefixMirror& mirror) {
+         mirror.Refresh();
+         ASSERT_TRUE(RunUntil([&] { return store_.ranges.size() == 2; }));
+         store_.ranges[1]->Give(Reading(9, {{"p/a", "1", 2}}));
+         store_.watches[0]->Give(Watched(5, {put}));
+         ASSERT_TRUE(RunUntil([&] { return store_.watches.size() == 2; }));
+         EXPECT_EQ(store_.watches[1]->after, 9U);
+       }},
+      {"a watch after a peer's whole copy",
+       [&](PrefixMirror& mirror) {
+         mirror.TakeDelta(FullDelta(9, {{"p/a", "1", 2}, {"p/b", "1", 9}}));
+         store_.watches[0]->Give(Watched(5, {put}));
+         ASSERT_TRUE(RunUntil([&] { return store_.watches.size() == 2; }));
+       }},
+      {"a reading after a newer reading",
+       [&](PrefixMirror& mirror) {
+         mirror.Refresh();
+         ASSERT_TRUE(RunUntil([&] { return store_.ranges.size() == 2; }));
+         WatchAnswer gone;
+         gone.status = StoreStatus::kHistoryGone;
+         store_.watches[0]->Give(gone);
+         ASSERT_TRUE(RunUntil([&] { return store_.ranges.size() == 3; }));
+         store_.ranges[2]->Give(Reading(12, {{"p/a", "1", 2}}));
+         ASSERT_TRUE(RunUntil([&] { return store_.watches.size() == 2; }));
+         store_.ranges[1]->Give(Reading(6, {{"p/a", "1", 2}, {"p/k", "late", 5}}));
+         store_.watches[1]->Give(Watched(12, {}));
+         ASSERT_TRUE(RunUntil([&] { return store_.watches.size() == 3; }));
+       }},
+  };
+  for (const LateCase& test : cases) {
+    SCOPED_TRACE(test.name);
+    store_.ranges.clear();
+    store_.watches.clear();
+    Mirror* mirror = &kept_.emplace_back(StartedMirror());
+    test.newer_copy_then_late_answer(**mirror);
+    EXPECT_FALSE((*mirror)->items().contains("p/k"));
+    EXPECT_TRUE((*mirror)->items().contains("p/a"));
+  }
+}
+
+// Symptom: a gateway that lives by what its peers tell kept a key that was removed, for good.
+// Sequence: the peer it asks has replaced its own copy as a whole, by a reading that is older than
+// a removal it had heard of, or by another peer's whole copy; then something else changes. Cause:
+// the peer forgot the removals it knew, or never learned of them, and yet told "what changed since"
+// as if it knew them all. What settled it: the peer's answer was told to be no whole copy, and
+// named no removal.
+TEST_F(ScriptedMirrorTest, PeerToldByACopyThatWasReplacedAsAWholeLosesWhatWasRemoved) {
+  struct ReplacedCase {
+    const char* name;
+    std::function<void(PrefixMirror&)> replace;
+  };
+  const ReplacedCase cases[] = {
+      {"by a reading that is older than a removal",
+       [&](PrefixMirror& mirror) {
+         mirror.Refresh();
+         ASSERT_TRUE(RunUntil([&] { return store_.ranges.size() == 2; }));
+         store_.watches[0]->Give(Watched(11, {{"p/k", "1", 5}, {"p/k", std::nullopt, 11}}));
+         ASSERT_TRUE(RunUntil([&] { return store_.watches.size() == 2; }));
+         store_.ranges[1]->Give(Reading(9, {{"p/a", "1", 2}, {"p/k", "1", 5}}));
+         ASSERT_TRUE(RunUntil([&] { return mirror.last_change() == 9; }));
+         store_.watches[1]->Give(Watched(13, {{"p/b", "1", 13}}));
+         ASSERT_TRUE(RunUntil([&] { return store_.watches.size() == 3; }));
+       }},
+      {"by a peer's whole copy",
+       [&](PrefixMirror& mirror) {
+         mirror.TakeDelta(FullDelta(13, {{"p/a", "1", 2}, {"p/b", "1", 13}}));
+       }},
+  };
+  for (const ReplacedCase& test : cases) {
+    SCOPED_TRACE(test.name);
+    store_.ranges.clear();
+    store_.watches.clear();
+    Mirror* teller = &kept_.emplace_back(StartedMirror());
+    Mirror asker = MakeMirror();
+    asker->TakeDelta(FullDelta(10, {{"p/a", "1", 2}, {"p/k", "1", 5}, {"p/c", "1", 10}}));
+    test.replace(**teller);
+    asker->TakeDelta((*teller)->ChangesSince(asker->last_change()));
+    EXPECT_EQ(asker->last_change(), 13U);
+    EXPECT_TRUE(asker->items().contains("p/b"));
+    EXPECT_FALSE(asker->items().contains("p/k"));
+  }
+}
+
+// Symptom: a gateway that had just started took a few keys for the whole configuration, and asked
+// for no more.
+// Sequence: a gateway tells what it knows, ends and starts again at its address; a peer then sends
+// what changed since.
+// Cause: changes since a revision that the former process knew were taken by one that knew nothing,
+// and made its copy count as whole.
+// What settled it: the same changes told to the process that had asked for them.
+TEST_F(ScriptedMirrorTest, ChangesForAnEarlierProcessAreNoWholeCopy) {
+  const mirror_delta since_20{21, false, {{"p/new", "1", 21}}, {{"p/old", 21}}};
+  struct StartCase {
+    const char* name;
+    bool has_read;
+  };
+  for (const StartCase& test :
+       {StartCase{"knows nothing yet", false}, StartCase{"has read that there is nothing", true}}) {
+    SCOPED_TRACE(test.name);
+    store_.ranges.clear();
+    store_.watches.clear();
+    Mirror& mirror = kept_.emplace_back(MakeMirror());
+    if (test.has_read) {
+      mirror->Start();
+      ASSERT_TRUE(RunUntil([&] { return store_.ranges.size() == 1; }));
+      store_.ranges[0]->Give(Reading(3, {}));
+      ASSERT_TRUE(RunUntil([&] { return mirror->complete(); }));
+    }
+    mirror->TakeDelta(since_20);
+    EXPECT_EQ(mirror->complete(), test.has_read);
+    EXPECT_EQ(mirror->last_change(), 0U) << "it asks again, from the beginning";
+    EXPECT_TRUE(mirror->items().empty());
+    mirror->TakeDelta(FullDelta(21, {{"p/a", "1", 2}, {"p/new", "1", 21}}));
+    EXPECT_TRUE(mirror->complete());
+    EXPECT_EQ(mirror->items().size(), 2U);
+  }
+}
+
 }  // namespace
 }  // namespace martenyard::store
