A late answer brings no key back that a newer copy no longer has

Cause: a reading, or a peer's whole copy, says of every key whether it is there; only those that are there were kept. A watch's answer, or another reading, from before it then brought back a key that had been removed in between, and the next watch went on behind the removal. Ruled out: dropping whatever is late: a late watch may still bring the newest value of a key that stays. Refusing by the key's own revision: a reading that a lagging store answered would then keep a key away for good; what the answer knows up to is compared, so a newer one heals it. Change: Take is told up to which revision its source knows; a key that is unknown here is refused from one that is older than the copy. That revision is removals_since_, which now only rises, and rises with a peer's whole copy too, of whose removals this mirror knows nothing.

--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -101,7 +101,7 @@
   std::set<std::string> present;
   for (StoreItem& item : answer.items) {
     present.insert(item.key);
-    Take({item.key, std::move(item.value), item.revision});
+    Take({item.key, std::move(item.value), item.revision}, answer.revision);
   }
   std::vector<std::string> gone;
   for (const auto& [key, item] : items_) {
@@ -110,12 +110,12 @@
     }
   }
   for (const std::string& key : gone) {
-    Take({key, std::nullopt, answer.revision});
+    Take({key, std::nullopt, answer.revision}, answer.revision);
   }
   // Pages are no snapshot: a change newer than the first page may stand before one that is missing.
   last_change_ = std::min(last_change_, answer.revision);
   removals_.clear();
-  removals_since_ = answer.revision;
+  removals_since_ = std::max(removals_since_, answer.revision);
   revision_ = answer.revision;
   complete_ = true;
   co_return true;
@@ -133,14 +133,14 @@
     co_return false;
   }
   for (const StoreChange& change : answer.changes) {
-    Take(change);
+    Take(change, answer.revision);
   }
   revision_ = std::max(revision_, answer.revision);
   co_await async_http::Sleep(context_, options_.watch_spacing);
   co_return true;
 }
 
-void PrefixMirror::Take(const StoreChange& change) {
+void PrefixMirror::Take(const StoreChange& change, Revision as_of) {
   auto known = items_.find(change.key);
   if (!change.value) {
     Revision& removed = removals_[change.key];
@@ -156,6 +156,9 @@
   if (known != items_.end() && known->second.revision >= change.revision) {
     return;  // A page may be older than what a watch told.
   }
+  if (known == items_.end() && as_of < removals_since_) {
+    return;  // Removed by then: the copy was whole as of a newer revision, and has no such key.
+  }
   auto removed = removals_.find(change.key);
   if (removed != removals_.end() && removed->second >= change.revision) {
     return;  // A peer that has not heard of the removal.
@@ -203,10 +206,10 @@
   std::set<std::string> present;
   for (const relayed_item& item : delta.m_items) {
     present.insert(item.m_key);
-    Take({item.m_key, item.m_value, item.m_revision});
+    Take({item.m_key, item.m_value, item.m_revision}, delta.m_last_change);
   }
   for (const relayed_removal& removal : delta.m_removals) {
-    Take({removal.m_key, std::nullopt, removal.m_revision});
+    Take({removal.m_key, std::nullopt, removal.m_revision}, delta.m_last_change);
   }
   std::vector<std::string> gone;
   for (const auto& [key, item] : items_) {
@@ -215,10 +218,10 @@
     }
   }
   for (const std::string& key : gone) {
-    Take({key, std::nullopt, delta.m_last_change});
+    Take({key, std::nullopt, delta.m_last_change}, delta.m_last_change);
   }
-  if (!complete_) {
-    removals_since_ = delta.m_last_change;
+  if (!complete_ || delta.m_full) {
+    removals_since_ = std::max(removals_since_, delta.m_last_change);
   }
   complete_ = true;
   NoteChange(delta.m_last_change);
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -65,7 +65,8 @@
   async_http::Task<void> Follow();
   async_http::Task<bool> ReadAll();
   async_http::Task<bool> WatchOnce();
-  void Take(const StoreChange& change);
+  /// @param as_of what told of the change knows everything up to this revision.
+  void Take(const StoreChange& change, Revision as_of);
   void PruneRemovals();
   void NoteContact(bool reachable, StoreStatus status);
   void NoteChange(Revision revision) { last_change_ = std::max(last_change_, revision); }
@@ -77,7 +78,8 @@
   ContactHandler on_contact_;
   std::map<std::string, StoreItem> items_;
   std::map<std::string, Revision> removals_;  // Of keys that were removed since the last reading.
-  Revision removals_since_ = 0;               // Earlier removals are not known.
+  /// The copy was whole as of this revision; earlier removals are not known.
+  Revision removals_since_ = 0;
   Revision last_change_ = 0;
   Revision revision_ = 0;
   MirrorOptions options_;
