A reading forgets no removal that is newer than itself

Cause: a reading cleared all removals that the mirror remembered for its peers, also those that a watch had told after the reading was begun; a peer that asked for what had changed since was then told of no removal, and kept the key for good if it did not watch. Change: only removals up to the reading's revision are forgotten; who is behind that gets a whole copy.

--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -114,7 +114,7 @@
   }
   // Pages are no snapshot: a change newer than the first page may stand before one that is missing.
   last_change_ = std::min(last_change_, answer.revision);
-  removals_.clear();
+  std::erase_if(removals_, [&](const auto& entry) { return entry.second <= answer.revision; });
   removals_since_ = std::max(removals_since_, answer.revision);
   revision_ = answer.revision;
   complete_ = true;
