Changes for an earlier process are no whole copy

Cause: a peer sends what changed since the revision that it was last told; a gateway that had just started at the same address took that for all there is, counted as complete, and asked for no more. Ruled out: naming in the message what it goes on from: another layout, which daemons of the version before can't read, and they would get no news until all are replaced. It would also cover a process that has meanwhile taken an older whole copy from somebody else; that is left open. Change: a mirror that knows no change takes only a whole copy, and who is asked for everything says that his answer is one. Conclusion: mended for a process that knows nothing yet.

--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -185,7 +185,7 @@
 mirror_delta PrefixMirror::ChangesSince(Revision last_change) const {
   mirror_delta delta;
   delta.m_last_change = last_change_;
-  delta.m_full = last_change < removals_since_;
+  delta.m_full = last_change == 0 || last_change < removals_since_;
   for (const auto& [key, item] : items_) {
     if (delta.m_full || item.revision > last_change) {
       delta.m_items.push_back({key, item.value, item.revision});
@@ -203,6 +203,9 @@
   if (delta.m_last_change <= last_change_) {
     return;  // Known by now.
   }
+  if (!delta.m_full && last_change_ == 0) {
+    return;  // For the process that was at this address before: here there is nothing to add it to.
+  }
   std::set<std::string> present;
   for (const relayed_item& item : delta.m_items) {
     present.insert(item.m_key);
