Frames are cut by an object of one connection, and refused bytes are counted

Cause: the cutter of frames stood inside the transport, out of reach of generated inputs; a connection closed for bytes that are no frames left no trace. Change: wire::FrameCutter and AppendFrame; TransportStats counts streams_refused. Conclusion: no behaviour changed but the counter.

--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -17,8 +17,6 @@
 namespace martenyard::wire {
 namespace {
 
-constexpr std::size_t kLengthBytes = 4;
-constexpr std::size_t kMaxFrameBytes = std::size_t{64} << 20;
 /// Unless the owner sets its own limit: for daemons with memory to spare.
 constexpr std::size_t kMostUnsentBytes = std::size_t{128} << 20;
 constexpr std::size_t kReadBytes = std::size_t{64} << 10;
@@ -49,12 +47,6 @@
   return ntohs(address.sin_port);
 }
 
-void AppendFrame(std::string& buffer, const std::string& payload) {
-  std::uint32_t length = htonl(static_cast<std::uint32_t>(payload.size()));
-  buffer.append(reinterpret_cast<const char*>(&length), kLengthBytes);
-  buffer.append(payload);
-}
-
 }  // namespace
 
 Transport::Transport(EventLoop& loop, PayloadHandler on_frame, PayloadHandler on_datagram,
@@ -131,8 +123,9 @@
   bool healthy = count > 0 || (count < 0 && (errno == EAGAIN || errno == EINTR));
   if (count > 0) {
     stats_.bytes_received += static_cast<std::uint64_t>(count);
-    connection.received.append(read_buffer_.data(), static_cast<std::size_t>(count));
-    healthy = TakeFrames(connection);
+    absl::string_view bytes(read_buffer_.data(), static_cast<std::size_t>(count));
+    healthy = connection.received.Feed(bytes, on_frame_);
+    stats_.streams_refused += healthy ? 0 : 1;
   }
   if (!healthy) {
     loop_.Unwatch(socket);
@@ -141,26 +134,6 @@
   }
 }
 
-bool Transport::TakeFrames(Connection& connection) {
-  std::size_t position = 0;
-  const std::string& received = connection.received;
-  while (received.size() - position >= kLengthBytes) {
-    std::uint32_t length = 0;
-    std::memcpy(&length, received.data() + position, kLengthBytes);
-    length = ntohl(length);
-    if (length > kMaxFrameBytes) {
-      return false;
-    }
-    if (received.size() - position - kLengthBytes < length) {
-      break;
-    }
-    on_frame_(received.substr(position + kLengthBytes, length));
-    position += kLengthBytes + length;
-  }
-  connection.received.erase(0, position);
-  return true;
-}
-
 void Transport::ReadDatagrams() {
   while (true) {
     ssize_t count = recv(datagrams_, read_buffer_.data(), read_buffer_.size(), 0);
@@ -209,8 +182,9 @@
     ++stats_.frames_dropped;
     return;
   }
+  std::size_t before = connection.unsent.size();
   AppendFrame(connection.unsent, payload);
-  unsent_ += kLengthBytes + payload.size();
+  unsent_ += connection.unsent.size() - before;
   if (!connection.connecting) {
     Flush(peer);
   }
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -12,6 +12,7 @@
 #include "base/errors.h"
 #include "wire/endpoint.h"
 #include "wire/event_loop.h"
+#include "wire/frame_cutter.h"
 
 namespace martenyard::wire {
 
@@ -25,6 +26,7 @@
   std::uint64_t bytes_sent = 0;
   std::uint64_t bytes_received = 0;
   std::uint64_t frames_dropped = 0;
+  std::uint64_t streams_refused = 0;  ///< Connections closed for bytes that are no frames.
 };
 
 /// All on the loop's thread.
@@ -62,12 +64,11 @@
     bool checks_death = false;  ///< Opened only because the one before broke.
     absl::Time opened_at;
     std::string unsent;
-    std::string received;
+    FrameCutter received;
   };
 
   void AcceptAll();
   void ReadFrames(int socket);
-  bool TakeFrames(Connection& connection);
   void ReadDatagrams();
   void Flush(const Endpoint& peer);
   void OnPeerReady(const Endpoint& peer, std::uint32_t events);
