--- a/src/async_http/server.h
+++ b/src/async_http/server.h
@@ -57,7 +57,7 @@
   /// Sends a whole answer. Where one was started as a stream, it breaks the connection instead.
   /// @return false when the client could not be reached.
   Task<bool> Send(HttpHead head, std::string body);
-  /// Starts an answer of unknown length.
+  /// Starts an answer of unknown length; to HEAD its head is all that is sent.
   Task<bool> StartStream(HttpHead head);
   Task<bool> Write(absl::string_view bytes);
   /// Ends a started answer properly.
@@ -70,6 +70,8 @@
  private:
   friend class ServerConnection;
 
+  void NoteClientGone();
+
   ServerConnection& connection_;
   HttpRequest request_;
   absl::Time received_at_;
