A request whose connection was closed before it was taken is not run; answers without a body have no end mark

Cause: the reading coroutine took bytes that had been read before its connection was closed, at a stop's closing of resting connections. Behind the head of a 204 the end mark of a chunked body stood on a kept connection. A foreign answer before that to a HEAD request was framed by a request that is not known; the connection is given up now. Change: bytes of a closed connection are not taken; a started stream knows whether its answer has a body. An event's data lines are appended in place (each copied all before it). Tests of the two HTTP servers had suites of one name, which GoogleTest refuses to run: renamed one. The foreign answer to HEAD has no test of its own: reasoned only.

--- a/src/async_http/server.cc
+++ b/src/async_http/server.cc
@@ -135,7 +135,8 @@
     }
   });
   auto [error, count] = co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAwait);
-  if (error) {
+  // Closed while the bytes were on their way here: the client takes the close for "not read".
+  if (error || !socket_.is_open()) {
     co_return false;
   }
   buffer_.commit(count);
@@ -420,15 +421,17 @@
 
 Task<bool> Exchange::StartStream(HttpHead head) {
   stream_started_ = true;
+  bool may_have_body = MayHaveBody(head.result_int());
+  has_body_ = may_have_body && request_.method() != http::verb::head;
   bool closes = false;
   std::string text = absl::StrCat(HeadText(head), connection_.ConnectionFields(&closes),
-                                  "Transfer-Encoding: chunked\r\n\r\n");
+                                  may_have_body ? "Transfer-Encoding: chunked\r\n" : "", "\r\n");
   connection_.set_keep_open(!closes);
   co_return co_await connection_.SendBytes(text);
 }
 
 Task<bool> Exchange::Write(absl::string_view bytes) {
-  if (bytes.empty() || request_.method() == http::verb::head) {
+  if (bytes.empty() || !has_body_) {
     co_return true;
   }
   std::string chunk = absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
@@ -437,7 +440,7 @@
 
 Task<bool> Exchange::Finish() {
   answered_ = true;
-  if (request_.method() == http::verb::head) {
+  if (!has_body_) {
     co_return true;  // Its answer ended with the head: more would be read as the next one's.
   }
   co_return co_await connection_.SendBytes("0\r\n\r\n");
--- a/src/async_http/server.h
+++ b/src/async_http/server.h
@@ -78,6 +78,7 @@
   std::function<void()> on_gone_;
   bool client_gone_ = false;
   bool stream_started_ = false;
+  bool has_body_ = true;  // Of a started stream: not behind HEAD, 204 and 304.
   bool answered_ = false;
   bool broken_ = false;
 };
--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -189,6 +189,9 @@
 }
 
 Task<bool> Attempt::SkipForeignAnswer() {
+  if (plan_.head_request) {
+    co_return false;  // Whether a body follows its head depends on a request that is not known.
+  }
   ReadStep step = ReadStep::kProgress;
   while (step == ReadStep::kProgress) {
     step = co_await connection_->ReadBody();
--- a/src/forwarding/streams/event_cutter.cc
+++ b/src/forwarding/streams/event_cutter.cc
@@ -59,8 +59,15 @@
         }
         else if (absl::ConsumePrefix(&line, "data:"))
         {
-            std::string before = event.m_data ? *event.m_data + "\n" : std::string();
-            event.m_data = absl::StrCat(before, value_of(line));
+            if (event.m_data)
+            {
+                event.m_data->push_back('\n');
+            }
+            else
+            {
+                event.m_data.emplace();
+            }
+            absl::StrAppend(&*event.m_data, value_of(line));
         }
     }
     return event;
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -73,7 +73,7 @@
 /// The stop and the answer's last bytes race; every order must be truthful.
 constexpr int kRounds = 50;
 
-TEST(ServerTest, StreamThatAStopCutsOffDoesNotLookWhole) {
+TEST(MicrohttpdServerTest, StreamThatAStopCutsOffDoesNotLookWhole) {
   for (int round = 0; round < kRounds; ++round) {
     SCOPED_TRACE(round);
     StoppingServer stopping;
@@ -89,7 +89,7 @@
   }
 }
 
-TEST(ServerTest, StreamThatItsOwnerFinishedIsWhole) {
+TEST(MicrohttpdServerTest, StreamThatItsOwnerFinishedIsWhole) {
   StoppingServer stopping;
   std::string text;
   ClientResult result = stopping.AskAndStop(
@@ -105,7 +105,7 @@
   EXPECT_EQ(text, "data: one\n\n");
 }
 
-TEST(ServerTest, RequestThatWaitsThroughAStopHasAnUnknownOutcome) {
+TEST(MicrohttpdServerTest, RequestThatWaitsThroughAStopHasAnUnknownOutcome) {
   for (int round = 0; round < kRounds; ++round) {
     SCOPED_TRACE(round);
     StoppingServer stopping;
