--- a/tests/async_http/connection_test.cc
+++ b/tests/async_http/connection_test.cc
@@ -25,7 +25,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
     listen(listener_, 4);
     socklen_t size = sizeof(address);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
--- a/tests/async_http/server_test.cc
+++ b/tests/async_http/server_test.cc
@@ -34,7 +34,7 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    EXPECT_EQ(connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
   }
   ~RawClient() { Leave(Leaving::kClose); }
   RawClient(const RawClient&) = delete;
--- a/tests/wire/transport_test.cc
+++ b/tests/wire/transport_test.cc
@@ -25,7 +25,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    EXPECT_EQ(bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
     listen(socket_, 4);
     socklen_t size = sizeof(address);
     getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
@@ -59,7 +59,7 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(to.port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    EXPECT_EQ(connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
   }
   ~RawPeer() { Close(); }
   void Send(const std::string& bytes) const {
