Contract tests' world fails where its start does, and takes its ports from the system

Cause: the world gave up a probed port before its gateway took it, and dropped the results of the starts and of the wait for them: another test process could take the port, and a row failed later for another reason. Change: port 0 and GatewayRole::readiness_port; the start's failures are the test's.

--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -42,6 +42,7 @@
   async_http::Server& frontend() { return frontend_; }
   /// @return the port that clients connect to.
   std::uint16_t frontend_port() const { return frontend_.port(); }
+  std::uint16_t readiness_port() const { return readiness_.port(); }
 
  private:
   void OnConfigurationChange(const store::StoreChange& change);
--- a/tests/platform/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -1,6 +1,7 @@
 #include "platform/support/platform_world.h"
 
 #include <fcntl.h>
+#include <gtest/gtest.h>
 #include <unistd.h>
 
 #include "absl/strings/str_cat.h"
@@ -75,8 +76,7 @@
       });
   settings.node = "edge-1";
   settings.revocation = revocation;
-  readiness_port_ = FreePort(loop_);
-  settings.readiness = {"127.0.0.1", readiness_port_};
+  settings.readiness = {"127.0.0.1", 0};
   settings.frontend = {"127.0.0.1", 0};
   gateway_ = std::make_unique<roles::GatewayRole>(loop_, settings, formats_, *client_, *log_);
 }
@@ -98,18 +98,20 @@
   if (configured) {
     Configure();
   }
-  leaf::try_handle_all(
-      [&]() -> Result<int> {
+  bool started = leaf::try_handle_all(
+      [&]() -> Result<bool> {
         BOOST_LEAF_CHECK(ledger_->Start());
         BOOST_LEAF_CHECK(gateway_->Start());
-        return 0;
+        return true;
       },
-      [] { return 1; });
-  RunUntil([&] {
+      [] { return false; });
+  ASSERT_TRUE(started) << "a role could not listen";
+  bool serves = RunUntil([&] {
     bool leads = ledger_->replica() != nullptr && ledger_->replica()->LeadsCurrent();
     return leads && gateway_->ready() == configured && gateway_->state().ledger->has_replicas() &&
            gateway_->state().runners.all().size() == 2;
   });
+  ASSERT_TRUE(serves) << Log();
 }
 
 bool PlatformWorld::RunUntil(const std::function<bool()>& condition) {
@@ -145,7 +147,7 @@
 }
 
 bool PlatformWorld::Ready() {
-  auto dialogue = StartDialogue(loop_, {"127.0.0.1", readiness_port_},
+  auto dialogue = StartDialogue(loop_, {"127.0.0.1", gateway_->readiness_port()},
                                 "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
   RunUntil([&] { return dialogue->done; });
   return dialogue->answer.status == 200;
--- a/tests/platform/support/platform_world.h
+++ b/tests/platform/support/platform_world.h
@@ -69,7 +69,6 @@
   std::unique_ptr<platform::StoreClient> client_;
   std::unique_ptr<roles::LedgerRole> ledger_;
   std::unique_ptr<roles::GatewayRole> gateway_;
-  std::uint16_t readiness_port_ = 0;
 };
 
 }  // namespace martenyard::testing
