Child processes inherit no descriptors; their end can be asked for

Cause: a child process kept copies of the sockets that its parent had open when it was started. A connection that the parent closed later stayed open for its peer as long as that child lived, so a stand-in in the test's process could not close a connection. Ruled out: SOCK_CLOEXEC at each socket: Asio opens and accepts without it. Change: Process closes all descriptors above the three standard ones before exec; Process::Poll tells a child's exit code without waiting. Conclusion: stand-ins in the test's process can end connections while processes come and go.

--- a/bench/local_system.cc
+++ b/bench/local_system.cc
@@ -61,6 +61,10 @@
   return ports;
 }
 
+int ExitCode(int status) {
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
 emulator::Config PlatformConfig(const LocalSystemOptions& options) {
   emulator::Config config;
   config.machine_list_lag = absl::Milliseconds(200);
@@ -113,6 +117,8 @@
     int output = open(output_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
+    // An inherited socket would stay open after this process closes it: its peer would wait.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(arguments[0], arguments.data());
     _exit(127);
   }
@@ -139,7 +145,16 @@
   int status = 0;
   waitpid(pid_, &status, 0);
   pid_ = -1;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  return ExitCode(status);
+}
+
+std::optional<int> Process::Poll() {
+  int status = 0;
+  if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) {
+    return std::nullopt;
+  }
+  pid_ = -1;
+  return ExitCode(status);
 }
 
 int RunCommand(const std::vector<std::string>& command, std::string* output) {
--- a/bench/local_system.h
+++ b/bench/local_system.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,8 @@
   void Signal(int signal) const;
   /// Waits for the exit. @return the exit code, or 128 and the signal's number.
   int Wait();
+  /// @return what `Wait` returns once the process has ended; nothing while it runs.
+  std::optional<int> Poll();
   bool running() const { return pid_ > 0; }
 
  private:
