The store's stand-in can be slow

Cause: of a store's faults one was missing: one that answers late. Change: StoreFaults::delay, before every answer; zero, and unused by the present tests.

--- a/emulator/platform/store_stand_in.cc
+++ b/emulator/platform/store_stand_in.cc
@@ -112,6 +112,9 @@
   if (faults_.silent) {
     co_await async_http::Sleep(context_, kForever);
   }
+  if (faults_.delay > absl::ZeroDuration()) {
+    co_await async_http::Sleep(context_, faults_.delay);
+  }
   if (faults_.down || faults_.throttle) {
     co_await Reply(*exchange, faults_.down ? 503 : 429, "{}");
     co_return;
--- a/emulator/platform/store_stand_in.h
+++ b/emulator/platform/store_stand_in.h
@@ -19,6 +19,7 @@
   bool lose_answers = false;  ///< Does what is asked and closes without an answer.
   bool throttle = false;      ///< 429.
   bool garble = false;        ///< 200 with bytes that are no document.
+  absl::Duration delay = {};  ///< Before every answer.
 };
 
 /// On the loop's thread only.
