One machine of a deployment of real processes is a support class

Cause: a second soak needs the first one's Machine. Change: moved to tests/platform/support, with options for the address and the grace; it notes each process's life (asked to stop, killed, frozen, exit code, time to stop) and replaces a settings file at once. A machine's zone is one of three.

--- /dev/null
+++ b/tests/platform/support/machine.cc
@@ -0,0 +1,124 @@
+#include "platform/support/machine.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+
+namespace martenyard::testing {
+namespace {
+
+constexpr int kZones = 3;  ///< As many as the ledger has copies of a turn.
+
+}  // namespace
+
+Machine::Machine(MachineOptions options)
+    : options_(std::move(options)),
+      name_(absl::StrCat(options_.storage ? "storage-" : "edge-", options_.number)),
+      folder_(absl::StrCat(options_.folder, "/", name_)) {
+  std::filesystem::create_directories(folder_ + "/data");
+  WriteSettings("");
+}
+
+void Machine::WriteSettings(const std::string& more) {
+  // Never half written: a process may read it at any time.
+  std::string next = folder_ + "/node.conf.next";
+  {
+    std::ofstream settings(next);
+    settings << "nodeName=" << name_ << "\nmachineClass=" << (storage() ? "storage" : "edge")
+             << "\nip=" << options_.address << "\nzone=z" << options_.number % kZones
+             << "\ninternalPorts=" << kInternalPort << "," << kInternalPort
+             << "\nbootstrap=true\nfaultTolerance.machines=1\nbounds.graceS=" << options_.grace_s
+             << "\nplatform.address=127.0.0.1:" << options_.store_port << "\n";
+    if (storage()) {
+      settings << "dataDir=" << folder_ << "/data\n";
+    } else {
+      settings << "listen.frontend=" << frontend().ToString()
+               << "\nlisten.readiness=" << readiness().ToString() << "\n";
+    }
+    settings << more;
+  }
+  std::filesystem::rename(next, folder_ + "/node.conf");
+}
+
+void Machine::ChangeSettings(const std::string& lines) { WriteSettings(lines); }
+
+void Machine::Start() {
+  setenv("MARTENYARD_BOOT", (folder_ + "/node.conf").c_str(), 1);
+  ProcessLife life;
+  life.name = absl::StrCat(name_, "/", lives_.size() + 1);
+  life.grace = absl::Seconds(options_.grace_s);
+  lives_.push_back(life);
+  process_ = std::make_unique<bench::Process>(
+      std::vector<std::string>{bench::ProgramPath("martenyard-node"),
+                               storage() ? "ledger" : "gateway"},
+      absl::StrCat(folder_, "/log-", lives_.size()));
+}
+
+void Machine::Kill() {
+  if (Poll()) {
+    lives_.back().killed = true;
+    process_.reset();
+  }
+}
+
+void Machine::Stop() {
+  if (Poll()) {
+    lives_.back().stopped = true;
+    stopped_at_ = SteadyNow();
+    process_->Signal(SIGTERM);
+  }
+}
+
+void Machine::LoseDisk() {
+  Kill();
+  std::filesystem::remove_all(folder_ + "/data");
+  std::filesystem::create_directories(folder_ + "/data");
+  Start();
+}
+
+void Machine::Signal(int signal) {
+  if (Poll()) {
+    lives_.back().frozen = lives_.back().frozen || signal == SIGSTOP;
+    process_->Signal(signal);
+  }
+}
+
+bool Machine::Poll() {
+  if (process_ == nullptr) {
+    return false;
+  }
+  std::optional<int> code = process_->Poll();
+  if (!code) {
+    return true;
+  }
+  lives_.back().exit_code = code;
+  lives_.back().stopping = lives_.back().stopped ? SteadyNow() - stopped_at_ : absl::ZeroDuration();
+  process_.reset();
+  return false;
+}
+
+std::string Machine::LogOf(std::size_t start) const {
+  std::ifstream file(absl::StrCat(folder_, "/log-", start));
+  std::stringstream lines;
+  lines << file.rdbuf();
+  return lines.str();
+}
+
+std::string Machine::Log() const {
+  std::string text;
+  for (std::size_t start = 1; start <= lives_.size(); ++start) {
+    text += LogOf(start);
+  }
+  return text;
+}
+
+std::string Machine::LatestLog() const { return LogOf(lives_.size()); }
+
+}  // namespace martenyard::testing
--- a/tests/platform/system/platform_soak_test.cc
+++ b/tests/platform/system/platform_soak_test.cc
@@ -2,16 +2,11 @@
 // lost disks and freezes. What a client was told must stay true.
 #include <gtest/gtest.h>
 
-#include <array>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <map>
 #include <memory>
 #include <set>
-#include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -21,76 +16,15 @@
 #include "emulator/platform/runner_stand_in.h"
 #include "emulator/platform/store_stand_in.h"
 #include "explain/explain.h"
+#include "platform/support/machine.h"
 #include "platform/support/platform_client.h"
 
 namespace martenyard::testing {
 namespace {
 
-constexpr std::uint16_t kFrontendPort = 18149;
-constexpr std::uint16_t kReadinessPort = 18141;
-constexpr std::uint16_t kInternalPort = 17380;
 constexpr int kLedgers = 3;
 constexpr int kGateways = 2;
 
-/// One machine with at most one process. Each has a loopback address of its own.
-class Machine {
- public:
-  Machine(const std::string& folder, bool storage, int number, std::uint16_t store_port)
-      : folder_(absl::StrCat(folder, storage ? "/storage-" : "/edge-", number)),
-        storage_(storage),
-        address_(absl::StrCat("127.0.", storage ? 71 : 72, ".", number + 1)) {
-    std::filesystem::create_directories(folder_ + "/data");
-    std::ofstream settings(folder_ + "/node.conf");
-    settings << "nodeName=" << (storage ? "storage-" : "edge-") << number
-             << "\nmachineClass=" << (storage ? "storage" : "edge") << "\nip=" << address_
-             << "\nzone=z" << number << "\ninternalPorts=" << kInternalPort << "," << kInternalPort
-             << "\nbootstrap=true\nfaultTolerance.machines=1\nbounds.graceS=4\n"
-             << "platform.address=127.0.0.1:" << store_port << "\n";
-    if (storage) {
-      settings << "dataDir=" << folder_ << "/data\n";
-    } else {
-      settings << "listen.frontend=" << address_ << ":" << kFrontendPort
-               << "\nlisten.readiness=" << address_ << ":" << kReadinessPort << "\n";
-    }
-  }
-
-  void Start() {
-    setenv("MARTENYARD_BOOT", (folder_ + "/node.conf").c_str(), 1);
-    process_ = std::make_unique<bench::Process>(
-        std::vector<std::string>{bench::ProgramPath("martenyard-node"),
-                                 storage_ ? "ledger" : "gateway"},
-        absl::StrCat(folder_, "/log-", ++starts_));
-  }
-  void Kill() { process_.reset(); }
-  void LoseDisk() {
-    Kill();
-    std::filesystem::remove_all(folder_ + "/data");
-    std::filesystem::create_directories(folder_ + "/data");
-    Start();
-  }
-  void Signal(int signal) { process_->Signal(signal); }
-  /// All that this machine's processes have logged.
-  std::string Log() const {
-    std::string text;
-    for (int start = 1; start <= starts_; ++start) {
-      std::ifstream file(absl::StrCat(folder_, "/log-", start));
-      std::stringstream lines;
-      lines << file.rdbuf();
-      text += lines.str();
-    }
-    return text;
-  }
-  wire::Endpoint frontend() const { return {address_, kFrontendPort}; }
-  wire::Endpoint readiness() const { return {address_, kReadinessPort}; }
-
- private:
-  std::string folder_;
-  bool storage_;
-  std::string address_;
-  std::unique_ptr<bench::Process> process_;
-  int starts_ = 0;
-};
-
 class PlatformSoakTest : public ::testing::Test {
  protected:
   PlatformSoakTest()
@@ -103,10 +37,10 @@
     }
     store_.Put("op/config", StandardConfiguration(1));
     for (int number = 0; number < kLedgers; ++number) {
-      ledgers_.push_back(std::make_unique<Machine>(folder_.path(), true, number, store_.port()));
+      ledgers_.push_back(MakeMachine(true, number));
     }
     for (int number = 0; number < kGateways; ++number) {
-      gateways_.push_back(std::make_unique<Machine>(folder_.path(), false, number, store_.port()));
+      gateways_.push_back(MakeMachine(false, number));
     }
     for (auto* machines : {&ledgers_, &gateways_}) {
       for (auto& machine : *machines) {
@@ -115,6 +49,16 @@
     }
   }
 
+  std::unique_ptr<Machine> MakeMachine(bool storage, int number) {
+    MachineOptions options;
+    options.folder = folder_.path();
+    options.storage = storage;
+    options.number = number;
+    options.address = absl::StrCat("127.0.", storage ? 71 : 72, ".", number + 1);
+    options.store_port = store_.port();
+    return std::make_unique<Machine>(std::move(options));
+  }
+
   ClientAnswer Ask(Machine& gateway, const ClientRequest& request) {
     auto dialogue = StartDialogue(loop_, gateway.frontend(), RequestText(request));
     RunLoopUntil(loop_, [&] { return dialogue->done; });
