--- a/tests/platform/support/machine.cc
+++ b/tests/platform/support/machine.cc
@@ -4,12 +4,16 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "base/clock.h"
+#include "explain/explain.h"
 
 namespace martenyard::testing {
 namespace {
@@ -121,4 +125,34 @@
 
 std::string Machine::LatestLog() const { return LogOf(lives_.size()); }
 
+bool GroupIsWhole(const std::vector<std::unique_ptr<Machine>>& ledgers) {
+  std::set<std::string> identities;
+  std::string members;
+  std::int64_t latest = 0;
+  for (const auto& ledger : ledgers) {
+    std::string identity;
+    for (const explain::LogLine& line : explain::ReadLines(ledger->LatestLog())) {
+      if (line.event == "disk_opened") {
+        identity = nlohmann::json::parse(line.text)["identity"].get<std::string>();
+      }
+    }
+    if (identity.empty()) {
+      return false;  // Not started yet: its line from before may name a disk that is gone.
+    }
+    identities.insert(identity);
+    for (const explain::LogLine& line : explain::ReadLines(ledger->Log())) {
+      if (line.event != "replica_role" || line.time_us <= latest) {
+        continue;
+      }
+      auto object = nlohmann::json::parse(line.text);
+      if (object["role"] == "leader") {
+        latest = line.time_us;
+        members = object["members"].get<std::string>();
+      }
+    }
+  }
+  std::vector<std::string> listed = absl::StrSplit(members, ' ', absl::SkipEmpty());
+  return std::set<std::string>(listed.begin(), listed.end()) == identities;
+}
+
 }  // namespace martenyard::testing
--- a/tests/platform/support/machine.h
+++ b/tests/platform/support/machine.h
@@ -66,4 +66,8 @@
   absl::Time stopped_at_;
 };
 
+/// True when the latest leader's group consists of the disks that the present processes have
+/// opened: a lost disk has been replaced. For a ledger of one group.
+bool GroupIsWhole(const std::vector<std::unique_ptr<Machine>>& ledgers);
+
 }  // namespace martenyard::testing
--- a/tests/platform/system/platform_soak_test.cc
+++ b/tests/platform/system/platform_soak_test.cc
@@ -4,18 +4,15 @@
 
 #include <csignal>
 #include <memory>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
 #include "base/random.h"
 #include "bench/local_system.h"
 #include "emulator/platform/runner_stand_in.h"
 #include "emulator/platform/store_stand_in.h"
-#include "explain/explain.h"
 #include "platform/support/machine.h"
 #include "platform/support/platform_client.h"
 
@@ -86,32 +83,9 @@
     return "";
   }
 
-  /// True when the latest leader's group consists of the disks that are there now.
-  bool IsWhole() {
-    std::set<std::string> identities;
-    std::string members;
-    std::int64_t latest = 0;
-    for (auto& ledger : ledgers_) {
-      std::string identity;
-      for (const explain::LogLine& line : explain::ReadLines(ledger->Log())) {
-        auto object = nlohmann::json::parse(line.text);
-        if (line.event == "disk_opened") {
-          identity = object["identity"].get<std::string>();
-        }
-        if (line.event == "replica_role" && object["role"] == "leader" && line.time_us > latest) {
-          latest = line.time_us;
-          members = object["members"].get<std::string>();
-        }
-      }
-      identities.insert(identity);
-    }
-    std::vector<std::string> listed = absl::StrSplit(members, ' ', absl::SkipEmpty());
-    return std::set<std::string>(listed.begin(), listed.end()) == identities;
-  }
-
   /// The deployment bears one lost disk at a time: the next goes only when all hold the log again.
   void LoseDisk(Machine& ledger) {
-    ASSERT_TRUE(RunLoopUntil(loop_, [&] { return IsWhole(); }));
+    ASSERT_TRUE(RunLoopUntil(loop_, [&] { return GroupIsWhole(ledgers_); }));
     ledger.LoseDisk();
   }
 
@@ -145,7 +119,7 @@
       default:
         // A machine that lost its disk counts as lost until its replacement votes: freezing another
         // before would be the second loss at once, and the freeze lasts until a turn is taken.
-        ASSERT_TRUE(RunLoopUntil(loop_, [&] { return IsWhole(); }));
+        ASSERT_TRUE(RunLoopUntil(loop_, [&] { return GroupIsWhole(ledgers_); }));
         ledger.Signal(SIGSTOP);
         TakeTurn(absl::StrCat("frozen", random.NextId()), "");
         ledger.Signal(SIGCONT);
