Ledger: what the loop spends its time with and how far the log store is behind stand in its log

`work_done` (each 2 s) counts and times them apart, and names the log store's unflushed tables, unmerged files and how often RocksDB slowed or stopped writes.

Nothing is changed but the log.

--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -310,7 +310,7 @@
     for (const consensus::Outbound& outbound : ready.messages_after_store) {
       SendRaft(group, outbound);
     }
-    replica.Apply(ready);
+    work_.timed(work_kind::applying, [&] { replica.Apply(ready); });
     for (turn_ledger::ReplyTo& reply : replica.TakeReplies()) {
       SendTo(reply.gateway, std::move(reply.reply));
     }
@@ -321,7 +321,8 @@
 bool LedgerRole::Store(const std::vector<storage::GroupWrite>& writes) {
   std::string failure = Recover<storage::StorageError>(
       [&]() -> Result<std::string> {
-        BOOST_LEAF_CHECK(disk_->Write(writes));
+        BOOST_LEAF_CHECK(
+            work_.timed(work_kind::store_writes, [&] { return disk_->Write(writes); }));
         return std::string();
       },
       [](const storage::StorageError& error) { return error.detail; });
@@ -415,9 +416,11 @@
   for (auto& [group, replica] : replicas_) {
     replica->Tick(now);
   }
-  for (auto& [group, replica] : replicas_) {
-    SendTransfers(group, *replica);
-  }
+  work_.timed(work_kind::transfers, [&] {
+    for (auto& [group, replica] : replicas_) {
+      SendTransfers(group, *replica);
+    }
+  });
   if (now >= next_memory_look_) {
     next_memory_look_ = now + kMemoryInterval;
     WatchMemory();
@@ -425,7 +428,7 @@
   // One group's part a tick; a failing disk ends all replicas.
   for (auto& [group, replica] : replicas_) {
     if (replica->TakesSnapshot()) {
-      StoreSnapshotStep(group, *replica);
+      work_.timed(work_kind::snapshot_steps, [&] { StoreSnapshotStep(group, *replica); });
       break;
     }
   }
@@ -442,6 +445,7 @@
     for (const auto& [group, replica] : replicas_) {
       LogProgress(group, *replica);
     }
+    LogWork();
   }
   if (stopping_) {
     bool leads = std::any_of(replicas_.begin(), replicas_.end(),
@@ -482,6 +486,27 @@
   log_.Write(line);
 }
 
+void LedgerRole::LogWork() {
+  work_account::sums sums = work_.take();
+  Line line("work_done");
+  for (std::size_t kind = 0; kind < sums.size(); ++kind) {
+    const work_done& sum = sums[kind];
+    std::string name = work_names[kind];
+    line.Number(name, sum.m_times)
+        .Number(name + "_ms", absl::ToInt64Milliseconds(sum.m_taken))
+        .Number(name + "_longest_ms", absl::ToInt64Milliseconds(sum.m_longest));
+  }
+  const storage::WriteBacklog backlog =
+      disk_ == nullptr ? storage::WriteBacklog{} : disk_->Backlog();
+  line.Number("unflushed_tables", static_cast<std::int64_t>(backlog.unflushed_tables))
+      .Number("unmerged_files", static_cast<std::int64_t>(backlog.unmerged_files))
+      .Number("slowed_bytes_per_s", static_cast<std::int64_t>(backlog.slowed_bytes_per_s))
+      .Number("times_slowed", static_cast<std::int64_t>(backlog.times_slowed))
+      .Number("times_stopped", static_cast<std::int64_t>(backlog.times_stopped));
+  line.Number("chain_bytes", sums[static_cast<std::size_t>(work_kind::chain_reads)].m_bytes);
+  log_.Write(line);
+}
+
 void LedgerRole::LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica) {
   const consensus::Raft& raft = replica.raft();
   LoggedRole present{raft.role(), raft.term(), raft.configuration()};
@@ -517,11 +542,11 @@
     NoteMachine(envelope->from, /*heard_now=*/true);
   }
   if (const auto* message = std::get_if<turn_ledger::LogMessage>(&envelope->body)) {
-    OnLogMessage(envelope->from, *message);
+    work_.timed(work_kind::log_messages, [&] { OnLogMessage(envelope->from, *message); });
   } else if (const auto* request = std::get_if<turn_ledger::LedgerRequest>(&envelope->body)) {
-    OnRequest(envelope->from.endpoint, *request);
+    work_.timed(work_kind::requests, [&] { OnRequest(envelope->from.endpoint, *request); });
   } else if (const auto* read = std::get_if<turn_ledger::chain_request>(&envelope->body)) {
-    OnChainRequest(envelope->from.endpoint, *read);
+    work_.timed(work_kind::chain_reads, [&] { OnChainRequest(envelope->from.endpoint, *read); });
   } else if (const auto* hello = std::get_if<turn_ledger::Hello>(&envelope->body)) {
     OnHello(*hello);
   }
@@ -544,6 +569,7 @@
   reply.m_request = request.m_request;
   if (const turn_ledger::TurnReplica* replica = Find(request.m_group)) {
     reply = replica->state().ReadChain(request);
+    work_.add_bytes(work_kind::chain_reads, reply.m_text.size());
   }
   SendTo(from, std::move(reply));
 }
@@ -563,7 +589,7 @@
   }
   if (const auto* staged = std::get_if<consensus::StagedEntries>(&message.message)) {
     if (disk_ != nullptr) {
-      OnStagedEntries(message.group, *staged);
+      work_.timed(work_kind::staged_entries, [&] { OnStagedEntries(message.group, *staged); });
     }
     return;
   }
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -14,6 +14,7 @@
 #include "roles/directory_keys.h"
 #include "roles/ledger/founders_record.h"
 #include "roles/ledger/machine_emptying.h"
+#include "roles/ledger/work_account.h"
 #include "roles/memory/memory_guard.h"
 #include "roles/peer_book.h"
 #include "roles/platform_formats.h"
@@ -96,6 +97,7 @@
 
   void LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica);
   void LogProgress(GroupId group, const turn_ledger::TurnReplica& replica);
+  void LogWork();
   turn_ledger::Machine Self() const;
 
   /// What was logged last of a replica's part in its group.
@@ -129,6 +131,7 @@
   absl::Time next_progress_;
   std::map<GroupId, std::optional<LoggedRole>> logged_roles_;
   std::uint64_t synced_writes_ = 0;
+  work_account work_;
   memory_guard memory_;
   absl::Time next_memory_look_;
   Random random_;
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -58,6 +58,15 @@
   std::map<GroupId, StoredGroup> groups;
 };
 
+/// What is written and not yet brought into its final order, and whether writes wait for that.
+struct WriteBacklog {
+  std::uint64_t unflushed_tables = 0;    ///< In memory, full.
+  std::uint64_t unmerged_files = 0;      ///< On the disk.
+  std::uint64_t slowed_bytes_per_s = 0;  ///< Writes are held to this now; 0: to nothing.
+  std::uint64_t times_slowed = 0;        ///< In the store's life.
+  std::uint64_t times_stopped = 0;
+};
+
 /// Not thread-safe. A write that returned is durable, as far as the kind of store can.
 class LogStore {
  public:
@@ -81,6 +90,7 @@
   /// Errors: StorageError::kDamaged.
   virtual Result<std::optional<consensus::Entry>> ReadEntry(GroupId group,
                                                             consensus::EntryId entry) = 0;
+  virtual WriteBacklog Backlog() const { return {}; }
   /// @return true when stored state outlives the process.
   virtual bool IsDurable() const = 0;
 };
--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -8,6 +8,7 @@
 //   'x' group                        -> "" (this node left the group)
 #include <rocksdb/cache.h>
 #include <rocksdb/db.h>
+#include <rocksdb/listener.h>
 #include <rocksdb/options.h>
 #include <rocksdb/rate_limiter.h>
 #include <rocksdb/table.h>
@@ -15,6 +16,8 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <cstdlib>
 #include <map>
 #include <utility>
 
@@ -109,10 +112,29 @@
   return leaf::new_error(StorageError{StorageError::Code::kDamaged, detail});
 }
 
+/// Counts how often RocksDB slowed writes down or stopped them. Called on its threads.
+class StallCounter : public rocksdb::EventListener {
+ public:
+  void OnStallConditionsChanged(const rocksdb::WriteStallInfo& info) override {
+    if (info.condition.cur == rocksdb::WriteStallCondition::kDelayed) {
+      ++slowed_;
+    } else if (info.condition.cur == rocksdb::WriteStallCondition::kStopped) {
+      ++stopped_;
+    }
+  }
+  std::uint64_t slowed() const { return slowed_; }
+  std::uint64_t stopped() const { return stopped_; }
+
+ private:
+  std::atomic<std::uint64_t> slowed_{0};
+  std::atomic<std::uint64_t> stopped_{0};
+};
+
 class RocksDbLogStore : public LogStore {
  public:
-  RocksDbLogStore(std::unique_ptr<rocksdb::DB> db, std::string folder)
-      : db_(std::move(db)), folder_(std::move(folder)) {}
+  RocksDbLogStore(std::unique_ptr<rocksdb::DB> db, std::string folder,
+                  std::shared_ptr<const StallCounter> stalls)
+      : db_(std::move(db)), folder_(std::move(folder)), stalls_(std::move(stalls)) {}
 
   Result<StoredNode> Load() override {
     StoredNode node;
@@ -219,6 +241,23 @@
     return std::optional<consensus::Entry>();
   }
 
+  WriteBacklog Backlog() const override {
+    auto property = [this](const rocksdb::Slice& name) {
+      std::uint64_t value = 0;
+      db_->GetIntProperty(name, &value);
+      return value;
+    };
+    std::string files;
+    db_->GetProperty(rocksdb::DB::Properties::kNumFilesAtLevelPrefix + "0", &files);
+    WriteBacklog backlog;
+    backlog.unflushed_tables = property(rocksdb::DB::Properties::kNumImmutableMemTable);
+    backlog.unmerged_files = std::strtoull(files.c_str(), nullptr, 10);
+    backlog.slowed_bytes_per_s = property(rocksdb::DB::Properties::kActualDelayedWriteRate);
+    backlog.times_slowed = stalls_->slowed();
+    backlog.times_stopped = stalls_->stopped();
+    return backlog;
+  }
+
   bool IsDurable() const override { return true; }
 
  private:
@@ -457,6 +496,7 @@
 
   std::unique_ptr<rocksdb::DB> db_;
   std::string folder_;
+  std::shared_ptr<const StallCounter> stalls_;
   std::map<GroupId, StoredRange> ranges_;
   std::map<GroupId, SnapshotRecord> snapshots_;
   std::map<GroupId, std::uint64_t> dropped_below_;  // Generations whose parts are deleted.
@@ -477,6 +517,8 @@
   options.avoid_flush_during_recovery = true;
   options.level0_file_num_compaction_trigger = kFilesBeforeCompaction;
   options.paranoid_checks = true;
+  auto stalls = std::make_shared<StallCounter>();
+  options.listeners.push_back(stalls);
   // A torn last record is an unsynced write, which nobody was told of; any other damage is refused.
   options.wal_recovery_mode = rocksdb::WALRecoveryMode::kTolerateCorruptedTailRecords;
   rocksdb::DB* opened = nullptr;
@@ -487,8 +529,8 @@
     return leaf::new_error(StorageError{code, "data folder " + folder + ": " + status.ToString()});
   }
   options.rate_limiter->SetBytesPerSecond(kBackgroundBytesPerSecond);
-  return std::unique_ptr<LogStore>(
-      std::make_unique<RocksDbLogStore>(std::unique_ptr<rocksdb::DB>(opened), folder));
+  return std::unique_ptr<LogStore>(std::make_unique<RocksDbLogStore>(
+      std::unique_ptr<rocksdb::DB>(opened), folder, std::move(stalls)));
 }
 
 }  // namespace martenyard::storage
