--- a/tests/storage/log_store_test.cc
+++ b/tests/storage/log_store_test.cc
@@ -3,8 +3,15 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <random>
+#include <string>
+
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
 
 namespace martenyard::storage {
 namespace {
@@ -341,6 +348,37 @@
   EXPECT_EQ(store->Load().value().groups[kGroup].snapshot.data, last);
 }
 
+TEST(RocksDbLogStoreTest, WritesDoNotWaitForEarlierOnesToBeMerged) {
+  // A machine whose disk is filled anew gets entries faster than the store merges its files, which
+  // it does slowly so as to leave the processor to the replica. One write that waits for longer
+  // than an election's timeout costs the machine every group that it leads.
+  constexpr absl::Duration kShortestElectionTimeout = absl::Milliseconds(220);
+  constexpr std::size_t kEntryBytes = std::size_t{16} << 10;
+  constexpr std::uint64_t kEntries = 400;  // Of each group.
+  constexpr std::uint32_t kGroups = 8;     // The files' ranges of keys overlap.
+  Folder folder;
+  auto store = OpenRocksDbLogStore(folder.path()).value();
+  ASSERT_TRUE(store->Load());
+  std::minstd_rand bytes;  // Text that doesn't compress.
+  absl::Duration longest;
+  for (std::uint64_t index = 1; index <= kEntries; ++index) {
+    for (std::uint32_t group = 1; group <= kGroups; ++group) {
+      consensus::Entry entry;
+      entry.index = index;
+      entry.term = 1;
+      std::generate_n(std::back_inserter(entry.payload), kEntryBytes,
+                      [&] { return static_cast<char>(bytes()); });
+      absl::Time began = absl::Now();
+      ASSERT_TRUE(store->StageEntry(GroupId(group), entry));
+      longest = std::max(longest, absl::Now() - began);
+    }
+  }
+  EXPECT_LT(longest, kShortestElectionTimeout);
+  for (std::uint64_t index = 1; index <= kEntries; ++index) {
+    EXPECT_EQ(store->ReadEntry(GroupId(kGroups), {index, 1}).value()->index, index);
+  }
+}
+
 TEST(RocksDbLogStoreTest, FolderInUseIsRefused) {
   Folder folder;
   auto first = std::move(*OpenRocksDbLogStore(folder.path()));
