Log store: writes wait for no compaction, flushes are not paced

After an outage of all machines on slow ones, ledger machines stood still for up to 11.6 s in one write: RocksDB slows writes at 20 unmerged files and stops them at 36, until a compaction of all of them is done, and compactions are held to 5 MB/s so as to leave the processor to the replica. A machine that leads groups then leads none, and its peers elect without end.

Weighed: merging at full speed when behind (it takes a slow machine's whole share for longer than an election's timeout, which is why it was paced) and no limit to the number of files. Taken: the latter, with filters so that more files cost little reading; flushes, for which writes do wait, pass the pace.

Measured: RocksDbLogStoreTest.WritesDoNotWaitForEarlierOnesToBeMerged 5.2 s -> below 0.22 s (whole test 18.8 -> 0.6 s).

--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -8,6 +8,7 @@
 //   'x' group                        -> "" (this node left the group)
 #include <rocksdb/cache.h>
 #include <rocksdb/db.h>
+#include <rocksdb/filter_policy.h>
 #include <rocksdb/listener.h>
 #include <rocksdb/options.h>
 #include <rocksdb/rate_limiter.h>
@@ -33,12 +34,20 @@
 constexpr std::size_t kWriteBufferBytes = std::size_t{1} << 20;
 /// Recent texts are read from the write buffer; older ones are read once or twice in their lives.
 constexpr std::size_t kBlockCacheBytes = std::size_t{512} << 10;
-/// Flushes and compactions share the machine's processor with the replica itself. At full speed one
-/// compaction takes a small machine's whole share for longer than an election's timeout.
+/// Compactions share the machine's processor with the replica itself. At full speed one compaction
+/// takes a small machine's whole share for longer than an election's timeout. Flushes aren't paced:
+/// writes wait for them.
 constexpr std::int64_t kBackgroundBytesPerSecond = std::int64_t{5} << 20;
 constexpr std::int64_t kOpeningBytesPerSecond = std::int64_t{1} << 30;
 /// Most of the log is dropped before it would be worth compacting.
 constexpr int kFilesBeforeCompaction = 10;
+/// By default RocksDB slows writes down at 20 files that aren't merged yet and stops them at 36,
+/// until a paced compaction of all of them is done: many seconds, in which the machine leads and
+/// follows nobody. More files cost only reading, which the filter keeps cheap. Their number stays
+/// bounded, since the writes' rate is far below the compactions'.
+constexpr int kNoFileLimit = 1 << 30;
+/// Of each file's filter, for a key: one in a hundred reads looks into a file in vain.
+constexpr double kFilterBitsPerKey = 10;
 /// Gaps between kept entries up to this length are deleted one by one: each range that was deleted
 /// costs every later reader.
 constexpr consensus::LogIndex kMostSingleDeletes = 64;
@@ -130,6 +139,36 @@
   std::atomic<std::uint64_t> stopped_{0};
 };
 
+/// Holds compactions to a pace and lets flushes pass.
+class CompactionPacer : public rocksdb::RateLimiter {
+ public:
+  explicit CompactionPacer(std::int64_t bytes_per_second)
+      : pace_(rocksdb::NewGenericRateLimiter(bytes_per_second)) {}
+
+  using rocksdb::RateLimiter::Request;
+  void Request(const std::int64_t bytes, const rocksdb::Env::IOPriority priority,
+               rocksdb::Statistics* statistics) override {
+    // Flushes have the high priority; both have the user's while writes wait for a flush.
+    if (priority == rocksdb::Env::IO_LOW) {
+      pace_->Request(bytes, priority, statistics);
+    }
+  }
+  void SetBytesPerSecond(std::int64_t bytes_per_second) override {
+    pace_->SetBytesPerSecond(bytes_per_second);
+  }
+  std::int64_t GetSingleBurstBytes() const override { return pace_->GetSingleBurstBytes(); }
+  std::int64_t GetTotalBytesThrough(const rocksdb::Env::IOPriority priority) const override {
+    return pace_->GetTotalBytesThrough(priority);
+  }
+  std::int64_t GetTotalRequests(const rocksdb::Env::IOPriority priority) const override {
+    return pace_->GetTotalRequests(priority);
+  }
+  std::int64_t GetBytesPerSecond() const override { return pace_->GetBytesPerSecond(); }
+
+ private:
+  std::unique_ptr<rocksdb::RateLimiter> pace_;
+};
+
 class RocksDbLogStore : public LogStore {
  public:
   RocksDbLogStore(std::unique_ptr<rocksdb::DB> db, std::string folder,
@@ -511,11 +550,14 @@
   options.keep_log_file_num = 2;
   rocksdb::BlockBasedTableOptions table;
   table.block_cache = rocksdb::NewLRUCache(kBlockCacheBytes, /*num_shard_bits=*/0);
+  table.filter_policy.reset(rocksdb::NewBloomFilterPolicy(kFilterBitsPerKey));
   options.table_factory.reset(rocksdb::NewBlockBasedTableFactory(table));
   // Opening is not paced: nobody is served before it is done.
-  options.rate_limiter.reset(rocksdb::NewGenericRateLimiter(kOpeningBytesPerSecond));
+  options.rate_limiter = std::make_shared<CompactionPacer>(kOpeningBytesPerSecond);
   options.avoid_flush_during_recovery = true;
   options.level0_file_num_compaction_trigger = kFilesBeforeCompaction;
+  options.level0_slowdown_writes_trigger = kNoFileLimit;
+  options.level0_stop_writes_trigger = kNoFileLimit;
   options.paranoid_checks = true;
   auto stalls = std::make_shared<StallCounter>();
   options.listeners.push_back(stalls);
