--- a/src/roles/ledger/work_account.h
+++ b/src/roles/ledger/work_account.h
@@ -24,8 +24,9 @@
     transfers
 };
 
-inline constexpr std::array<const char*, 8> work_names{"chain_reads",  "requests", "log_messages",   "staged_entries",
-                                                       "store_writes", "applying", "snapshot_steps", "transfers"};
+inline constexpr std::array<const char*, 8> work_names{"chain_reads",    "requests",     "log_messages",
+                                                       "staged_entries", "store_writes", "applying",
+                                                       "snapshot_steps", "transfers"};
 
 /// @brief how often, how long and how many bytes
 struct work_done
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -310,7 +310,8 @@
     for (const consensus::Outbound& outbound : ready.messages_after_store) {
       SendRaft(group, outbound);
     }
-    work_.timed(work_kind::applying, [&] { replica.Apply(ready); });
+    work_.timed(work_kind::applying,
+                [&replica = replica, &ready = ready] { replica.Apply(ready); });
     for (turn_ledger::ReplyTo& reply : replica.TakeReplies()) {
       SendTo(reply.gateway, std::move(reply.reply));
     }
@@ -416,7 +417,7 @@
   for (auto& [group, replica] : replicas_) {
     replica->Tick(now);
   }
-  work_.timed(work_kind::transfers, [&] {
+  work_.timed(work_kind::transfers, [this] {
     for (auto& [group, replica] : replicas_) {
       SendTransfers(group, *replica);
     }
@@ -428,7 +429,9 @@
   // One group's part a tick; a failing disk ends all replicas.
   for (auto& [group, replica] : replicas_) {
     if (replica->TakesSnapshot()) {
-      work_.timed(work_kind::snapshot_steps, [&] { StoreSnapshotStep(group, *replica); });
+      work_.timed(work_kind::snapshot_steps, [this, group = group, &replica = *replica] {
+        StoreSnapshotStep(group, replica);
+      });
       break;
     }
   }
