Copies of the store tell how long a call waited, how old they are, and whether they may ask

Cause looked for: gateways that went by an old copy of the store after an outage. store_lost and store_regained did not say how long the call had waited or how old the copy was, nothing told that copies were paused, and no metric gave a copy's age. Change: these fields, the line store_reading, and two metrics for each copy. No change of logic; the time of the last confirmation is set after the handler was told, so that the handler can tell how old the copy was until then.

--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -547,6 +547,19 @@
         m_mirrors[mirror]->SetPaused(!reads || (mirror > 0 && store_is_away));
     }
     m_registered.SetPaused(!aggregates() || store_is_away);
+    note_reading(reads, store_is_away);
+}
+
+void zone_exchange::note_reading(bool reads, bool store_is_away)
+{
+    if (m_reads == reads && m_store_is_away == store_is_away)
+    {
+        return;
+    }
+    m_reads = reads;
+    m_store_is_away = store_is_away;
+    m_log.Write(
+        Line("store_reading").Flag("reads", reads).Flag("configuration_only", reads && store_is_away));
 }
 
 bool zone_exchange::store_reachable() const
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -172,6 +172,8 @@
     void judge_watching(instant now);
     /// which mirrors may ask the store
     void judge_reading(instant now);
+    /// writes a line when it changed which mirrors may ask
+    void note_reading(bool reads, bool store_is_away);
     bool waits_for_push(instant now) const;
     void claim_slot(instant now);
     async_http::Task<void> write_claim(aggregation::slot_claim claim);
@@ -228,6 +230,8 @@
     instant m_registered_at;
     instant m_began;
     bool m_ledger_silent = false;
+    bool m_reads = true;
+    bool m_store_is_away = false;
     /// whether the store answered the last question for the configuration; nothing before the first
     std::optional<bool> m_store_answers;
 
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "forwarding/forwarder.h"
 #include "roles/policy/knobs.h"
+#include "roles/store_contact.h"
 #include "turn_ledger/groups/group_layout.h"
 #include "wire/codec.h"
 
@@ -154,21 +155,21 @@
           [this](const store::StoreChange& change) { OnConfigurationChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             exchange_.on_contact(reachable);
-            OnContact("configuration", reachable, status);
+            OnContact("configuration", configuration_, reachable, status);
           },
           WatchWith(settings)),
       runners_(
           loop.context(), store, formats.RunnersPrefix(),
           [this](const store::StoreChange& change) { OnRunnerChange(change); },
           [this](bool reachable, store::StoreStatus status) {
-            OnContact("runners", reachable, status);
+            OnContact("runners", runners_, reachable, status);
           },
           WatchWith(settings)),
       ledger_directory_(
           loop.context(), store, kLedgerPrefix,
           [this](const store::StoreChange&) { OnLedgerDirectoryChange(); },
           [this](bool reachable, store::StoreStatus status) {
-            OnContact("ledger directory", reachable, status);
+            OnContact("ledger directory", ledger_directory_, reachable, status);
           },
           WatchWith(settings)),
       founders_(ledger_directory_, log),
@@ -176,7 +177,7 @@
           loop.context(), store, kAggregators,
           [this](const store::StoreChange&) { exchange_.on_slots_change(); },
           [this](bool reachable, store::StoreStatus status) {
-            OnContact("aggregators", reachable, status);
+            OnContact("aggregators", aggregators_, reachable, status);
           },
           WatchSlowly(settings)),
       exchange_(loop.context(), settings, store, transport_,
@@ -235,10 +236,9 @@
 
 // ---- What the store tells ----
 
-void GatewayRole::OnContact(const char* what, bool reachable, store::StoreStatus status) {
-  log_.Write(Line(reachable ? "store_regained" : "store_lost")
-                 .Text("for", what)
-                 .Number("status", static_cast<std::int64_t>(status)));
+void GatewayRole::OnContact(const char* what, const store::PrefixMirror& mirror, bool reachable,
+                            store::StoreStatus status) {
+  log_.Write(DescribeStoreContact(what, mirror, reachable, status));
 }
 
 void GatewayRole::OnConfigurationChange(const store::StoreChange& change) {
@@ -488,6 +488,24 @@
 
 // ---- Questions ----
 
+void GatewayRole::SetStoreMetrics() {
+  struct Copy {
+    const char* name;
+    const store::PrefixMirror& mirror;
+  };
+  const Copy copies[] = {{"configuration", configuration_},
+                         {"runners", runners_},
+                         {"ledger_directory", ledger_directory_},
+                         {"aggregators", aggregators_}};
+  for (const Copy& copy : copies) {
+    absl::Duration waiting = copy.mirror.Waiting().value_or(absl::ZeroDuration());
+    state_->metrics.Set(absl::StrCat("copy_age_seconds_", copy.name),
+                        absl::ToDoubleSeconds(copy.mirror.Staleness()));
+    state_->metrics.Set(absl::StrCat("copy_call_waits_seconds_", copy.name),
+                        absl::ToDoubleSeconds(waiting));
+  }
+}
+
 Task<void> GatewayRole::AnswerReadiness(std::shared_ptr<async_http::Exchange> exchange) {
   async_http::HttpHead head;
   head.result(ready() ? 200U : 503U);
@@ -503,6 +521,7 @@
   metrics.Set("quota_questions", static_cast<double>(state_->quotas->questions()));
   metrics.Set("ledger_relayed", static_cast<double>(state_->ledger->relayed()));
   metrics.Set("store_calls", static_cast<double>(store_.calls()));
+  SetStoreMetrics();
   metrics.Set("known_runners", static_cast<double>(state_->runners.all().size()));
   metrics.Set("known_gateways", static_cast<double>(exchange_.peers() + 1));
   const exchange_stats& told = exchange_.stats();
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -51,7 +51,9 @@
   /// came together.
   void OnLedgerDirectoryChange();
   void LayOutLedger();
-  void OnContact(const char* what, bool reachable, store::StoreStatus status);
+  void OnContact(const char* what, const store::PrefixMirror& mirror, bool reachable,
+                 store::StoreStatus status);
+  void SetStoreMetrics();
   /// Tells the ledger's clients which machines to ask for which group.
   void SetLedgerGroups(const std::vector<turn_ledger::Machine>& machines);
 
--- a/src/roles/ledger/machine_emptying.cc
+++ b/src/roles/ledger/machine_emptying.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "roles/directory_keys.h"
+#include "roles/store_contact.h"
 
 namespace martenyard::roles
 {
@@ -52,9 +53,9 @@
           {
               on_change();
           },
-          [this](bool reachable, store::StoreStatus)
+          [this](bool reachable, store::StoreStatus status)
           {
-              m_log.Write(Line(reachable ? "store_regained" : "store_lost").Text("for", "retirements"));
+              m_log.Write(DescribeStoreContact("retirements", m_requests, reachable, status));
           },
           watch_options(settings))
 {
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/strip.h"
 #include "base/clock.h"
 #include "base/random.h"
+#include "roles/store_contact.h"
 #include "wire/codec.h"
 
 namespace martenyard::roles {
@@ -123,8 +124,8 @@
       directory_(
           loop.context(), store, kLedgerPrefix,
           [this](const store::StoreChange& change) { OnDirectoryChange(change); },
-          [this](bool reachable, store::StoreStatus) {
-            log_.Write(Line(reachable ? "store_regained" : "store_lost").Text("for", "directory"));
+          [this](bool reachable, store::StoreStatus status) {
+            log_.Write(DescribeStoreContact("directory", directory_, reachable, status));
           },
           DirectoryOptions(settings)),
       founders_(directory_, log),
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -46,6 +46,17 @@
 
 absl::Duration PrefixMirror::Staleness() const { return SteadyNow() - confirmed_; }
 
+std::optional<absl::Duration> PrefixMirror::Waiting() const {
+  return call_began_ ? std::make_optional(SteadyNow() - *call_began_) : std::nullopt;
+}
+
+void PrefixMirror::BeginCall() { call_began_ = SteadyNow(); }
+
+void PrefixMirror::EndCall() {
+  last_wait_ = SteadyNow() - call_began_.value_or(SteadyNow());
+  call_began_.reset();
+}
+
 void PrefixMirror::SetPaused(bool paused) {
   paused_ = paused;
   if (!paused) {
@@ -93,7 +104,9 @@
 }
 
 Task<bool> PrefixMirror::ReadAll() {
+  BeginCall();
   ReadAnswer answer = co_await store_.Range(prefix_);
+  EndCall();
   NoteContact(answer.status == StoreStatus::kDone, answer.status);
   if (answer.status != StoreStatus::kDone) {
     co_return false;
@@ -122,7 +135,9 @@
 }
 
 Task<bool> PrefixMirror::WatchOnce() {
+  BeginCall();
   WatchAnswer answer = co_await store_.Watch(prefix_, revision_, options_.watch_patience);
+  EndCall();
   if (answer.status == StoreStatus::kHistoryGone) {
     // Who need not watch any more lives by what peers tell; the next watch finds out again.
     complete_ = !watching_;
@@ -232,13 +247,13 @@
 }
 
 void PrefixMirror::NoteContact(bool reachable, StoreStatus status) {
-  if (reachable) {
-    confirmed_ = SteadyNow();
-  }
   if (!asked_ || reachable != reachable_) {
     asked_ = true;
     reachable_ = reachable;
-    on_contact_(reachable, status);
+    on_contact_(reachable, status);  // It may tell how old the copy was until now.
+  }
+  if (reachable) {
+    confirmed_ = SteadyNow();
   }
 }
 
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "store/metadata_store.h"
@@ -43,8 +44,13 @@
   bool complete() const { return complete_; }
   const std::string& prefix() const { return prefix_; }
   const std::map<std::string, StoreItem>& items() const { return items_; }
-  /// @return for how long the store has not confirmed the copy.
+  /// @return for how long the store has not confirmed the copy; infinite if it never did.
   absl::Duration Staleness() const;
+  /// @return for how long the call under way has waited; nothing while none is.
+  std::optional<absl::Duration> Waiting() const;
+  /// @return how long the last call waited until it ended.
+  absl::Duration last_wait() const { return last_wait_; }
+  bool paused() const { return paused_; }
   /// True while the store answered last.
   bool reachable() const { return reachable_; }
   /// A mirror that doesn't watch lives by what its peers tell; a watch under way goes on.
@@ -68,6 +74,8 @@
   /// @param as_of what told of the change knows everything up to this revision.
   void Take(const StoreChange& change, Revision as_of);
   void PruneRemovals();
+  void BeginCall();
+  void EndCall();
   void NoteContact(bool reachable, StoreStatus status);
   void NoteChange(Revision revision) { last_change_ = std::max(last_change_, revision); }
 
@@ -91,6 +99,8 @@
   bool asked_ = false;  ///< Once, with an answer or none.
   bool reachable_ = false;
   absl::Time confirmed_ = absl::InfinitePast();
+  std::optional<absl::Time> call_began_;
+  absl::Duration last_wait_ = absl::ZeroDuration();
   absl::Duration backoff_;
 };
 
