A gateway that has just taken an aggregator's slot takes no other before it sees its own

Cause: the slots' copy shows a claim only after the watch has brought it. Change: after a claim that took, or may have taken, no other slot is due for m_retry (1.5 s).

--- a/src/aggregation/slots.cc
+++ b/src/aggregation/slots.cc
@@ -111,6 +111,11 @@
         bool moved = *taken.m_holder != m_self;  // It was taken from another address.
         return moved ? std::make_optional(slot_claim{*own, taken.m_revision}) : std::nullopt;
     }
+    // One gateway that takes several slots leaves its zone with fewer aggregators for good.
+    if (m_taken && seen.m_now - *m_taken < m_options.m_retry)
+    {
+        return std::nullopt;
+    }
     for (std::size_t number = 0; number < slots_per_zone; ++number)
     {
         slot taken;
@@ -134,4 +139,9 @@
     m_watched[claim.m_slot].m_tried = now;
 }
 
+void slot_claims::note_taken(instant now)
+{
+    m_taken = now;
+}
+
 }  // namespace martenyard::aggregation
--- a/src/aggregation/slots.h
+++ b/src/aggregation/slots.h
@@ -127,6 +127,10 @@
     /// @brief the slot was tried for; it isn't due again for a while
     void note_tried(instant now, const slot_claim& claim);
 
+    /// @brief a slot was taken, or may have been: no other one is due until the slots show it, or a while
+    ///        has passed
+    void note_taken(instant now);
+
     /// @return the slot that this gateway holds, if any
     std::optional<std::size_t> held(const slot_table& table) const;
 
@@ -149,6 +153,7 @@
     double m_processor_share;
     slot_options m_options;
     std::map<std::size_t, watched_slot> m_watched;
+    std::optional<instant> m_taken;
 };
 
 }  // namespace martenyard::aggregation
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -231,6 +231,10 @@
                     .Number("slot", static_cast<std::int64_t>(claim.m_slot))
                     .Number("revision", static_cast<std::int64_t>(claim.m_revision))
                     .Number("status", static_cast<std::int64_t>(status)));
+    if (status == store::StoreStatus::kDone || status == store::StoreStatus::kUnknown)
+    {
+        m_claims->note_taken(steady_now());
+    }
     m_claiming = false;
 }
 
--- a/tests/aggregation/slots_test.cc
+++ b/tests/aggregation/slots_test.cc
@@ -56,6 +56,19 @@
   EXPECT_GT(tries.size(), 5U) << "they don't all try at the same time";
 }
 
+// A gateway whose copy of the slots was half a second behind took all three of its zone, one a tenth of
+// a second after the other: its own claim did not stand there yet. The zone had one aggregator, and when
+// that one was killed, nobody told its restarted neighbour anything for 4.5 s.
+TEST_F(SlotClaimsTest, GatewayThatHasJustTakenASlotTakesNoOtherBeforeItSeesIt) {
+  slot_claims claims(Gateway("g"), 0.5);
+  auto first = FirstTry(claims);
+  ASSERT_TRUE(first);
+  claims.note_taken(instant() + *first);
+  auto second = FirstTry(claims, *first + milliseconds(50));
+  ASSERT_TRUE(second) << "the answer may have been lost, and nothing taken";
+  EXPECT_GE(*second - *first, slot_options().m_retry);
+}
+
 TEST_F(SlotClaimsTest, MachineWithLittleProcessorLetsOthersTryFirst) {
   slot_claims strong(Gateway("g"), 0.5);
   slot_claims weak(Gateway("g"), 0.12);
