Watches of the store end within the deployment's bounds, or are asked anew after silence

Cause: a watch's silence meant that nothing had changed, and that nobody heard it. One that was sent to a silent store, or whose connection fell silent, hung for 17 s and 1.5 s; and contact was noted only when a watch returned, so that after resets the other copies stayed paused until the configuration changed. Ruled out: that aggregators had the change and did not pass it on (nobody had it when the record ended). Change: the watches of the configuration and of the runners wait 1.5 s (two thirds of contactMs less 0.5 s for the answer; within configApplyMs and drainMs), so that their end is the proof; a call without an answer within 0.5 s of its due time counts as lost, up to 1.5 s where the store is slow, and a late answer is still taken. Without proof the next watch asks for an answer at once. Other watches wait as before, and are asked anew once the store answers somebody after silence. Storage machines' watch of what operators ask waits 5 s.

--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "roles/directory_keys.h"
 #include "roles/exchange/slot_records.h"
+#include "roles/store_watches.h"
 #include "wire/codec.h"
 
 namespace martenyard::roles
@@ -82,8 +83,7 @@
       m_mirrors{&mirrors.m_configuration, &mirrors.m_runners, &mirrors.m_ledger, &mirrors.m_aggregators},
       m_registered(
           context, store, absl::StrCat(kGatewayMachines, settings.zone, "/"),
-          [](const store::StoreChange&) {}, [](bool, store::StoreStatus) {},
-          {.watch_patience = store::WatchPatience(settings.store_history)}),
+          [](const store::StoreChange&) {}, [](bool, store::StoreStatus) {}, LongWatch(settings)),
       m_news(state.random.NextId()),
       m_lease(
           context, store, mirrors.m_configuration, state.lease, log,
@@ -522,11 +522,12 @@
     if (watch != m_watching)
     {
         m_watching = watch;
+        m_store_answers.reset();  // An answer from before the watching proves nothing now.
         m_log.Write(Line("store_watching").Flag("watching", watch));
     }
-    for (store::PrefixMirror* mirror : m_mirrors)
+    for (std::size_t mirror = 0; mirror + 1 < m_mirrors.size(); ++mirror)
     {
-        mirror->SetWatching(watch);
+        m_mirrors[mirror]->SetWatching(watch);
     }
     bool may_claim = m_claiming || m_claims->due({now, &m_view->heard()}, m_slots).has_value();
     bool looks = m_looked && now - *m_looked < m_options.m_claim_watch && may_claim;
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -12,6 +12,7 @@
 #include "forwarding/forwarder.h"
 #include "roles/policy/knobs.h"
 #include "roles/store_contact.h"
+#include "roles/store_watches.h"
 #include "turn_ledger/groups/group_layout.h"
 #include "wire/codec.h"
 
@@ -45,14 +46,8 @@
 /// The slots change together when a fleet starts.
 constexpr absl::Duration kSlotsWatchSpacing = absl::Milliseconds(500);
 
-store::MirrorOptions WatchWith(const RoleSettings& settings) {
-  store::MirrorOptions options;
-  options.watch_patience = store::WatchPatience(settings.store_history);
-  return options;
-}
-
 store::MirrorOptions WatchSlowly(const RoleSettings& settings) {
-  store::MirrorOptions options = WatchWith(settings);
+  store::MirrorOptions options = LongWatch(settings);
   options.watch_spacing = kSlotsWatchSpacing;
   return options;
 }
@@ -157,21 +152,21 @@
             exchange_.on_contact(reachable);
             OnContact("configuration", configuration_, reachable, status);
           },
-          WatchWith(settings)),
+          ProvedWatch(settings)),
       runners_(
           loop.context(), store, formats.RunnersPrefix(),
           [this](const store::StoreChange& change) { OnRunnerChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("runners", runners_, reachable, status);
           },
-          WatchWith(settings)),
+          ProvedWatch(settings)),
       ledger_directory_(
           loop.context(), store, kLedgerPrefix,
           [this](const store::StoreChange&) { OnLedgerDirectoryChange(); },
           [this](bool reachable, store::StoreStatus status) {
             OnContact("ledger directory", ledger_directory_, reachable, status);
           },
-          WatchWith(settings)),
+          LongWatch(settings)),
       founders_(ledger_directory_, log),
       aggregators_(
           loop.context(), store, kAggregators,
--- a/src/roles/ledger/machine_emptying.cc
+++ b/src/roles/ledger/machine_emptying.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/strip.h"
 #include "roles/directory_keys.h"
 #include "roles/store_contact.h"
+#include "roles/store_watches.h"
 
 namespace martenyard::roles
 {
@@ -21,13 +22,6 @@
 /// between two looks at how far machines are emptied: an operator waits for it, and a look costs little
 constexpr std::chrono::milliseconds report_interval{250};
 
-store::MirrorOptions watch_options(const RoleSettings& settings)
-{
-    store::MirrorOptions options;
-    options.watch_patience = store::WatchPatience(settings.store_history);
-    return options;
-}
-
 std::string note_key(const std::string& machine, GroupId group)
 {
     return absl::StrCat(kLedgerEmptied, machine, "/", group.value);
@@ -57,7 +51,7 @@
           {
               m_log.Write(DescribeStoreContact("retirements", m_requests, reachable, status));
           },
-          watch_options(settings))
+          OperatorWatch(settings))
 {
 }
 
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "roles/store_contact.h"
+#include "roles/store_watches.h"
 #include "wire/codec.h"
 
 namespace martenyard::roles {
@@ -88,8 +89,7 @@
 
 /// All machines register when the system starts: their records are fetched together.
 store::MirrorOptions DirectoryOptions(const RoleSettings& settings) {
-  store::MirrorOptions options;
-  options.watch_patience = store::WatchPatience(settings.store_history);
+  store::MirrorOptions options = LongWatch(settings);
   options.watch_spacing = absl::Milliseconds(500);
   return options;
 }
--- a/src/roles/role_settings.h
+++ b/src/roles/role_settings.h
@@ -32,6 +32,11 @@
   double processor_share = 1.0;                  ///< Of one core, that this machine may use.
   absl::Duration stop_grace = absl::Seconds(8);  ///< From SIGTERM to SIGKILL.
   absl::Duration drain = absl::Seconds(2);       ///< Leaving runners take work this long.
+  /// After the end of a trouble with the store or the network, until everything must be known
+  /// again.
+  absl::Duration contact = absl::Seconds(3);
+  /// From the store's taking a configuration until it must be in force.
+  absl::Duration configuration_apply = absl::Seconds(2);
   /// How long the store remembers its changes. It may forget them sooner.
   absl::Duration store_history = absl::Seconds(20);
   tenancy::revocation_bound revocation;  ///< How soon a key that is taken away opens nothing.
--- a/src/roles/store_contact.h
+++ b/src/roles/store_contact.h
@@ -10,6 +10,6 @@
 /// @param what what the copy holds, in an operator's words.
 /// @param status how the call ended that showed it.
 event_log::Line DescribeStoreContact(const char* what, const store::PrefixMirror& mirror,
-                                 bool reachable, store::StoreStatus status);
+                                     bool reachable, store::StoreStatus status);
 
 }  // namespace martenyard::roles
--- a/src/store/metadata_store.h
+++ b/src/store/metadata_store.h
@@ -9,6 +9,7 @@
 
 #include "absl/time/time.h"
 #include "async_http/task.h"
+#include "store/store_contact.h"
 
 namespace martenyard::store {
 
@@ -73,6 +74,11 @@
   virtual async_http::Task<StoreStatus> Commit(Transaction transaction) = 0;
   /// Calls made since the start.
   virtual std::uint64_t calls() const = 0;
+  /// What those who watch have learned of the way to this store.
+  StoreContact& contact() { return contact_; }
+
+ private:
+  StoreContact contact_;
 };
 
 }  // namespace martenyard::store
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -15,6 +15,12 @@
 constexpr double kWatchShareOfHistory = 0.85;
 /// The longest that a watch may wait at the store is 30 s.
 constexpr absl::Duration kLongestWatch = absl::Seconds(28);
+/// Of a bound, until a lost watch is found out: the rest is for the next call and for telling
+/// others.
+constexpr double kProofShareOfBound = 2.0 / 3;
+constexpr absl::Duration kShortestWatch = absl::Milliseconds(100);
+/// A watch that ends sooner than this proves by its own end whether it was heard.
+constexpr absl::Duration kProvesItself = absl::Seconds(2);
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(100);
 constexpr absl::Duration kLongestBackoff = absl::Milliseconds(800);
 constexpr absl::Duration kIdlePause = absl::Milliseconds(200);
@@ -28,6 +34,10 @@
   return std::min(history * kWatchShareOfHistory, kLongestWatch);
 }
 
+absl::Duration WatchPatienceWithin(absl::Duration bound) {
+  return std::max(bound * kProofShareOfBound - AnswerPatience::kLeast, kShortestWatch);
+}
+
 PrefixMirror::PrefixMirror(async_http::asio::io_context& context, MetadataStore& store,
                            std::string prefix, ChangeHandler on_change, ContactHandler on_contact,
                            const MirrorOptions& options)
@@ -38,7 +48,12 @@
       on_contact_(std::move(on_contact)),
       options_(options),
       resumed_(context),
-      backoff_(kFirstBackoff) {}
+      woken_(context),
+      backoff_(kFirstBackoff) {
+  store_.contact().Follow(this, [this] { woken_.Notify(); });
+}
+
+PrefixMirror::~PrefixMirror() { store_.contact().Unfollow(this); }
 
 void PrefixMirror::Start() {
   async_http::asio::co_spawn(context_, Follow(), async_http::asio::detached);
@@ -57,6 +72,14 @@
   call_began_.reset();
 }
 
+void PrefixMirror::SetWatching(bool watching) {
+  if (watching && !watching_) {
+    asked_ = false;
+    reachable_ = false;
+  }
+  watching_ = watching;
+}
+
 void PrefixMirror::SetPaused(bool paused) {
   paused_ = paused;
   if (!paused) {
@@ -88,6 +111,7 @@
       co_await async_http::Sleep(context_, kIdlePause);
       continue;
     }
+    absl::Time began = SteadyNow();
     bool done = false;
     if (complete_) {
       done = co_await WatchOnce();
@@ -98,15 +122,21 @@
       backoff_ = kFirstBackoff;
       continue;
     }
-    co_await async_http::Sleep(context_, backoff_);
+    // A call that got no answer has waited already.
+    absl::Duration pause = backoff_ - (SteadyNow() - began);
+    if (pause > absl::ZeroDuration()) {
+      co_await woken_.Wait(pause);
+    }
     backoff_ = std::min(backoff_ * 2, kLongestBackoff);
   }
 }
 
 Task<bool> PrefixMirror::ReadAll() {
   BeginCall();
+  absl::Time began = SteadyNow();
   ReadAnswer answer = co_await store_.Range(prefix_);
   EndCall();
+  NoteEnd(began, answer.status);
   NoteContact(answer.status == StoreStatus::kDone, answer.status);
   if (answer.status != StoreStatus::kDone) {
     co_return false;
@@ -135,24 +165,79 @@
 }
 
 Task<bool> PrefixMirror::WatchOnce() {
+  auto call = std::make_shared<WatchCall>();
+  call->began = SteadyNow();
+  // While nothing is proved, the answer itself is what is waited for: one that comes at once.
+  call->wait = reachable_ ? options_.watch_patience : absl::ZeroDuration();
+  std::uint64_t returns = store_.contact().returns();
+  absl::Time end = call->began + call->wait + answer_patience_.limit();
   BeginCall();
-  WatchAnswer answer = co_await store_.Watch(prefix_, revision_, options_.watch_patience);
+  async_http::asio::co_spawn(context_, RunWatch(call), async_http::asio::detached);
+  while (!call->ended && !IsInDoubt(*call, returns) && SteadyNow() < end) {
+    co_await woken_.Wait(end - SteadyNow());
+  }
   EndCall();
+  if (call->ended) {
+    if (call->brought_changes) {
+      co_await async_http::Sleep(context_, options_.watch_spacing);
+    }
+    co_return call->done;
+  }
+  // Its answer is still taken if it comes: a slow store is no lost one.
+  call->given_up = true;
+  if (IsInDoubt(*call, returns)) {
+    co_return true;
+  }
+  answer_patience_.NoteSilence();
+  store_.contact().NoteSilence(call->began);
+  NoteContact(false, StoreStatus::kUnknown);
+  co_return false;
+}
+
+bool PrefixMirror::IsInDoubt(const WatchCall& call, std::uint64_t returns) const {
+  return call.wait > kProvesItself && store_.contact().returns() != returns;
+}
+
+Task<void> PrefixMirror::RunWatch(std::shared_ptr<WatchCall> call) {
+  WatchAnswer answer = co_await store_.Watch(prefix_, revision_, call->wait);
+  call->ended = true;
+  call->brought_changes = !answer.changes.empty();
+  call->done = TakeAnswer(*call, answer);
+  woken_.Notify();
+}
+
+bool PrefixMirror::TakeAnswer(const WatchCall& call, const WatchAnswer& answer) {
+  absl::Time now = SteadyNow();
+  bool waited_in_vain = answer.changes.empty() && answer.status == StoreStatus::kDone;
+  if (waited_in_vain) {
+    answer_patience_.NoteAnswer(now - call.began - call.wait);
+  }
+  if (call.given_up && answer.status != StoreStatus::kDone) {
+    return false;  // A later call tells how things stand.
+  }
+  NoteEnd(call.began, answer.status);
   if (answer.status == StoreStatus::kHistoryGone) {
     // Who need not watch any more lives by what peers tell; the next watch finds out again.
     complete_ = !watching_;
-    co_return true;
+    return true;
   }
   NoteContact(answer.status == StoreStatus::kDone, answer.status);
   if (answer.status != StoreStatus::kDone) {
-    co_return false;
+    return false;
   }
   for (const StoreChange& change : answer.changes) {
     Take(change, answer.revision);
   }
   revision_ = std::max(revision_, answer.revision);
-  co_await async_http::Sleep(context_, options_.watch_spacing);
-  co_return true;
+  return true;
+}
+
+void PrefixMirror::NoteEnd(absl::Time began, StoreStatus status) {
+  if (status == StoreStatus::kUnknown) {
+    store_.contact().NoteSilence(began);
+  } else {
+    store_.contact().NoteAnswer(SteadyNow());
+  }
 }
 
 void PrefixMirror::Take(const StoreChange& change, Revision as_of) {
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -19,13 +19,18 @@
 /// answers at its end must still go on from where it began.
 absl::Duration WatchPatience(absl::Duration history);
 
+/// @return how long a watch may wait where the copy must be the newest again `bound` after a
+/// trouble ended: its end is the proof that it was heard.
+absl::Duration WatchPatienceWithin(absl::Duration bound);
+
 /// Tunables of a mirror.
 struct MirrorOptions {
   /// Changes that come in quick succession are fetched together.
   absl::Duration watch_spacing = absl::Milliseconds(200);
   /// How long a watch waits for a change. One that waits for longer than the store remembers its
-  /// changes ends with the need to read everything anew.
-  absl::Duration watch_patience = absl::Seconds(17);
+  /// changes ends with the need to read everything anew. One that is lost is found out at its end,
+  /// or when other calls show that the store was silent meanwhile.
+  absl::Duration watch_patience = WatchPatienceWithin(absl::Seconds(3));
 };
 
 class PrefixMirror {
@@ -39,6 +44,10 @@
                ChangeHandler on_change, ContactHandler on_contact,
                const MirrorOptions& options = {});
 
+  ~PrefixMirror();
+  PrefixMirror(const PrefixMirror&) = delete;
+  PrefixMirror& operator=(const PrefixMirror&) = delete;
+
   /// Starts following; runs until the loop ends.
   void Start();
   bool complete() const { return complete_; }
@@ -54,7 +63,8 @@
   /// True while the store answered last.
   bool reachable() const { return reachable_; }
   /// A mirror that doesn't watch lives by what its peers tell; a watch under way goes on.
-  void SetWatching(bool watching) { watching_ = watching; }
+  /// What the store answered before it begins to watch proves nothing any more.
+  void SetWatching(bool watching);
   /// A paused mirror asks nothing of the store, even if it never read anything; a call under way
   /// goes on.
   void SetPaused(bool paused);
@@ -71,9 +81,24 @@
   async_http::Task<void> Follow();
   async_http::Task<bool> ReadAll();
   async_http::Task<bool> WatchOnce();
+  /// One watch at the store. It may go on after the mirror has asked anew.
+  struct WatchCall {
+    absl::Time began;
+    absl::Duration wait;
+    bool given_up = false;
+    bool ended = false;
+    bool done = false;  ///< The store answered what was asked.
+    bool brought_changes = false;
+  };
+  async_http::Task<void> RunWatch(std::shared_ptr<WatchCall> call);
+  bool TakeAnswer(const WatchCall& call, const WatchAnswer& answer);
+  /// @return whether the store may have lost the watch while it waited.
+  bool IsInDoubt(const WatchCall& call, std::uint64_t returns) const;
   /// @param as_of what told of the change knows everything up to this revision.
   void Take(const StoreChange& change, Revision as_of);
   void PruneRemovals();
+  /// What a call's end tells of the way to the store.
+  void NoteEnd(absl::Time began, StoreStatus status);
   void BeginCall();
   void EndCall();
   void NoteContact(bool reachable, StoreStatus status);
@@ -91,7 +116,9 @@
   Revision last_change_ = 0;
   Revision revision_ = 0;
   MirrorOptions options_;
+  AnswerPatience answer_patience_;
   async_http::Signal resumed_;
+  async_http::Signal woken_;  ///< A watch ended, or the store answered others again.
   bool watching_ = true;
   bool paused_ = false;
   bool complete_ = false;
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -135,6 +135,54 @@
   EXPECT_LE(MirrorOptions{}.watch_patience, absl::Seconds(20));
 }
 
+TEST_F(PrefixMirrorTest, LostWatchIsFoundOutWithinTheBound) {
+  EXPECT_EQ(WatchPatienceWithin(absl::Seconds(3)), absl::Milliseconds(1500));
+  // One quick answer after an outage, which comes before the store is waited for, halves the limit.
+  EXPECT_LT(WatchPatienceWithin(absl::Seconds(3)) + AnswerPatience::kMost / 2, absl::Seconds(2.5));
+  EXPECT_GT(WatchPatienceWithin(absl::Milliseconds(10)), absl::ZeroDuration());
+}
+
+TEST_F(PrefixMirrorTest, LongWatchIsAskedAnewOnceAShortOneFoundThatTheStoreWasSilent) {
+  MirrorOptions patient;
+  patient.watch_patience = absl::Seconds(17);
+  PrefixMirror other(
+      loop_.context(), *client_, "q/", [](const StoreChange&) {}, [](bool, StoreStatus) {},
+      patient);
+  stand_in_.Put("p/a", "1");
+  stand_in_.Put("q/a", "1");
+  mirror_->Start();
+  other.Start();
+  ASSERT_TRUE(RunUntil([&] { return client_->calls() >= 4; })) << "two readings, two watches";
+  stand_in_.SilenceWaiting();
+  stand_in_.Put("q/a", "2");
+  EXPECT_TRUE(RunUntilFor([&] { return other.items().at("q/a").value == "2"; }, absl::Seconds(3)));
+}
+
+TEST_F(PrefixMirrorTest, SlowStoreIsNoLostOneForLong) {
+  stand_in_.Put("p/a", "1");
+  mirror_->Start();
+  ASSERT_TRUE(RunUntil([&] { return client_->calls() >= 2; }));
+  stand_in_.faults().delay = absl::Milliseconds(900);  // More than an answer may take at first.
+  ASSERT_TRUE(RunUntil([&] { return !reachable_; }));
+  stand_in_.Put("p/a", "2");
+  ASSERT_TRUE(RunUntil([&] { return Holds("p/a", "2") && reachable_; }));
+  EXPECT_FALSE(RunUntilFor([&] { return !reachable_; }, absl::Seconds(4)))
+      << "it has learned how slow the store is";
+}
+
+TEST_F(PrefixMirrorTest, MirrorThatBeginsToWatchTellsAnewWhetherTheStoreAnswers) {
+  int told = 0;
+  PrefixMirror other(
+      loop_.context(), *client_, "p/", [](const StoreChange&) {},
+      [&](bool reachable, StoreStatus) { told += reachable ? 1 : 0; });
+  other.SetWatching(false);
+  other.Start();
+  ASSERT_TRUE(RunUntil([&] { return told == 1; })) << "by its first reading";
+  other.SetWatching(true);
+  EXPECT_TRUE(RunUntilFor([&] { return told == 2; }, absl::Milliseconds(700)))
+      << "at once, not when something changes";
+}
+
 TEST_F(PrefixMirrorTest, ForgottenHistoryIsNotReadAnewByOneThatNeedNotWatchAnyMore) {
   stand_in_.Put("p/a", "1");
   mirror_->Start();
