Who does not watch the store knows by others whether it answers

Cause: a gateway that had read the store once counted it as reachable for as long as it lived, and answered 404 for routes that its old configuration did not have, during outages too. Test: AggregatorContractTest.GatewayThatDoesNotWatchTakesNoOldAnswerForContact, which fails without the change. Conclusion: 404 only while somebody who watches is heard; else 503, and the configuration may be old.

--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -569,8 +569,8 @@
 
 bool zone_exchange::store_reachable() const
 {
-    bool told = !m_watching && m_view && m_view->hears_contact(steady_now());
-    return m_store_answers.value_or(false) || told;
+    // One who doesn't watch has no proof of its own, whatever the store answered it once.
+    return m_watching ? m_store_answers.value_or(false) : m_view && m_view->hears_contact(steady_now());
 }
 
 std::size_t zone_exchange::peers() const
--- a/tests/platform/aggregator_contract_test.cc
+++ b/tests/platform/aggregator_contract_test.cc
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include "absl/strings/str_cat.h"
 #include "aggregation/messages.h"
+#include "base/clock.h"
 #include "platform/formats.h"
 #include "platform/store_client.h"
 #include "platform/support/platform_client.h"
@@ -14,17 +16,13 @@
 namespace martenyard::testing {
 namespace {
 
-/// A second gateway, in the same zone, with a store of its own that refuses every call.
-class RefusedGateway {
+/// A second gateway in the same zone.
+class SecondGateway {
  public:
-  explicit RefusedGateway(PlatformWorld& world)
-      : store_(world.loop().context()),
-        log_file_(open("/tmp", O_TMPFILE | O_RDWR | O_CLOEXEC, 0600)),
-        log_(log_file_, "edge-2") {
-    store_.Listen(0);
-    store_.faults().down = true;
+  SecondGateway(PlatformWorld& world, const emulator::StoreStandIn& store)
+      : log_file_(open("/tmp", O_TMPFILE | O_RDWR | O_CLOEXEC, 0600)), log_(log_file_, "edge-2") {
     client_ = std::make_unique<platform::StoreClient>(world.loop().context(),
-                                                      wire::Endpoint{"127.0.0.1", store_.port()});
+                                                      wire::Endpoint{"127.0.0.1", store.port()});
     roles::RoleSettings settings;
     settings.node = "edge-2";
     settings.zone = "near";
@@ -46,7 +44,7 @@
         },
         [] { return 1; });
   }
-  ~RefusedGateway() { close(log_file_); }
+  ~SecondGateway() { close(log_file_); }
 
   roles::GatewayRole& role() { return *role_; }
   std::uint64_t version() {
@@ -54,7 +52,6 @@
   }
 
  private:
-  emulator::StoreStandIn store_;
   int log_file_;
   event_log::EventLog log_;
   platform::Formats formats_;
@@ -62,6 +59,25 @@
   std::unique_ptr<roles::GatewayRole> role_;
 };
 
+/// The same, with a store of its own that refuses every call.
+class RefusedGateway {
+ public:
+  explicit RefusedGateway(PlatformWorld& world)
+      : store_(world.loop().context()), gateway_(world, Refusing(store_)) {}
+  roles::GatewayRole& role() { return gateway_.role(); }
+  std::uint64_t version() { return gateway_.version(); }
+
+ private:
+  static emulator::StoreStandIn& Refusing(emulator::StoreStandIn& store) {
+    store.Listen(0);
+    store.faults().down = true;
+    return store;
+  }
+
+  emulator::StoreStandIn store_;
+  SecondGateway gateway_;
+};
+
 TEST(LeavingRunnerTest, IsUsedNoLongerThanTheDeploymentsBoundAllows) {
   // It was 1.2 s whatever the bound: a deployment with a shorter one would have been broken.
   EXPECT_EQ(roles::LeavingRunnerUse(absl::Seconds(2)), absl::Milliseconds(1200));
@@ -99,5 +115,28 @@
   })) << "removals are told too";
 }
 
+// During outages gateways that don't watch the store said 404 for routes of newer versions, as if
+// they knew: the store had answered them once, at their start, and that counted for as long as they
+// lived. What settled it: their lines `own_404` stood beside the watching gateways' `own_503` of
+// the same seconds, "no such route known, and the configuration may be old".
+TEST(AggregatorContractTest, GatewayThatDoesNotWatchTakesNoOldAnswerForContact) {
+  PlatformWorld world;
+  world.Configure();
+  for (const char* slot :
+       {"0", "1", "2"}) {  // So that the gateway is an ordinary one, told by nobody.
+    aggregation::contact away;
+    away.m_name = absl::StrCat("away-", slot);
+    away.m_zone = "near";
+    away.m_endpoint = {"127.0.0.1", FreePort(world.loop())};
+    world.store().Put(absl::StrCat("martenyard/aggregators/near/", slot), wire::Encode(away));
+  }
+  SecondGateway lone(world, world.store());
+  ASSERT_TRUE(world.RunUntil([&] { return lone.version() == 1; })) << "it reads by itself";
+  world.store().faults().silent = true;
+  absl::Time end = SteadyNow() + absl::Seconds(1);  // Before it begins to watch by itself.
+  world.RunUntil([&] { return SteadyNow() > end; });
+  EXPECT_FALSE(lone.role().state().store_reachable);
+}
+
 }  // namespace
 }  // namespace martenyard::testing
