--- a/tests/platform/system/stream_soak_test.cc
+++ b/tests/platform/system/stream_soak_test.cc
@@ -6,9 +6,6 @@
 //   _RUNNERS, _CLIENTS, _TROUBLE (percent of runs that are not served well), and _KEEP (a folder
 //   that settings and logs are copied to when a rule was broken).
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -24,7 +21,6 @@
 #include <vector>
 
 #include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "base/clock.h"
@@ -36,6 +32,7 @@
 #include "platform/support/platform_client.h"
 #include "platform/support/recording_runner.h"
 #include "platform/support/soak_client.h"
+#include "platform/support/soak_setup.h"
 #include "platform/support/stream_judge.h"
 
 namespace martenyard::testing {
@@ -64,56 +61,14 @@
 constexpr int kReportedRules = 20;         ///< More are counted only.
 constexpr int kLinesOfOneRequest = 40;     ///< Of the logs, in a report.
 
-int FromEnvironment(const char* name, int fallback) {
-  const char* text = std::getenv(absl::StrCat("MARTENYARD_SOAK_", name).c_str());
-  int value = 0;
-  return text != nullptr && absl::SimpleAtoi(text, &value) ? value : fallback;
-}
-
-/// The third byte of this process's addresses 127.73.N.x and 127.74.N.x, held as long as it lives.
-class AddressRange {
- public:
-  AddressRange() {
-    for (int tried = 0; tried < kRanges && socket_ < 0; ++tried) {
-      number_ = 1 + (getpid() + tried) % kRanges;
-      Hold();
-    }
-  }
-  ~AddressRange() { close(socket_); }
-  AddressRange(const AddressRange&) = delete;
-  AddressRange& operator=(const AddressRange&) = delete;
-  int number() const { return number_; }
-
- private:
-  static constexpr int kRanges = 250;
-  static constexpr std::uint16_t kLockPort = 17379;
-
-  void Hold() {
-    int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(kLockPort);
-    address.sin_addr.s_addr =
-        htonl((127U << 24U) | (73U << 16U) | (static_cast<std::uint32_t>(number_) << 8U) | 254U);
-    if (bind(file, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
-      socket_ = file;
-    } else {
-      close(file);
-    }
-  }
-
-  int socket_ = -1;
-  int number_ = 0;
-};
-
 struct SoakSize {
-  int gateways = FromEnvironment("GATEWAYS", 3);
-  int ledgers = FromEnvironment("LEDGERS", 3);
-  int runners = FromEnvironment("RUNNERS", 5);
-  int clients = FromEnvironment("CLIENTS", 12);
-  int lines = FromEnvironment("LINES", 3);
-  int rounds = FromEnvironment("ROUNDS", 4);
-  int trouble = FromEnvironment("TROUBLE", 40);
+  int gateways = SoakNumber("GATEWAYS", 3);
+  int ledgers = SoakNumber("LEDGERS", 3);
+  int runners = SoakNumber("RUNNERS", 5);
+  int clients = SoakNumber("CLIENTS", 12);
+  int lines = SoakNumber("LINES", 3);
+  int rounds = SoakNumber("ROUNDS", 4);
+  int trouble = SoakNumber("TROUBLE", 40);
 };
 
 class StreamSoak {
@@ -721,7 +676,7 @@
 }
 
 TEST(StreamSoakTest, StreamsStayTrueUnderOverlappingTroubles) {
-  int chosen = FromEnvironment("SEED", 0);
+  int chosen = SoakNumber("SEED", 0);
   std::vector<std::uint64_t> seeds = {1, 2};
   if (chosen > 0) {
     seeds = {static_cast<std::uint64_t>(chosen)};
