The daemon tells when a polled service is lost or answers again, and takes no older answer after a newer

Looked for: silence that means two things, in the product's own daemon. It polls the key-value service each 2 s and the machine list each 1 s with answers within 2 s, so no call waits silently by right. But two polls of the machine list may be under way, and an older list that came last brought a leaving engine back for a second; and a service that was lost left no line at all. Change: PollTracker numbers the polls; loss and return are logged once with the age of the last answer.

--- a/src/bundle/roll_manager.cc
+++ b/src/bundle/roll_manager.cc
@@ -220,8 +220,9 @@
                });
 }
 
-void RollManager::Poll() {
-  store_.GetPrefix(kRollPrefix, [this](const KeyValueAnswer& answer) {
+void RollManager::Poll(const std::function<void(bool answered)>& on_end) {
+  store_.GetPrefix(kRollPrefix, [this, on_end](const KeyValueAnswer& answer) {
+    on_end(answer.status == KeyValueStatus::kDone);
     if (answer.status != KeyValueStatus::kDone) {
       return;
     }
--- a/src/bundle/roll_manager.h
+++ b/src/bundle/roll_manager.h
@@ -39,8 +39,8 @@
   void Submit(const std::string& text, const std::string& signature, Callback on_answer);
   /// Puts a submitted bundle in force at the next epoch.
   void Roll(const RollStatement& statement, const std::string& signature, Callback on_answer);
-  /// Reads all rolls; `on_roll` gets each.
-  void Poll();
+  /// Reads all rolls; `on_roll` gets each. `on_end` is told whether the service answered.
+  void Poll(const std::function<void(bool answered)>& on_end);
 
  private:
   struct RollAttempt;
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "base/hash.h"
 #include "base/logging.h"
 #include "wire/codec.h"
@@ -334,7 +335,9 @@
   if (!WatchesKeyValue()) {
     return;
   }
-  rolls_.Poll();
+  rolls_.Poll([this, poll = key_value_polls_.Begin()](bool answered) {
+    TellContact("key-value service", key_value_polls_.Ended(Now(), poll, answered));
+  });
   if (!directory_.empty()) {
     return;
   }
@@ -360,15 +363,33 @@
 }
 
 void Node::PollMachines() {
+  std::uint64_t poll = machine_polls_.Begin();
   environment_.Backends().FetchMachines(
-      [this](std::optional<std::vector<clients::Backend>> machines) {
-        if (machines) {
+      [this, poll](std::optional<std::vector<clients::Backend>> machines) {
+        PollEnd end = machine_polls_.Ended(Now(), poll, machines.has_value());
+        TellContact("machine list", end);
+        if (end.take) {
           backends_.SetMachines(Now(), std::move(*machines));
           RefreshEngines();
         }
       });
 }
 
+void Node::TellContact(const char* service, const PollEnd& end) {
+  if (!end.contact) {
+    return;
+  }
+  std::string age =
+      end.age ? absl::StrCat(absl::ToInt64Milliseconds(*end.age), " ms ago") : "never";
+  if (*end.contact) {
+    MARTENYARD_LOG_INFO(
+        kLog, "The " << service << " answers again; the answer before came " << age << ".");
+  } else {
+    MARTENYARD_LOG_WARN(kLog, "The " << service << " does not answer; its last answer came " << age
+                                     << ", and what it told stays in use.");
+  }
+}
+
 void Node::RefreshEngines() {
   dispatcher_.SetEngines(now_, stopping_ ? std::vector<dispatch::EngineConfig>{}
                                          : backends_.DispatchedBy(Self(), live_, bundles_));
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -18,6 +18,7 @@
 #include "daemon/backend_view.h"
 #include "daemon/group_placement.h"
 #include "daemon/messages.h"
+#include "daemon/poll_tracker.h"
 #include "daemon/replica_host.h"
 #include "dispatch/dispatcher.h"
 #include "gateway/call_coordinator.h"
@@ -133,6 +134,8 @@
   bool WatchesKeyValue() const;
   void PollKeyValue();
   void PollMachines();
+  /// Logs that a polled service was lost or answers again.
+  void TellContact(const char* service, const PollEnd& end);
   void ReportLoads();
   void ManageGroups();
   void ManageGroup(ledger::GroupReplica& replica);
@@ -154,6 +157,8 @@
   bundle::RollManager rolls_;
   ReplicaHost replica_host_;
   BackendView backends_;
+  PollTracker machine_polls_;
+  PollTracker key_value_polls_;
   dispatch::Dispatcher dispatcher_;
   gateway::LedgerRouter router_;
   gateway::CallCoordinator coordinator_;
--- /dev/null
+++ b/src/daemon/poll_tracker.cc
@@ -0,0 +1,29 @@
+#include "daemon/poll_tracker.h"
+
+#include <algorithm>
+
+namespace martenyard::daemon {
+
+PollEnd PollTracker::Ended(absl::Time now, std::uint64_t poll, bool answered) {
+  PollEnd end;
+  if (answered_at_) {
+    end.age = now - *answered_at_;
+  }
+  end.take = answered && poll > taken_;
+  // A late failure of an earlier poll says nothing of the service as it is now.
+  bool newest = poll > std::max(taken_, failed_);
+  if (answered) {
+    taken_ = std::max(taken_, poll);
+    answered_at_ = now;
+  } else {
+    failed_ = std::max(failed_, poll);
+  }
+  if (newest && answers_ != answered) {
+    bool first_and_well = !answers_ && answered;
+    answers_ = answered;
+    end.contact = first_and_well ? std::nullopt : std::make_optional(answered);
+  }
+  return end;
+}
+
+}  // namespace martenyard::daemon
--- /dev/null
+++ b/tests/daemon/poll_tracker_test.cc
@@ -0,0 +1,52 @@
+#include "daemon/poll_tracker.h"
+
+#include <gtest/gtest.h>
+
+namespace martenyard::daemon {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+absl::Time At(int seconds) { return kStart + absl::Seconds(seconds); }
+
+// A poll each second may wait for its answer for two: an engine that leaves came back into the list
+// for a second where the answer of the poll before arrived last.
+TEST(PollTrackerTest, AnswerOfAnEarlierPollIsNotTakenAfterALaterOnes) {
+  PollTracker polls;
+  std::uint64_t first = polls.Begin();
+  std::uint64_t second = polls.Begin();
+  EXPECT_TRUE(polls.Ended(At(1), second, true).take);
+  EXPECT_FALSE(polls.Ended(At(2), first, true).take);
+  EXPECT_TRUE(polls.Ended(At(3), polls.Begin(), true).take);
+}
+
+TEST(PollTrackerTest, LossAndReturnAreToldOnceWithTheAgeOfTheLastAnswer) {
+  PollTracker polls;
+  EXPECT_FALSE(polls.Ended(At(0), polls.Begin(), true).contact) << "as it should be";
+  PollEnd lost = polls.Ended(At(3), polls.Begin(), false);
+  EXPECT_EQ(lost.contact, false);
+  EXPECT_EQ(lost.age, absl::Seconds(3));
+  EXPECT_FALSE(lost.take);
+  EXPECT_FALSE(polls.Ended(At(4), polls.Begin(), false).contact);
+  PollEnd back = polls.Ended(At(5), polls.Begin(), true);
+  EXPECT_EQ(back.contact, true);
+  EXPECT_EQ(back.age, absl::Seconds(5));
+}
+
+TEST(PollTrackerTest, ServiceThatNeverAnsweredIsToldToo) {
+  PollTracker polls;
+  PollEnd end = polls.Ended(At(2), polls.Begin(), false);
+  EXPECT_EQ(end.contact, false);
+  EXPECT_FALSE(end.age);
+}
+
+TEST(PollTrackerTest, LateFailureOfAnEarlierPollIsNoLoss) {
+  PollTracker polls;
+  std::uint64_t first = polls.Begin();
+  std::uint64_t second = polls.Begin();
+  polls.Ended(At(1), second, true);
+  EXPECT_FALSE(polls.Ended(At(2), first, false).contact);
+}
+
+}  // namespace
+}  // namespace martenyard::daemon
--- a/tests/platform/store_outage_contract_test.cc
+++ b/tests/platform/store_outage_contract_test.cc
@@ -14,6 +14,7 @@
 #include <functional>
 #include <string>
 
+#include "absl/strings/match.h"
 #include "base/clock.h"
 #include "platform/support/platform_client.h"
 #include "platform/support/platform_world.h"
@@ -98,5 +99,19 @@
   }
 }
 
+// The same in a storage machine, which has no copy that requests go by: the watch of what operators
+// ask for hung, and with it everything that was asked after an outage.
+TEST(StoreOutageContractTest, StorageMachineHearsOfARetirementWithinSeconds) {
+  constexpr absl::Duration kOperatorPatience = absl::Seconds(6);
+  PlatformWorld world;
+  world.Start();
+  world.store().SilenceWaiting();
+  world.store().Put("op/retire/storage-9", R"({"durationS":8})");
+  absl::Time end = SteadyNow() + kOperatorPatience;
+  auto heard = [&] { return absl::StrContains(world.Log(), "retire_asked"); };
+  world.RunUntil([&] { return heard() || SteadyNow() > end; });
+  EXPECT_TRUE(heard()) << world.Log();
+}
+
 }  // namespace
 }  // namespace martenyard::testing
