--- a/tests/aggregation/member_view_test.cc
+++ b/tests/aggregation/member_view_test.cc
@@ -154,5 +154,48 @@
   EXPECT_FALSE(view_.hears_contact(instant() + milliseconds(1700)));
 }
 
+// The store turned away one machine of each zone at once, the three that watched it. The others
+// began to watch 2.6 s later (`store_lost` at 2.56 s, `store_watching` at 5.16 s), and a
+// configuration that was acknowledged at 2.80 s was unknown at 5.05 s: what a gateway had said of
+// its contact counted until it had been silent for 1.6 s, though it said in each tenth of a second
+// that it had none.
+TEST_F(MemberViewTest, AggregatorThatSaysItLostTheStoreCountsNoLonger) {
+  zone_summary own;
+  own.m_from = Gateway("a", "z", 1);
+  own.m_in_contact = true;
+  view_.take(instant(), own);
+  zone_summary foreign;
+  foreign.m_from = Gateway("d", "y", 4);
+  foreign.m_in_contact = true;
+  view_.take(instant(), foreign);
+  view_.take(instant(), From("b"));
+  EXPECT_TRUE(view_.own_zone_has_contact(instant()));
+  EXPECT_TRUE(view_.other_zone_has_contact(instant()));
+  EXPECT_TRUE(view_.hears_contact(instant()));
+
+  instant later = instant() + milliseconds(100);
+  own.m_in_contact = false;
+  view_.take(later, own);
+  EXPECT_FALSE(view_.own_zone_has_contact(later));
+  EXPECT_TRUE(view_.other_zone_has_contact(later)) << "said by another";
+  foreign.m_in_contact = false;
+  view_.take(later, foreign);
+  EXPECT_FALSE(view_.other_zone_has_contact(later));
+  EXPECT_TRUE(view_.hears_contact(later)) << "by a digest";
+  digest without = From("b");
+  without.m_in_contact = false;
+  view_.take(later, without);
+  EXPECT_FALSE(view_.hears_contact(later));
+}
+
+TEST_F(MemberViewTest, WhatAnAggregatorTellsOfItsZoneAndOfItselfAreKeptApart) {
+  view_.take(instant(), From("a"));
+  zone_summary sums;
+  sums.m_from = Gateway("a", "z", 1);
+  sums.m_in_contact = false;
+  view_.take(instant(), sums);
+  EXPECT_TRUE(view_.hears_contact(instant())) << "its digest says that another zone has contact";
+}
+
 }  // namespace
 }  // namespace martenyard::aggregation
--- a/tests/aggregation/slots_test.cc
+++ b/tests/aggregation/slots_test.cc
@@ -56,9 +56,9 @@
   EXPECT_GT(tries.size(), 5U) << "they don't all try at the same time";
 }
 
-// A gateway whose copy of the slots was half a second behind took all three of its zone, one a tenth of
-// a second after the other: its own claim did not stand there yet. The zone had one aggregator, and when
-// that one was killed, nobody told its restarted neighbour anything for 4.5 s.
+// A gateway whose copy of the slots was half a second behind took all three of its zone, one a
+// tenth of a second after the other: its own claim did not stand there yet. The zone had one
+// aggregator, and when that one was killed, nobody told its restarted neighbour anything for 4.5 s.
 TEST_F(SlotClaimsTest, GatewayThatHasJustTakenASlotTakesNoOtherBeforeItSeesIt) {
   slot_claims claims(Gateway("g"), 0.5);
   auto first = FirstTry(claims);
