An aggregator's word that it lost the store counts at once, and others of its zone stand in after 0.4 s

Cause: contact that an aggregator had told counted until it was silent for 1.6 s, though it said in each tenth of a second that it had none; through a zone, another zone and a member these lags add up, and a stand-in waited 1 s more. Change: its denial takes back what it said, in digests and in sums apart; a stand-in begins after 0.4 s.

--- a/src/aggregation/member_view.cc
+++ b/src/aggregation/member_view.cc
@@ -129,25 +129,35 @@
     return targets;
 }
 
-void member_view::note_heard(instant now, const std::string& name, bool in_contact)
+void member_view::note_heard(instant now, const std::string& name)
 {
     m_heard[name] = now;
-    if (in_contact)
-    {
-        m_in_contact[name] = now;
-    }
     auto is_old = [&](const auto& entry)
     {
         return now - entry.second > m_options.m_forgotten_after;
     };
     std::erase_if(m_heard, is_old);
-    std::erase_if(m_in_contact, is_old);
+    std::erase_if(m_told_contact, is_old);
+    std::erase_if(m_zone_contact,
+                  [&](const auto& entry)
+                  {
+                      return now - entry.second.m_at > m_options.m_forgotten_after;
+                  });
 }
 
 bool member_view::take(instant now, const digest& told)
 {
     const std::string& name = told.m_from.m_name;
-    note_heard(now, name, told.m_in_contact);
+    note_heard(now, name);
+    // Its word that contact is lost counts at once: until it was silent for long, a change may be due.
+    if (told.m_in_contact)
+    {
+        m_told_contact[name] = now;
+    }
+    else
+    {
+        m_told_contact.erase(name);
+    }
     bool known = std::any_of(m_aggregators.begin(), m_aggregators.end(),
                              [&](const contact& aggregator)
                              {
@@ -174,10 +184,14 @@
 
 void member_view::take(instant now, const zone_summary& told)
 {
-    note_heard(now, told.m_from.m_name, told.m_in_contact);
+    note_heard(now, told.m_from.m_name);
     if (told.m_in_contact)
     {
-        (told.m_from.m_zone == m_self.m_zone ? m_own_zone_contact : m_other_zone_contact) = now;
+        m_zone_contact[told.m_from.m_name] = {told.m_from.m_zone, now};
+    }
+    else
+    {
+        m_zone_contact.erase(told.m_from.m_name);
     }
     take_with_ledger(now, told.m_with_ledger);
 }
@@ -252,23 +266,39 @@
                        });
 }
 
+bool member_view::is_recent(instant now, instant said) const
+{
+    return now - said <= m_options.m_lost_after;
+}
+
 bool member_view::hears_contact(instant now) const
 {
-    return std::any_of(m_in_contact.begin(), m_in_contact.end(),
+    bool told = std::any_of(m_told_contact.begin(), m_told_contact.end(),
+                            [&](const auto& entry)
+                            {
+                                return is_recent(now, entry.second);
+                            });
+    return told || own_zone_has_contact(now) || other_zone_has_contact(now);
+}
+
+bool member_view::zone_has_contact(instant now, bool own) const
+{
+    return std::any_of(m_zone_contact.begin(), m_zone_contact.end(),
                        [&](const auto& entry)
                        {
-                           return now - entry.second <= m_options.m_lost_after;
+                           bool is_own = entry.second.m_zone == m_self.m_zone;
+                           return is_own == own && is_recent(now, entry.second.m_at);
                        });
 }
 
 bool member_view::other_zone_has_contact(instant now) const
 {
-    return m_other_zone_contact && now - *m_other_zone_contact <= m_options.m_lost_after;
+    return zone_has_contact(now, /*own=*/false);
 }
 
 bool member_view::own_zone_has_contact(instant now) const
 {
-    return m_own_zone_contact && now - *m_own_zone_contact <= m_options.m_lost_after;
+    return zone_has_contact(now, /*own=*/true);
 }
 
 std::uint32_t member_view::gateways_without_ledger(instant now) const
--- a/src/aggregation/member_view.h
+++ b/src/aggregation/member_view.h
@@ -124,7 +124,10 @@
     std::vector<contact> own_aggregators() const;
     std::vector<contact> foreign_aggregators() const;
     std::optional<contact> primary(instant now) const;
-    void note_heard(instant now, const std::string& name, bool in_contact);
+    void note_heard(instant now, const std::string& name);
+    /// @return whether one of the zone, or of another one, said so lately in its sums
+    bool zone_has_contact(instant now, bool own) const;
+    bool is_recent(instant now, instant said) const;
     void take_with_ledger(instant now, const std::vector<wire::Endpoint>& told);
 
     contact m_self;
@@ -133,9 +136,16 @@
     /// by aggregators that the slots don't name, or not yet: what came from them tells where they are
     std::map<std::string, contact> m_introduced;
     std::map<std::string, instant> m_heard;
-    std::map<std::string, instant> m_in_contact;
-    std::optional<instant> m_other_zone_contact;
-    std::optional<instant> m_own_zone_contact;
+    /// when an aggregator last told in a digest that the store answers, it or another zone
+    std::map<std::string, instant> m_told_contact;
+
+    struct zone_contact
+    {
+        std::string m_zone;
+        instant m_at;
+    };
+    /// of itself, with the sums that it exchanges
+    std::map<std::string, zone_contact> m_zone_contact;
     bool m_aggregates = false;
     std::uint32_t m_gateways = 1;
     std::uint32_t m_without_ledger = 0;
--- a/src/aggregation/watching.h
+++ b/src/aggregation/watching.h
@@ -28,8 +28,8 @@
 struct watch_options
 {
     /// an aggregator that doesn't speak for its zone begins when the one that does was out of contact with
-    /// the store for this long
-    std::chrono::milliseconds m_second_after{1000};
+    /// the store for this long. That one asks again at once, and a change may be due everywhere within 2 s
+    std::chrono::milliseconds m_second_after{400};
     /// any gateway may begin when no aggregator was in contact with it for this long
     std::chrono::milliseconds m_any_after{1600};
     /// these begin one after the other over this time: the store may be down for all
