--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -4,9 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "roles/directory_keys.h"
 #include "roles/exchange/slot_records.h"
-#include "roles/store_watches.h"
 #include "wire/codec.h"
 
 namespace martenyard::roles
@@ -81,9 +79,7 @@
       m_log(log),
       m_options(options),
       m_mirrors{&mirrors.m_configuration, &mirrors.m_runners, &mirrors.m_ledger, &mirrors.m_aggregators},
-      m_registered(
-          context, store, absl::StrCat(kGatewayMachines, settings.zone, "/"),
-          [](const store::StoreChange&) {}, [](bool, store::StoreStatus) {}, LongWatch(settings)),
+      m_registry(context, store, settings, log),
       m_news(state.random.NextId()),
       m_lease(
           context, store, mirrors.m_configuration, state.lease, log,
@@ -107,8 +103,7 @@
     m_view.emplace(self());
     m_began = steady_now();
     m_lease.start(m_settings.revocation.lease(), self().m_endpoint);
-    m_registered.SetPaused(true);
-    m_registered.Start();
+    m_registry.start();
     judge_watching(m_began);
     judge_reading(m_began);
 }
@@ -253,54 +248,6 @@
     return aggregates() && aggregation::first_heard(m_slots, self(), is_heard) == self();
 }
 
-void zone_exchange::register_members(instant now)
-{
-    bool just_written = now - m_registered_at < m_options.m_register_pause;
-    if (!speaks_for_zone(now) || m_registering || just_written || !m_registered.complete())
-    {
-        return;
-    }
-    std::vector<contact> missing;
-    for (const auto& [name, gateway] : m_sums->members())
-    {
-        bool own = gateway.m_contact.m_zone == m_settings.zone;
-        if (!own || !m_sums->is_live(now, gateway) || missing.size() >= m_options.m_most_registrations)
-        {
-            continue;
-        }
-        auto record = m_registered.items().find(absl::StrCat(m_registered.prefix(), name));
-        bool known =
-            record != m_registered.items().end() && record->second.value == wire::Encode(gateway.m_contact);
-        if (!known)
-        {
-            missing.push_back(gateway.m_contact);
-        }
-    }
-    if (!missing.empty())
-    {
-        m_registering = true;
-        m_registered_at = now;
-        async_http::asio::co_spawn(m_context, write_registrations(std::move(missing)),
-                                   async_http::asio::detached);
-    }
-}
-
-async_http::Task<void> zone_exchange::write_registrations(std::vector<contact> gateways)
-{
-    // A gateway's record says what it reported itself: no condition is needed.
-    store::Transaction transaction;
-    for (const contact& gateway : gateways)
-    {
-        transaction.puts.push_back(
-            {absl::StrCat(m_registered.prefix(), gateway.m_name), wire::Encode(gateway), 0});
-    }
-    store::StoreStatus status = co_await m_store.Commit(std::move(transaction));
-    m_log.Write(Line("gateways_registered")
-                    .Number("gateways", static_cast<std::int64_t>(gateways.size()))
-                    .Number("status", static_cast<std::int64_t>(status)));
-    m_registering = false;
-}
-
 // ---- What peers tell ----
 
 void zone_exchange::on_datagram(const std::string& payload)
@@ -501,7 +448,10 @@
         send_introductions(now);
         send_summary(now);
         push_news(now);
-        register_members(now);
+        if (speaks_for_zone(now))
+        {
+            m_registry.write_missing(now, *m_sums);
+        }
     }
     ask_for_news(now);
     confirm_configuration();
@@ -551,7 +501,7 @@
     {
         m_mirrors[mirror]->SetPaused(!reads || (mirror > 0 && store_is_away));
     }
-    m_registered.SetPaused(!aggregates() || store_is_away);
+    m_registry.set_paused(!aggregates() || store_is_away);
     note_reading(reads, store_is_away);
 }
 
@@ -666,22 +616,7 @@
         return;
     }
     m_introduced_at = now;
-    std::vector<wire::Endpoint> silent;
-    for (const auto& [key, item] : m_registered.items())
-    {
-        auto gateway = wire::Decode<contact>(item.value);
-        if (!gateway)
-        {
-            m_log.Write(Line("directory_record_unreadable").Text("key", key));
-            continue;
-        }
-        bool is_self = gateway->m_name == m_settings.node;
-        if (!is_self && !m_sums->members().contains(gateway->m_name))
-        {
-            silent.push_back(gateway->m_endpoint);
-        }
-    }
-    send_short_digest(now, silent);
+    send_short_digest(now, m_registry.silent(*m_sums));
 }
 
 void zone_exchange::send_summary(instant now)
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -26,6 +26,7 @@
 #include "event_log/event_log.h"
 #include "forwarding/gateway_state.h"
 #include "roles/exchange/lease_keeper.h"
+#include "roles/exchange/member_registry.h"
 #include "roles/role_settings.h"
 #include "store/metadata_store.h"
 #include "store/prefix_mirror.h"
@@ -69,10 +70,6 @@
     /// reads the store by itself. When the whole system starts, the slots must be taken first
     std::chrono::milliseconds m_read_after{400};
     std::chrono::milliseconds m_first_read_after{2500};
-    /// between two writes of registrations
-    std::chrono::milliseconds m_register_pause{1000};
-    /// registrations in one write: the store takes 32 entries
-    std::size_t m_most_registrations = 32;
 };
 
 /// @brief counters since the start, for the metrics address
@@ -180,9 +177,6 @@
     bool hears(instant now, const aggregation::contact& aggregator) const;
     /// @return whether this aggregator watches the store and exchanges sums for its zone
     bool speaks_for_zone(instant now) const;
-    /// writes down where the gateways are that report to this aggregator
-    void register_members(instant now);
-    async_http::Task<void> write_registrations(std::vector<aggregation::contact> gateways);
     void become(std::optional<std::size_t> slot);
 
     void report(instant now);
@@ -213,8 +207,7 @@
     event_log::EventLog& m_log;
     exchange_options m_options;
     std::array<store::PrefixMirror*, aggregation::mirror_count> m_mirrors;
-    /// the zone's gateways as they registered; an aggregator introduces itself to silent ones
-    store::PrefixMirror m_registered;
+    member_registry m_registry;
 
     aggregation::slot_table m_slots;
     std::optional<aggregation::slot_claims> m_claims;
@@ -226,8 +219,6 @@
     bool m_claiming = false;
     std::optional<instant> m_looked;
     bool m_watching = false;
-    bool m_registering = false;
-    instant m_registered_at;
     instant m_began;
     bool m_ledger_silent = false;
     bool m_reads = true;
