--- a/tests/platform/system/store_outage_soak_test.cc
+++ b/tests/platform/system/store_outage_soak_test.cc
@@ -32,6 +32,7 @@
 #include "platform/support/freshness_judge.h"
 #include "platform/support/machine.h"
 #include "platform/support/platform_client.h"
+#include "platform/support/soak_loop.h"
 #include "platform/support/soak_setup.h"
 
 namespace martenyard::testing {
@@ -55,7 +56,7 @@
   int overlapping = SoakNumber("OUTAGES", 3);
 };
 
-class OutageSoak {
+class OutageSoak : private SoakLoop {
  public:
   OutageSoak(std::uint64_t seed, const OutageSize& size)
       : seed_(seed), size_(size), random_(seed), store_(loop_.context()), judge_({}) {
@@ -152,17 +153,6 @@
 
   // ---- Waiting ----
 
-  void Spawn(Task<void> task) {
-    ++tasks_;
-    async_http::asio::co_spawn(loop_.context(), std::move(task),
-                               [this](const std::exception_ptr& error) {
-                                 --tasks_;
-                                 if (error) {
-                                   std::rethrow_exception(error);
-                                 }
-                               });
-  }
-
   bool RunUntil(absl::Duration patience, const std::function<bool()>& condition) {
     for (absl::Time end = SteadyNow() + patience; SteadyNow() < end;) {
       if (condition()) {
@@ -174,13 +164,6 @@
     return condition();
   }
 
-  Task<void> Pause(absl::Duration time) { return async_http::Sleep(loop_.context(), time); }
-
-  static absl::Duration Draw(Random& random, int least_ms, int most_ms) {
-    return absl::Milliseconds(least_ms +
-                              random.Below(static_cast<std::uint64_t>(most_ms - least_ms)));
-  }
-
   /// What reached the runners since the last round; a request's id begins with its gateway's name.
   void NoteArrivals() {
     absl::Time now = SteadyNow();
@@ -479,7 +462,6 @@
   Random random_;
   AddressRange range_;
   bench::TemporaryFolder folder_;
-  wire::EventLoop loop_;
   emulator::StoreStandIn store_;
   FreshnessJudge judge_;
   std::vector<std::unique_ptr<emulator::RunnerStandIn>> runners_;
@@ -491,7 +473,6 @@
   std::map<unsigned, int> statuses_;
   int version_ = 0;
   int faults_ = 0;  ///< Under way, that keep operators and runners from writing.
-  int tasks_ = 0;
   int answered_ = 0;
   bool stopping_ = false;
 };
--- a/tests/platform/system/stream_soak_test.cc
+++ b/tests/platform/system/stream_soak_test.cc
@@ -32,6 +32,7 @@
 #include "platform/support/platform_client.h"
 #include "platform/support/recording_runner.h"
 #include "platform/support/soak_client.h"
+#include "platform/support/soak_loop.h"
 #include "platform/support/soak_setup.h"
 #include "platform/support/stream_judge.h"
 
@@ -71,7 +72,7 @@
   int trouble = SoakNumber("TROUBLE", 40);
 };
 
-class StreamSoak {
+class StreamSoak : private SoakLoop {
  public:
   StreamSoak(std::uint64_t seed, const SoakSize& size)
       : seed_(seed), size_(size), random_(seed), store_(loop_.context()) {
@@ -186,17 +187,6 @@
 
   // ---- Waiting ----
 
-  void Spawn(Task<void> task) {
-    ++tasks_;
-    async_http::asio::co_spawn(loop_.context(), std::move(task),
-                               [this](const std::exception_ptr& error) {
-                                 --tasks_;
-                                 if (error) {
-                                   std::rethrow_exception(error);
-                                 }
-                               });
-  }
-
   /// @return a line of the report when the condition does not come about.
   std::string Wait(const std::string& what, const std::function<bool()>& condition,
                    absl::Duration patience = kPatience) {
@@ -222,8 +212,6 @@
     co_return condition();
   }
 
-  Task<void> Pause(absl::Duration time) { return async_http::Sleep(loop_.context(), time); }
-
   /// Until a gateway takes connections: signals from then on are its own to handle.
   Task<void> UntilUp(Machine& gateway) {
     absl::Time end = SteadyNow() + kPatience;
@@ -280,11 +268,6 @@
     return draw < 2 ? 1 : draw == 2 ? 1 + random.Below(all) : all;
   }
 
-  absl::Duration Draw(Random& random, int least_ms, int most_ms) {
-    return absl::Milliseconds(least_ms +
-                              random.Below(static_cast<std::uint64_t>(most_ms - least_ms)));
-  }
-
   Task<void> TroubleLine(std::uint64_t seed) {
     Random random(seed);
     for (int round = 0; round < size_.rounds; ++round) {
@@ -644,7 +627,6 @@
   Random random_;
   AddressRange range_;
   bench::TemporaryFolder folder_;
-  wire::EventLoop loop_;
   emulator::StoreStandIn store_;
   RunBook book_;
   std::vector<std::unique_ptr<RecordingRunner>> runners_;
@@ -658,7 +640,6 @@
   bool store_taken_ = false;
   int version_ = 0;
   int incarnations_ = 0;
-  int tasks_ = 0;
   int lines_ = 0;
   std::string overstayed_;
   std::map<std::string, int> counts_;
