The outage soak turns some gateways away while others are served

Change: the store's stand-in has doors with faults of their own, one a gateway; refusals of some gateways overlap with the other troubles, and the rest stay bound.

--- a/emulator/platform/store_stand_in.cc
+++ b/emulator/platform/store_stand_in.cc
@@ -59,25 +59,38 @@
   co_await exchange.Send(std::move(head), std::move(body));
 }
 
+void ListenOn(async_http::Server& server, std::uint16_t port) {
+  Recover<async_http::ServerError>(
+      [&]() -> Result<int> {
+        BOOST_LEAF_CHECK(server.Listen({"127.0.0.1", port}));
+        return 0;
+      },
+      [](const async_http::ServerError&) { return 1; });
+}
+
 }  // namespace
 
+StoreStandIn::Door::Door(async_http::asio::io_context& context, StoreStandIn& store)
+    : server_(context, [this, &store](std::shared_ptr<async_http::Exchange> exchange) {
+        return store.Answer(std::move(exchange), faults_);
+      }) {
+  ListenOn(server_, 0);
+}
+
 StoreStandIn::StoreStandIn(async_http::asio::io_context& context)
     : context_(context),
       server_(context,
               [this](std::shared_ptr<async_http::Exchange> exchange) {
-                return Answer(std::move(exchange));
+                return Answer(std::move(exchange), faults_);
               }),
       changed_(context) {}
 
-void StoreStandIn::Listen(std::uint16_t port) {
-  Recover<async_http::ServerError>(
-      [&]() -> Result<int> {
-        BOOST_LEAF_CHECK(server_.Listen({"127.0.0.1", port}));
-        return 0;
-      },
-      [](const async_http::ServerError&) { return 1; });
+StoreStandIn::Door& StoreStandIn::OpenDoor() {
+  return *doors_.emplace_back(std::make_unique<Door>(context_, *this));
 }
 
+void StoreStandIn::Listen(std::uint16_t port) { ListenOn(server_, port); }
+
 std::uint64_t StoreStandIn::Put(const std::string& key, const std::string& value) {
   Record& record = records_[key];
   record.value = value;
@@ -113,20 +126,25 @@
   return found == records_.end() ? "" : found->second.value;
 }
 
-Task<void> StoreStandIn::Answer(std::shared_ptr<async_http::Exchange> exchange) {
+Task<void> StoreStandIn::Answer(std::shared_ptr<async_http::Exchange> exchange,
+                                const StoreFaults& own) {
   ++calls_;
-  if (faults_.silent) {
+  if (faults_.silent || own.silent) {
     co_await async_http::Sleep(context_, kForever);
   }
-  if (faults_.reset) {
+  if (faults_.reset || own.reset) {
     exchange->Break();
     co_return;
   }
   if (faults_.delay > absl::ZeroDuration()) {
     co_await async_http::Sleep(context_, faults_.delay);
   }
-  if (faults_.down || faults_.throttle) {
-    co_await Reply(*exchange, faults_.down ? 503 : 429, "{}");
+  if (faults_.down || own.down) {
+    co_await Reply(*exchange, 503, "{}");
+    co_return;
+  }
+  if (faults_.throttle || own.throttle) {
+    co_await Reply(*exchange, 429, "{}");
     co_return;
   }
   if (faults_.garble) {
@@ -139,7 +157,7 @@
   unsigned status = 200;
   std::string body;
   if (path == "/kv-watch") {
-    co_await Watch(*exchange, std::move(query));
+    co_await Watch(*exchange, std::move(query), own);
     co_return;
   }
   if (path == "/kv-key") {
@@ -178,7 +196,7 @@
 }
 
 Task<void> StoreStandIn::Watch(async_http::Exchange& exchange,
-                               std::map<std::string, std::string> query) {
+                               std::map<std::string, std::string> query, const StoreFaults& own) {
   std::uint64_t after = ReadNumber(query["after"]);
   absl::Time end = SteadyNow() + absl::Milliseconds(ReadNumber(query["waitMs"]));
   std::string body = "{}";
@@ -186,7 +204,8 @@
   bool any = false;
   std::uint64_t ended = waiting_ended_;
   while (true) {
-    if (ended != waiting_ended_ && waiting_end_ == Waiting::kReset) {
+    bool reset = ended != waiting_ended_ && waiting_end_ == Waiting::kReset;
+    if (reset || own.reset) {
       exchange.Break();
       co_return;
     }
--- a/emulator/platform/store_stand_in.h
+++ b/emulator/platform/store_stand_in.h
@@ -26,8 +26,23 @@
 /// On the loop's thread only.
 class StoreStandIn {
  public:
+  /// Another port to the same keys, for callers that may be turned away while others are served.
+  class Door {
+   public:
+    Door(async_http::asio::io_context& context, StoreStandIn& store);
+    /// What goes wrong for its callers, besides what goes wrong for all.
+    StoreFaults& faults() { return faults_; }
+    std::uint16_t port() const { return server_.port(); }
+
+   private:
+    StoreFaults faults_;
+    async_http::Server server_;
+  };
+
   explicit StoreStandIn(async_http::asio::io_context& context);
 
+  /// Opens one more; it lives as long as the store.
+  Door& OpenDoor();
   StoreFaults& faults() { return faults_; }
   std::uint16_t port() const { return server_.port(); }
   /// As the operator or a runner writes. @return the revision.
@@ -35,6 +50,8 @@
   void Remove(const std::string& key);
   /// Forgets all history: watches from before are told that it is gone.
   void Compact();
+  /// Watches that wait look again at what goes wrong.
+  void WakeWaiting() { changed_.Notify(); }
   /// The connections of watches that wait now are closed without an answer.
   void ResetWaiting() { EndWaiting(Waiting::kReset); }
   /// The connections of watches that wait now stay open and say nothing more.
@@ -62,18 +79,21 @@
   enum class Waiting { kServed, kReset, kSilent };
 
   void EndWaiting(Waiting end);
-  async_http::Task<void> Answer(std::shared_ptr<async_http::Exchange> exchange);
+  /// @param own what goes wrong for this caller alone.
+  async_http::Task<void> Answer(std::shared_ptr<async_http::Exchange> exchange,
+                                const StoreFaults& own);
   async_http::Task<void> Watch(async_http::Exchange& exchange,
-                               std::map<std::string, std::string> query);
+                               std::map<std::string, std::string> query, const StoreFaults& own);
   std::string ChangesAfter(std::uint64_t after, const std::string& prefix, bool* any) const;
   std::string Get(const std::string& key, unsigned* status) const;
   std::string Range(const std::string& prefix, const std::string& after) const;
   std::string Commit(const std::string& body, unsigned* status);
 
   async_http::asio::io_context& context_;
+  StoreFaults faults_;
   async_http::Server server_;
+  std::vector<std::unique_ptr<Door>> doors_;
   async_http::Signal changed_;
-  StoreFaults faults_;
   std::map<std::string, Record> records_;
   std::vector<Change> history_;
   std::uint64_t revision_ = 1;
--- a/tests/platform/system/store_outage_soak_test.cc
+++ b/tests/platform/system/store_outage_soak_test.cc
@@ -87,6 +87,7 @@
     absl::Time end = SteadyNow() + absl::Seconds(size_.seconds);
     Spawn(OutageLine(random_.NextId(), end));
     Spawn(GatewayLine(random_.NextId(), end));
+    Spawn(TurnedAwayLine(random_.NextId(), end));
     Spawn(OperatorLine(random_.NextId(), end));
     Spawn(RunnerLine(random_.NextId(), end));
     std::string report;
@@ -118,6 +119,10 @@
         absl::StrCat("127.", storage ? 75 : 76, ".", range_.number(), ".", number + 1);
     options.store_port = store_.port();
     options.grace_s = kGraceS;
+    if (!storage) {
+      doors_.push_back(&store_.OpenDoor());
+      options.store_port = doors_.back()->port();
+    }
     return std::make_unique<Machine>(std::move(options));
   }
 
@@ -377,6 +382,35 @@
     }
   }
 
+  /// The store refuses some gateways, perhaps all that watch it, and serves the others and the
+  /// operator: these are bound as ever.
+  Task<void> TurnedAwayLine(std::uint64_t seed, absl::Time end) {
+    Random random(seed);
+    static constexpr bool StoreFaults::*kRefusals[] = {&StoreFaults::reset, &StoreFaults::down,
+                                                       &StoreFaults::throttle};
+    while (SteadyNow() < end) {
+      co_await Pause(Draw(random, 1000, 9000));
+      bool StoreFaults::*refusal = kRefusals[random.Below(std::size(kRefusals))];
+      std::vector<std::size_t> some;
+      for (std::size_t number = 0; number < gateways_.size(); ++number) {
+        if (random.Below(3) != 0) {
+          some.push_back(number);
+        }
+      }
+      ++counts_["gateways turned away"];
+      for (std::size_t number : some) {
+        judge_.BeginTrouble(gateways_[number]->name(), SteadyNow());
+        doors_[number]->faults().*refusal = true;
+      }
+      store_.WakeWaiting();
+      co_await Pause(Draw(random, 500, 6000));
+      for (std::size_t number : some) {
+        doors_[number]->faults().*refusal = false;
+        judge_.EndTrouble(gateways_[number]->name(), SteadyNow());
+      }
+    }
+  }
+
   /// An operator's and a runner's writes wait while the store answers nobody.
   Task<void> WhenTheStoreAnswers() {
     while (faults_ > 0) {
@@ -467,6 +501,7 @@
   std::vector<std::unique_ptr<emulator::RunnerStandIn>> runners_;
   std::unique_ptr<Machine> ledger_;
   std::vector<std::unique_ptr<Machine>> gateways_;
+  std::vector<emulator::StoreStandIn::Door*> doors_;  // One a gateway.
   std::map<std::string, std::size_t> arrivals_;
   std::map<std::string, int> holding_;
   std::map<std::string, int> counts_;
