A watch that ends before its time without changes is followed after the usual pause

Change: the pause is left out only behind a watch that waited its time, or asked for an answer at once. Test: PrefixMirrorTest.StoreThatEndsWatchesEarly..., with the pause at most six calls a second.

--- a/emulator/platform/store_stand_in.cc
+++ b/emulator/platform/store_stand_in.cc
@@ -217,7 +217,7 @@
       break;
     }
     body = ChangesAfter(after, query["pathPrefix"], &any);
-    if (any || SteadyNow() >= end) {
+    if (any || faults_.hasty || SteadyNow() >= end) {
       break;
     }
     co_await changed_.Wait(end - SteadyNow());
--- a/emulator/platform/store_stand_in.h
+++ b/emulator/platform/store_stand_in.h
@@ -16,6 +16,7 @@
 struct StoreFaults {
   bool down = false;          ///< Answers 503 to everything.
   bool silent = false;        ///< Takes calls and never answers; watches that wait go on.
+  bool hasty = false;         ///< Ends watches at once, without changes.
   bool reset = false;         ///< Closes without an answer; nothing was done.
   bool lose_answers = false;  ///< Does what is asked and closes without an answer.
   bool throttle = false;      ///< 429.
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -178,7 +178,8 @@
   }
   EndCall();
   if (call->ended) {
-    if (call->brought_changes) {
+    bool early = SteadyNow() - call->began < call->wait;
+    if (call->brought_changes || early) {
       co_await async_http::Sleep(context_, options_.watch_spacing);
     }
     co_return call->done;
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -170,6 +170,18 @@
       << "it has learned how slow the store is";
 }
 
+TEST_F(PrefixMirrorTest, StoreThatEndsWatchesEarlyIsNotAskedWithoutPause) {
+  stand_in_.Put("p/a", "1");
+  stand_in_.faults().hasty = true;
+  stand_in_.faults().delay =
+      absl::Milliseconds(2);  // So that the loop of a test that fails ends its rounds.
+  mirror_->Start();
+  ASSERT_TRUE(RunUntil([&] { return client_->calls() >= 2; }));
+  std::uint64_t calls = client_->calls();
+  RunUntilFor([] { return false; }, absl::Seconds(1));
+  EXPECT_LE(client_->calls(), calls + 6) << "each 0.2 s";
+}
+
 TEST_F(PrefixMirrorTest, MirrorThatBeginsToWatchTellsAnewWhetherTheStoreAnswers) {
   int told = 0;
   PrefixMirror other(
