--- a/src/aggregation/member_view.cc
+++ b/src/aggregation/member_view.cc
@@ -149,7 +149,7 @@
 {
     const std::string& name = told.m_from.m_name;
     note_heard(now, name);
-    // Its word that contact is lost counts at once: until it was silent for long, a change may be due.
+    // A denial counts at once: others begin to watch only when nobody is taken to be in contact any more.
     if (told.m_in_contact)
     {
         m_told_contact[name] = now;
--- a/src/roles/store_watches.cc
+++ b/src/roles/store_watches.cc
@@ -5,8 +5,11 @@
 namespace martenyard::roles {
 namespace {
 
-/// A lost connection is no trouble that the bounds excuse for longer than this many of them.
+/// A machine whose connection was lost counts as in trouble for a while. So a lost watch may be
+/// found out later than a change must be known: within one and a half times that bound.
 constexpr double kBoundsToFindOut = 1.5;
+/// A machine is given some nine seconds to be emptied; a call each five costs each storage machine
+/// twelve a minute.
 constexpr absl::Duration kOperatorWait = absl::Seconds(5);
 
 }  // namespace
