waited_ms is the wait of the call that told, and a reading beside a watch does not stop the watch's clock

Cause (own change, found by reading it again): since watches run beside their mirror, the handler of a loss or return ran before the call's end was noted, so store_lost and store_regained named the previous call's wait (0.4 ms for one of 700 ms in the test); and Refresh, another call of the same mirror, reset the time of the watch that still waited. Change: the call that tells brings its beginning; only the loop that waits sets the clock. Test: PrefixMirrorTest.WaitThatIsTold..., which failed before. Decisions and calls are as before.

--- a/src/roles/store_contact.cc
+++ b/src/roles/contact_line.cc
@@ -1,4 +1,4 @@
-#include "roles/store_contact.h"
+#include "roles/contact_line.h"
 
 namespace martenyard::roles {
 namespace {
--- a/src/roles/ledger/machine_emptying.cc
+++ b/src/roles/ledger/machine_emptying.cc
@@ -6,8 +6,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
+#include "roles/contact_line.h"
 #include "roles/directory_keys.h"
-#include "roles/store_contact.h"
 #include "roles/store_watches.h"
 
 namespace martenyard::roles
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -9,7 +9,7 @@
 #include "absl/strings/strip.h"
 #include "base/clock.h"
 #include "base/random.h"
-#include "roles/store_contact.h"
+#include "roles/contact_line.h"
 #include "roles/store_watches.h"
 #include "wire/codec.h"
 
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -65,13 +65,6 @@
   return call_began_ ? std::make_optional(SteadyNow() - *call_began_) : std::nullopt;
 }
 
-void PrefixMirror::BeginCall() { call_began_ = SteadyNow(); }
-
-void PrefixMirror::EndCall() {
-  last_wait_ = SteadyNow() - call_began_.value_or(SteadyNow());
-  call_began_.reset();
-}
-
 void PrefixMirror::SetWatching(bool watching) {
   if (watching && !watching_) {
     asked_ = false;
@@ -112,12 +105,14 @@
       continue;
     }
     absl::Time began = SteadyNow();
+    call_began_ = began;
     bool done = false;
     if (complete_) {
       done = co_await WatchOnce();
     } else {
       done = co_await ReadAll();
     }
+    call_began_.reset();
     if (done) {
       backoff_ = kFirstBackoff;
       continue;
@@ -132,12 +127,10 @@
 }
 
 Task<bool> PrefixMirror::ReadAll() {
-  BeginCall();
   absl::Time began = SteadyNow();
   ReadAnswer answer = co_await store_.Range(prefix_);
-  EndCall();
   NoteEnd(began, answer.status);
-  NoteContact(answer.status == StoreStatus::kDone, answer.status);
+  NoteContact(began, answer.status == StoreStatus::kDone, answer.status);
   if (answer.status != StoreStatus::kDone) {
     co_return false;
   }
@@ -171,12 +164,11 @@
   call->wait = reachable_ ? options_.watch_patience : absl::ZeroDuration();
   std::uint64_t returns = store_.contact().returns();
   absl::Time end = call->began + call->wait + answer_patience_.limit();
-  BeginCall();
   async_http::asio::co_spawn(context_, RunWatch(call), async_http::asio::detached);
   while (!call->ended && !IsInDoubt(*call, returns) && SteadyNow() < end) {
     co_await woken_.Wait(end - SteadyNow());
   }
-  EndCall();
+  call_began_.reset();
   if (call->ended) {
     bool early = SteadyNow() - call->began < call->wait;
     if (call->brought_changes || early) {
@@ -191,7 +183,7 @@
   }
   answer_patience_.NoteSilence();
   store_.contact().NoteSilence(call->began);
-  NoteContact(false, StoreStatus::kUnknown);
+  NoteContact(call->began, false, StoreStatus::kUnknown);
   co_return false;
 }
 
@@ -222,7 +214,7 @@
     complete_ = !watching_;
     return true;
   }
-  NoteContact(answer.status == StoreStatus::kDone, answer.status);
+  NoteContact(call.began, answer.status == StoreStatus::kDone, answer.status);
   if (answer.status != StoreStatus::kDone) {
     return false;
   }
@@ -332,7 +324,8 @@
   revision_ = std::max(revision_, delta.m_last_change);
 }
 
-void PrefixMirror::NoteContact(bool reachable, StoreStatus status) {
+void PrefixMirror::NoteContact(absl::Time began, bool reachable, StoreStatus status) {
+  last_wait_ = SteadyNow() - began;
   if (!asked_ || reachable != reachable_) {
     asked_ = true;
     reachable_ = reachable;
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -57,9 +57,8 @@
   absl::Duration Staleness() const;
   /// @return for how long the call under way has waited; nothing while none is.
   std::optional<absl::Duration> Waiting() const;
-  /// @return how long the last call waited until it ended.
+  /// @return how long the call waited that told last of the store; for contact handlers.
   absl::Duration last_wait() const { return last_wait_; }
-  bool paused() const { return paused_; }
   /// True while the store answered last.
   bool reachable() const { return reachable_; }
   /// A mirror that doesn't watch lives by what its peers tell; a watch under way goes on.
@@ -99,9 +98,8 @@
   void PruneRemovals();
   /// What a call's end tells of the way to the store.
   void NoteEnd(absl::Time began, StoreStatus status);
-  void BeginCall();
-  void EndCall();
-  void NoteContact(bool reachable, StoreStatus status);
+  /// @param began when the call was made that told.
+  void NoteContact(absl::Time began, bool reachable, StoreStatus status);
   void NoteChange(Revision revision) { last_change_ = std::max(last_change_, revision); }
 
   async_http::asio::io_context& context_;
@@ -126,7 +124,7 @@
   bool asked_ = false;  ///< Once, with an answer or none.
   bool reachable_ = false;
   absl::Time confirmed_ = absl::InfinitePast();
-  std::optional<absl::Time> call_began_;
+  std::optional<absl::Time> call_began_;  ///< Of the one that is waited for.
   absl::Duration last_wait_ = absl::ZeroDuration();
   absl::Duration backoff_;
 };
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -170,6 +170,24 @@
       << "it has learned how slow the store is";
 }
 
+TEST_F(PrefixMirrorTest, WaitThatIsToldIsThatOfTheCallThatTold) {
+  std::vector<absl::Duration> waits;
+  std::unique_ptr<PrefixMirror> other;
+  other = std::make_unique<PrefixMirror>(
+      loop_.context(), *client_, "p/", [](const StoreChange&) {},
+      [&](bool, StoreStatus) { waits.push_back(other->last_wait()); });
+  other->Start();
+  ASSERT_TRUE(RunUntil([&] { return client_->calls() >= 2; }))
+      << "a reading and a watch that waits";
+  RunUntilFor([] { return false; }, absl::Milliseconds(600));
+  other->Refresh();  // Another call of this mirror, beside the watch.
+  RunUntilFor([] { return false; }, absl::Milliseconds(100));
+  EXPECT_GE(other->Waiting().value_or(absl::ZeroDuration()), absl::Milliseconds(600));
+  stand_in_.ResetWaiting();
+  ASSERT_TRUE(RunUntil([&] { return waits.size() >= 2; }));
+  EXPECT_GE(waits[1], absl::Milliseconds(600)) << "the watch's, not an earlier call's";
+}
+
 TEST_F(PrefixMirrorTest, StoreThatEndsWatchesEarlyIsNotAskedWithoutPause) {
   stand_in_.Put("p/a", "1");
   stand_in_.faults().hasty = true;
