Storage machines keep what gateways go by on their disks and tell it to processes that know nobody

Cause: gateways have no disk and learned configuration, runners, the ledger's machines and each other from the store or a gateway. When all start while the store is away, nobody knows anything; three machines with disks stood by. Change: the gateway that speaks for its zone tells the zone's storage machines which changes it knows; they ask for what they lack and write it, half a second apart at least, whole after any loss of power. The ledger role serves the control plane, so that every process finds three storage machines as seeds; a gateway that lacks its slots' records, or everything, asks one of them in turn after 0.15 s, a storage machine without peers greets them. Copies carry the store's revisions: newer ones replace them, nothing goes back, unknown routes stay 503 until the store confirms.

--- a/src/aggregation/slots.cc
+++ b/src/aggregation/slots.cc
@@ -45,6 +45,26 @@
     return holders;
 }
 
+std::string teller_zone(const slot_table& table, const std::string& machine, const std::string& zone)
+{
+    if (!holders_of(table, zone).empty())
+    {
+        return zone;
+    }
+    std::string chosen;
+    std::uint64_t highest = 0;
+    for (const auto& [other, slots] : table)
+    {
+        std::uint64_t rank = StableHash(other, StableHash(machine));
+        if (!holders_of(table, other).empty() && (chosen.empty() || rank > highest))
+        {
+            chosen = other;
+            highest = rank;
+        }
+    }
+    return chosen;
+}
+
 slot_claims::slot_claims(contact self, double processor_share, const slot_options& options)
     : m_self(std::move(self)), m_processor_share(processor_share), m_options(options)
 {
--- a/src/aggregation/slots.h
+++ b/src/aggregation/slots.h
@@ -49,6 +49,10 @@
 /// @return a zone's aggregators, in the order of their slots
 std::vector<contact> holders_of(const slot_table& table, const std::string& zone);
 
+/// @return the zone whose gateways tell a storage machine what the store has: its own, or where no gateway
+///         holds a slot there, one of the others; empty if there is none
+std::string teller_zone(const slot_table& table, const std::string& machine, const std::string& zone);
+
 /// @param[in] hears  whether an aggregator was heard lately
 /// @return the zone's first aggregator that is heard, or `self` if none before it is: it watches the store
 ///         and exchanges sums with other zones for the zone
--- /dev/null
+++ b/src/roles/exchange/news_sender.h
@@ -0,0 +1,55 @@
+// Sends peers what the copies of the store's keys here have and theirs lack.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "aggregation/messages.h"
+#include "store/prefix_mirror.h"
+#include "turn_ledger/messages.h"
+#include "wire/transport.h"
+
+namespace martenyard::roles
+{
+
+/// the copies that processes tell each other of, in the order of aggregation::known_changes
+using followed_copies = std::array<store::PrefixMirror*, aggregation::mirror_count>;
+
+/// @return the revision of the last change known of each copy
+aggregation::known_changes last_changes(const followed_copies& copies);
+
+/// @brief on the loop's thread only
+class news_sender
+{
+  public:
+    /// @param[in] self  what peers are told the news come from
+    /// All references must outlive the sender.
+    news_sender(wire::Transport& transport, const followed_copies& copies,
+                std::function<turn_ledger::Machine()> self);
+
+    /// @brief sends what changed after `since`; nothing while the peer has not taken what was sent before,
+    ///        since it asks again
+    /// @param[in] copy  a valid index
+    void send(const wire::Endpoint& to, std::size_t copy, std::uint64_t since);
+
+  private:
+    wire::Transport& m_transport;
+    followed_copies m_copies;
+    std::function<turn_ledger::Machine()> m_self;
+
+    /// the last changes sent, encoded: many peers lack the same
+    struct encoded_changes
+    {
+        std::size_t m_copy = 0;
+        std::uint64_t m_since = 0;
+        std::uint64_t m_until = 0;
+        std::string m_frame;
+    };
+    std::optional<encoded_changes> m_encoded;
+};
+
+}  // namespace martenyard::roles
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -79,6 +79,11 @@
       m_log(log),
       m_options(options),
       m_mirrors{&mirrors.m_configuration, &mirrors.m_runners, &mirrors.m_ledger, &mirrors.m_aggregators},
+      m_sender(transport, m_mirrors,
+               [this]
+               {
+                   return machine();
+               }),
       m_registry(context, store, settings, log),
       m_news(state.random.NextId()),
       m_lease(
@@ -124,12 +129,7 @@
 
 aggregation::known_changes zone_exchange::changes() const
 {
-    aggregation::known_changes known{};
-    for (std::size_t mirror = 0; mirror < m_mirrors.size(); ++mirror)
-    {
-        known[mirror] = m_mirrors[mirror]->last_change();
-    }
-    return known;
+    return last_changes(m_mirrors);
 }
 
 bool zone_exchange::in_contact() const
@@ -306,7 +306,7 @@
 {
     if (request.m_mirror < m_mirrors.size())
     {
-        send_changes({request.m_address, request.m_port}, request.m_mirror, request.m_last_change);
+        m_sender.send({request.m_address, request.m_port}, request.m_mirror, request.m_last_change);
     }
 }
 
@@ -448,12 +448,14 @@
         send_introductions(now);
         send_summary(now);
         push_news(now);
+        tell_storage(now);
         if (speaks_for_zone(now))
         {
             m_registry.write_missing(now, *m_sums);
         }
     }
     ask_for_news(now);
+    ask_storage(now);
     confirm_configuration();
     forget_old_loads(now);
     m_state.gateways = std::max<std::uint32_t>(1, m_view->gateways());
@@ -492,9 +494,14 @@
     return now - m_began < patience && (!slots_known || somebody_may_push);
 }
 
+bool zone_exchange::reads_everything(instant now) const
+{
+    return aggregates() || m_watching || !waits_for_push(now);
+}
+
 void zone_exchange::judge_reading(instant now)
 {
-    bool reads = aggregates() || m_watching || !waits_for_push(now);
+    bool reads = reads_everything(now);
     // One question at a time while the store is away: the configuration's.
     bool store_is_away = !m_store_answers.value_or(true);
     for (std::size_t mirror = 0; mirror + 1 < m_mirrors.size(); ++mirror)
@@ -661,7 +668,7 @@
          m_news.take_due_pushes(now, changes(), *m_sums, aggregation::holders_of(m_slots, m_settings.zone)))
     {
         ++m_stats.m_news_pushed;
-        send_changes(push.m_to, push.m_mirror, push.m_since);
+        m_sender.send(push.m_to, push.m_mirror, push.m_since);
     }
 }
 
@@ -682,22 +689,67 @@
     }
 }
 
-void zone_exchange::send_changes(const wire::Endpoint& to, std::size_t mirror, std::uint64_t since)
+void zone_exchange::set_storage(std::vector<turn_ledger::Machine> machines)
+{
+    m_storage = std::move(machines);
+}
+
+std::vector<wire::Endpoint> zone_exchange::storage_told_here() const
+{
+    std::vector<wire::Endpoint> told;
+    for (const turn_ledger::Machine& machine : m_storage)
+    {
+        if (aggregation::teller_zone(m_slots, machine.name, machine.zone.value) == m_settings.zone)
+        {
+            told.push_back(machine.endpoint);
+        }
+    }
+    return told;
+}
+
+void zone_exchange::tell_storage(instant now)
+{
+    bool due = changes() != m_told_storage || now - m_storage_told_at >= m_options.m_tell_storage_interval;
+    if (!due || !speaks_for_zone(now))
+    {
+        return;
+    }
+    m_told_storage = changes();
+    m_storage_told_at = now;
+    digest told;
+    told.m_from = self();
+    told.m_changes = m_told_storage;
+    send_all(storage_told_here(), wire::Encode(datagram(std::move(told))), m_stats.m_digests_sent);
+}
+
+void zone_exchange::ask_storage(instant now)
 {
-    if (m_transport.Unsent(to) > 0)
+    bool due = now - m_began >= m_options.m_ask_storage_after &&
+               now - m_storage_asked_at >= m_options.m_ask_storage_again;
+    if (!due || m_settings.first_start || m_settings.seeds.empty())
     {
-        return;  // It has not taken the last ones yet, and will ask again.
+        return;
+    }
+    const wire::Endpoint& seed = m_settings.seeds[m_next_seed % m_settings.seeds.size()];
+    bool asked = false;
+    for (std::size_t mirror = 0; mirror < m_mirrors.size(); ++mirror)
+    {
+        // Everything goes to few: the zone's aggregators tell the others.
+        bool wanted = mirror + 1 == m_mirrors.size() || reads_everything(now);
+        if (wanted && !m_mirrors[mirror]->complete())
+        {
+            asked = true;
+            store::news_request request{static_cast<std::uint8_t>(mirror), m_mirrors[mirror]->last_change(),
+                                        m_settings.address, m_settings.internal_port};
+            send(seed, wire::Encode(datagram(request)));
+        }
     }
-    std::uint64_t until = m_mirrors[mirror]->last_change();
-    bool encoded = m_encoded && m_encoded->m_mirror == mirror && m_encoded->m_since == since &&
-                   m_encoded->m_until == until;
-    if (!encoded)
+    if (asked)
     {
-        store::news_reply reply{static_cast<std::uint8_t>(mirror), m_mirrors[mirror]->ChangesSince(since)};
-        m_encoded = encoded_changes{mirror, since, until,
-                                    wire::Encode(turn_ledger::Envelope{machine(), std::move(reply)})};
+        m_storage_asked_at = now;
+        ++m_next_seed;
+        ++m_stats.m_news_asked;
     }
-    m_transport.SendFrame(to, m_encoded->m_frame);
 }
 
 void zone_exchange::send(const wire::Endpoint& to, const std::string& payload)
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -27,6 +27,7 @@
 #include "forwarding/gateway_state.h"
 #include "roles/exchange/lease_keeper.h"
 #include "roles/exchange/member_registry.h"
+#include "roles/exchange/news_sender.h"
 #include "roles/role_settings.h"
 #include "store/metadata_store.h"
 #include "store/prefix_mirror.h"
@@ -70,6 +71,13 @@
     /// reads the store by itself. When the whole system starts, the slots must be taken first
     std::chrono::milliseconds m_read_after{400};
     std::chrono::milliseconds m_first_read_after{2500};
+    /// a gateway that has just started asks a storage machine after this time for what nobody told it yet:
+    /// a store that answers does so sooner
+    std::chrono::milliseconds m_ask_storage_after{150};
+    /// and another one each time this has passed
+    std::chrono::milliseconds m_ask_storage_again{200};
+    /// storage machines are told which changes are known so often, and at each change
+    std::chrono::milliseconds m_tell_storage_interval{1000};
 };
 
 /// @brief counters since the start, for the metrics address
@@ -101,6 +109,9 @@
     /// @brief the slots' records changed
     void on_slots_change();
 
+    /// @brief the storage machines, as the ledger's directory names them
+    void set_storage(std::vector<turn_ledger::Machine> machines);
+
     /// @brief a datagram came
     void on_datagram(const std::string& payload);
 
@@ -189,7 +200,12 @@
     void relay_summary(instant now);
     void push_news(instant now);
     void ask_for_news(instant now);
-    void send_changes(const wire::Endpoint& to, std::size_t mirror, std::uint64_t since);
+    /// the storage machines of this zone, and of zones without gateways those that fall to this one
+    std::vector<wire::Endpoint> storage_told_here() const;
+    void tell_storage(instant now);
+    /// @brief asks a storage machine for what this process lacks since its start
+    void ask_storage(instant now);
+    bool reads_everything(instant now) const;
     void apply(instant now, const std::vector<aggregation::runner_load>& others,
                const std::vector<aggregation::placement>& placements);
     void forget_old_loads(instant now);
@@ -206,7 +222,8 @@
     forwarding::GatewayState& m_state;
     event_log::EventLog& m_log;
     exchange_options m_options;
-    std::array<store::PrefixMirror*, aggregation::mirror_count> m_mirrors;
+    followed_copies m_mirrors;
+    news_sender m_sender;
     member_registry m_registry;
 
     aggregation::slot_table m_slots;
@@ -234,16 +251,11 @@
     instant m_introduced_at;
     aggregation::watch_decision m_watch;
     std::optional<instant> m_digest_taken;
-
-    /// the last changes sent, encoded: many gateways lack the same
-    struct encoded_changes
-    {
-        std::size_t m_mirror = 0;
-        std::uint64_t m_since = 0;
-        std::uint64_t m_until = 0;
-        std::string m_frame;
-    };
-    std::optional<encoded_changes> m_encoded;
+    std::vector<turn_ledger::Machine> m_storage;
+    aggregation::known_changes m_told_storage{};
+    instant m_storage_told_at;
+    instant m_storage_asked_at;
+    std::size_t m_next_seed = 0;
     exchange_stats m_stats;
 };
 
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -328,6 +328,7 @@
   log_.Write(Line("ledger_directory_changed")
                  .Number("machines", static_cast<std::int64_t>(machines.size())));
   SetLedgerGroups(machines);
+  exchange_.set_storage(std::move(machines));
 }
 
 void GatewayRole::SetLedgerGroups(const std::vector<Machine>& machines) {
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -119,7 +119,8 @@
       log_(log),
       open_log_store_(std::move(open_log_store)),
       transport_(
-          loop, [this](const std::string& payload) { OnFrame(payload); }, [](const std::string&) {},
+          loop, [this](const std::string& payload) { OnFrame(payload); },
+          [this](const std::string& payload) { copies_.on_datagram(payload); },
           [this](const wire::Endpoint& peer, absl::Time) { OnDead(peer); }),
       directory_(
           loop.context(), store, kLedgerPrefix,
@@ -133,6 +134,9 @@
           loop.context(), settings, formats, store, directory_, founders_, log,
           [this](GroupId group) { return Find(group); },
           [this](const std::vector<std::string>& machines) { OnRetiring(machines); }),
+      copies_(
+          loop.context(), settings_, formats, store, transport_, directory_,
+          [this] { return Self(); }, log),
       peers_(settings.data_folder + "/" + kPeersFile, log),
       ticker_(loop, kTick, log, [this](absl::Time now) { Tick(now); }),
       memory_(settings.memory_bytes),
@@ -143,6 +147,7 @@
   settings_.internal_port = bound.port;
   transport_.LimitUnsent(settings_.memory_bytes / kMemoryShareForFrames);
   OpenDisk();
+  copies_.start();
   directory_.Start();
   emptying_.start();
   async_http::asio::co_spawn(loop_.context(), Register(), async_http::asio::detached);
@@ -437,6 +442,7 @@
       break;
     }
   }
+  copies_.tick();
   if (now >= next_hello_) {
     next_hello_ = now + HelloPause();
     SayHello();
@@ -554,6 +560,8 @@
     work_.timed(work_kind::chain_reads, [&] { OnChainRequest(envelope->from.endpoint, *read); });
   } else if (const auto* hello = std::get_if<turn_ledger::Hello>(&envelope->body)) {
     OnHello(*hello);
+  } else if (const auto* news = std::get_if<store::news_reply>(&envelope->body)) {
+    copies_.on_news(*news);
   }
 }
 
@@ -670,6 +678,12 @@
   for (const auto& [name, machine] : peers_.machines()) {
     SendTo(machine.endpoint, hello);
   }
+  if (peers_.machines().empty()) {
+    // A machine with a new disk, while the store that would name the others is away.
+    for (const wire::Endpoint& seed : settings_.seeds) {
+      SendTo(seed, hello);
+    }
+  }
 }
 
 void LedgerRole::OnDead(const wire::Endpoint& peer) {
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -13,6 +13,7 @@
 #include "event_log/event_log.h"
 #include "roles/directory_keys.h"
 #include "roles/ledger/founders_record.h"
+#include "roles/ledger/kept_copies.h"
 #include "roles/ledger/machine_emptying.h"
 #include "roles/ledger/work_account.h"
 #include "roles/memory/memory_guard.h"
@@ -118,6 +119,7 @@
   store::PrefixMirror directory_;
   founders_record founders_;
   machine_emptying emptying_;
+  kept_copies copies_;
   PeerBook peers_;
   Ticker ticker_;
 
--- a/src/roles/peer_book.cc
+++ b/src/roles/peer_book.cc
@@ -1,47 +1,16 @@
 #include "roles/peer_book.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <cerrno>
-#include <cstring>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
+#include <optional>
 #include <utility>
 #include <vector>
 
-#include "absl/strings/str_cat.h"
+#include "storage/small_file.h"
 #include "wire/codec.h"
 
 namespace martenyard::roles {
 
 using turn_ledger::Machine;
 
-namespace {
-
-/// Replaces a small file so that it is whole after any loss of power: the old one or the new.
-/// @return what failed, or nothing.
-std::string ReplaceFile(const std::string& path, const std::string& bytes) {
-  std::string fresh = path + ".new";
-  int file = open(fresh.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0644);
-  if (file < 0) {
-    return absl::StrCat("cannot create ", fresh, ": ", std::strerror(errno));
-  }
-  ssize_t count = write(file, bytes.data(), bytes.size());
-  bool written = count == static_cast<ssize_t>(bytes.size()) && fdatasync(file) == 0;
-  int failure = errno;
-  close(file);
-  if (!written) {
-    return absl::StrCat("cannot write ", fresh, ": ", std::strerror(failure));
-  }
-  std::error_code error;
-  std::filesystem::rename(fresh, path, error);
-  return error ? absl::StrCat("cannot replace ", path, ": ", error.message()) : "";
-}
-
-}  // namespace
-
 PeerBook::PeerBook(std::string path, event_log::EventLog& log) : path_(std::move(path)), log_(log) {
   Load();
 }
@@ -66,18 +35,18 @@
 }
 
 void PeerBook::Load() {
-  std::ifstream file(path_, std::ios::binary);
-  if (!file) {
+  std::optional<std::string> bytes = storage::ReadSmallFile(path_);
+  if (!bytes) {
     return;  // The first start on this disk.
   }
-  std::stringstream bytes;
-  bytes << file.rdbuf();
-  auto machines = wire::Decode<std::vector<Machine>>(bytes.str());
+  auto machines = wire::Decode<std::vector<Machine>>(*bytes);
   if (!machines) {
     log_.Write(event_log::Line("peer_book_unreadable")
-                   .Number("bytes", static_cast<std::int64_t>(bytes.str().size())));
+                   .Number("bytes", static_cast<std::int64_t>(bytes->size())));
     return;
   }
+  log_.Write(event_log::Line("peer_book_read")
+                 .Number("machines", static_cast<std::int64_t>(machines->size())));
   for (Machine& machine : *machines) {
     std::string name = machine.name;
     names_[machine.identity] = name;
@@ -90,7 +59,7 @@
   for (const auto& [name, machine] : machines_) {
     machines.push_back(machine);
   }
-  std::string failure = ReplaceFile(path_, wire::Encode(machines));
+  std::string failure = storage::ReplaceFile(path_, wire::Encode(machines));
   if (!failure.empty()) {
     log_.Write(event_log::Line("peer_book_unsaved").Text("detail", failure));
   }
--- a/src/storage/durable_mark.cc
+++ b/src/storage/durable_mark.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/match.h"
+#include "base/big_endian.h"
 #include "base/hash.h"
 
 namespace martenyard::storage {
@@ -20,22 +21,6 @@
 constexpr char kMarkedFile[] = "/DURABLE_MARKS";
 constexpr std::size_t kMarkBytes = kMagicBytes + 2 * kNumberBytes;
 
-std::string NumberText(std::uint64_t value) {
-  std::string text;
-  for (int shift = 56; shift >= 0; shift -= 8) {
-    text.push_back(static_cast<char>((value >> static_cast<unsigned>(shift)) & 0xFFU));
-  }
-  return text;
-}
-
-std::uint64_t ReadNumber(const std::string& text, std::size_t at) {
-  std::uint64_t value = 0;
-  for (std::size_t index = at; index < at + kNumberBytes; ++index) {
-    value = (value << 8U) | static_cast<unsigned char>(text[index]);
-  }
-  return value;
-}
-
 /// @return the paths of the write-ahead logs; none if the folder can't be listed.
 std::vector<std::string> WriteAheadLogs(rocksdb::Env& files, const std::string& folder) {
   std::vector<std::string> names;
@@ -51,6 +36,16 @@
   return logs;
 }
 
+std::optional<std::uint64_t> ReadDurableMark(const std::string& mark) {
+  if (mark.size() < kMarkBytes) {
+    return std::nullopt;
+  }
+  std::string number = mark.substr(kMagicBytes, kNumberBytes);
+  std::string checksum = BigEndian(StableHash(number), kNumberBytes);
+  bool whole = mark.compare(kMagicBytes + kNumberBytes, kNumberBytes, checksum) == 0;
+  return whole ? std::make_optional(FromBigEndian(number)) : std::nullopt;
+}
+
 rocksdb::Status SyncFolder(rocksdb::Env& files, const std::string& folder) {
   std::unique_ptr<rocksdb::FSDirectory> directory;
   rocksdb::IOStatus status =
@@ -61,8 +56,8 @@
 }  // namespace
 
 std::string WriteDurableMark(std::uint64_t durable) {
-  std::string number = NumberText(durable);
-  return std::string(kMagic, kMagicBytes) + number + NumberText(StableHash(number));
+  std::string number = BigEndian(durable, kNumberBytes);
+  return std::string(kMagic, kMagicBytes) + number + BigEndian(StableHash(number), kNumberBytes);
 }
 
 std::optional<std::uint64_t> LastDurableMark(rocksdb::Env& files, const std::string& folder) {
@@ -78,11 +73,10 @@
     }
     for (std::size_t at = text.find(magic); at != std::string::npos;
          at = text.find(magic, at + 1)) {
-      bool whole = text.size() - at >= kMarkBytes;
-      std::string number = text.substr(at + kMagicBytes, kNumberBytes);
+      std::string mark = text.substr(at, kMarkBytes);
       // One that the log's blocks cut in two is passed over: the next one says as much and more.
-      if (whole && ReadNumber(text, at + kMagicBytes + kNumberBytes) == StableHash(number)) {
-        last = std::max(last, ReadNumber(text, at + kMagicBytes));
+      if (std::optional<std::uint64_t> durable = ReadDurableMark(mark)) {
+        last = std::max(last, *durable);
       }
     }
   }
--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -22,16 +22,18 @@
 #include <map>
 #include <utility>
 
-#include "base/hash.h"
+#include "base/big_endian.h"
 #include "storage/durable_mark.h"
 #include "storage/log_store.h"
-#include "wire/codec.h"
+#include "wire/sealed.h"
 
 namespace martenyard::storage {
 namespace {
 
+using wire::Seal;
+using wire::Unseal;
+
 constexpr char kIdentityKey[] = "identity";
-constexpr std::size_t kChecksumBytes = 8;
 constexpr std::size_t kWriteBufferBytes = std::size_t{1} << 20;
 /// Recent texts are read from the write buffer; older ones are read once or twice in their lives.
 constexpr std::size_t kBlockCacheBytes = std::size_t{512} << 10;
@@ -67,22 +69,6 @@
   }
 };
 
-std::string BigEndian(std::uint64_t value, int bytes) {
-  std::string text;
-  for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
-    text.push_back(static_cast<char>((value >> static_cast<unsigned>(shift)) & 0xFFU));
-  }
-  return text;
-}
-
-std::uint64_t FromBigEndian(std::string_view text) {
-  std::uint64_t value = 0;
-  for (char byte : text) {
-    value = (value << 8U) | static_cast<unsigned char>(byte);
-  }
-  return value;
-}
-
 std::string GroupKey(char kind, GroupId group) {
   return std::string(1, kind) + BigEndian(group.value, 4);
 }
@@ -99,25 +85,6 @@
   return GroupKey('p', group) + BigEndian(generation, 8) + BigEndian(part, 8);
 }
 
-/// A value with a checksum in front, so that damage is found here and not served.
-template <typename Value>
-std::string Seal(const Value& value) {
-  std::string bytes = wire::Encode(value);
-  return BigEndian(StableHash(bytes), kChecksumBytes) + bytes;
-}
-
-template <typename Value>
-std::optional<Value> Unseal(std::string_view sealed) {
-  if (sealed.size() < kChecksumBytes) {
-    return std::nullopt;
-  }
-  std::string bytes(sealed.substr(kChecksumBytes));
-  if (FromBigEndian(sealed.substr(0, kChecksumBytes)) != StableHash(bytes)) {
-    return std::nullopt;
-  }
-  return wire::Decode<Value>(bytes);
-}
-
 leaf::error_id Damaged(const std::string& detail) {
   return leaf::new_error(StorageError{StorageError::Code::kDamaged, detail});
 }
--- a/tests/platform/recovery_contract_test.cc
+++ b/tests/platform/recovery_contract_test.cc
@@ -108,5 +108,61 @@
   }
 }
 
+TEST(RecoveryContractTest, KeptCopiesYieldToTheStoreAndNothingGoesBack) {
+  RestartedDeployment deployment;
+  deployment.Live(3);
+  PlatformWorld world({}, deployment.remains());
+  // As many changes as before, and another one: the store's revisions only grow.
+  for (int change = 0; change < 50; ++change) {
+    world.ListRunner(world.a(), "near");
+  }
+  world.ListRunner(world.b(), "far", "draining");
+  world.store().Put("op/config", StandardConfiguration(9));
+  world.store().faults().silent = true;
+  world.StartRoles();
+  ASSERT_TRUE(RestartedDeployment::Within(world, kRecoveryBound, [&] { return Serves(world); }))
+      << world.Log();
+  EXPECT_EQ(VersionOf(world), 3);
+  world.store().faults().silent = false;
+  EXPECT_TRUE(RestartedDeployment::Within(world, kRecoveryBound, [&] {
+    return VersionOf(world) == 9;
+  })) << world.Log();
+  auto leaves = [&] {
+    auto* far = world.gateway().state().runners.Find(discovery::RunnerId(world.b().id()));
+    return far != nullptr && far->runner.draining;
+  };
+  EXPECT_TRUE(RestartedDeployment::Within(world, kRecoveryBound, leaves)) << world.Log();
+  RestartedDeployment::Run(world, absl::Seconds(1));
+  EXPECT_EQ(VersionOf(world), 9);
+  EXPECT_FALSE(absl::StrContains(world.Log(), "configuration_older")) << world.Log();
+}
+
+TEST(RecoveryContractTest, DamagedCopiesAreToldAndNothingIsWorseThanWithout) {
+  RestartedDeployment deployment;
+  deployment.Live(2);
+  int files = 0;
+  for (const auto& file : std::filesystem::directory_iterator(deployment.remains().data_folder)) {
+    if (file.is_regular_file() && absl::StrContains(file.path().string(), "copy-")) {
+      std::filesystem::resize_file(file.path(), file.file_size() / 2);
+      ++files;
+    }
+  }
+  EXPECT_EQ(files, 4);
+  PlatformWorld world({}, deployment.remains());
+  world.store().faults().silent = true;
+  world.StartRoles();
+  EXPECT_FALSE(
+      RestartedDeployment::Within(world, absl::Seconds(1), [&] { return VersionOf(world) != 0; }));
+  EXPECT_TRUE(absl::StrContains(world.Log(), "kept_copy_unreadable")) << world.Log();
+  ClientAnswer refusal = world.Ask({});
+  EXPECT_EQ(refusal.status, 503U);
+  EXPECT_TRUE(refusal.headers.contains("retry-after"));
+  world.store().faults().silent = false;
+  world.ListRunner(world.a(), "near");
+  world.ListRunner(world.b(), "far");
+  world.Configure();
+  EXPECT_TRUE(world.RunUntil([&] { return VersionOf(world) == 1; })) << "the store is asked";
+}
+
 }  // namespace
 }  // namespace martenyard::testing
--- a/tests/roles/peer_book_test.cc
+++ b/tests/roles/peer_book_test.cc
@@ -60,7 +60,8 @@
   ASSERT_NE(book.Find(NodeId(3)), nullptr);
   EXPECT_EQ(book.Find(NodeId(3))->name, "a");
   EXPECT_EQ(book.Find(NodeId(1)), nullptr) << "an identity that is gone";
-  EXPECT_EQ(Log(), "");
+  EXPECT_NE(Log().find("\"event\":\"peer_book_read\",\"machines\":2"), std::string::npos);
+  EXPECT_EQ(Log().find("peer_book_un"), std::string::npos);
 }
 
 TEST_F(PeerBookTest, TornFileIsAnEmptyBookAndIsTold) {
