Tests that fail: a runner that has started again under its id is taken for the one before

Cause: runners now may start again under their id and tell the moment; no code reads it. What was seen of the earlier life holds on: avoidance, losses, being full, kept prompts, resting connections. Ruled out: the order counter, which begins anew as well: nothing reads it. The tests of the adapter had entries with missing fields, which no runner writes: replaced by whole ones. Conclusion: to be read in the adapter, and forgotten in the table, the index of prompts and the pool.

--- a/emulator/platform/main.cc
+++ b/emulator/platform/main.cc
@@ -7,7 +7,6 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
-#include "absl/strings/str_cat.h"
 #include "emulator/platform/runner_stand_in.h"
 #include "emulator/platform/store_stand_in.h"
 #include "wire/event_loop.h"
@@ -38,8 +37,8 @@
   store.Listen(absl::GetFlag(FLAGS_store_port));
   for (const auto* runner : {&first, &second}) {
     store.Put("servers/" + runner->id(),
-              absl::StrCat(R"({"service":"models","address":"127.0.0.1:)", runner->port(),
-                           R"(","zone":"z1","slots":8,"state":"ready"})"));
+              martenyard::emulator::RunnerEntry(
+                  {.port = runner->port(), .zone = "z1", .service = "models"}));
   }
   store.Put("op/config", kConfiguration);
   boost::asio::signal_set signals(loop.context(), SIGTERM, SIGINT);
--- a/emulator/platform/runner_stand_in.cc
+++ b/emulator/platform/runner_stand_in.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -60,6 +61,18 @@
 
 }  // namespace
 
+std::string RunnerEntry(const RunnerListing& listing) {
+  nlohmann::json entry = {
+      {"service", listing.service}, {"address", absl::StrCat("127.0.0.1:", listing.port)},
+      {"zone", listing.zone},       {"version", "v1"},
+      {"slots", listing.slots},     {"state", listing.state},
+      {"coldRemainingMs", 0},       {"sequence", 1}};
+  if (listing.born > 0) {
+    entry["born"] = listing.born;
+  }
+  return entry.dump();
+}
+
 RunnerStandIn::RunnerStandIn(asio::io_context& context, std::string id, std::uint16_t port)
     : context_(context),
       id_(std::move(id)),
--- a/emulator/platform/runner_stand_in.h
+++ b/emulator/platform/runner_stand_in.h
@@ -51,6 +51,19 @@
   bool ran = false;
 };
 
+/// What a runner tells of itself.
+struct RunnerListing {
+  std::uint16_t port = 0;  ///< Where it listens on loopback.
+  std::string zone;
+  std::string state = "ready";
+  int slots = 8;
+  std::string service = "s";
+  std::int64_t born = 0;  ///< The Unix millisecond of its start; 0: it doesn't tell.
+};
+
+/// @return the entry that a runner writes into the platform's store.
+std::string RunnerEntry(const RunnerListing& listing);
+
 /// On the loop's thread only.
 class RunnerStandIn {
  public:
--- a/src/discovery/runner.h
+++ b/src/discovery/runner.h
@@ -21,6 +21,9 @@
   ZoneName zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  /// When it started, by its own clock: another time under the same id is another start. The epoch:
+  /// it doesn't tell.
+  absl::Time started = absl::UnixEpoch();
 };
 
 }  // namespace martenyard::discovery
--- a/src/discovery/runner_table.cc
+++ b/src/discovery/runner_table.cc
@@ -6,7 +6,7 @@
 
 namespace martenyard::discovery {
 
-void RunnerTable::Upsert(absl::Time now, const Runner& runner) {
+bool RunnerTable::Upsert(absl::Time now, const Runner& runner) {
   RunnerState& state = runners_[runner.id];
   state.runner = runner;
   state.short_id = static_cast<std::uint32_t>(StableHash(runner.id.value));
@@ -17,6 +17,7 @@
   } else {
     state.left_at = absl::InfiniteFuture();
   }
+  return false;
 }
 
 void RunnerTable::Remove(absl::Time now, const RunnerId& id) {
--- a/src/discovery/runner_table.h
+++ b/src/discovery/runner_table.h
@@ -52,7 +52,9 @@
  public:
   explicit RunnerTable(const HealthOptions& options = {}) : options_(options) {}
 
-  void Upsert(absl::Time now, const Runner& runner);
+  /// Takes what a runner tells of itself. @return true when it has started again since it was
+  /// known: it keeps nothing of before.
+  bool Upsert(absl::Time now, const Runner& runner);
   /// The entry was removed: the runner leaves, or the list lost it.
   void Remove(absl::Time now, const RunnerId& id);
   void Note(absl::Time now, const RunnerId& id, RunnerSignal signal);
--- a/tests/discovery/runner_table_test.cc
+++ b/tests/discovery/runner_table_test.cc
@@ -26,6 +26,42 @@
   EXPECT_EQ(table.Find(RunnerId("a"))->left_at, kNow + absl::Seconds(1));
 }
 
+// A runner may start again under its id. It knows nothing of before, and what was seen of it before
+// tells nothing of it now.
+TEST(RunnerTableTest, RunnerThatStartedAgainIsKnownAfresh) {
+  RunnerTable table;
+  Runner runner = MakeRunner("a");
+  runner.started = kNow - absl::Hours(1);
+  EXPECT_FALSE(table.Upsert(kNow, runner));
+  RunnerState* state = table.Find(RunnerId("a"));
+  for (int failure = 0; failure < 4; ++failure) {
+    table.Note(kNow, runner.id, RunnerSignal::kFailed);
+    table.NoteOutcome(runner.id, {0, 1});
+  }
+  table.Note(kNow, runner.id, RunnerSignal::kTurnedAway);
+  table.Note(kNow, runner.id, RunnerSignal::kLeaves);
+  state->own_active = 2;
+  EXPECT_FALSE(table.Upsert(kNow, runner)) << "the same start, told again";
+  runner.started = kNow;
+  EXPECT_TRUE(table.Upsert(kNow, runner));
+  EXPECT_LE(state->avoid_until, kNow);
+  EXPECT_LE(state->full_until, kNow);
+  EXPECT_EQ(state->failures_in_a_row, 0);
+  EXPECT_EQ(state->losses.rate(std::chrono::steady_clock::now()), 0);
+  EXPECT_EQ(state->unreported.m_lost, 0U) << "peers would take it for the new one's";
+  EXPECT_FALSE(state->Leaving());
+  EXPECT_EQ(state->own_active, 2U) << "these requests have not ended yet";
+}
+
+TEST(RunnerTableTest, RunnerThatDoesNotTellItsStartIsTheSame) {
+  RunnerTable table;
+  table.Upsert(kNow, MakeRunner("a"));
+  EXPECT_FALSE(table.Upsert(kNow, MakeRunner("a")));
+  Runner told = MakeRunner("a");
+  told.started = kNow;
+  EXPECT_FALSE(table.Upsert(kNow, told)) << "nothing is known of an earlier start";
+}
+
 TEST(RunnerTableTest, EntryThatOnlyLapsedComesBackAsReady) {
   RunnerTable table;
   table.Upsert(kNow, MakeRunner("a"));
--- a/tests/platform/formats_test.cc
+++ b/tests/platform/formats_test.cc
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "platform/settings_file.h"
 
 namespace martenyard::platform {
@@ -47,21 +52,34 @@
   }
 }
 
-TEST(FormatsTest, ReadsRunnersAndTheirLeaving) {
+/// What a runner writes of itself, with one field put as `text` says; empty: left out.
+std::string RunnerEntry(const std::string& field = "", const std::string& text = "") {
+  std::map<std::string, std::string> fields = {{"service", "\"s\""}, {"address", "\"10.1.2.3:80\""},
+                                               {"zone", "\"z\""},    {"version", "\"v1\""},
+                                               {"slots", "12"},      {"state", "\"ready\""},
+                                               {"sequence", "4"},    {"coldRemainingMs", "0"}};
+  if (!field.empty()) {
+    fields[field] = text;
+  }
+  std::string entry = "{\"new\":true";
+  for (const auto& [name, value] : fields) {
+    entry += value.empty() ? "" : ",\"" + name + "\":" + value;
+  }
+  return entry + "}";
+}
+
+TEST(FormatsTest, ReadsRunnersTheirLeavingAndTheirStart) {
   Formats formats;
-  auto runner = formats.ReadRunner("servers/i-1",
-                                   R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":12,
-                         "state":"ready","sequence":4,"new":true})");
+  auto runner = formats.ReadRunner("servers/i-1", RunnerEntry());
   ASSERT_TRUE(runner.has_value());
   EXPECT_EQ(runner->id.value, "i-1");
   EXPECT_EQ(runner->endpoint.port, 80);
+  EXPECT_EQ(runner->slots, 12U);
   EXPECT_FALSE(runner->draining);
-  runner = formats.ReadRunner("servers/i-1",
-                              R"({"service":"s","address":"10.1.2.3:80","state":"draining"})");
-  EXPECT_TRUE(runner->draining);
-  EXPECT_FALSE(formats.ReadRunner("servers/i-1", R"({"service":"s"})").has_value());
-  EXPECT_FALSE(formats.ReadRunner("servers/", R"({"service":"s","address":"1.2.3.4:5"})"));
-  EXPECT_FALSE(formats.ReadRunner("servers/i-1", R"({"service":"s","address":"nowhere"})"));
+  EXPECT_EQ(runner->started, absl::UnixEpoch()) << "not told";
+  EXPECT_TRUE(formats.ReadRunner("servers/i-1", RunnerEntry("state", "\"draining\""))->draining);
+  runner = formats.ReadRunner("servers/i-1", RunnerEntry("born", "1786665561000"));
+  EXPECT_EQ(runner->started, absl::FromUnixMillis(1786665561000));
 }
 
 constexpr char kSettings[] =
--- a/tests/platform/fuzz/platform_targets.cc
+++ b/tests/platform/fuzz/platform_targets.cc
@@ -46,7 +46,7 @@
  "tenants":[{"name":"t","apiKeys":["k"],"priority":2,"ratePerS":5,"burst":10}]})";
 
 constexpr char kRunner[] = R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":12,
- "state":"ready","sequence":4,"new":true})";
+ "version":"v1","state":"ready","coldRemainingMs":0,"born":1786665561000,"sequence":4,"new":true})";
 
 bool ReadSettingsText(const std::string& input) {
   return Recover<platform::SettingsError>(
--- a/tests/platform/gateway_contract_test.cc
+++ b/tests/platform/gateway_contract_test.cc
@@ -293,6 +293,39 @@
   EXPECT_EQ(world.a().seen().size(), 0U);
 }
 
+/// What the gateway believes that a runner keeps of this prompt, in tokens.
+std::uint32_t BelievedKept(PlatformWorld& world, const emulator::RunnerStandIn& runner) {
+  const forwarding::GatewayState& state = world.gateway().state();
+  auto known = world.gateway().state().runners.Find(discovery::RunnerId(runner.id()));
+  return state.prefixes.KeptTokens(SteadyNow(), {{0xabc, 100}}, known->short_id);
+}
+
+TEST(RunnerContractTest, RunnerThatStartedAgainKeepsNothingAndIsTriedAgain) {
+  PlatformWorld world;
+  world.Start();
+  world.ListRunner(world.a(), "near", "ready", 1000);
+  ClientRequest request;
+  request.headers = {"Prompt-Prefix: abc:100"};
+  ASSERT_EQ(world.Ask(request).status, 200U);
+  auto known = [&]() -> discovery::RunnerState& {
+    return *world.gateway().state().runners.Find(discovery::RunnerId(world.a().id()));
+  };
+  ASSERT_EQ(BelievedKept(world, world.a()), 100U);
+  for (int failure = 0; failure < 6; ++failure) {
+    world.gateway().state().runners.Note(SteadyNow(), known().runner.id,
+                                         discovery::RunnerSignal::kFailed);
+  }
+  ASSERT_GT(known().avoid_until, SteadyNow());
+  ASSERT_GT(world.gateway().state().pool.Idle(known().runner.id), 0U);
+  world.ListRunner(world.a(), "near", "ready", 2000);
+  ASSERT_TRUE(world.RunUntil([&] { return known().avoid_until <= SteadyNow(); }));
+  EXPECT_EQ(BelievedKept(world, world.a()), 0U);
+  EXPECT_EQ(world.gateway().state().pool.Idle(known().runner.id), 0U);
+  request.id = "attempt-2";
+  EXPECT_EQ(world.Ask(request).status, 200U);
+  EXPECT_EQ(world.a().runs(), 2) << "it is the near one";
+}
+
 TEST(RunnerContractTest, RequestPassesUnalteredButForTheHopsOwnHeaders) {
   PlatformWorld world;
   world.Start();
--- a/tests/platform/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -92,10 +92,10 @@
 PlatformWorld::~PlatformWorld() { close(log_file_); }
 
 void PlatformWorld::ListRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
-                               const std::string& state) {
-  store_.Put("servers/" + runner.id(),
-             absl::StrCat(R"({"service":"s","address":"127.0.0.1:)", runner.port(), R"(","zone":")",
-                          zone, R"(","slots":8,"state":")", state, "\"}"));
+                               const std::string& state, std::int64_t born) {
+  store_.Put(
+      "servers/" + runner.id(),
+      emulator::RunnerEntry({.port = runner.port(), .zone = zone, .state = state, .born = born}));
 }
 
 void PlatformWorld::Configure() { store_.Put("op/config", StandardConfiguration(1)); }
--- a/tests/platform/support/platform_world.h
+++ b/tests/platform/support/platform_world.h
@@ -60,8 +60,9 @@
   void HearAsLedger(const turn_ledger::Machine& peer);
   /// What the processes have logged so far.
   std::string Log();
+  /// @param born the Unix millisecond of its start; 0: it doesn't tell.
   void ListRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
-                  const std::string& state = "ready");
+                  const std::string& state = "ready", std::int64_t born = 0);
 
   FaultyDisk& disk() { return *disk_; }
   emulator::StoreStandIn& store() { return store_; }
--- a/tests/platform/system/platform_soak_test.cc
+++ b/tests/platform/system/platform_soak_test.cc
@@ -29,8 +29,7 @@
     store_.Listen(0);
     for (const auto* runner : {&near_, &far_}) {
       store_.Put("servers/" + runner->id(),
-                 absl::StrCat(R"({"service":"s","address":"127.0.0.1:)", runner->port(),
-                              R"(","zone":"z0","slots":8,"state":"ready"})"));
+                 emulator::RunnerEntry({.port = runner->port(), .zone = "z0"}));
     }
     store_.Put("op/config", StandardConfiguration(1));
     for (int number = 0; number < kLedgers; ++number) {
--- a/tests/platform/system/store_outage_soak_test.cc
+++ b/tests/platform/system/store_outage_soak_test.cc
@@ -127,9 +127,9 @@
   }
 
   void List(const emulator::RunnerStandIn& runner, const std::string& state) {
-    store_.Put("servers/" + runner.id(),
-               absl::StrCat(R"({"service":"s","address":"127.0.0.1:)", runner.port(),
-                            R"(","zone":"z0","slots":32,"state":")", state, "\"}"));
+    store_.Put(
+        "servers/" + runner.id(),
+        emulator::RunnerEntry({.port = runner.port(), .zone = "z0", .state = state, .slots = 32}));
   }
 
   /// The next version: routes /since/K/ of versions up to it, and /until/K/ of versions from it on.
--- a/tests/platform/system/stream_soak_test.cc
+++ b/tests/platform/system/stream_soak_test.cc
@@ -26,6 +26,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "bench/local_system.h"
+#include "emulator/platform/runner_stand_in.h"
 #include "emulator/platform/store_stand_in.h"
 #include "explain/explain.h"
 #include "platform/support/machine.h"
@@ -156,10 +157,11 @@
   }
 
   void List(const RecordingRunner& runner, const std::string& state) {
-    store_.Put(
-        "servers/" + runner.id(),
-        absl::StrCat(R"({"service":"s","address":"127.0.0.1:)", runner.port(), R"(","zone":"z)",
-                     runner.id().substr(1, 1), R"(","slots":32,"state":")", state, "\"}"));
+    store_.Put("servers/" + runner.id(),
+               emulator::RunnerEntry({.port = runner.port(),
+                                      .zone = "z" + runner.id().substr(1, 1),
+                                      .state = state,
+                                      .slots = 32}));
   }
 
   void Configure(int version, int limit_ms, bool extra_route) {
