Tests that fail: entries of other writers stand in for runners by defaults

Cause: missing fields have defaults, any unknown state counts as leaving, slots of -1, 1.5 or 1e99 are converted, and an entry that became unreadable leaves the runner as it was. Change: a table of each field missing, of another type or unknown, unreadable bytes, and a gateway that meets them. Conclusion: the adapter must take whole entries only.

--- a/tests/platform/formats_test.cc
+++ b/tests/platform/formats_test.cc
@@ -82,6 +82,34 @@
   EXPECT_EQ(runner->started, absl::FromUnixMillis(1786665561000));
 }
 
+// Entries of other writers: they name no runner, and none of them may stand in for one by a
+// default.
+TEST(FormatsTest, EntryOfAnotherWriterNamesNoRunner) {
+  const std::pair<const char*, std::vector<const char*>> wrong[] = {
+      {"service", {"", "null", "7", "\"\"", "[\"s\"]", "{}"}},
+      {"address", {"", "null", "80", "\"nowhere\"", "\"10.1.2.3\"", "\"10.1.2.3:0\"", "\":80\""}},
+      {"zone", {"", "null", "3", "{}"}},
+      {"version", {"", "null", "{}", "[]"}},
+      {"slots", {"", "null", "\"12\"", "-1", "0", "1.5", "1e99", "4294967296", "true"}},
+      {"state", {"", "null", "1", "\"READY\"", "\"resting\"", "\"\"", "[\"ready\"]"}},
+      {"sequence", {"", "null", "\"4\"", "{}"}},
+      {"coldRemainingMs", {"", "null", "\"0\"", "[]"}},
+      {"born", {"null", "\"1786665561000\"", "1.5", "-3", "{}"}}};
+  Formats formats;
+  for (const auto& [field, texts] : wrong) {
+    for (const char* text : texts) {
+      EXPECT_FALSE(formats.ReadRunner("servers/i-1", RunnerEntry(field, text)).has_value())
+          << field << " as " << text;
+    }
+  }
+  for (const char* text :
+       {"", "{", "[]", "7", "null", "\"servers\"", "\xff\xfe", "{\"service\":\"s\"}"}) {
+    EXPECT_FALSE(formats.ReadRunner("servers/i-1", text).has_value()) << text;
+  }
+  EXPECT_FALSE(formats.ReadRunner("servers/", RunnerEntry()).has_value());
+  EXPECT_FALSE(formats.ReadRunner("elsewhere/i-1", RunnerEntry()).has_value());
+}
+
 constexpr char kSettings[] =
     "nodeName=edge-1\nmachineClass=edge\nip=10.1.0.38\nzone=a\nzones.a=r\nzones.b=r\n"
     "listen.frontend=10.1.0.38:8149\nlisten.readiness=10.1.0.38:8141\ninternalPorts=7380,7395\n"
--- a/tests/platform/gateway_contract_test.cc
+++ b/tests/platform/gateway_contract_test.cc
@@ -328,6 +328,41 @@
   EXPECT_EQ(world.a().runs(), 2) << "it is the near one";
 }
 
+TEST(RunnerContractTest, EntriesOfOtherWritersNameNoRunnerAndTheOthersHold) {
+  PlatformWorld world;
+  world.Start();
+  const std::string address = absl::StrCat("127.0.0.1:", world.b().port());
+  world.store().Put("servers/foreign-1", "\xff\x00\xfe{{{");
+  world.store().Put("servers/foreign-2",
+                    absl::StrCat(R"({"service":"s","address":")", address, "\"}"));
+  world.store().Put("servers/foreign-3",
+                    absl::StrCat(R"({"service":"s","address":")", address,
+                                 R"(","zone":"near","version":"v1","slots":8,"state":"asleep",)",
+                                 R"("sequence":1,"coldRemainingMs":0})"));
+  world.store().Put("servers/foreign-4",
+                    absl::StrCat(R"({"service":"nobody's","address":")", address,
+                                 R"(","zone":"near","version":"v1","slots":8,"state":"ready",)",
+                                 R"("sequence":1,"coldRemainingMs":0})"));
+  // One that was a runner's until another writer took the key.
+  world.store().Put("servers/" + world.a().id(), R"({"service":["s"]})");
+  auto gone = [&] {
+    auto* near = world.gateway().state().runners.Find(discovery::RunnerId(world.a().id()));
+    return near == nullptr || near->gone;
+  };
+  ASSERT_TRUE(world.RunUntil(gone)) << world.Log();
+  for (int number = 0; number < 6; ++number) {
+    ClientRequest request;
+    request.id = absl::StrCat("attempt-", number);
+    EXPECT_EQ(world.Ask(request).status, 200U);
+  }
+  EXPECT_EQ(world.b().runs(), 6);
+  for (const emulator::SeenRequest& seen : world.b().seen()) {
+    EXPECT_EQ(seen.headers.at("target-instance"), world.b().id());
+  }
+  world.ListRunner(world.a(), "near");
+  EXPECT_TRUE(world.RunUntil([&] { return !gone(); })) << "it wrote its entry again";
+}
+
 TEST(RunnerContractTest, RequestPassesUnalteredButForTheHopsOwnHeaders) {
   PlatformWorld world;
   world.Start();
