Entries of other writers name no runner

Cause: the adapter filled in what an entry lacked, and converted what was of another type; the gateway kept a runner whose entry had become unreadable. One that no longer names a runner counts as removed.

--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -276,18 +276,12 @@
 
 void GatewayRole::OnRunnerChange(const store::StoreChange& change) {
   absl::Time now = SteadyNow();
-  if (!change.value) {
-    absl::string_view id = change.key;
-    absl::ConsumePrefix(&id, formats_.RunnersPrefix());
-    discovery::RunnerId runner{std::string(id)};
-    state_->runners.Remove(now, runner);
-    state_->pool.CloseAll(runner);
-    log_.Write(Line("runner_gone").Text("runner", id));
-    return;
-  }
-  auto runner = formats_.ReadRunner(change.key, *change.value);
+  auto runner = change.value ? formats_.ReadRunner(change.key, *change.value) : std::nullopt;
   if (!runner) {
-    log_.Write(Line("runner_unreadable").Text("key", change.key));
+    if (change.value) {
+      log_.Write(Line("runner_unreadable").Text("key", change.key));
+    }
+    RemoveRunner(change.key);
     return;
   }
   const discovery::RunnerState* known = state_->runners.Find(runner->id);
@@ -304,6 +298,18 @@
   }
 }
 
+void GatewayRole::RemoveRunner(const std::string& key) {
+  absl::string_view id = key;
+  absl::ConsumePrefix(&id, formats_.RunnersPrefix());
+  discovery::RunnerId runner{std::string(id)};
+  if (state_->runners.Find(runner) == nullptr) {
+    return;  // The entry never named one.
+  }
+  state_->runners.Remove(SteadyNow(), runner);
+  state_->pool.CloseAll(runner);
+  log_.Write(Line("runner_gone").Text("runner", id));
+}
+
 void GatewayRole::ForgetEarlierLife(const discovery::RunnerId& runner) {
   state_->pool.CloseAll(runner);
   state_->prefixes.Forget(state_->runners.Find(runner)->short_id);
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -47,6 +47,8 @@
  private:
   void OnConfigurationChange(const store::StoreChange& change);
   void OnRunnerChange(const store::StoreChange& change);
+  /// The entry under this key names no runner any more.
+  void RemoveRunner(const std::string& key);
   /// The runner has started again under its id.
   void ForgetEarlierLife(const discovery::RunnerId& runner);
   /// The ledger's machines or groups changed: they are laid out anew, once for all changes that
