--- a/tests/platform/support/machine.cc
+++ b/tests/platform/support/machine.cc
@@ -18,7 +18,8 @@
 namespace martenyard::testing {
 namespace {
 
-constexpr int kZones = 3;  ///< As many as the ledger has copies of a turn.
+constexpr int kControlPort = 18144;  ///< Nothing listens there: only the addresses count.
+constexpr int kZones = 3;            ///< As many as the ledger has copies of a turn.
 
 }  // namespace
 
@@ -27,10 +28,10 @@
       name_(absl::StrCat(options_.storage ? "storage-" : "edge-", options_.number)),
       folder_(absl::StrCat(options_.folder, "/", name_)) {
   std::filesystem::create_directories(folder_ + "/data");
-  WriteSettings("");
+  WriteSettings();
 }
 
-void Machine::WriteSettings(const std::string& more) {
+void Machine::WriteSettings() {
   // Never half written: a process may read it at any time.
   std::string next = folder_ + "/node.conf.next";
   {
@@ -38,7 +39,8 @@
     settings << "nodeName=" << name_ << "\nmachineClass=" << (storage() ? "storage" : "edge")
              << "\nip=" << options_.address << "\nzone=z" << options_.number % kZones
              << "\ninternalPorts=" << kInternalPort << "," << kInternalPort
-             << "\nbootstrap=true\nfaultTolerance.machines=1\nbounds.graceS=" << options_.grace_s
+             << "\nbootstrap=" << (lives_.empty() ? "true" : "false")
+             << "\nfaultTolerance.machines=1\nbounds.graceS=" << options_.grace_s
              << "\nplatform.address=127.0.0.1:" << options_.store_port << "\n";
     if (storage()) {
       settings << "dataDir=" << folder_ << "/data\n";
@@ -46,18 +48,25 @@
       settings << "listen.frontend=" << frontend().ToString()
                << "\nlisten.readiness=" << readiness().ToString() << "\n";
     }
-    settings << more;
+    for (std::size_t index = 0; index < options_.seeds.size(); ++index) {
+      settings << (index == 0 ? "seeds=" : ",") << options_.seeds[index] << ":" << kControlPort;
+    }
+    settings << "\n" << more_settings_;
   }
   std::filesystem::rename(next, folder_ + "/node.conf");
 }
 
-void Machine::ChangeSettings(const std::string& lines) { WriteSettings(lines); }
+void Machine::ChangeSettings(const std::string& lines) {
+  more_settings_ = lines;
+  WriteSettings();
+}
 
 void Machine::Start() {
   setenv("MARTENYARD_BOOT", (folder_ + "/node.conf").c_str(), 1);
   ProcessLife life;
   life.name = absl::StrCat(name_, "/", lives_.size() + 1);
   life.grace = absl::Seconds(options_.grace_s);
+  WriteSettings();  // Only its first start is the system's.
   lives_.push_back(life);
   process_ = std::make_unique<bench::Process>(
       std::vector<std::string>{bench::ProgramPath("martenyard-node"),
--- a/tests/platform/support/machine.h
+++ b/tests/platform/support/machine.h
@@ -24,6 +24,8 @@
   std::string address;  ///< Of loopback, this machine's alone.
   std::uint16_t store_port = 0;
   int grace_s = 4;  ///< From SIGTERM to the end.
+  /// Addresses of storage machines, which processes ask that know nobody.
+  std::vector<std::string> seeds;
 };
 
 class Machine {
@@ -55,12 +57,13 @@
   wire::Endpoint readiness() const { return {options_.address, kReadinessPort}; }
 
  private:
-  void WriteSettings(const std::string& more);
+  void WriteSettings();
   std::string LogOf(std::size_t start) const;
 
   MachineOptions options_;
   std::string name_;
   std::string folder_;
+  std::string more_settings_;
   std::unique_ptr<bench::Process> process_;
   std::vector<ProcessLife> lives_;
   absl::Time stopped_at_;
