--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -85,6 +85,11 @@
                    return machine();
                }),
       m_registry(context, store, settings, log),
+      m_storage(m_settings, m_mirrors,
+                [this](const wire::Endpoint& to, const datagram& message)
+                {
+                    send(to, wire::Encode(message));
+                }),
       m_news(state.random.NextId()),
       m_lease(
           context, store, mirrors.m_configuration, state.lease, log,
@@ -109,6 +114,7 @@
     m_began = steady_now();
     m_lease.start(m_settings.revocation.lease(), self().m_endpoint);
     m_registry.start();
+    m_storage.start(m_began, self());
     judge_watching(m_began);
     judge_reading(m_began);
 }
@@ -448,14 +454,14 @@
         send_introductions(now);
         send_summary(now);
         push_news(now);
-        tell_storage(now);
         if (speaks_for_zone(now))
         {
+            m_storage.tell(now, m_slots);
             m_registry.write_missing(now, *m_sums);
         }
     }
     ask_for_news(now);
-    ask_storage(now);
+    m_storage.ask(now, reads_everything(now));
     confirm_configuration();
     forget_old_loads(now);
     m_state.gateways = std::max<std::uint32_t>(1, m_view->gateways());
@@ -691,65 +697,7 @@
 
 void zone_exchange::set_storage(std::vector<turn_ledger::Machine> machines)
 {
-    m_storage = std::move(machines);
-}
-
-std::vector<wire::Endpoint> zone_exchange::storage_told_here() const
-{
-    std::vector<wire::Endpoint> told;
-    for (const turn_ledger::Machine& machine : m_storage)
-    {
-        if (aggregation::teller_zone(m_slots, machine.name, machine.zone.value) == m_settings.zone)
-        {
-            told.push_back(machine.endpoint);
-        }
-    }
-    return told;
-}
-
-void zone_exchange::tell_storage(instant now)
-{
-    bool due = changes() != m_told_storage || now - m_storage_told_at >= m_options.m_tell_storage_interval;
-    if (!due || !speaks_for_zone(now))
-    {
-        return;
-    }
-    m_told_storage = changes();
-    m_storage_told_at = now;
-    digest told;
-    told.m_from = self();
-    told.m_changes = m_told_storage;
-    send_all(storage_told_here(), wire::Encode(datagram(std::move(told))), m_stats.m_digests_sent);
-}
-
-void zone_exchange::ask_storage(instant now)
-{
-    bool due = now - m_began >= m_options.m_ask_storage_after &&
-               now - m_storage_asked_at >= m_options.m_ask_storage_again;
-    if (!due || m_settings.first_start || m_settings.seeds.empty())
-    {
-        return;
-    }
-    const wire::Endpoint& seed = m_settings.seeds[m_next_seed % m_settings.seeds.size()];
-    bool asked = false;
-    for (std::size_t mirror = 0; mirror < m_mirrors.size(); ++mirror)
-    {
-        // Everything goes to few: the zone's aggregators tell the others.
-        bool wanted = mirror + 1 == m_mirrors.size() || reads_everything(now);
-        if (wanted && !m_mirrors[mirror]->complete())
-        {
-            asked = true;
-            store::news_request request{static_cast<std::uint8_t>(mirror), m_mirrors[mirror]->last_change(),
-                                        m_settings.address, m_settings.internal_port};
-            send(seed, wire::Encode(datagram(request)));
-        }
-    }
-    if (asked)
-    {
-        m_storage_asked_at = now;
-        ++m_next_seed;
-        ++m_stats.m_news_asked;
-    }
+    m_storage.set_machines(std::move(machines));
 }
 
 void zone_exchange::send(const wire::Endpoint& to, const std::string& payload)
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -28,6 +28,7 @@
 #include "roles/exchange/lease_keeper.h"
 #include "roles/exchange/member_registry.h"
 #include "roles/exchange/news_sender.h"
+#include "roles/exchange/storage_link.h"
 #include "roles/role_settings.h"
 #include "store/metadata_store.h"
 #include "store/prefix_mirror.h"
@@ -71,13 +72,6 @@
     /// reads the store by itself. When the whole system starts, the slots must be taken first
     std::chrono::milliseconds m_read_after{400};
     std::chrono::milliseconds m_first_read_after{2500};
-    /// a gateway that has just started asks a storage machine after this time for what nobody told it yet:
-    /// a store that answers does so sooner
-    std::chrono::milliseconds m_ask_storage_after{150};
-    /// and another one each time this has passed
-    std::chrono::milliseconds m_ask_storage_again{200};
-    /// storage machines are told which changes are known so often, and at each change
-    std::chrono::milliseconds m_tell_storage_interval{1000};
 };
 
 /// @brief counters since the start, for the metrics address
@@ -200,11 +194,6 @@
     void relay_summary(instant now);
     void push_news(instant now);
     void ask_for_news(instant now);
-    /// the storage machines of this zone, and of zones without gateways those that fall to this one
-    std::vector<wire::Endpoint> storage_told_here() const;
-    void tell_storage(instant now);
-    /// @brief asks a storage machine for what this process lacks since its start
-    void ask_storage(instant now);
     bool reads_everything(instant now) const;
     void apply(instant now, const std::vector<aggregation::runner_load>& others,
                const std::vector<aggregation::placement>& placements);
@@ -225,6 +214,7 @@
     followed_copies m_mirrors;
     news_sender m_sender;
     member_registry m_registry;
+    storage_link m_storage;
 
     aggregation::slot_table m_slots;
     std::optional<aggregation::slot_claims> m_claims;
@@ -251,11 +241,6 @@
     instant m_introduced_at;
     aggregation::watch_decision m_watch;
     std::optional<instant> m_digest_taken;
-    std::vector<turn_ledger::Machine> m_storage;
-    aggregation::known_changes m_told_storage{};
-    instant m_storage_told_at;
-    instant m_storage_asked_at;
-    std::size_t m_next_seed = 0;
     exchange_stats m_stats;
 };
 
