Test that fails: the product's daemons all start while the key-value service is away

Cause: bundles in force and the directory of groups are learned from the service or a peer; a daemon's disk has its log only. Figures: no daemon is at the rolled epoch 5 s after the start, and a call is refused.

--- a/tests/proofs/promises_test.cc
+++ b/tests/proofs/promises_test.cc
@@ -526,6 +526,33 @@
       world().RunUntil([&] { return proof_->EpochAt(1, kTournament) == 2; }, absl::Seconds(5)));
 }
 
+// Bundles and the directory of groups were learned from the key-value service or from a peer. When
+// all daemons started at once while it was away, they had their logs and nothing in force: each
+// call was refused until it was back.
+TEST_F(PromiseTest, AcceptedBundleIsInForceThoughAllDaemonsStartWhileTheKeyValueServiceIsAway) {
+  auto answer = proof_->Roll(0, kTournament, 2, "second");
+  ASSERT_TRUE(answer);
+  ASSERT_EQ(answer->code, bundle::OperatorAnswer::Code::kAccepted);
+  ASSERT_TRUE(
+      world().RunUntil([&] { return proof_->EpochAt(2, kTournament) == 2; }, absl::Seconds(5)));
+  ASSERT_EQ(RunCall(0, "before", CallKind::kModel, true)->end.outcome, CallState::kRan);
+  world().platform().key_value_faults.down = true;
+  for (std::size_t daemon = 0; daemon < world().size(); ++daemon) {
+    world().Kill(daemon);
+  }
+  world().Run(absl::Seconds(1));
+  for (std::size_t daemon = 0; daemon < world().size(); ++daemon) {
+    world().Restart(daemon);
+  }
+  EXPECT_TRUE(world().RunUntil(
+      [&] {
+        return world().AllGroupsLed() && proof_->EpochAt(0, kTournament) == 2 &&
+               proof_->EpochAt(1, kTournament) == 2 && proof_->EpochAt(2, kTournament) == 2;
+      },
+      absl::Seconds(5)));
+  EXPECT_EQ(RunCall(1, "after", CallKind::kModel, true)->end.outcome, CallState::kRan);
+}
+
 TEST_F(PromiseTest, OfTwoRacingRollsExactlyOneIsInForceEverywhere) {
   auto race = [&](std::size_t daemon, const std::string& version) {
     std::string text = proof_->BundleText(kTournament, version);
