The product's daemons keep bundles in force and the groups' directory on their disks

Cause: both were learned from the key-value service or a peer only. Ruled out: a key in the log store (a folder with an unknown key is damaged for the version before). Change: what is spread among the daemons is written to a sealed file at each change, whole after any loss of power, and taken at the next start as if a member had sent it: signatures are checked and newer versions replace it. A damaged file is told and passed over. Conclusion: the machine list is still polled only: engines are unknown while that service is away at a start of everything.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,11 +1,14 @@
 #include "daemon/daemon.h"
 
+#include <optional>
 #include <utility>
 
 #include "base/clock.h"
 #include "base/logging.h"
 #include "gateway/problem.h"
+#include "storage/small_file.h"
 #include "wire/codec.h"
+#include "wire/sealed.h"
 
 namespace martenyard::daemon {
 namespace {
@@ -13,6 +16,8 @@
 constexpr char kLog[] = "daemon";
 constexpr absl::Duration kTick = absl::Milliseconds(10);
 constexpr char kStoreFolder[] = "/log";
+/// Bundles in force and the directory of groups.
+constexpr char kItemsFile[] = "/items";
 
 leaf::error_id Failed(const std::string& detail) { return leaf::new_error(DaemonError{detail}); }
 
@@ -119,6 +124,33 @@
   return options;
 }
 
+void Daemon::KeepItems(const std::vector<spread::Item>& items) {
+  if (settings_.data_dir.empty()) {
+    return;
+  }
+  std::string failure = storage::ReplaceFile(settings_.data_dir + kItemsFile, wire::Seal(items));
+  if (!failure.empty()) {
+    MARTENYARD_LOG_WARN(kLog, "Bundles and the directory of groups are not kept, "
+                                  << failure << "; the next start asks the key-value service.");
+  }
+}
+
+std::vector<spread::Item> Daemon::KeptItems() {
+  std::optional<std::string> bytes;
+  if (!settings_.data_dir.empty()) {
+    bytes = storage::ReadSmallFile(settings_.data_dir + kItemsFile);
+  }
+  if (!bytes) {
+    return {};  // No disk, or the first start on it.
+  }
+  auto items = wire::Unseal<std::vector<spread::Item>>(*bytes);
+  if (!items) {
+    MARTENYARD_LOG_WARN(kLog, "The file of bundles and of the directory of groups is damaged ("
+                                  << bytes->size() << " bytes); the key-value service is asked.");
+  }
+  return items.value_or(std::vector<spread::Item>{});
+}
+
 void Daemon::StartNode(NodeId identity) {
   membership::MemberInfo self;
   self.id = identity;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -53,6 +53,8 @@
   void SendDatagram(const wire::Endpoint& to, const membership::Packet& packet) override;
   clients::KeyValue& KeyValueService() override { return *key_value_; }
   clients::BackendClient& Backends() override { return *backends_; }
+  void KeepItems(const std::vector<spread::Item>& items) override;
+  std::vector<spread::Item> KeptItems() override;
 
   settings::Settings settings_;
   wire::EventLoop loop_;
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -67,6 +67,7 @@
 Result<void> Node::Start(absl::Time now) {
   now_ = now;
   BOOST_LEAF_AUTO(stored, store_.Load());
+  TakeKeptItems();
   return replica_host_.Restore(now, stored);
 }
 
@@ -203,9 +204,13 @@
   for (spread::SpreadTo& message : spread_.TakeMessages()) {
     Send(message.to, std::move(message.message));
   }
-  for (const spread::Item& item : spread_.TakeChanges()) {
+  std::vector<spread::Item> changes = spread_.TakeChanges();
+  for (const spread::Item& item : changes) {
     TakeItem(item);
   }
+  if (!changes.empty()) {
+    KeepItems();
+  }
 }
 
 // ---- Members ----
@@ -282,6 +287,25 @@
   }
 }
 
+void Node::TakeKeptItems() {
+  for (const spread::Item& item : environment_.KeptItems()) {
+    // As if a member had sent it: a roll's signature is checked, and the service may have a newer.
+    if (ValidateItem(item)) {
+      spread_.Publish(item, {});
+    } else {
+      MARTENYARD_LOG_WARN(kLog, "The kept item " << item.key << " is not valid and passed over.");
+    }
+  }
+}
+
+void Node::KeepItems() {
+  std::vector<spread::Item> items;
+  for (const auto& [key, item] : spread_.items()) {
+    items.push_back(item);
+  }
+  environment_.KeepItems(items);
+}
+
 void Node::AdoptDirectory(const std::vector<consensus::Configuration>& directory) {
   for (std::size_t index = 0; index < directory.size(); ++index) {
     GroupId group(static_cast<std::uint32_t>(index));
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -38,6 +38,10 @@
   virtual void SendDatagram(const wire::Endpoint& to, const membership::Packet& packet) = 0;
   virtual clients::KeyValue& KeyValueService() = 0;
   virtual clients::BackendClient& Backends() = 0;
+  /// Keeps the items on this daemon's disk, if it has one, in place of those before.
+  virtual void KeepItems(const std::vector<spread::Item>& items) = 0;
+  /// @return what an earlier life of this daemon kept.
+  virtual std::vector<spread::Item> KeptItems() = 0;
 };
 
 struct NodeOptions {
@@ -128,6 +132,9 @@
   bool ValidateItem(const spread::Item& item) const;
   void TakeItem(const spread::Item& item);
   void OnRoll(const bundle::SignedRoll& roll);
+  /// Takes what this daemon kept: the service that has it may be away while all daemons start.
+  void TakeKeptItems();
+  void KeepItems();
   void AdoptDirectory(const std::vector<consensus::Configuration>& directory);
   void AdoptGroup(GroupId group, std::uint64_t version, const consensus::Configuration& present);
 
