--- a/src/roles/exchange/storage_link.cc
+++ b/src/roles/exchange/storage_link.cc
@@ -8,8 +8,8 @@
 using aggregation::datagram;
 
 storage_link::storage_link(const RoleSettings& settings, const followed_copies& copies, send_datagram send,
-                           const storage_link_options& options)
-    : m_settings(settings), m_copies(copies), m_send(std::move(send)), m_options(options)
+                           event_log::EventLog& log, const storage_link_options& options)
+    : m_settings(settings), m_copies(copies), m_send(std::move(send)), m_log(log), m_options(options)
 {
 }
 
@@ -54,18 +54,25 @@
         return;
     }
     const wire::Endpoint& seed = m_settings.seeds[m_next_seed % m_settings.seeds.size()];
+    std::int64_t asked = 0;
     for (std::size_t copy = 0; copy < m_copies.size(); ++copy)
     {
         // Everything goes to few: the zone's aggregators tell the others.
         bool wanted = everything || copy + 1 == m_copies.size();
         if (wanted && !m_copies[copy]->complete())
         {
-            m_asked_at = now;
+            ++asked;
             m_send(seed, store::news_request{static_cast<std::uint8_t>(copy), m_copies[copy]->last_change(),
                                              m_self.m_endpoint.address, m_self.m_endpoint.port});
         }
     }
-    m_next_seed += m_asked_at == now ? 1 : 0;
+    if (asked > 0)
+    {
+        m_asked_at = now;
+        ++m_next_seed;
+        m_log.Write(
+            event_log::Line("storage_asked").Text("machine", seed.ToString()).Number("copies", asked));
+    }
 }
 
 }  // namespace martenyard::roles
--- a/src/roles/exchange/storage_link.h
+++ b/src/roles/exchange/storage_link.h
@@ -10,6 +10,7 @@
 
 #include "aggregation/messages.h"
 #include "aggregation/slots.h"
+#include "event_log/event_log.h"
 #include "roles/exchange/news_sender.h"
 #include "roles/role_settings.h"
 #include "turn_ledger/messages.h"
@@ -38,7 +39,7 @@
 
     /// All references must outlive the link.
     storage_link(const RoleSettings& settings, const followed_copies& copies, send_datagram send,
-                 const storage_link_options& options = {});
+                 event_log::EventLog& log, const storage_link_options& options = {});
 
     /// @brief the process began, and is reached at the contact
     void start(instant now, aggregation::contact self);
@@ -59,6 +60,7 @@
     const RoleSettings& m_settings;
     followed_copies m_copies;
     send_datagram m_send;
+    event_log::EventLog& m_log;
     storage_link_options m_options;
     aggregation::contact m_self;
     instant m_began;
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -85,11 +85,13 @@
                    return machine();
                }),
       m_registry(context, store, settings, log),
-      m_storage(m_settings, m_mirrors,
-                [this](const wire::Endpoint& to, const datagram& message)
-                {
-                    send(to, wire::Encode(message));
-                }),
+      m_storage(
+          m_settings, m_mirrors,
+          [this](const wire::Endpoint& to, const datagram& message)
+          {
+              send(to, wire::Encode(message));
+          },
+          log),
       m_news(state.random.NextId()),
       m_lease(
           context, store, mirrors.m_configuration, state.lease, log,
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "roles/contact_line.h"
+#include "roles/ledger/ledger_lines.h"
 #include "roles/store_watches.h"
 #include "wire/codec.h"
 
@@ -94,19 +95,6 @@
   return options;
 }
 
-const char* RoleName(consensus::Role role) {
-  switch (role) {
-    case consensus::Role::kFollower:
-      return "follower";
-    case consensus::Role::kPreCandidate:
-    case consensus::Role::kCandidate:
-      return "candidate";
-    case consensus::Role::kLeader:
-      return "leader";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 LedgerRole::LedgerRole(wire::EventLoop& loop, const RoleSettings& settings,
@@ -478,67 +466,22 @@
 }
 
 void LedgerRole::LogProgress(GroupId group, const turn_ledger::TurnReplica& replica) {
-  const consensus::Raft& raft = replica.raft();
-  Line line("replica_progress");
-  line.Number("group", group.value)
-      .Text("role", RoleName(raft.role()))
-      .Number("term", static_cast<std::int64_t>(raft.term()))
-      .Number("last", static_cast<std::int64_t>(raft.last_index()))
-      .Number("commit", static_cast<std::int64_t>(raft.commit_index()))
-      .Number("synced_writes", static_cast<std::int64_t>(synced_writes_))
-      .Number("programs", static_cast<std::int64_t>(replica.state().programs()))
-      .Number("turn_bytes", static_cast<std::int64_t>(replica.state().turn_bytes()));
-  for (NodeId member : raft.configuration().Members()) {
-    if (raft.IsLeader()) {
-      line.Number(absl::StrCat("match_", absl::Hex(member.value)),
-                  static_cast<std::int64_t>(raft.MatchIndex(member)));
-    }
-  }
-  log_.Write(line);
+  log_.Write(DescribeProgress(group, replica, synced_writes_));
 }
 
 void LedgerRole::LogWork() {
-  work_account::sums sums = work_.take();
-  Line line("work_done");
-  for (std::size_t kind = 0; kind < sums.size(); ++kind) {
-    const work_done& sum = sums[kind];
-    std::string name = work_names[kind];
-    line.Number(name, sum.m_times)
-        .Number(name + "_ms", absl::ToInt64Milliseconds(sum.m_taken))
-        .Number(name + "_longest_ms", absl::ToInt64Milliseconds(sum.m_longest));
-  }
-  const storage::WriteBacklog backlog =
-      disk_ == nullptr ? storage::WriteBacklog{} : disk_->Backlog();
-  line.Number("unflushed_tables", static_cast<std::int64_t>(backlog.unflushed_tables))
-      .Number("unmerged_files", static_cast<std::int64_t>(backlog.unmerged_files))
-      .Number("slowed_bytes_per_s", static_cast<std::int64_t>(backlog.slowed_bytes_per_s))
-      .Number("times_slowed", static_cast<std::int64_t>(backlog.times_slowed))
-      .Number("times_stopped", static_cast<std::int64_t>(backlog.times_stopped));
-  line.Number("chain_bytes", sums[static_cast<std::size_t>(work_kind::chain_reads)].m_bytes);
-  log_.Write(line);
+  log_.Write(
+      DescribeWork(work_.take(), disk_ == nullptr ? storage::WriteBacklog{} : disk_->Backlog()));
 }
 
 void LedgerRole::LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica) {
   const consensus::Raft& raft = replica.raft();
   LoggedRole present{raft.role(), raft.term(), raft.configuration()};
   std::optional<LoggedRole>& logged = logged_roles_[group];
-  if (logged == present) {
-    return;
-  }
-  logged = present;
-  std::string members;
-  for (NodeId voter : raft.configuration().voters) {
-    absl::StrAppend(&members, absl::Hex(voter.value), " ");
+  if (logged != present) {
+    logged = present;
+    log_.Write(DescribeReplicaRole(group, raft));
   }
-  for (NodeId learner : raft.configuration().learners) {
-    absl::StrAppend(&members, "learner:", absl::Hex(learner.value), " ");
-  }
-  log_.Write(Line("replica_role")
-                 .Number("group", group.value)
-                 .Text("role", RoleName(raft.role()))
-                 .Number("term", static_cast<std::int64_t>(raft.term()))
-                 .Number("commit", static_cast<std::int64_t>(raft.commit_index()))
-                 .Text("members", members));
 }
 
 // ---- Peers ----
@@ -681,7 +624,9 @@
   if (peers_.machines().empty()) {
     // A machine with a new disk, while the store that would name the others is away.
     for (const wire::Endpoint& seed : settings_.seeds) {
-      SendTo(seed, hello);
+      if (seed.address != settings_.address) {
+        SendTo(seed, hello);
+      }
     }
   }
 }
--- a/tests/platform/system/recovery_soak_test.cc
+++ b/tests/platform/system/recovery_soak_test.cc
@@ -319,9 +319,12 @@
     }
     std::string told = absl::StrCat(some.size(), " machines ", stop ? "stopped" : "killed",
                                     outage == nullptr ? "" : ", the store away");
-    LoseDisk();
+    bool disk_lost = LoseDisk();
     Expect(kRecoveryBound, "/safe/x", told + ", not served again");
     TakeTurn();
+    if (disk_lost) {
+      WaitForDisks(told);  // Also while the store is away.
+    }
     Wait(0, 2500);
     if (outage != nullptr) {
       store_.faults().*outage = false;
@@ -329,7 +332,6 @@
     }
     Configure();
     Expect(kLatestBound, absl::StrCat("/since/", version_, "/x"), told + ", latest not in force");
-    WaitForDisks();
   }
 
   void Begin(bool StoreFaults::*outage) {
@@ -368,16 +370,18 @@
     return some;
   }
 
-  void LoseDisk() {
-    if (random_.Below(3) == 0) {
+  bool LoseDisk() {
+    bool lost = random_.Below(3) == 0;
+    if (lost) {
       ++disks_lost_;
       ledgers_[random_.Below(ledgers_.size())]->LoseDisk();
     }
+    return lost;
   }
   /// Only one disk may be lost at once.
-  void WaitForDisks() {
-    if (disks_lost_ > 0 && !RunUntil(kDiskPatience, [this] { return GroupIsWhole(ledgers_); })) {
-      absl::StrAppend(&report_, "LIVE: a lost disk was not replaced\n");
+  void WaitForDisks(const std::string& told) {
+    if (!RunUntil(kDiskPatience, [this] { return GroupIsWhole(ledgers_); })) {
+      absl::StrAppend(&report_, "LIVE: ", told, ", a lost disk was not replaced\n");
     }
   }
 
