--- a/src/roles/ledger/ledger_lines.cc
+++ b/src/roles/ledger/ledger_lines.cc
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-Line DescribeReplicaRole(GroupId group, const consensus::Raft& raft)
+Line describe_replica_role(GroupId group, const consensus::Raft& raft)
 {
     std::string members;
     for (NodeId voter : raft.configuration().voters)
@@ -53,7 +53,7 @@
         .Text("members", members);
 }
 
-Line DescribeProgress(GroupId group, const turn_ledger::TurnReplica& replica, std::uint64_t synced_writes)
+Line describe_progress(GroupId group, const turn_ledger::TurnReplica& replica, std::uint64_t synced_writes)
 {
     const consensus::Raft& raft = replica.raft();
     Line line("replica_progress");
@@ -75,7 +75,7 @@
     return line;
 }
 
-Line DescribeWork(const work_account::sums& sums, const storage::WriteBacklog& backlog)
+Line describe_work(const work_account::sums& sums, const storage::WriteBacklog& backlog)
 {
     Line line("work_done");
     for (std::size_t kind = 0; kind < sums.size(); ++kind)
--- a/src/roles/ledger/ledger_lines.h
+++ b/src/roles/ledger/ledger_lines.h
@@ -12,14 +12,14 @@
 {
 
 /// @return the line of a replica whose role, term or members changed
-event_log::Line DescribeReplicaRole(GroupId group, const consensus::Raft& raft);
+event_log::Line describe_replica_role(GroupId group, const consensus::Raft& raft);
 
 /// @param[in] synced_writes  of all groups, since the process began
 /// @return the line that tells how far a replica is
-event_log::Line DescribeProgress(GroupId group, const turn_ledger::TurnReplica& replica,
-                                 std::uint64_t synced_writes);
+event_log::Line describe_progress(GroupId group, const turn_ledger::TurnReplica& replica,
+                                  std::uint64_t synced_writes);
 
 /// @return the line that tells what the loop did, and how far the log store is behind
-event_log::Line DescribeWork(const work_account::sums& sums, const storage::WriteBacklog& backlog);
+event_log::Line describe_work(const work_account::sums& sums, const storage::WriteBacklog& backlog);
 
 }  // namespace martenyard::roles
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -466,12 +466,12 @@
 }
 
 void LedgerRole::LogProgress(GroupId group, const turn_ledger::TurnReplica& replica) {
-  log_.Write(DescribeProgress(group, replica, synced_writes_));
+  log_.Write(describe_progress(group, replica, synced_writes_));
 }
 
 void LedgerRole::LogWork() {
   log_.Write(
-      DescribeWork(work_.take(), disk_ == nullptr ? storage::WriteBacklog{} : disk_->Backlog()));
+      describe_work(work_.take(), disk_ == nullptr ? storage::WriteBacklog{} : disk_->Backlog()));
 }
 
 void LedgerRole::LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica) {
@@ -480,7 +480,7 @@
   std::optional<LoggedRole>& logged = logged_roles_[group];
   if (logged != present) {
     logged = present;
-    log_.Write(DescribeReplicaRole(group, raft));
+    log_.Write(describe_replica_role(group, raft));
   }
 }
 
