Soaks share how a request is asked on an open connection and what is kept of a broken one

Change: two functions in the tests' support in place of three and two copies; bounds and judgments as before.

--- a/tests/platform/support/platform_client.cc
+++ b/tests/platform/support/platform_client.cc
@@ -62,6 +62,21 @@
   return dialogue;
 }
 
+Task<std::optional<unsigned>> AskOn(Connection& connection, std::string text) {
+  connection.BeginAnswer(/*head_request=*/false);
+  if (!co_await connection.Send(text)) {
+    co_return std::nullopt;
+  }
+  ReadStep step = ReadStep::kProgress;
+  while (step == ReadStep::kProgress) {
+    step = co_await connection.ReadBody();
+  }
+  if (step != ReadStep::kWhole) {
+    co_return std::nullopt;
+  }
+  co_return connection.parser().get().result_int();
+}
+
 void SendMore(wire::EventLoop& loop, const Dialogue& dialogue, std::string text) {
   async_http::asio::co_spawn(
       loop.context(),
--- a/tests/platform/support/platform_client.h
+++ b/tests/platform/support/platform_client.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,10 @@
 /// Starts a request; `Dialogue::done` tells when it has ended.
 std::shared_ptr<Dialogue> StartDialogue(wire::EventLoop& loop, const wire::Endpoint& gateway,
                                         std::string text);
+/// Sends a request on a connection that is open. @return the status of the whole answer, or
+/// nothing.
+async_http::Task<std::optional<unsigned>> AskOn(async_http::Connection& connection,
+                                                std::string text);
 /// Sends more bytes of a request whose beginning was sent.
 void SendMore(wire::EventLoop& loop, const Dialogue& dialogue, std::string text);
 /// Runs the loop until the condition holds. @return false after half a minute.
--- a/tests/platform/support/soak_setup.cc
+++ b/tests/platform/support/soak_setup.cc
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <cstdlib>
+#include <filesystem>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -24,6 +25,15 @@
   return text != nullptr && absl::SimpleAtoi(text, &value) ? value : fallback;
 }
 
+void KeepSoak(const std::string& report, const std::string& folder, const std::string& name) {
+  const char* keep = std::getenv("MARTENYARD_SOAK_KEEP");
+  if (!report.empty() && keep != nullptr) {
+    std::filesystem::copy(folder, absl::StrCat(keep, "/", name),
+                          std::filesystem::copy_options::recursive |
+                              std::filesystem::copy_options::overwrite_existing);
+  }
+}
+
 AddressRange::AddressRange() {
   for (int tried = 0; tried < kRanges && socket_ < 0; ++tried) {
     number_ = 1 + (getpid() + tried) % kRanges;
--- a/tests/platform/support/soak_setup.h
+++ b/tests/platform/support/soak_setup.h
@@ -8,6 +8,10 @@
 /// @return the number in MARTENYARD_SOAK_`name`, or the fallback where there is none.
 int SoakNumber(const std::string& name, int fallback);
 
+/// Copies what the soak's machines left in `folder` below the one that MARTENYARD_SOAK_KEEP names,
+/// if there is one and the report tells of anything.
+void KeepSoak(const std::string& report, const std::string& folder, const std::string& name);
+
 /// The third byte of this process's addresses 127.A.N.x, held as long as the object lives, so that
 /// soaks may run beside each other.
 class AddressRange {
--- a/tests/platform/system/recovery_soak_test.cc
+++ b/tests/platform/system/recovery_soak_test.cc
@@ -10,8 +10,6 @@
 //   copied to when a bound was broken).
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -91,7 +89,7 @@
     }
     if (!RunUntil(kStartPatience, [this] { return EachServes(); })) {
       report_ = "LIVE: the system did not start\n";
-      Keep();
+      KeepSoak(report_, folder_.path(), absl::StrCat("recovery-", seed_));
       return report_;
     }
     for (auto& gateway : gateways_) {
@@ -106,7 +104,7 @@
     RunUntil(kStartPatience, [this] { return tasks_ == 0; });
     CheckLogs();
     Summarize();
-    Keep();
+    KeepSoak(report_, folder_.path(), absl::StrCat("recovery-", seed_));
     return report_;
   }
 
@@ -264,15 +262,9 @@
       ClientRequest request;
       request.method = "GET";
       request.id = absl::StrCat(gateway.name(), "-", ++asked_);
-      connection->BeginAnswer(/*head_request=*/false);
-      bool sent = co_await connection->Send(RequestText(request));
-      async_http::ReadStep step = async_http::ReadStep::kProgress;
-      while (sent && step == async_http::ReadStep::kProgress) {
-        step = co_await connection->ReadBody();
-      }
-      bool whole = sent && step == async_http::ReadStep::kWhole;
-      NoteStatus(gateway, whole ? connection->parser().get().result_int() : 0);
-      if (!whole || !connection->MayBeReused()) {
+      std::optional<unsigned> status = co_await AskOn(*connection, RequestText(request));
+      NoteStatus(gateway, status.value_or(0));
+      if (!status || !connection->MayBeReused()) {
         connection.reset();
       }
       co_await Pause(absl::Milliseconds(25));
@@ -436,15 +428,6 @@
     std::cout << std::endl;
   }
 
-  void Keep() const {
-    const char* keep = std::getenv("MARTENYARD_SOAK_KEEP");
-    if (!report_.empty() && keep != nullptr) {
-      std::filesystem::copy(folder_.path(), absl::StrCat(keep, "/recovery-", seed_),
-                            std::filesystem::copy_options::recursive |
-                                std::filesystem::copy_options::overwrite_existing);
-    }
-  }
-
   std::uint64_t seed_;
   RecoverySize size_;
   Random random_;
--- a/tests/platform/system/store_outage_soak_test.cc
+++ b/tests/platform/system/store_outage_soak_test.cc
@@ -10,8 +10,6 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -101,7 +99,7 @@
     RunUntil(kEndPatience, [this] { return tasks_ == 0; });
     report += judge_.report();
     Summarize();
-    Keep(report);
+    KeepSoak(report, folder_.path(), absl::StrCat("outage-", seed_));
     return report;
   }
 
@@ -217,7 +215,7 @@
     } else if (kind == 2) {
       request.target = absl::StrCat("/until/", *owed - 1, "/x");
     }
-    std::optional<unsigned> status = co_await Ask(connection, RequestText(request));
+    std::optional<unsigned> status = co_await AskOn(connection, RequestText(request));
     answered_ += status == 200U ? 1 : 0;
     ++statuses_[status.value_or(0)];
     if (kind == 0 || !status) {
@@ -230,21 +228,6 @@
                                     " is owed, ", version_, " is the latest"));
   }
 
-  Task<std::optional<unsigned>> Ask(async_http::Connection& connection, std::string text) {
-    connection.BeginAnswer(/*head_request=*/false);
-    if (!co_await connection.Send(text)) {
-      co_return std::nullopt;
-    }
-    async_http::ReadStep step = async_http::ReadStep::kProgress;
-    while (step == async_http::ReadStep::kProgress) {
-      step = co_await connection.ReadBody();
-    }
-    if (step != async_http::ReadStep::kWhole) {
-      co_return std::nullopt;
-    }
-    co_return connection.parser().get().result_int();
-  }
-
   // ---- Troubles ----
 
   struct LastingFault {
@@ -482,15 +465,6 @@
     std::cout << std::endl;
   }
 
-  void Keep(const std::string& report) const {
-    const char* keep = std::getenv("MARTENYARD_SOAK_KEEP");
-    if (!report.empty() && keep != nullptr) {
-      std::filesystem::copy(folder_.path(), absl::StrCat(keep, "/outage-", seed_),
-                            std::filesystem::copy_options::recursive |
-                                std::filesystem::copy_options::overwrite_existing);
-    }
-  }
-
   std::uint64_t seed_;
   OutageSize size_;
   Random random_;
--- a/tests/platform/system/stream_soak_test.cc
+++ b/tests/platform/system/stream_soak_test.cc
@@ -9,8 +9,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -127,12 +125,7 @@
     report += ProveChains();
     report += JudgeAll();
     Summarize(SteadyNow() - began);
-    const char* keep = std::getenv("MARTENYARD_SOAK_KEEP");
-    if (!report.empty() && keep != nullptr) {
-      std::filesystem::copy(folder_.path(), absl::StrCat(keep, "/", seed_),
-                            std::filesystem::copy_options::recursive |
-                                std::filesystem::copy_options::overwrite_existing);
-    }
+    KeepSoak(report, folder_.path(), absl::StrCat(seed_));
     return report;
   }
 
