--- a/src/roles/role_settings.h
+++ b/src/roles/role_settings.h
@@ -22,8 +22,8 @@
   wire::Endpoint readiness;               ///< Where readiness is asked for.
   std::optional<wire::Endpoint> metrics;  ///< Where figures are told.
   std::string metrics_path = "/metrics";
-  std::uint16_t internal_port = 0;     ///< For messages between the system's processes.
-  wire::Endpoint store;                ///< The platform's store.
+  std::uint16_t internal_port = 0;  ///< For messages between the system's processes.
+  wire::Endpoint store;             ///< The platform's store.
   /// Some storage machines, at which a process asks that knows nobody. They may be gone.
   std::vector<wire::Endpoint> seeds;
   std::string data_folder;             ///< Empty on machines without a disk.
