Log store: marks are read only when an opening meets damage

Change: the tolerant opening comes first; marks are read where it finds damage. Folders without marks are as strict as before.

--- a/src/storage/durable_mark.cc
+++ b/src/storage/durable_mark.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "absl/strings/match.h"
@@ -60,11 +61,8 @@
   return std::string(kMagic, kMagicBytes) + number + BigEndian(StableHash(number), kNumberBytes);
 }
 
-std::optional<std::uint64_t> LastDurableMark(rocksdb::Env& files, const std::string& folder) {
+std::uint64_t LastDurableMark(rocksdb::Env& files, const std::string& folder) {
   const std::string magic(kMagic, kMagicBytes);
-  if (!files.FileExists(folder + kMarkedFile).ok()) {
-    return std::nullopt;
-  }
   std::uint64_t last = 0;
   for (const std::string& path : WriteAheadLogs(files, folder)) {
     std::string text;
@@ -83,6 +81,10 @@
   return last;
 }
 
+bool MarksAreWritten(rocksdb::Env& files, const std::string& folder) {
+  return files.FileExists(folder + kMarkedFile).ok();
+}
+
 rocksdb::Status NoteMarksAreWritten(rocksdb::Env& files, const std::string& folder) {
   rocksdb::Status status =
       rocksdb::WriteStringToFile(&files, "1\n", folder + kMarkedFile, /*should_sync=*/true);
--- a/src/storage/durable_mark.h
+++ b/src/storage/durable_mark.h
@@ -9,7 +9,6 @@
 #include <rocksdb/env.h>
 
 #include <cstdint>
-#include <optional>
 #include <string>
 
 namespace martenyard::storage {
@@ -18,9 +17,11 @@
 /// @return the mark's bytes, to be written into the log only.
 std::string WriteDurableMark(std::uint64_t durable);
 
-/// @return the highest whole mark in the folder's write-ahead logs, or 0; nothing if not all of
-/// them were written with marks.
-std::optional<std::uint64_t> LastDurableMark(rocksdb::Env& files, const std::string& folder);
+/// @return the highest whole mark in the folder's write-ahead logs, or 0. Reads all of them.
+std::uint64_t LastDurableMark(rocksdb::Env& files, const std::string& folder);
+
+/// @return whether all of the folder's write-ahead logs were written with marks.
+bool MarksAreWritten(rocksdb::Env& files, const std::string& folder);
 
 /// From now on all writes in the folder's write-ahead logs carry marks.
 rocksdb::Status NoteMarksAreWritten(rocksdb::Env& files, const std::string& folder);
--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -530,34 +530,36 @@
   bool dropped_torn_tail = false;
 };
 
-/// @param durable what the write-ahead logs say was synced; nothing if they carry no marks.
 /// Errors: StorageError::kCannotOpen, kDamaged.
-Result<Opened> OpenDatabase(rocksdb::Options& options, const std::string& folder,
-                            std::optional<rocksdb::SequenceNumber> durable) {
+Result<Opened> OpenDatabase(rocksdb::Options& options, const std::string& folder) {
   Opened opened;
+  bool marked = MarksAreWritten(*options.env, folder);
   rocksdb::DB* db = nullptr;
   // A record that was cut short at the end is an unsynced write; any other damage is refused.
   options.wal_recovery_mode = rocksdb::WALRecoveryMode::kTolerateCorruptedTailRecords;
   rocksdb::Status status = rocksdb::DB::Open(options, folder, &db);
   // A loss of power may also leave holes and zeros in what was not synced: then the log is read up
-  // to the first of them, and what is missing behind is compared with the durable mark below.
-  if (status.IsCorruption() && durable) {
+  // to the first of them, and what is there is compared with what its marks say was synced. The
+  // marks are read only now: an opening reads the logs once.
+  if (status.IsCorruption() && marked) {
+    std::uint64_t durable = LastDurableMark(*options.env, folder);
     options.wal_recovery_mode = rocksdb::WALRecoveryMode::kPointInTimeRecovery;
     opened.dropped_torn_tail = true;
     status = rocksdb::DB::Open(options, folder, &db);
+    if (status.ok() && db->GetLatestSequenceNumber() < durable) {
+      opened.db.reset(db);
+      return Damaged("data folder " + folder + " lacks changes that had been synced");
+    }
   }
   if (!status.ok()) {
     return CannotOpen(folder, status);
   }
   opened.db.reset(db);
-  if (durable && db->GetLatestSequenceNumber() < *durable) {
-    return Damaged("data folder " + folder + " lacks changes that had been synced");
-  }
-  if (opened.dropped_torn_tail || !durable) {
+  if (opened.dropped_torn_tail || !marked) {
     // Logs with a torn end, or without marks, are not read again.
     status = db->Flush(rocksdb::FlushOptions());
   }
-  if (status.ok() && !durable) {
+  if (status.ok() && !marked) {
     status = NoteMarksAreWritten(*options.env, folder);
   }
   if (!status.ok()) {
@@ -596,7 +598,7 @@
   if (!synced.ok()) {
     return CannotOpen(folder, synced);
   }
-  BOOST_LEAF_AUTO(opened, OpenDatabase(options, folder, LastDurableMark(*options.env, folder)));
+  BOOST_LEAF_AUTO(opened, OpenDatabase(options, folder));
   options.rate_limiter->SetBytesPerSecond(kBackgroundBytesPerSecond);
   return std::unique_ptr<LogStore>(std::make_unique<RocksDbLogStore>(
       std::move(opened.db), folder, std::move(stalls), opened.dropped_torn_tail));
