Tests that fail: gateways and ledgers of an earlier build side by side with today's

Cause, shown: frames of the builds before and since tenants' limits are unreadable to each other. Real processes: programs of the earlier builds come from the history (scripts/build_earlier.sh).

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,9 @@
 build: configure
 	@cmake --build --preset $(PRESET)
 
+# Without the whole history the tests of mixed builds say that they were passed over.
 test: build
+	-@scripts/build_earlier.sh
 	@scripts/run_tests.sh $(PRESET)
 
 demo: build
--- a/tests/platform/support/machine.cc
+++ b/tests/platform/support/machine.cc
@@ -26,7 +26,8 @@
 Machine::Machine(MachineOptions options)
     : options_(std::move(options)),
       name_(absl::StrCat(options_.storage ? "storage-" : "edge-", options_.number)),
-      folder_(absl::StrCat(options_.folder, "/", name_)) {
+      folder_(absl::StrCat(options_.folder, "/", name_)),
+      program_(bench::ProgramPath("martenyard-node")) {
   std::filesystem::create_directories(folder_ + "/data");
   WriteSettings();
 }
@@ -69,8 +70,7 @@
   WriteSettings();  // Only its first start is the system's.
   lives_.push_back(life);
   process_ = std::make_unique<bench::Process>(
-      std::vector<std::string>{bench::ProgramPath("martenyard-node"),
-                               storage() ? "ledger" : "gateway"},
+      std::vector<std::string>{program_, storage() ? "ledger" : "gateway"},
       absl::StrCat(folder_, "/log-", lives_.size()));
 }
 
--- a/tests/platform/support/machine.h
+++ b/tests/platform/support/machine.h
@@ -39,6 +39,9 @@
   /// The disk's content is gone and the process starts anew.
   void LoseDisk();
   void Signal(int signal);
+  /// The next start is that of another build's program.
+  void UseProgram(const std::string& path) { program_ = path; }
+  const std::string& program() const { return program_; }
   /// Changes the settings file. The process learns of it by SIGHUP.
   void ChangeSettings(const std::string& lines);
   /// Notes an end of the process. @return true while it runs.
@@ -64,6 +67,7 @@
   std::string name_;
   std::string folder_;
   std::string more_settings_;
+  std::string program_;
   std::unique_ptr<bench::Process> process_;
   std::vector<ProcessLife> lives_;
   absl::Time stopped_at_;
