Frames name their layout, and each peer is written to in one that it reads

Cause: the builds before and since tenants' limits write ledger requests and replies in different bytes, and nothing in a frame says which. Each dropped the other's as unreadable, so whoever led a group cut off the other build's gateways. Ruled out: the hand-over (6 ms, everything committed), log messages, disks. Change: wire/layout.h lists the layouts; archives carry one, and a message leaves out what an earlier one lacks. Frames from now on begin with a mark: their layout and the newest that the sender reads. Frames without one are tried as both earlier layouts (no bytes are of both). An answer goes back in its request's layout. What a peer reads is learned from its frames, for as long as the connection lasts: an unknown one is asked by a greeting, whose bytes never change, and by a probe in each unmarked layout; requests wait for that. A peer that leaves requests unanswered for 0.4 s is asked anew. A tenant's limit that an earlier leader can't count is counted by each gateway's share. What has no mark (store, logs, disks, datagrams) stays in one layout. Sight: a process logs its build and layouts; unreadable frames name their sender, one line a second at most. A transport that ends before its loop takes its files off the loop: the next file of that number got its events (found by the tests).

--- a/src/forwarding/quota/quota_client.cc
+++ b/src/forwarding/quota/quota_client.cc
@@ -17,11 +17,39 @@
 /// Requests in one question: it and its answer stay below a packet.
 constexpr std::size_t most_requests = 100;
 
+/// The slack is for all gateways together, so none of it is one gateway's own.
+tenancy::quota_bounds bounds_of_share(tenancy::quota_bounds bounds)
+{
+    bounds.m_slack = 0;
+    return bounds;
+}
+
 }  // namespace
 
-quota_client::quota_client(async_http::asio::io_context& context, turn_ledger::LedgerClient& ledger)
-    : m_context(context), m_ledger(ledger)
+quota_client::quota_client(async_http::asio::io_context& context, turn_ledger::LedgerClient& ledger,
+                           const tenancy::quota_bounds& bounds, std::function<std::uint32_t()> gateways)
+    : m_context(context),
+      m_ledger(ledger),
+      m_gateways(std::move(gateways)),
+      m_window(bounds.m_window),
+      m_own_share(bounds_of_share(bounds))
+{
+}
+
+tenancy::quota_answer quota_client::take_own_share(tenancy::quota_request request)
 {
+    tenancy::instant now = std::chrono::steady_clock::now();
+    if (now - m_own_used > m_window)
+    {
+        m_own_share.reset(now);  // Somebody else counted until now, and may have let a burst in.
+    }
+    m_own_used = now;
+    double gateways = std::max<std::uint32_t>(1, m_gateways());
+    request.m_limit.m_rate /= gateways;
+    request.m_limit.m_burst /= gateways;
+    // The share changes with the number of gateways: the latest one counts.
+    request.m_version = ++m_own_decisions;
+    return m_own_share.take(now, request);
 }
 
 Task<quota_decision> quota_client::admit(const tenancy::tenant& tenant, std::uint64_t version,
@@ -76,8 +104,13 @@
     ++m_questions;
     GroupId group = m_ledger.GroupOf(ProgramId(tenant));
     // Named, since GCC 12 destroys a braced temporary among a co_await's arguments twice.
-    turn_ledger::Operation operation = turn_ledger::TakeQuota{std::move(request)};
+    turn_ledger::Operation operation = turn_ledger::TakeQuota{request};
     turn_ledger::CallResult result = co_await m_ledger.Call(group, std::move(operation), deadline);
+    if (result.end == turn_ledger::CallEnd::kUnsaid)
+    {
+        result->quota = take_own_share(std::move(request));
+        result.end = turn_ledger::CallEnd::kDone;
+    }
     const std::vector<std::int32_t>& waits = result->quota.m_waits_ms;
     for (std::size_t index = 0; index < asked.size(); ++index)
     {
--- a/src/forwarding/quota/quota_client.h
+++ b/src/forwarding/quota/quota_client.h
@@ -40,7 +40,10 @@
 {
   public:
     /// @param[in] ledger  must outlive the client
-    quota_client(async_http::asio::io_context& context, turn_ledger::LedgerClient& ledger);
+    /// @param[in] bounds  how exactly limits hold
+    /// @param[in] gateways  tells how many gateways there are
+    quota_client(async_http::asio::io_context& context, turn_ledger::LedgerClient& ledger,
+                 const tenancy::quota_bounds& bounds, std::function<std::uint32_t()> gateways);
 
     /// @brief asks whether one request of a tenant may go on
     /// @param[in] version  of the configuration that has the tenant
@@ -48,6 +51,12 @@
     async_http::Task<quota_decision> admit(const tenancy::tenant& tenant, std::uint64_t version,
                                            std::uint64_t program, absl::Time deadline);
 
+    /// @return decisions by this gateway's own share of a limit
+    std::uint64_t own_decisions() const
+    {
+        return m_own_decisions;
+    }
+
     /// @return questions asked since the start
     std::uint64_t questions() const
     {
@@ -80,8 +89,17 @@
     async_http::Task<void> ask(std::string tenant);
     async_http::Task<void> ask_once(std::string tenant);
 
+    /// @brief decides by this gateway's share of the limit: nobody counts for all gateways while a ledger
+    ///        leads whose build has no limits
+    tenancy::quota_answer take_own_share(tenancy::quota_request request);
+
     async_http::asio::io_context& m_context;
     turn_ledger::LedgerClient& m_ledger;
+    std::function<std::uint32_t()> m_gateways;
+    std::chrono::milliseconds m_window;
+    tenancy::rate_limiter m_own_share;
+    tenancy::instant m_own_used;
+    std::uint64_t m_own_decisions = 0;
     absl::flat_hash_map<std::string, std::unique_ptr<queue>> m_queues;
     std::uint64_t m_questions = 0;
 };
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -133,6 +133,11 @@
           loop, [this](const std::string& payload) { OnFrame(payload); },
           [this](const std::string& payload) { exchange_.on_datagram(payload); },
           [this](const wire::Endpoint& peer, absl::Time) { state_->ledger->OnDead(peer); }),
+      link_(
+          transport_, [this] { return Self(); }, log,
+          [this](const wire::Endpoint& peer, std::uint64_t request) {
+            state_->ledger->OnUnsaid(peer, request);
+          }),
       frontend_(loop.context(),
                 [state = state_](std::shared_ptr<async_http::Exchange> exchange) {
                   return forwarding::Forward(state, std::move(exchange));
@@ -184,14 +189,15 @@
   state_->ledger = std::make_unique<turn_ledger::LedgerClient>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::LedgerRequest& request) {
-        SendToLedger(to, request);
+        link_.ask(to, request);
       },
       LedgerOptions(settings.policy), state_->random.NextId() >> 16U);
-  state_->quotas = std::make_unique<forwarding::quota_client>(loop.context(), *state_->ledger);
+  state_->quotas = std::make_unique<forwarding::quota_client>(
+      loop.context(), *state_->ledger, settings.quota, [this] { return state_->gateways; });
   state_->chains = std::make_unique<turn_ledger::chain_reader>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::chain_request& request) {
-        transport_.SendFrame(to, wire::Encode(turn_ledger::Envelope{Self(), request}));
+        link_.ask(to, request);
       },
       ZoneName(settings.zone), state_->random.NextId() >> 16U);
   state_->on_placement = [this](const forwarding::PromptPart& part, std::uint32_t runner) {
@@ -367,31 +373,27 @@
 
 // ---- Peers and the ledger ----
 
-void GatewayRole::SendToLedger(const wire::Endpoint& to,
-                               const turn_ledger::LedgerRequest& request) {
-  transport_.SendFrame(to, wire::Encode(turn_ledger::Envelope{Self(), request}));
-}
-
 void GatewayRole::OnFrame(const std::string& payload) {
-  auto envelope = wire::Decode<turn_ledger::Envelope>(payload);
-  if (!envelope) {
-    log_.Write(Line("frame_unreadable").Number("bytes", static_cast<std::int64_t>(payload.size())));
+  std::optional<turn_ledger::read_message> read = link_.read(payload);
+  if (!read) {
     return;
   }
-  if (const auto* reply = std::get_if<turn_ledger::LedgerReply>(&envelope->body)) {
-    state_->ledger->OnReply(envelope->from.endpoint, *reply);
-  } else if (auto* chain = std::get_if<turn_ledger::chain_reply>(&envelope->body)) {
+  turn_ledger::Envelope& envelope = read->m_envelope;
+  if (const auto* reply = std::get_if<turn_ledger::LedgerReply>(&envelope.body)) {
+    state_->ledger->OnReply(envelope.from.endpoint, *reply);
+  } else if (auto* chain = std::get_if<turn_ledger::chain_reply>(&envelope.body)) {
     state_->chains->on_reply(std::move(*chain));
-  } else if (const auto* news = std::get_if<store::news_reply>(&envelope->body)) {
+  } else if (const auto* news = std::get_if<store::news_reply>(&envelope.body)) {
     exchange_.on_news(*news);
-  } else if (auto* request = std::get_if<turn_ledger::LedgerRequest>(&envelope->body)) {
-    async_http::asio::co_spawn(loop_.context(),
-                               RelayToLedger(envelope->from.endpoint, std::move(*request)),
-                               async_http::asio::detached);
+  } else if (auto* request = std::get_if<turn_ledger::LedgerRequest>(&envelope.body)) {
+    async_http::asio::co_spawn(
+        loop_.context(), RelayToLedger(envelope.from.endpoint, std::move(*request), read->m_layout),
+        async_http::asio::detached);
   }
 }
 
-Task<void> GatewayRole::RelayToLedger(wire::Endpoint peer, turn_ledger::LedgerRequest request) {
+Task<void> GatewayRole::RelayToLedger(wire::Endpoint peer, turn_ledger::LedgerRequest request,
+                                      wire::Layout layout) {
   bool settlement = std::holds_alternative<turn_ledger::SettleTurn>(request.operation);
   absl::Duration patience =
       settlement ? state_->options.commit_patience : state_->options.ledger_patience;
@@ -400,17 +402,16 @@
       request.group, std::move(request.operation), deadline, turn_ledger::Relaying::kDirectOnly,
       request.known_programs_only ? turn_ledger::Programs::kKnownOnly
                                   : turn_ledger::Programs::kAll);
-  if (result.end == turn_ledger::CallEnd::kNoAnswer) {
+  bool answered =
+      result.end == turn_ledger::CallEnd::kDone || result.end == turn_ledger::CallEnd::kOverloaded;
+  if (!answered) {
     co_return;  // The peer asks somebody else.
   }
   turn_ledger::LedgerReply reply;
   reply.request = request.request;
   reply.status = result ? turn_ledger::ReplyStatus::kDone : turn_ledger::ReplyStatus::kOverloaded;
   reply.result = std::move(result.result);
-  turn_ledger::Envelope envelope;
-  envelope.from = Self();
-  envelope.body = std::move(reply);
-  transport_.SendFrame(peer, wire::Encode(envelope));
+  link_.answer(peer, std::move(reply), layout);
 }
 
 // ---- Time ----
@@ -529,6 +530,7 @@
   metrics.Set("log_lines_dropped", static_cast<double>(log_.stats().dropped_lines));
   metrics.Set("ledger_retries", static_cast<double>(state_->ledger->retries()));
   metrics.Set("quota_questions", static_cast<double>(state_->quotas->questions()));
+  metrics.Set("quota_own_decisions", static_cast<double>(state_->quotas->own_decisions()));
   metrics.Set("ledger_relayed", static_cast<double>(state_->ledger->relayed()));
   metrics.Set("store_calls", static_cast<double>(store_.calls()));
   SetStoreMetrics();
@@ -548,6 +550,10 @@
   metrics.Set("lease_peer_questions", static_cast<double>(exchange_.leases().m_peer_questions));
   metrics.Set("lease_peer_answers", static_cast<double>(exchange_.leases().m_peer_answers));
   metrics.Set("datagrams_unreadable", static_cast<double>(told.m_datagrams_unreadable));
+  metrics.Set("frames_unreadable", static_cast<double>(link_.stats().m_unreadable));
+  metrics.Set("requests_dropped_for_unknown_peers", static_cast<double>(link_.stats().m_dropped));
+  metrics.Set("peers_of_earlier_layouts", static_cast<double>(link_.earlier_peers()));
+  metrics.Set("newest_layout", static_cast<double>(wire::kNewestLayout));
   metrics.Set("peer_bytes_unsent", static_cast<double>(transport_.unsent()));
   metrics.Set("peer_bytes_sent", static_cast<double>(transport_.stats().bytes_sent));
   metrics.Set("peer_bytes_received", static_cast<double>(transport_.stats().bytes_received));
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -11,6 +11,7 @@
 #include "roles/directory_keys.h"
 #include "roles/exchange/zone_exchange.h"
 #include "roles/ledger/founders_record.h"
+#include "roles/peers/peer_link.h"
 #include "roles/platform_formats.h"
 #include "roles/readiness/readiness.h"
 #include "roles/role_settings.h"
@@ -62,13 +63,13 @@
   void SetLedgerGroups(const std::vector<turn_ledger::Machine>& machines);
 
   void OnFrame(const std::string& payload);
-  void SendToLedger(const wire::Endpoint& to, const turn_ledger::LedgerRequest& request);
   void Tick(absl::Time now);
   /// Looks whether the ledger answers, and tells clients to go elsewhere if only this gateway lost
   /// it.
   void JudgeReadiness();
   /// Makes a peer's call to the ledger in its place.
-  async_http::Task<void> RelayToLedger(wire::Endpoint peer, turn_ledger::LedgerRequest request);
+  async_http::Task<void> RelayToLedger(wire::Endpoint peer, turn_ledger::LedgerRequest request,
+                                       wire::Layout layout);
   void CheckStop(absl::Time now);
   async_http::Task<void> AnswerReadiness(std::shared_ptr<async_http::Exchange> exchange);
   async_http::Task<void> AnswerMetrics(std::shared_ptr<async_http::Exchange> exchange);
@@ -81,6 +82,7 @@
   event_log::EventLog& log_;
   std::shared_ptr<forwarding::GatewayState> state_;
   wire::Transport transport_;
+  peer_link link_;
   async_http::Server frontend_;
   async_http::Server readiness_;
   async_http::Server metrics_;
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -110,6 +110,8 @@
           loop, [this](const std::string& payload) { OnFrame(payload); },
           [this](const std::string& payload) { copies_.on_datagram(payload); },
           [this](const wire::Endpoint& peer, absl::Time) { OnDead(peer); }),
+      link_(
+          transport_, [this] { return Self(); }, log),
       directory_(
           loop.context(), store, kLedgerPrefix,
           [this](const store::StoreChange& change) { OnDirectoryChange(change); },
@@ -308,7 +310,7 @@
     work_.timed(work_kind::applying,
                 [&replica = replica, &ready = ready] { replica.Apply(ready); });
     for (turn_ledger::ReplyTo& reply : replica.TakeReplies()) {
-      SendTo(reply.gateway, std::move(reply.reply));
+      link_.answer(reply.gateway, std::move(reply.reply), reply.layout);
     }
   }
   return true;
@@ -487,36 +489,38 @@
 // ---- Peers ----
 
 void LedgerRole::OnFrame(const std::string& payload) {
-  auto envelope = wire::Decode<turn_ledger::Envelope>(payload);
-  if (!envelope) {
-    log_.Write(Line("frame_unreadable").Number("bytes", static_cast<std::int64_t>(payload.size())));
+  std::optional<turn_ledger::read_message> read = link_.read(payload);
+  if (!read) {
     return;
   }
-  if (envelope->from.identity != kNoNode) {
-    NoteMachine(envelope->from, /*heard_now=*/true);
-  }
-  if (const auto* message = std::get_if<turn_ledger::LogMessage>(&envelope->body)) {
-    work_.timed(work_kind::log_messages, [&] { OnLogMessage(envelope->from, *message); });
-  } else if (const auto* request = std::get_if<turn_ledger::LedgerRequest>(&envelope->body)) {
-    work_.timed(work_kind::requests, [&] { OnRequest(envelope->from.endpoint, *request); });
-  } else if (const auto* read = std::get_if<turn_ledger::chain_request>(&envelope->body)) {
-    work_.timed(work_kind::chain_reads, [&] { OnChainRequest(envelope->from.endpoint, *read); });
-  } else if (const auto* hello = std::get_if<turn_ledger::Hello>(&envelope->body)) {
+  turn_ledger::Envelope& envelope = read->m_envelope;
+  if (envelope.from.identity != kNoNode) {
+    NoteMachine(envelope.from, /*heard_now=*/true);
+  }
+  if (const auto* message = std::get_if<turn_ledger::LogMessage>(&envelope.body)) {
+    work_.timed(work_kind::log_messages, [&] { OnLogMessage(envelope.from, *message); });
+  } else if (const auto* request = std::get_if<turn_ledger::LedgerRequest>(&envelope.body)) {
+    work_.timed(work_kind::requests,
+                [&] { OnRequest(envelope.from.endpoint, *request, read->m_layout); });
+  } else if (const auto* chain = std::get_if<turn_ledger::chain_request>(&envelope.body)) {
+    work_.timed(work_kind::chain_reads, [&] { OnChainRequest(envelope.from.endpoint, *chain); });
+  } else if (const auto* hello = std::get_if<turn_ledger::Hello>(&envelope.body)) {
     OnHello(*hello);
-  } else if (const auto* news = std::get_if<store::news_reply>(&envelope->body)) {
+  } else if (const auto* news = std::get_if<store::news_reply>(&envelope.body)) {
     copies_.on_news(*news);
   }
 }
 
-void LedgerRole::OnRequest(const wire::Endpoint& from, const turn_ledger::LedgerRequest& request) {
+void LedgerRole::OnRequest(const wire::Endpoint& from, const turn_ledger::LedgerRequest& request,
+                           wire::Layout layout) {
   if (turn_ledger::TurnReplica* replica = Find(request.group)) {
-    replica->OnRequest(SteadyNow(), from, request);
+    replica->OnRequest(SteadyNow(), from, request, layout);
     return;
   }
   turn_ledger::LedgerReply reply;
   reply.request = request.request;
   reply.status = turn_ledger::ReplyStatus::kNotLeader;
-  SendTo(from, reply);
+  link_.answer(from, reply, layout);
 }
 
 void LedgerRole::OnChainRequest(const wire::Endpoint& from,
@@ -527,12 +531,12 @@
     reply = replica->state().ReadChain(request);
     work_.add_bytes(work_kind::chain_reads, reply.m_text.size());
   }
-  SendTo(from, std::move(reply));
+  link_.tell(from, std::move(reply));
 }
 
 void LedgerRole::OnLogMessage(const Machine& from, const turn_ledger::LogMessage& message) {
   if (message.to != identity_) {
-    SendTo(from.endpoint, turn_ledger::Hello{});  // It means the disk that this machine lost.
+    link_.tell(from.endpoint, turn_ledger::Hello{});  // It means the disk that this machine lost.
     return;
   }
   if (Find(message.group) == nullptr && disk_ != nullptr) {
@@ -619,13 +623,13 @@
                 random_.engine());
   }
   for (const auto& [name, machine] : peers_.machines()) {
-    SendTo(machine.endpoint, hello);
+    link_.tell(machine.endpoint, hello);
   }
   if (peers_.machines().empty()) {
     // A machine with a new disk, while the store that would name the others is away.
     for (const wire::Endpoint& seed : settings_.seeds) {
       if (seed.address != settings_.address) {
-        SendTo(seed, hello);
+        link_.tell(seed, hello);
       }
     }
   }
@@ -643,13 +647,9 @@
   }
 }
 
-void LedgerRole::SendTo(const wire::Endpoint& to, turn_ledger::Body body) {
-  transport_.SendFrame(to, wire::Encode(turn_ledger::Envelope{Self(), std::move(body)}));
-}
-
 void LedgerRole::SendRaft(GroupId group, const consensus::Outbound& outbound) {
   if (const Machine* machine = peers_.Find(outbound.to)) {
-    SendTo(machine->endpoint, turn_ledger::LogMessage{outbound.to, group, outbound.message});
+    link_.tell(machine->endpoint, turn_ledger::LogMessage{outbound.to, group, outbound.message});
   }
 }
 
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -18,6 +18,7 @@
 #include "roles/ledger/work_account.h"
 #include "roles/memory/memory_guard.h"
 #include "roles/peer_book.h"
+#include "roles/peers/peer_link.h"
 #include "roles/platform_formats.h"
 #include "roles/role_settings.h"
 #include "roles/ticker.h"
@@ -76,7 +77,8 @@
   void OnDiskFailed(const std::string& detail);
 
   void OnLogMessage(const turn_ledger::Machine& from, const turn_ledger::LogMessage& message);
-  void OnRequest(const wire::Endpoint& from, const turn_ledger::LedgerRequest& request);
+  void OnRequest(const wire::Endpoint& from, const turn_ledger::LedgerRequest& request,
+                 wire::Layout layout);
   void OnChainRequest(const wire::Endpoint& from, const turn_ledger::chain_request& request);
   void OnHello(const turn_ledger::Hello& hello);
   void OnDead(const wire::Endpoint& peer);
@@ -84,7 +86,6 @@
   /// @return the time between two greetings: the more machines, the longer.
   absl::Duration HelloPause() const;
   void SayHello();
-  void SendTo(const wire::Endpoint& to, turn_ledger::Body body);
   void SendRaft(GroupId group, const consensus::Outbound& outbound);
   /// True when the others hear of this machine by the log's messages.
   bool HeardAnyway();
@@ -116,6 +117,7 @@
   event_log::EventLog& log_;
   OpenLogStore open_log_store_;
   wire::Transport transport_;
+  peer_link link_;
   store::PrefixMirror directory_;
   founders_record founders_;
   machine_emptying emptying_;
--- /dev/null
+++ b/src/turn_ledger/frames/frame_codec.cc
@@ -0,0 +1,113 @@
+#include "turn_ledger/frames/frame_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace martenyard::turn_ledger
+{
+
+using wire::Layout;
+
+namespace
+{
+
+/// Layouts without a mark, the newest first: fewer and fewer processes write the earlier ones.
+constexpr Layout unmarked_layouts[] = {Layout::kUnmarked2, Layout::kUnmarked1};
+
+constexpr Layout first_marked = Layout::kMarked3;
+
+frame unreadable(const wire::FrameMark& mark, absl::string_view message)
+{
+    unreadable_frame told{mark.layout, mark.newest, {}};
+    // Every message begins with its sender, whose members have never changed.
+    if (auto from = wire::DecodeBeginning<Machine>(message))
+    {
+        told.m_from = from->name;
+    }
+    return told;
+}
+
+frame decode_marked(const wire::FrameMark& mark, absl::string_view message)
+{
+    if (mark.layout == wire::kGreetingLayout)
+    {
+        auto greeting = wire::DecodeGreeting(message);
+        return greeting ? frame(greeting_frame{*std::move(greeting), mark.newest})
+                        : unreadable(mark, message);
+    }
+    auto layout = static_cast<Layout>(mark.layout);
+    if (layout < first_marked || layout > wire::kNewestLayout)
+    {
+        return unreadable(mark, message);
+    }
+    auto envelope = wire::Decode<Envelope>(std::string(message), layout);
+    if (!envelope)
+    {
+        return unreadable(mark, message);
+    }
+    return read_message{*std::move(envelope), layout, common_layout(mark.newest)};
+}
+
+frame decode_unmarked(const std::string& payload)
+{
+    // No bytes are a message of both layouts: the later one adds bytes to the same beginning, and a reader
+    // takes nothing but exactly one message.
+    for (Layout layout : unmarked_layouts)
+    {
+        if (auto envelope = wire::Decode<Envelope>(payload, layout))
+        {
+            bool alike = reads_alike(envelope->body);
+            return read_message{*std::move(envelope), layout,
+                                alike ? std::nullopt : std::make_optional(layout)};
+        }
+    }
+    return unreadable({}, payload);
+}
+
+bool knows_operation(const Body& body, Layout layout)
+{
+    const auto* request = std::get_if<LedgerRequest>(&body);
+    bool quota = request != nullptr && std::holds_alternative<TakeQuota>(request->operation);
+    return !quota || layout >= Layout::kUnmarked2;
+}
+
+}  // namespace
+
+Layout common_layout(std::uint16_t newest)
+{
+    return static_cast<Layout>(std::min(newest, static_cast<std::uint16_t>(wire::kNewestLayout)));
+}
+
+frame decode_frame(const std::string& payload)
+{
+    absl::string_view message = payload;
+    if (auto mark = wire::TakeMark(message))
+    {
+        return decode_marked(*mark, message);
+    }
+    return decode_unmarked(payload);
+}
+
+std::optional<std::string> encode_frame(const Envelope& envelope, Layout layout)
+{
+    if (!knows_operation(envelope.body, layout))
+    {
+        return std::nullopt;
+    }
+    std::string message = wire::Encode(envelope, layout);
+    if (layout < first_marked)
+    {
+        return message;
+    }
+    wire::FrameMark mark{static_cast<std::uint16_t>(layout), static_cast<std::uint16_t>(wire::kNewestLayout)};
+    return wire::Mark(mark, message);
+}
+
+bool reads_alike(const Body& body)
+{
+    return !std::holds_alternative<LedgerRequest>(body) && !std::holds_alternative<LedgerReply>(body);
+}
+
+}  // namespace martenyard::turn_ledger
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -58,6 +58,18 @@
   }
 }
 
+void LedgerClient::OnUnsaid(const wire::Endpoint& peer, std::uint64_t request) {
+  auto found = waiting_.find(request);
+  if (found == waiting_.end()) {
+    return;
+  }
+  Waiting& waiting = *found->second;
+  if (!waiting.tries.empty() && waiting.tries.back().target == peer) {
+    waiting.unsaid = true;
+    waiting.arrived.Notify();
+  }
+}
+
 void LedgerClient::SetRelays(std::vector<wire::Endpoint> relays, bool lost) {
   relays_ = std::move(relays);
   lost_ = lost;
@@ -140,6 +152,7 @@
   absl::Duration try_timeout = options_.try_timeout;
   std::size_t unhelpful = 0;  // Replies without a leader's address.
   std::size_t hints = 0;      // Replies with one, since the last pause.
+  std::size_t unsaid = 0;     // Machines that don't know the operation.
   bool first = true;
   bool may_be_committed = false;
   while (SteadyNow() < deadline) {
@@ -158,7 +171,20 @@
     }
     waiting.tries.push_back({*target, IsRelay(*target)});
     send_(*target, request);
-    co_await waiting.arrived.Wait(std::min(try_timeout, deadline - SteadyNow()));
+    if (!waiting.unsaid) {
+      co_await waiting.arrived.Wait(std::min(try_timeout, deadline - SteadyNow()));
+    }
+    if (std::exchange(waiting.unsaid, false)) {
+      // Another machine may lead, and know the operation.
+      group = Find(group_id);
+      bool last = group == nullptr || group->leader == target || ++unsaid >= group->machines.size();
+      if (last) {
+        result.end = CallEnd::kUnsaid;
+        break;
+      }
+      failed = target;
+      continue;
+    }
     if (!waiting.reply) {
       may_be_committed = true;
       failed = target;
--- a/src/turn_ledger/messages.h
+++ b/src/turn_ledger/messages.h
@@ -12,6 +12,7 @@
 #include "turn_ledger/chain/chain_messages.h"
 #include "turn_ledger/types.h"
 #include "wire/endpoint.h"
+#include "wire/layout.h"
 
 namespace martenyard::turn_ledger {
 
@@ -58,7 +59,10 @@
   bool known_programs_only = false;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(request, operation, group, known_programs_only);
+    archive(request, operation, group);
+    if (wire::HasLayout(archive, wire::Layout::kUnmarked2)) {
+      archive(known_programs_only);
+    }
   }
 };
 
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -106,9 +106,9 @@
 }
 
 void TurnReplica::OnRequest(absl::Time now, const wire::Endpoint& gateway,
-                            const LedgerRequest& request) {
+                            const LedgerRequest& request, wire::Layout layout) {
   now_ = std::max(now_, now);
-  Requester requester{gateway, request.request};
+  Requester requester{gateway, request.request, layout};
   if (!raft_.IsLeader()) {
     Answer(requester, ReplyStatus::kNotLeader);
     return;
@@ -416,7 +416,7 @@
   if (leader != machines_.end()) {
     reply.leader = leader->second.endpoint;
   }
-  replies_.push_back({requester.gateway, std::move(reply)});
+  replies_.push_back({requester.gateway, std::move(reply), requester.layout});
 }
 
 }  // namespace martenyard::turn_ledger
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -38,6 +38,7 @@
 struct Requester {
   wire::Endpoint gateway;
   std::uint64_t request = 0;
+  wire::Layout layout = wire::kNewestLayout;  ///< Of the request, and so of its reply.
   friend auto operator<=>(const Requester&, const Requester&) = default;
 };
 
@@ -55,6 +56,7 @@
 struct ReplyTo {
   wire::Endpoint gateway;
   LedgerReply reply;
+  wire::Layout layout = wire::kNewestLayout;
 };
 
 class TurnReplica {
@@ -68,7 +70,8 @@
 
   void Tick(absl::Time now);
   void OnLogMessage(absl::Time now, NodeId from, const consensus::RaftMessage& message);
-  void OnRequest(absl::Time now, const wire::Endpoint& gateway, const LedgerRequest& request);
+  void OnRequest(absl::Time now, const wire::Endpoint& gateway, const LedgerRequest& request,
+                 wire::Layout layout = wire::kNewestLayout);
   /// Something was heard of `machine`. @param spoke it said so itself: then this is its present
   /// identity. What others tell may be old; it counts only while nothing is known of that name.
   void OnMachine(absl::Time now, const Machine& machine, bool spoke = true);
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -13,6 +13,7 @@
 
 #include "base/ids.h"
 #include "tenancy/rate_limiter.h"
+#include "wire/layout.h"
 
 namespace martenyard::turn_ledger {
 
@@ -136,7 +137,10 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(verdict, history, spent, reserved, history_missing, previous_place, quota);
+    archive(verdict, history, spent, reserved, history_missing, previous_place);
+    if (wire::HasLayout(archive, wire::Layout::kUnmarked2)) {
+      archive(quota);
+    }
   }
 };
 
--- a/src/wire/archive.h
+++ b/src/wire/archive.h
@@ -14,6 +14,7 @@
 #include <type_traits>
 
 #include "absl/strings/string_view.h"
+#include "wire/layout.h"
 
 namespace martenyard::wire {
 
@@ -27,9 +28,10 @@
 class StringOutputArchive
     : public cereal::OutputArchive<StringOutputArchive, cereal::AllowEmptyClassElision> {
  public:
-  explicit StringOutputArchive(std::string& bytes)
+  explicit StringOutputArchive(std::string& bytes, Layout layout = kUnmarkedLayout)
       : cereal::OutputArchive<StringOutputArchive, cereal::AllowEmptyClassElision>(this),
-        bytes_(bytes) {
+        bytes_(bytes),
+        layout_(layout) {
     bytes_.push_back(static_cast<char>(kLittleEndian));
   }
 
@@ -37,8 +39,11 @@
     bytes_.append(static_cast<const char*>(data), size);
   }
 
+  Layout layout() const { return layout_; }
+
  private:
   std::string& bytes_;
+  Layout layout_;
 };
 
 /// Reads messages from bytes that outlive it. Throws cereal::Exception when they end too early or
@@ -46,9 +51,10 @@
 class BytesInputArchive
     : public cereal::InputArchive<BytesInputArchive, cereal::AllowEmptyClassElision> {
  public:
-  explicit BytesInputArchive(absl::string_view bytes)
+  explicit BytesInputArchive(absl::string_view bytes, Layout layout = kUnmarkedLayout)
       : cereal::InputArchive<BytesInputArchive, cereal::AllowEmptyClassElision>(this),
-        unread_(bytes) {
+        unread_(bytes),
+        layout_(layout) {
     std::uint8_t order = 0;
     Load(&order, sizeof(order));
     if (order != kLittleEndian) {
@@ -70,9 +76,11 @@
   }
 
   bool AtEnd() const { return unread_.empty(); }
+  Layout layout() const { return layout_; }
 
  private:
   absl::string_view unread_;
+  Layout layout_;
 };
 
 // ---- What cereal asks of an archive; it finds these functions by their name ----
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -18,19 +18,19 @@
 
 /// @return `message` as bytes that `Decode` understands on any machine.
 template <typename Message>
-std::string Encode(const Message& message) {
+std::string Encode(const Message& message, Layout layout = kUnmarkedLayout) {
   std::string bytes;
-  StringOutputArchive archive(bytes);
+  StringOutputArchive archive(bytes, layout);
   archive(message);
   return bytes;
 }
 
-/// @return the message, or nothing when `bytes` are not exactly one message of this type. Allocates
-/// no more than in proportion to the bytes, whatever they hold.
+/// @return the message, or nothing when `bytes` are not exactly one message of this type and
+/// layout. Allocates no more than in proportion to the bytes, whatever they hold.
 template <typename Message>
-std::optional<Message> Decode(const std::string& bytes) {
+std::optional<Message> Decode(const std::string& bytes, Layout layout = kUnmarkedLayout) {
   try {
-    BytesInputArchive archive(bytes);
+    BytesInputArchive archive(bytes, layout);
     Message message;
     archive(message);
     if (!archive.AtEnd()) {
@@ -42,4 +42,17 @@
   }
 }
 
+/// @return the message that the bytes begin with, whatever follows it, or nothing.
+template <typename Message>
+std::optional<Message> DecodeBeginning(absl::string_view bytes) {
+  try {
+    BytesInputArchive archive(bytes);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;  // The caller says which message was unreadable.
+  }
+}
+
 }  // namespace martenyard::wire
--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -59,15 +59,20 @@
       read_buffer_(kReadBytes) {}
 
 Transport::~Transport() {
-  for (auto& [socket, connection] : accepted_) {
+  // The loop may outlive this object, and its next file may get the same number.
+  auto end = [this](int socket) {
+    loop_.Unwatch(socket);
     close(socket);
+  };
+  for (auto& [socket, connection] : accepted_) {
+    end(socket);
   }
   for (auto& [peer, connection] : peers_) {
-    close(connection->socket);
+    end(connection->socket);
   }
   for (int socket : {listener_, datagrams_}) {
     if (socket >= 0) {
-      close(socket);
+      end(socket);
     }
   }
 }
@@ -269,7 +274,11 @@
   unsent_ -= found->second->unsent.size();
   loop_.Unwatch(found->second->socket);
   close(found->second->socket);
+  Endpoint closed = peer;  // `peer` may be the erased key.
   peers_.erase(found);
+  if (on_closed_) {
+    on_closed_(closed);
+  }
 }
 
 void Transport::SendDatagram(const Endpoint& peer, const std::string& payload) {
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -38,6 +38,9 @@
   /// Told that a connection to a peer broke and that nothing listens there any more.
   using DeadHandler = std::function<void(const Endpoint& peer, absl::Time checked_at)>;
 
+  /// Told that the connection to a peer is gone: whatever is sent next goes on a new one.
+  using ClosedHandler = std::function<void(const Endpoint& peer)>;
+
   Transport(EventLoop& loop, PayloadHandler on_frame, PayloadHandler on_datagram,
             DeadHandler on_dead);
   ~Transport();
@@ -47,6 +50,7 @@
   /// Binds TCP and UDP to the same port. Port 0 lets the system choose.
   /// Errors: TransportError.
   Result<Endpoint> Listen(const Endpoint& endpoint);
+  void SetClosedHandler(ClosedHandler on_closed) { on_closed_ = std::move(on_closed); }
   void SendFrame(const Endpoint& peer, const std::string& payload);
   void SendDatagram(const Endpoint& peer, const std::string& payload);
   /// @return bytes that wait to be sent to the peer.
@@ -82,6 +86,7 @@
   PayloadHandler on_frame_;
   PayloadHandler on_datagram_;
   DeadHandler on_dead_;
+  ClosedHandler on_closed_;
   int listener_ = -1;
   int datagrams_ = -1;
   std::map<int, std::unique_ptr<Connection>> accepted_;
--- /dev/null
+++ b/tests/roles/peers/peer_link_test.cc
@@ -0,0 +1,268 @@
+// Two processes' links over sockets, and peers of earlier builds that a test plays: what a process asks is
+// said in words that the other one reads, whichever build that is and becomes.
+#include "roles/peers/peer_link.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "layouts/samples.h"
+#include "wire/codec.h"
+
+namespace martenyard::roles
+{
+namespace
+{
+
+using turn_ledger::LedgerRequest;
+using wire::Layout;
+
+/// A process of an earlier build: it reads and answers one layout, and drops all else.
+class earlier_peer
+{
+  public:
+    earlier_peer(wire::EventLoop& loop, Layout layout, const wire::Endpoint& at = {"127.0.0.1", 0})
+        : m_layout(layout),
+          m_transport(
+              loop,
+              [this](const std::string& payload)
+              {
+                  on_frame(payload);
+              },
+              [](const std::string&) {}, [](const wire::Endpoint&, absl::Time) {})
+    {
+        m_endpoint = *m_transport.Listen(at);
+    }
+
+    const wire::Endpoint& endpoint() const
+    {
+        return m_endpoint;
+    }
+
+    std::vector<LedgerRequest> m_requests;
+    int m_unreadable = 0;
+
+  private:
+    void on_frame(const std::string& payload)
+    {
+        auto envelope = wire::Decode<turn_ledger::Envelope>(payload, m_layout);
+        if (!envelope)
+        {
+            ++m_unreadable;
+            return;
+        }
+        auto& request = std::get<LedgerRequest>(envelope->body);
+        m_requests.push_back(request);
+        turn_ledger::LedgerReply reply;
+        reply.request = request.request;
+        turn_ledger::Envelope answer{{"earlier", NodeId(1), m_endpoint, ZoneName("z")}, reply};
+        m_transport.SendFrame(envelope->from.endpoint, wire::Encode(answer, m_layout));
+    }
+
+    Layout m_layout;
+    wire::Transport m_transport;
+    wire::Endpoint m_endpoint;
+};
+
+/// A process of this build that answers each request.
+class present_process
+{
+  public:
+    explicit present_process(wire::EventLoop& loop, const wire::Endpoint& at = {"127.0.0.1", 0})
+        : m_log(m_file, "present"),
+          m_transport(
+              loop,
+              [this](const std::string& payload)
+              {
+                  on_frame(payload);
+              },
+              [](const std::string&) {}, [](const wire::Endpoint&, absl::Time) {}),
+          m_link(
+              m_transport,
+              [this]
+              {
+                  return turn_ledger::Machine{"present", NodeId(2), m_endpoint, ZoneName("z")};
+              },
+              m_log,
+              [this](const wire::Endpoint&, std::uint64_t request)
+              {
+                  m_unsaid.push_back(request);
+              })
+    {
+        m_endpoint = *m_transport.Listen(at);
+    }
+    ~present_process()
+    {
+        close(m_file);
+    }
+
+    peer_link& link()
+    {
+        return m_link;
+    }
+    const wire::Endpoint& endpoint() const
+    {
+        return m_endpoint;
+    }
+
+    std::vector<turn_ledger::read_message> m_requests;
+    std::vector<std::uint64_t> m_answered;
+    std::vector<std::uint64_t> m_unsaid;
+
+  private:
+    void on_frame(const std::string& payload)
+    {
+        auto message = m_link.read(payload);
+        if (!message)
+        {
+            return;
+        }
+        if (auto* reply = std::get_if<turn_ledger::LedgerReply>(&message->m_envelope.body))
+        {
+            m_answered.push_back(reply->request);
+            return;
+        }
+        auto& request = std::get<LedgerRequest>(message->m_envelope.body);
+        turn_ledger::LedgerReply reply;
+        reply.request = request.request;
+        m_link.answer(message->m_envelope.from.endpoint, reply, message->m_layout);
+        m_requests.push_back(*message);
+    }
+
+    int m_file = fileno(std::tmpfile());
+    event_log::EventLog m_log;
+    wire::Transport m_transport;
+    wire::Endpoint m_endpoint;
+    peer_link m_link;
+};
+
+class PeerLink : public ::testing::Test
+{
+  protected:
+    bool run_until(const std::function<bool()>& condition)
+    {
+        for (absl::Time end = SteadyNow() + absl::Seconds(10); SteadyNow() < end;)
+        {
+            if (condition())
+            {
+                return true;
+            }
+            m_loop.RunRound(absl::Milliseconds(5));
+        }
+        return condition();
+    }
+
+    /// Asks as a caller does: again after a while without an answer. @return whether one came.
+    bool ask(present_process& from, const wire::Endpoint& to, turn_ledger::Operation operation)
+    {
+        LedgerRequest request = layouts::ledger_request<LedgerRequest>(std::move(operation));
+        request.request = ++m_asked;
+        absl::Time again = absl::InfinitePast();
+        return run_until(
+            [&]
+            {
+                if (SteadyNow() >= again)
+                {
+                    again = SteadyNow() + absl::Milliseconds(200);
+                    from.link().ask(to, request);
+                }
+                return std::find(from.m_answered.begin(), from.m_answered.end(), m_asked) !=
+                       from.m_answered.end();
+            });
+    }
+
+    wire::EventLoop m_loop;
+    std::uint64_t m_asked = 100;
+};
+
+TEST_F(PeerLink, PeersOfEarlierBuildsGetWhatTheyReadAndLittleElse)
+{
+    for (Layout layout : {Layout::kUnmarked1, Layout::kUnmarked2})
+    {
+        earlier_peer peer(m_loop, layout);
+        present_process gateway(m_loop);
+        for (int time = 0; time < 20; ++time)
+        {
+            ASSERT_TRUE(ask(gateway, peer.endpoint(), layouts::reservation()));
+        }
+        EXPECT_EQ(peer.m_requests.size(), 21U) << "each once, and one probe";
+        EXPECT_EQ(peer.m_unreadable, 2) << "the greeting, and a probe in the other layout";
+        EXPECT_EQ(gateway.link().earlier_peers(), 1U);
+    }
+}
+
+TEST_F(PeerLink, ProcessesOfThisBuildSpeakInMarkedFramesFromTheFirstRequestOn)
+{
+    present_process ledger(m_loop);
+    present_process gateway(m_loop);
+    ASSERT_TRUE(ask(gateway, ledger.endpoint(), layouts::reservation()));
+    const turn_ledger::read_message* first = nullptr;
+    for (const turn_ledger::read_message& message : ledger.m_requests)
+    {
+        bool probe = std::holds_alternative<turn_ledger::Probe>(
+            std::get<LedgerRequest>(message.m_envelope.body).operation);
+        first = first == nullptr && !probe ? &message : first;
+    }
+    ASSERT_NE(first, nullptr);
+    EXPECT_EQ(first->m_layout, wire::kNewestLayout);
+    EXPECT_TRUE(std::get<LedgerRequest>(first->m_envelope.body).known_programs_only);
+    EXPECT_EQ(ledger.link().stats().m_unreadable, 0U);
+    EXPECT_EQ(gateway.link().earlier_peers(), 0U);
+}
+
+TEST_F(PeerLink, OperationThatThePeerDoesNotKnowIsSaidToBeUnsaidAndNotSent)
+{
+    earlier_peer peer(m_loop, Layout::kUnmarked1);
+    present_process gateway(m_loop);
+    LedgerRequest request = layouts::ledger_request<LedgerRequest>(turn_ledger::TakeQuota{});
+    gateway.link().ask(peer.endpoint(), request);
+    EXPECT_TRUE(run_until(
+        [&]
+        {
+            return !gateway.m_unsaid.empty();
+        }));
+    gateway.link().ask(peer.endpoint(), request);
+    EXPECT_EQ(gateway.m_unsaid.size(), 2U) << "at once, now that the peer is known";
+    EXPECT_EQ(peer.m_unreadable, 2);
+}
+
+TEST_F(PeerLink, PeerThatRestartsAsAnotherBuildIsLearnedAnewInEitherDirection)
+{
+    present_process gateway(m_loop);
+    auto earlier = std::make_unique<earlier_peer>(m_loop, Layout::kUnmarked1);
+    wire::Endpoint at = earlier->endpoint();
+    ASSERT_TRUE(ask(gateway, at, layouts::reservation()));
+    earlier.reset();
+    auto present = std::make_unique<present_process>(m_loop, at);
+    ASSERT_TRUE(ask(gateway, at, layouts::reservation()));
+    present.reset();
+    earlier = std::make_unique<earlier_peer>(m_loop, Layout::kUnmarked2, at);
+    ASSERT_TRUE(ask(gateway, at, layouts::reservation()));
+    EXPECT_EQ(gateway.link().earlier_peers(), 1U);
+}
+
+TEST_F(PeerLink, PeerThatIsNeverThereKeepsNothingWaiting)
+{
+    present_process gateway(m_loop);
+    wire::Endpoint nobody{"127.0.0.1", 1};
+    LedgerRequest request = layouts::ledger_request<LedgerRequest>(layouts::settlement());
+    for (int time = 0; time < 50; ++time)
+    {
+        gateway.link().ask(nobody, request);
+        m_loop.RunRound(absl::Milliseconds(1));
+    }
+    EXPECT_TRUE(run_until(
+        [&]
+        {
+            return gateway.link().stats().m_dropped >= 49;
+        }));
+}
+
+}  // namespace
+}  // namespace martenyard::roles
--- /dev/null
+++ b/tests/turn_ledger/frames/frame_codec_test.cc
@@ -0,0 +1,106 @@
+// Frames of other builds, later ones too: read where that is possible, and named where it isn't.
+#include "turn_ledger/frames/frame_codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "layouts/samples.h"
+#include "wire/codec.h"
+
+namespace martenyard::turn_ledger
+{
+namespace
+{
+
+using wire::Layout;
+
+constexpr auto newest = static_cast<std::uint16_t>(wire::kNewestLayout);
+
+Envelope probe()
+{
+    return {layouts::gateway_machine(), layouts::ledger_request<LedgerRequest>(Probe{})};
+}
+
+TEST(FrameCodec, LaterBuildsFrameIsNamedAndNotRead)
+{
+    std::string payload = wire::Mark({newest + 1, newest + 4}, wire::Encode(probe()) + "more");
+    frame read = decode_frame(payload);
+    auto* unreadable = std::get_if<unreadable_frame>(&read);
+    ASSERT_NE(unreadable, nullptr);
+    EXPECT_EQ(unreadable->m_layout, newest + 1);
+    EXPECT_EQ(unreadable->m_newest, newest + 4);
+    EXPECT_EQ(unreadable->m_from, "edge-1");
+}
+
+TEST(FrameCodec, LaterBuildThatWritesAKnownLayoutIsWrittenToInTheNewestOfThisBuild)
+{
+    frame read = decode_frame(wire::Mark({newest, newest + 4}, wire::Encode(probe())));
+    auto* message = std::get_if<read_message>(&read);
+    ASSERT_NE(message, nullptr);
+    EXPECT_EQ(message->m_sender_reads, wire::kNewestLayout);
+}
+
+TEST(FrameCodec, GreetingOfALaterBuildIsReadWhateverStandsBehindIt)
+{
+    wire::Greeting greeting{{"10.0.0.9", 7381}, "edge-1", "later", true};
+    frame read =
+        decode_frame(wire::Mark({wire::kGreetingLayout, newest + 4}, wire::Encode(greeting) + "more"));
+    auto* greeted = std::get_if<greeting_frame>(&read);
+    ASSERT_NE(greeted, nullptr);
+    EXPECT_EQ(greeted->m_greeting.from, greeting.from);
+    EXPECT_EQ(greeted->m_greeting.build, "later");
+    EXPECT_TRUE(greeted->m_greeting.wants_answer);
+    EXPECT_EQ(greeted->m_newest, newest + 4);
+    EXPECT_EQ(common_layout(greeted->m_newest), wire::kNewestLayout);
+}
+
+TEST(FrameCodec, OperationThatALayoutDoesNotHaveIsNotWritten)
+{
+    Envelope quota{layouts::gateway_machine(), layouts::ledger_request<LedgerRequest>(TakeQuota{})};
+    EXPECT_FALSE(encode_frame(quota, Layout::kUnmarked1).has_value());
+    EXPECT_TRUE(encode_frame(quota, Layout::kUnmarked2).has_value());
+}
+
+TEST(FrameCodec, MarkIsNoBeginningOfAMessageWithoutOne)
+{
+    for (Layout layout : {Layout::kUnmarked1, Layout::kUnmarked2})
+    {
+        std::string payload = *encode_frame(probe(), layout);
+        absl::string_view message = payload;
+        EXPECT_FALSE(wire::TakeMark(message).has_value());
+        EXPECT_EQ(message.size(), payload.size());
+    }
+}
+
+/// A request or reply of any values, in an unmarked layout, is never taken for one of the other.
+RC_GTEST_PROP(FrameCodecProperty, UnmarkedFramesAreTakenForTheirOwnLayout, ())
+{
+    Layout layout = *rc::gen::element(Layout::kUnmarked1, Layout::kUnmarked2);
+    LedgerReply reply;
+    reply.request = *rc::gen::arbitrary<std::uint64_t>();
+    reply.result.history = *rc::gen::arbitrary<std::string>();
+    reply.result.spent = *rc::gen::arbitrary<std::uint64_t>();
+    reply.result.previous_place.tokens = *rc::gen::arbitrary<std::uint32_t>();
+    if (layout >= Layout::kUnmarked2)
+    {
+        reply.result.quota.m_waits_ms = *rc::gen::arbitrary<std::vector<std::int32_t>>();
+        reply.result.quota.m_retry_after_ms = *rc::gen::arbitrary<std::uint32_t>();
+    }
+    reply.leader.address = *rc::gen::element<std::string>("", "10.0.0.2", "127.255.255.255");
+    reply.leader.port = *rc::gen::arbitrary<std::uint16_t>();
+    LedgerRequest request = layouts::ledger_request<LedgerRequest>(layouts::reservation());
+    request.group = GroupId(*rc::gen::arbitrary<std::uint32_t>());
+    request.known_programs_only = layout >= Layout::kUnmarked2 && *rc::gen::arbitrary<bool>();
+    for (Body body : {Body(reply), Body(request)})
+    {
+        std::string payload = *encode_frame({layouts::storage_machine(), body}, layout);
+        frame read = decode_frame(payload);
+        auto* message = std::get_if<read_message>(&read);
+        RC_ASSERT(message != nullptr);
+        RC_ASSERT(message->m_layout == layout);
+        RC_ASSERT(encode_frame(message->m_envelope, layout) == payload);
+    }
+}
+
+}  // namespace
+}  // namespace martenyard::turn_ledger
--- /dev/null
+++ b/tests/turn_ledger/frames/peer_layouts_test.cc
@@ -0,0 +1,106 @@
+// What is known of peers' layouts: learned anew with each connection, and when requests go unanswered.
+#include "turn_ledger/frames/peer_layouts.h"
+
+#include <gtest/gtest.h>
+
+namespace martenyard::turn_ledger
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using wire::Layout;
+
+const wire::Endpoint peer{"10.0.0.1", 7380};
+
+class PeerLayouts : public ::testing::Test
+{
+  protected:
+    bool request_after(int ms)
+    {
+        m_now += milliseconds(ms);
+        return m_layouts.note_request(m_now, peer);
+    }
+
+    peer_layouts m_layouts;
+    peer_layouts::instant m_now{milliseconds(1000)};
+};
+
+TEST_F(PeerLayouts, UnknownPeerIsAskedOnceInAWhile)
+{
+    EXPECT_TRUE(request_after(0));
+    EXPECT_FALSE(request_after(150));
+    EXPECT_EQ(m_layouts.of(peer), std::nullopt);
+    EXPECT_TRUE(request_after(60)) << "the question, or its answer, was lost";
+}
+
+TEST_F(PeerLayouts, KnownPeerIsNotAskedAgainWhileItAnswers)
+{
+    request_after(0);
+    EXPECT_TRUE(m_layouts.note_heard(peer, Layout::kUnmarked1));
+    EXPECT_FALSE(m_layouts.note_heard(peer, Layout::kUnmarked1)) << "no news";
+    for (int second = 0; second < 5; ++second)
+    {
+        EXPECT_FALSE(request_after(1000));
+        m_layouts.note_heard(peer, std::nullopt);
+    }
+    EXPECT_EQ(m_layouts.of(peer), Layout::kUnmarked1);
+}
+
+TEST_F(PeerLayouts, ProcessThatAnswersEachQuestionInItsOwnLayoutIsKnownByTheNewest)
+{
+    request_after(0);
+    m_layouts.note_heard(peer, Layout::kMarked3);
+    m_layouts.note_heard(peer, Layout::kUnmarked2);
+    m_layouts.note_heard(peer, Layout::kUnmarked1);
+    EXPECT_EQ(m_layouts.of(peer), Layout::kMarked3);
+}
+
+TEST_F(PeerLayouts, NewConnectionMayLeadToAnotherBuildInEitherDirection)
+{
+    for (auto [before, after] :
+         {std::pair(Layout::kUnmarked1, Layout::kMarked3), std::pair(Layout::kMarked3, Layout::kUnmarked1)})
+    {
+        request_after(1000);
+        m_layouts.note_heard(peer, before);
+        m_layouts.note_closed(peer);
+        EXPECT_EQ(m_layouts.of(peer), std::nullopt);
+        EXPECT_TRUE(request_after(0)) << "at once, on the new connection";
+        m_layouts.note_heard(peer, after);
+        EXPECT_EQ(m_layouts.of(peer), after);
+        m_layouts.note_closed(peer);
+    }
+}
+
+// The former process's last frames may be read after its connection broke, and would be taken for the
+// present one's.
+TEST_F(PeerLayouts, PeerThatLeavesRequestsUnansweredIsAskedAnewAndMayReadLess)
+{
+    request_after(0);
+    m_layouts.note_heard(peer, Layout::kMarked3);
+    EXPECT_FALSE(request_after(1000));
+    EXPECT_FALSE(request_after(300));
+    EXPECT_TRUE(request_after(100)) << "nothing came back for 400 ms";
+    EXPECT_EQ(m_layouts.of(peer), Layout::kMarked3) << "it may only be slow";
+    EXPECT_TRUE(m_layouts.note_heard(peer, Layout::kUnmarked1));
+    EXPECT_EQ(m_layouts.of(peer), Layout::kUnmarked1);
+}
+
+TEST_F(PeerLayouts, FramesOfAPeerThatWasAskedNothingTeachNothing)
+{
+    EXPECT_FALSE(m_layouts.note_heard(peer, Layout::kMarked3));
+    EXPECT_EQ(m_layouts.of(peer), std::nullopt);
+}
+
+TEST_F(PeerLayouts, EarlierPeersAreCounted)
+{
+    request_after(0);
+    m_layouts.note_heard(peer, Layout::kUnmarked2);
+    wire::Endpoint other{"10.0.0.2", 7380};
+    m_layouts.note_request(m_now, other);
+    m_layouts.note_heard(other, wire::kNewestLayout);
+    EXPECT_EQ(m_layouts.earlier_peers(), 1U);
+}
+
+}  // namespace
+}  // namespace martenyard::turn_ledger
