--- a/tests/platform/gateway_contract_test.cc
+++ b/tests/platform/gateway_contract_test.cc
@@ -424,6 +424,43 @@
   EXPECT_FALSE(world.ledger().replica()->machines().contains(NodeId(111)));
 }
 
+// While the ledger changed hands during an upgrade, answers were cut 2,000.1 ms after their runner
+// had made them whole: that was how long a gateway waited for a kept turn's commit, whatever the
+// request had left. Clients had given these requests ten seconds.
+TEST(CommitContractTest, AnswerIsNotCutWhileItsCommitMayStillBecomeKnown) {
+  PlatformWorld world;
+  world.Start();
+  world.a().event_gap = absl::Milliseconds(100);
+  constexpr absl::Duration kLedgerGone = absl::Milliseconds(200);
+  constexpr absl::Duration kLedgerBack = absl::Milliseconds(2900);
+  world.loop().After(kLedgerGone, [&] { world.disk().fails = true; });
+  world.loop().After(kLedgerBack, [&] { world.disk().fails = false; });
+  ClientRequest request;
+  request.target = "/streamkept/4";
+  request.headers = {"Program-Id: p1", "Token-Usage: 10,100"};
+  ClientAnswer answer = world.Ask(request);
+  EXPECT_EQ(answer.status, 200U);
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(world.a().runs(), 1);
+}
+
+// A process that waits for a commit without end would hold its clients beyond their deadlines.
+TEST(CommitContractTest, AnswerIsCutOnceTheRequestsTimeIsOver) {
+  PlatformWorld world;
+  world.Start();
+  world.a().event_gap = absl::Milliseconds(100);
+  world.loop().After(absl::Milliseconds(200), [&] { world.disk().fails = true; });
+  ClientRequest request;
+  request.target = "/streamkept/4";
+  request.headers = {"Program-Id: p1", "Token-Usage: 10,100"};
+  request.deadline_ms = 3000;
+  absl::Time began = SteadyNow();
+  ClientAnswer answer = world.Ask(request);
+  EXPECT_FALSE(answer.whole);
+  EXPECT_LT(SteadyNow() - began, absl::Milliseconds(request.deadline_ms) + absl::Milliseconds(500));
+  world.disk().fails = false;
+}
+
 TEST(StopContractTest, StoppingGatewayIsNotReadyAndFinishesWhatItHas) {
   PlatformWorld world;
   world.Start();
