A kept turn's commit is waited for until the request's own time is over

Cause: 2 s of patience cut whole answers while the ledger changed hands, though the requests had seven seconds left. Change: until the deadline, 2 s at the least; tries and their pauses as before. Ruled out: asking faster, which would bring megabytes of a settlement to a ledger that recovers.

--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -39,7 +39,8 @@
   absl::Duration lease_pause = absl::Milliseconds(800);
   absl::Duration ledger_patience = absl::Milliseconds(900);  ///< Then the turn is refused.
   absl::Duration quota_patience = absl::Milliseconds(600);   ///< Then the request is refused.
-  absl::Duration commit_patience = absl::Seconds(2);         ///< For a kept turn's commit.
+  /// For a kept turn's commit, at the least; otherwise until the request's deadline.
+  absl::Duration commit_patience = absl::Seconds(2);
   absl::Duration settle_patience = absl::Seconds(20);
   /// A process that has just started learns the configuration and the ledger in some ten
   /// milliseconds. What comes meanwhile waits this long at most before it is refused.
