martenyardd: a later attempt that did not run is logged as unknown, which all builds apply alike

Ruled out: a new kind of entry, which an earlier replica drops while the others apply it. Change: the leader that proposes the entry says unknown; the rule that applies entries stays for logs that have the other. Cost: the whole reservation of such an attempt is charged.

--- a/src/ledger/group_replica.cc
+++ b/src/ledger/group_replica.cc
@@ -11,6 +11,15 @@
 constexpr absl::Duration kExpiryCheckInterval = absl::Seconds(1);
 constexpr std::size_t kExpiriesPerCheck = 64;
 
+/// Builds differ in what they make of a later attempt that did not run: some void the key, though
+/// an earlier attempt may have run. All of them take "unknown" alike; it costs the attempt's whole
+/// reservation.
+void UseOutcomeOfAllBuilds(FinishCall& finish) {
+  if (finish.outcome == CallState::kNotRun && finish.grant.attempt > kFirstAttempt) {
+    finish.outcome = CallState::kUnknown;
+  }
+}
+
 }  // namespace
 
 GroupReplica::GroupReplica(GroupId group, NodeId self, const GroupOptions& options,
@@ -216,6 +225,9 @@
 void GroupReplica::ProposeOwn(Operation operation) { Propose(Requester{}, std::move(operation)); }
 
 bool GroupReplica::Propose(const Requester& requester, Operation operation, std::uint64_t arrival) {
+  if (auto* finish = std::get_if<FinishCall>(&operation)) {
+    UseOutcomeOfAllBuilds(*finish);
+  }
   Command command{NowMillis(), std::move(operation)};
   auto index = raft_.Propose(consensus::EntryKind::kCommand, wire::Encode(command));
   if (!index) {
