What only a later build can read halts a replica, and is no damage

Ruled out: passing over (states part silently) and ending the process (it would start again without end). Records of an unknown kind on the disk refuse the opening and stay as they are; the log is not set aside. Unit tests of ledger and store pass.

--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -269,6 +269,7 @@
   }
   for (const auto& [group, replica] : replicas_) {
     LogLeadership(group, *replica);
+    LogUnreadable(group, *replica);
   }
 }
 
@@ -476,6 +477,14 @@
       describe_work(work_.take(), disk_ == nullptr ? storage::WriteBacklog{} : disk_->Backlog()));
 }
 
+void LedgerRole::LogUnreadable(GroupId group, const turn_ledger::TurnReplica& replica) {
+  if (replica.unreadable() && halted_.insert(group).second) {
+    log_.Write(Line("replica_halted")
+                   .Number("group", group.value)
+                   .Number("index", static_cast<std::int64_t>(*replica.unreadable())));
+  }
+}
+
 void LedgerRole::LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica) {
   const consensus::Raft& raft = replica.raft();
   LoggedRole present{raft.role(), raft.term(), raft.configuration()};
@@ -527,7 +536,8 @@
                                 const turn_ledger::chain_request& request) {
   turn_ledger::chain_reply reply;
   reply.m_request = request.m_request;
-  if (const turn_ledger::TurnReplica* replica = Find(request.m_group)) {
+  const turn_ledger::TurnReplica* replica = Find(request.m_group);
+  if (replica != nullptr && !replica->unreadable()) {
     reply = replica->state().ReadChain(request);
     work_.add_bytes(work_kind::chain_reads, reply.m_text.size());
   }
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,8 @@
   void FoundFromRecord();
 
   void LogLeadership(GroupId group, const turn_ledger::TurnReplica& replica);
+  /// Tells once that a replica can't read what a later build left.
+  void LogUnreadable(GroupId group, const turn_ledger::TurnReplica& replica);
   void LogProgress(GroupId group, const turn_ledger::TurnReplica& replica);
   void LogWork();
   turn_ledger::Machine Self() const;
@@ -134,6 +137,7 @@
   absl::Time next_flush_;
   absl::Time next_progress_;
   std::map<GroupId, std::optional<LoggedRole>> logged_roles_;
+  std::set<GroupId> halted_;  ///< Groups whose replica was told to be unreadable.
   std::uint64_t synced_writes_ = 0;
   work_account work_;
   memory_guard memory_;
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -20,7 +20,7 @@
 
 /// Why stored state can't be read or written. `detail` names the folder.
 struct StorageError {
-  enum class Code { kCannotOpen, kWriteFailed, kDamaged, kForeignIdentity };
+  enum class Code { kCannotOpen, kWriteFailed, kDamaged, kForeignIdentity, kLaterFormat };
   Code code = Code::kCannotOpen;
   std::string detail;
 };
@@ -75,7 +75,8 @@
 class LogStore {
  public:
   virtual ~LogStore() = default;
-  /// Reads all that is stored. Errors: StorageError::kDamaged.
+  /// Reads all that is stored. Errors: StorageError::kDamaged, kLaterFormat: a later build has
+  /// written records of a kind that this one doesn't know; they must stay as they are.
   virtual Result<StoredNode> Load() = 0;
   /// Stores the node's identity, once. Errors: StorageError::kForeignIdentity, kWriteFailed.
   virtual Result<void> SetIdentity(NodeId identity) = 0;
--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -159,6 +159,11 @@
         cursor->Seek(GroupKey(key.front(), GroupId(group.value + 1)));
         continue;
       }
+      if (!IsKnown(key)) {
+        return leaf::new_error(
+            StorageError{StorageError::Code::kLaterFormat,
+                         "data folder " + folder_ + " holds records of a later build"});
+      }
       if (!LoadRecord(key, cursor->value().ToString(), node)) {
         return Damaged("data folder " + folder_ + " holds a damaged record");
       }
@@ -329,6 +334,11 @@
     return key != kIdentityKey && (key.front() == 'e' || key.front() == 't' || key.front() == 'p');
   }
 
+  static bool IsKnown(const std::string& key) {
+    constexpr std::string_view kKindsOfSingleRecords = "hsx";
+    return key == kIdentityKey || kKindsOfSingleRecords.find(key.front()) != std::string_view::npos;
+  }
+
   static GroupId GroupOf(std::string_view key) {
     return GroupId(static_cast<std::uint32_t>(FromBigEndian(key.substr(1, 4))));
   }
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -32,7 +32,7 @@
       quotas_(options.quota) {
   const consensus::Snapshot& snapshot = restored.snapshot;
   if (snapshot.index > 0) {
-    state_.Restore(snapshot.data);
+    RestoreState(snapshot);
   }
   OnMachine(now, self);
 }
@@ -41,6 +41,9 @@
 
 void TurnReplica::Tick(absl::Time now) {
   now_ = std::max(now_, now);
+  if (unreadable_) {
+    return;
+  }
   raft_.Tick(now_);
   WatchLeadership();
   if (raft_.LeaderIsCurrent() && now_ >= next_plan_) {
@@ -51,6 +54,9 @@
 
 void TurnReplica::OnLogMessage(absl::Time now, NodeId from, const consensus::RaftMessage& message) {
   now_ = std::max(now_, now);
+  if (unreadable_) {
+    return;
+  }
   const auto* request = std::get_if<consensus::SnapshotRequest>(&message);
   bool news = request != nullptr && request->snapshot.index > raft_.commit_index();
   if (news && !HasEntriesOf(request->snapshot)) {
@@ -109,7 +115,7 @@
                             const LedgerRequest& request, wire::Layout layout) {
   now_ = std::max(now_, now);
   Requester requester{gateway, request.request, layout};
-  if (!raft_.IsLeader()) {
+  if (!raft_.IsLeader() || unreadable_) {
     Answer(requester, ReplyStatus::kNotLeader);
     return;
   }
@@ -185,12 +191,16 @@
     quotas_.reset(QuotaTime(now_));
     return;
   }
+  GiveUpProposals();
+  transfers_.clear();
+}
+
+void TurnReplica::GiveUpProposals() {
   for (const auto& [index, proposal] : proposals_) {
     Answer(proposal.requester, ReplyStatus::kUncertain);
   }
   proposals_.clear();
   under_way_.clear();
-  transfers_.clear();
 }
 
 GroupView TurnReplica::View() const {
@@ -314,17 +324,34 @@
 void TurnReplica::Apply(const consensus::Ready& ready) {
   if (ready.snapshot_to_install) {
     const consensus::Snapshot& snapshot = *ready.snapshot_to_install;
-    state_.Restore(snapshot.data);
+    RestoreState(snapshot);
     snapshots_.NoteInstalled(snapshot);
     snapshot_under_way_.reset();  // The leader's is newer.
   }
   for (const consensus::Entry& entry : ready.committed) {
     ApplyEntry(entry);
   }
-  BeginSnapshotIfDue();
+  if (!unreadable_) {
+    BeginSnapshotIfDue();
+  }
+}
+
+void TurnReplica::RestoreState(const consensus::Snapshot& snapshot) {
+  if (!state_.Restore(snapshot.data)) {
+    Halt(snapshot.index);
+  }
+}
+
+void TurnReplica::Halt(consensus::LogIndex unreadable) {
+  unreadable_ = unreadable;
+  GiveUpProposals();
+  transfers_.clear();
 }
 
 void TurnReplica::ApplyEntry(const consensus::Entry& entry) {
+  if (unreadable_) {
+    return;
+  }
   snapshots_.NoteApplied(entry);
   auto proposal = proposals_.extract(entry.index);
   if (entry.kind != consensus::EntryKind::kCommand) {
@@ -332,7 +359,10 @@
   }
   auto command = wire::Decode<Command>(entry.payload);
   if (!command) {
-    return;  // Every replica skips it alike.
+    // Only a later build writes it. Passed over here and applied by others, it would part the
+    // states.
+    Halt(entry.index);
+    return;
   }
   bool asked_here = !proposal.empty();
   OperationResult result = state_.Apply(*command, {entry.index, entry.term}, asked_here);
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -109,7 +109,10 @@
 
   /// @return true when this leader knows that `machine` may be taken away.
   bool MayTakeAway(const std::string& machine) const;
-  bool LeadsCurrent() const { return raft_.LeaderIsCurrent(); }
+  bool LeadsCurrent() const { return raft_.LeaderIsCurrent() && !unreadable_; }
+  /// @return the index of an entry or a snapshot that this build can't read: the replica is then as
+  /// good as down, and neither leads nor answers. Nothing, as long as it has read all.
+  std::optional<consensus::LogIndex> unreadable() const { return unreadable_; }
   const consensus::Raft& raft() const { return raft_; }
   const TurnState& state() const { return state_; }
   /// Snapshots from a leader that were passed over, since entries that they name were missing.
@@ -138,6 +141,11 @@
   /// True when every entry that the snapshot names is on this machine's disk.
   bool HasEntriesOf(const consensus::Snapshot& snapshot) const;
   void BeginSnapshotIfDue();
+  /// Ends the replica's part in its group: its state would differ from the others'.
+  void Halt(consensus::LogIndex unreadable);
+  void RestoreState(const consensus::Snapshot& snapshot);
+  /// Tells whoever waits for a proposal of this replica to ask elsewhere.
+  void GiveUpProposals();
   void Answer(const Requester& requester, ReplyStatus status, OperationResult result = {});
 
   Machine self_;
@@ -168,6 +176,7 @@
   std::vector<consensus::LogIndex> forgotten_;     // To be told to the disk.
   std::uint64_t incomplete_snapshots_ = 0;
   bool full_ = false;
+  std::optional<consensus::LogIndex> unreadable_;  ///< See `unreadable`.
 
   std::map<NodeId, Machine> machines_;
   std::map<NodeId, absl::Time> heard_;
