--- a/src/roles/exchange/lease_keeper.cc
+++ b/src/roles/exchange/lease_keeper.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "base/clock.h"
+
 namespace martenyard::roles
 {
 
@@ -18,11 +20,6 @@
 /// Told where nothing was ever confirmed, in milliseconds: older than any lease.
 constexpr std::uint32_t never_confirmed = UINT32_MAX;
 
-tenancy::instant steady_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::uint64_t milliseconds_between(tenancy::instant from, tenancy::instant to)
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(to - from).count());
@@ -52,7 +49,7 @@
         return;
     }
     m_self = self;
-    m_began = steady_now();
+    m_began = SteadyInstant();
     m_stamp_base = m_random.NextId();
     m_lease = tenancy::configuration_lease(*length);
     m_plan.emplace(*length, m_random.Uniform());
@@ -64,7 +61,7 @@
     {
         return;
     }
-    instant now = steady_now();
+    instant now = SteadyInstant();
     tenancy::confirmation_questions due = m_plan->due({now, peers.m_part, m_lease.confirmed()});
     if (due.m_store && !m_asking_store)
     {
@@ -102,7 +99,7 @@
     // watch's silence its answer is linearizable, and unlike a read it doesn't bring the whole text.
     store::Transaction transaction;
     transaction.conditions.push_back({std::move(key), revision});
-    instant asked = steady_now();
+    instant asked = SteadyInstant();
     ++m_stats.m_store_questions;
     store::StoreStatus status = co_await m_store.Commit(std::move(transaction));
     m_asking_store = false;
@@ -111,7 +108,7 @@
     if (status == store::StoreStatus::kDone)
     {
         m_lease.confirm(asked, revision);
-        tell_changes(steady_now());
+        tell_changes(SteadyInstant());
     }
     else if (status == store::StoreStatus::kConflict)
     {
@@ -141,7 +138,7 @@
     if (m_lease.confirmed())
     {
         // Rounded up: an age must never be told too low.
-        std::uint64_t age = milliseconds_between(*m_lease.confirmed(), steady_now()) + 1;
+        std::uint64_t age = milliseconds_between(*m_lease.confirmed(), SteadyInstant()) + 1;
         answer.m_age_ms = static_cast<std::uint32_t>(std::min<std::uint64_t>(age, never_confirmed));
     }
     m_send(question.m_from, answer);
@@ -153,7 +150,7 @@
     {
         return;
     }
-    instant now = steady_now();
+    instant now = SteadyInstant();
     std::uint64_t asked = answer.m_stamp - m_stamp_base;
     if (asked > milliseconds_between(m_began, now))
     {
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/clock.h"
 #include "roles/exchange/slot_records.h"
 #include "wire/codec.h"
 
@@ -26,11 +27,6 @@
 /// bounds the memory of a gateway that nobody takes reports from
 constexpr std::size_t most_placements = 400;
 
-aggregation::instant steady_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::uint8_t at_most_a_byte(std::uint32_t count)
 {
     return static_cast<std::uint8_t>(std::min<std::uint32_t>(count, UINT8_MAX));
@@ -113,7 +109,7 @@
     m_settings.internal_port = internal_port;
     m_claims.emplace(self(), m_settings.processor_share);
     m_view.emplace(self());
-    m_began = steady_now();
+    m_began = SteadyInstant();
     m_lease.start(m_settings.revocation.lease(), self().m_endpoint);
     m_registry.start();
     m_storage.start(m_began, self());
@@ -163,17 +159,17 @@
     }
     m_view->set_slots(m_slots);
     become(m_claims->held(m_slots));
-    judge_reading(steady_now());
+    judge_reading(SteadyInstant());
     if (!m_mirrors.front()->complete())
     {
-        report(steady_now());  // What this gateway lacks is pushed at once.
+        report(SteadyInstant());  // What this gateway lacks is pushed at once.
     }
 }
 
 void zone_exchange::on_contact(bool reachable)
 {
     m_store_answers = reachable;
-    judge_reading(steady_now());
+    judge_reading(SteadyInstant());
     m_state.store_reachable = store_reachable();
 }
 
@@ -236,7 +232,7 @@
                     .Number("status", static_cast<std::int64_t>(status)));
     if (status == store::StoreStatus::kDone || status == store::StoreStatus::kUnknown)
     {
-        m_claims->note_taken(steady_now());
+        m_claims->note_taken(SteadyInstant());
     }
     m_claiming = false;
 }
@@ -266,7 +262,7 @@
         ++m_stats.m_datagrams_unreadable;
         return;
     }
-    instant now = steady_now();
+    instant now = SteadyInstant();
     std::visit(
         [&](const auto& told)
         {
@@ -355,7 +351,7 @@
 {
     if (m_view && m_state.lease.bounded())
     {
-        m_lease.tick(peers_for_lease(steady_now()));
+        m_lease.tick(peers_for_lease(SteadyInstant()));
     }
 }
 
@@ -379,7 +375,7 @@
     mirror.TakeDelta(reply.m_delta);
     if (m_sums)
     {
-        push_news(steady_now());  // Its gateways shouldn't wait for the next tick.
+        push_news(SteadyInstant());  // Its gateways shouldn't wait for the next tick.
     }
 }
 
@@ -441,7 +437,7 @@
 
 void zone_exchange::tick(bool ledger_silent)
 {
-    instant now = steady_now();
+    instant now = SteadyInstant();
     m_ledger_silent = ledger_silent;
     judge_watching(now);
     judge_reading(now);
@@ -535,7 +531,7 @@
 bool zone_exchange::store_reachable() const
 {
     // One who doesn't watch has no proof of its own, whatever the store answered it once.
-    return m_watching ? m_store_answers.value_or(false) : m_view && m_view->hears_contact(steady_now());
+    return m_watching ? m_store_answers.value_or(false) : m_view && m_view->hears_contact(SteadyInstant());
 }
 
 std::size_t zone_exchange::peers() const
@@ -545,14 +541,14 @@
 
 std::size_t zone_exchange::peers_without_ledger() const
 {
-    std::size_t without = m_view ? m_view->gateways_without_ledger(steady_now()) : 0;
+    std::size_t without = m_view ? m_view->gateways_without_ledger(SteadyInstant()) : 0;
     // The sums may count this gateway too.
     return without - std::min<std::size_t>(without, m_reported.m_ledger_silent ? 1 : 0);
 }
 
 std::vector<wire::Endpoint> zone_exchange::peers_with_ledger(std::size_t most) const
 {
-    return m_view ? m_view->with_ledger(steady_now(), most) : std::vector<wire::Endpoint>();
+    return m_view ? m_view->with_ledger(SteadyInstant(), most) : std::vector<wire::Endpoint>();
 }
 
 bool zone_exchange::report_is_due(instant now, const member_report& fresh,
--- a/src/roles/ledger/kept_copies.cc
+++ b/src/roles/ledger/kept_copies.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "base/clock.h"
 #include "roles/directory_keys.h"
 #include "storage/small_file.h"
 #include "wire/sealed.h"
@@ -37,11 +38,6 @@
     }
 };
 
-aggregation::instant steady_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 void ignore_change(const store::StoreChange& /*change*/)
 {
 }
@@ -124,7 +120,7 @@
 
 void kept_copies::tick()
 {
-    instant now = steady_now();
+    instant now = SteadyInstant();
     for (std::size_t copy = 0; copy < m_copies.size(); ++copy)
     {
         bool changed = m_copies[copy]->last_change() != m_upkeep[copy].m_written;
@@ -147,7 +143,7 @@
     std::visit(
         [&](const auto& told)
         {
-            take(steady_now(), told);
+            take(SteadyInstant(), told);
         },
         *message);
 }
--- a/src/roles/peers/peer_link.cc
+++ b/src/roles/peers/peer_link.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/build_info.h"
+#include "base/clock.h"
 #include "wire/codec.h"
 
 namespace martenyard::roles
@@ -15,11 +16,6 @@
 namespace
 {
 
-peer_link::instant steady_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// @brief what builds without greetings are asked instead; all of them answer it, whoever leads
 constexpr Layout probed_layouts[] = {Layout::kUnmarked2, Layout::kUnmarked1};
 
@@ -45,7 +41,7 @@
 
 void peer_link::ask(const wire::Endpoint& to, Body request)
 {
-    instant now = steady_now();
+    instant now = SteadyInstant();
     bool unknown = m_layouts.note_request(now, to);
     std::optional<Layout> reads = m_layouts.of(to);
     if (unknown)
@@ -152,7 +148,7 @@
 
 void peer_link::send_waiting(const wire::Endpoint& to, Layout layout)
 {
-    for (waiting_request& request : take_waiting(steady_now(), to))
+    for (waiting_request& request : take_waiting(SteadyInstant(), to))
     {
         send_request(to, std::move(request.m_body), layout);
     }
@@ -161,7 +157,7 @@
 void peer_link::on_closed(const wire::Endpoint& peer)
 {
     m_layouts.note_closed(peer);
-    m_stats.m_dropped += take_waiting(steady_now(), peer).size();
+    m_stats.m_dropped += take_waiting(SteadyInstant(), peer).size();
 }
 
 // ---- In ----
@@ -222,7 +218,7 @@
 void peer_link::tell_unreadable(const turn_ledger::unreadable_frame& told, std::size_t bytes)
 {
     ++m_stats.m_unreadable;
-    instant now = steady_now();
+    instant now = SteadyInstant();
     if (m_last_line && now - *m_last_line < m_options.m_line_pause)
     {
         return;
