Tests that fail: calls of the ledger go to a machine that has just refused a connection

Cause, by the logs of machines that are replaced one after the other: a leader hands over within 6 ms and ends; calls begun then take 200.6 to 201.6 ms, one lost try. The next machine in turn, or a hint, is the dead one, and a refused new connection is told to nobody.

--- a/tests/turn_ledger/ledger_client_test.cc
+++ b/tests/turn_ledger/ledger_client_test.cc
@@ -178,6 +178,51 @@
   EXPECT_EQ(**next, CallEnd::kDone);
 }
 
+// When a leader had stopped and handed over within 6 ms, calls took 200.6 to 201.6 ms all the same:
+// the next machine in turn was the one that had just refused a connection, and that try was lost.
+TEST_F(LedgerClientTest, MachineThatRefusesConnectionsIsPassedOverForAWhile) {
+  client_.OnDead(kFirst);
+  for (int call = 0; call < 4; ++call) {
+    auto end = Start(Probe{}, absl::Seconds(2));
+    ASSERT_TRUE(
+        RunUntil(loop_, [&] { return sent_.size() == static_cast<std::size_t>(call) + 1; }));
+    EXPECT_EQ(sent_.back().first, kSecond);
+    LedgerReply reply;
+    reply.request = sent_.back().second.request;
+    reply.status = ReplyStatus::kDone;
+    client_.OnReply(kSecond, reply);
+    client_.OnDead(kSecond);  // So that no leader is known for the next call.
+    client_.OnDead(kFirst);
+    client_.OnReply(kSecond, reply);  // A late one, which shows that it is there again.
+    ASSERT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
+  }
+}
+
+TEST_F(LedgerClientTest, MachinesThatAllRefuseAreAskedAllTheSame) {
+  client_.OnDead(kFirst);
+  client_.OnDead(kSecond);
+  auto end = Start(Probe{}, absl::Milliseconds(300));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
+  EXPECT_FALSE(sent_.empty());
+  EXPECT_LE(sent_.size(), 4U) << "and not without a pause";
+}
+
+TEST_F(LedgerClientTest, HintThatNamesAMachineThatRefusesIsNotFollowed) {
+  client_.OnDead(kFirst);
+  auto end = Start(Probe{}, absl::Milliseconds(150));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() == 1; }));
+  LedgerReply reply;
+  reply.request = sent_.back().second.request;
+  reply.status = ReplyStatus::kNotLeader;
+  reply.leader = kFirst;
+  client_.OnReply(kSecond, reply);
+  ASSERT_TRUE(RunUntil(loop_, [&] { return end->has_value(); }));
+  for (const auto& [to, request] : sent_) {
+    EXPECT_EQ(to, kSecond) << "the other one still names its former leader";
+  }
+  EXPECT_GE(sent_.size(), 2U);
+}
+
 TEST_F(LedgerClientTest, LostLedgerWithoutAPeerRefusesAtOnce) {
   ASSERT_TRUE(RunUntil(loop_, [&] { return client_.SilentGroups(absl::Milliseconds(450)) == 1; }));
   client_.SetRelays({}, /*lost=*/true);
