Calls of the ledger pass over machines that have just refused a connection

Change: such a machine is passed over for 0.5 s, in turn and as a hint, unless all refuse; a frame from it ends that. Ruled out: telling of each refused connection, which would ask a group that is wholly down again without a pause.

--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -45,7 +45,25 @@
   return known ? &groups_[group.value - 1] : nullptr;
 }
 
+bool LedgerClient::RefusesNow(const wire::Endpoint& machine) const {
+  auto refused = refused_.find(machine);
+  return refused != refused_.end() && SteadyNow() < refused->second + options_.refused_for;
+}
+
+wire::Endpoint LedgerClient::NextMachine(Group& group) const {
+  // A try that goes to a dead machine is lost, and costs its whole time.
+  for (std::size_t passed = 0; passed < group.machines.size(); ++passed) {
+    const wire::Endpoint& machine = group.machines[group.next++ % group.machines.size()];
+    if (!RefusesNow(machine)) {
+      return machine;
+    }
+  }
+  return group.machines[group.next++ % group.machines.size()];
+}
+
 void LedgerClient::OnDead(const wire::Endpoint& replica) {
+  std::erase_if(refused_, [this](const auto& entry) { return !RefusesNow(entry.first); });
+  refused_[replica] = SteadyNow();
   for (Group& group : groups_) {
     if (group.leader == replica) {
       group.leader.reset();
@@ -101,7 +119,7 @@
   if (group.machines.empty()) {
     return std::nullopt;
   }
-  return group.machines[group.next++ % group.machines.size()];
+  return NextMachine(group);
 }
 
 bool LedgerClient::IsBuried(const Group& group) const {
@@ -219,7 +237,8 @@
       co_await async_http::Sleep(context_, std::min(try_timeout, deadline - SteadyNow()));
       continue;
     }
-    bool hint = reply.leader.port != 0 && reply.leader != answered.target;
+    bool hint =
+        reply.leader.port != 0 && reply.leader != answered.target && !RefusesNow(reply.leader);
     if (hint && ++hints <= kMostHints) {
       group->leader = reply.leader;
       continue;
@@ -275,6 +294,7 @@
 }
 
 void LedgerClient::OnReply(const wire::Endpoint& from, const LedgerReply& reply) {
+  refused_.erase(from);
   auto found = waiting_.find(reply.request);
   if (found == waiting_.end() || found->second->tries.empty()) {
     return;  // Its call has ended: a late answer to a call that another try has answered.
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -25,6 +25,9 @@
   /// A group that answered nothing for this long is asked through a peer, if one reaches it.
   absl::Duration relay_after = absl::Milliseconds(300);
   absl::Duration probe_patience = absl::Milliseconds(300);
+  /// A machine that refused a connection is passed over for this long: a process starts again in
+  /// half a second.
+  absl::Duration refused_for = absl::Milliseconds(500);
   std::size_t most_waiting = 12;
   /// Groups that are asked whether they are there, for the verdict on whether this gateway reaches
   /// the ledger. Each gateway asks others, so that all groups together get no more questions with
@@ -129,6 +132,9 @@
   };
 
   Group* Find(GroupId group);
+  bool RefusesNow(const wire::Endpoint& machine) const;
+  /// @return the group's next machine in turn, if there is one that doesn't refuse.
+  wire::Endpoint NextMachine(Group& group) const;
   /// @return the index of the `place`th probed group.
   std::size_t ProbedGroup(std::size_t place) const;
   bool IsBuried(const Group& group) const;
@@ -151,6 +157,7 @@
   std::size_t next_relay_ = 0;
   bool lost_ = false;
   std::map<std::uint64_t, Waiting*> waiting_;
+  std::map<wire::Endpoint, absl::Time> refused_;  ///< When each refused last; old ones are dropped.
   std::uint64_t retries_ = 0;
   std::uint64_t relayed_ = 0;
 };
