Peers that stay silent are asked what they read less and less often

Cause: three small frames each 0.2 s from every gateway that has calls for a machine which stands still: at 1,400 gateways some 20,000 a second for it, by the constants. Change: the pause doubles up to 3.2 s and begins anew with a frame from the peer. Figures: questions in 20 s of silence 100 -> 8 to 10 (test).

--- a/src/turn_ledger/frames/peer_layouts.cc
+++ b/src/turn_ledger/frames/peer_layouts.cc
@@ -24,12 +24,13 @@
     }
     bool silent = now - *to.m_unanswered >= m_options.m_doubt_after;
     to.m_doubted = to.m_doubted || silent;
-    bool just_asked = to.m_asked && now - *to.m_asked < m_options.m_ask_again;
+    bool just_asked = to.m_asked && now - *to.m_asked < to.m_pause;
     if ((to.m_reads && !to.m_doubted) || just_asked)
     {
         return false;
     }
     to.m_asked = now;
+    to.m_pause = std::clamp(2 * to.m_pause, m_options.m_ask_again, m_options.m_longest_pause);
     return true;
 }
 
@@ -42,6 +43,7 @@
     }
     peer& from = found->second;
     from.m_unanswered.reset();
+    from.m_pause = m_options.m_ask_again;
     // A process that reads several layouts answers each question in its own.
     bool news = reads && (!from.m_reads || from.m_doubted || *reads > *from.m_reads);
     if (!news)
--- a/src/turn_ledger/frames/peer_layouts.h
+++ b/src/turn_ledger/frames/peer_layouts.h
@@ -19,9 +19,11 @@
 /// @brief named knobs
 struct peer_layouts_options
 {
-    /// a peer that didn't say what it is gets the next question after this time: a lost try of a ledger call
-    /// is given up as soon
+    /// a peer that didn't say what it is gets the next question after this time, and each further one after
+    /// twice the time: a lost try of a ledger call is given up as soon
     std::chrono::milliseconds m_ask_again{200};
+    /// so that a machine that stands still isn't met by the questions of a whole fleet when it goes on
+    std::chrono::milliseconds m_longest_pause{3200};
     /// a request without any frame back for this long makes what is known doubtful: two tries of a call
     std::chrono::milliseconds m_doubt_after{400};
 };
@@ -58,6 +60,8 @@
         /// what comes next replaces what is known, be it less
         bool m_doubted = false;
         std::optional<instant> m_asked;
+        /// to the next question
+        std::chrono::milliseconds m_pause{0};
         /// when the first of the requests was sent that nothing came back after
         std::optional<instant> m_unanswered;
     };
--- a/tests/turn_ledger/frames/peer_layouts_test.cc
+++ b/tests/turn_ledger/frames/peer_layouts_test.cc
@@ -34,6 +34,19 @@
     EXPECT_TRUE(request_after(60)) << "the question, or its answer, was lost";
 }
 
+TEST_F(PeerLayouts, PeerThatStaysSilentIsAskedLessAndLess)
+{
+    int asked = 0;
+    for (int ms = 0; ms < 20000; ms += 50)
+    {
+        asked += request_after(50) ? 1 : 0;
+    }
+    EXPECT_LE(asked, 10) << "after 0.2, 0.6, 1.4, 3.0, 6.2 s, then each 3.2 s";
+    EXPECT_GE(asked, 8);
+    m_layouts.note_heard(peer, Layout::kMarked3);
+    EXPECT_EQ(m_layouts.of(peer), Layout::kMarked3);
+}
+
 TEST_F(PeerLayouts, KnownPeerIsNotAskedAgainWhileItAnswers)
 {
     request_after(0);
