--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -270,14 +270,13 @@
 }
 
 void Transport::ClosePeer(const Endpoint& peer) {
-  auto found = peers_.find(peer);
-  unsent_ -= found->second->unsent.size();
-  loop_.Unwatch(found->second->socket);
-  close(found->second->socket);
-  Endpoint closed = peer;  // `peer` may be the erased key.
-  peers_.erase(found);
+  auto closed = peers_.extract(peer);
+  const Connection& connection = *closed.mapped();
+  unsent_ -= connection.unsent.size();
+  loop_.Unwatch(connection.socket);
+  close(connection.socket);
   if (on_closed_) {
-    on_closed_(closed);
+    on_closed_(closed.key());
   }
 }
 
--- a/tests/platform/system/upgrade_soak_test.cc
+++ b/tests/platform/system/upgrade_soak_test.cc
@@ -231,15 +231,20 @@
   std::size_t unreadable_ = 0;
 };
 
-class MixedBuilds : public ::testing::Test {
+/// A test that needs the programs of earlier builds.
+class WithEarlierBuilds : public ::testing::Test {
  protected:
   void SetUp() override {
-    earlier_ = EarlierBuilds();
     if (earlier_.empty()) {
       GTEST_SKIP() << "no earlier builds here: scripts/build_earlier.sh makes them";
     }
   }
 
+  std::vector<Build> earlier_ = EarlierBuilds();
+};
+
+class MixedBuilds : public WithEarlierBuilds {
+ protected:
   void ExpectServed(const Build& ledgers, const Build& gateways) {
     constexpr int kTurns = 20;
     /// A process that doesn't know a peer's build may offer it what it can't read, once for each
@@ -251,8 +256,6 @@
     EXPECT_LE(deployment.unreadable(), kMostUnreadable)
         << "ledgers " << ledgers.name << ", gateways " << gateways.name;
   }
-
-  std::vector<Build> earlier_;
 };
 
 TEST_F(MixedBuilds, GatewaysOfEarlierBuildsAreServedByTheLedger) {
@@ -521,16 +524,8 @@
   bool stopping_ = false;
 };
 
-class Upgrade : public ::testing::Test {
+class Upgrade : public WithEarlierBuilds {
  protected:
-  void SetUp() override {
-    earlier_ = EarlierBuilds();
-    if (earlier_.empty()) {
-      GTEST_SKIP() << "no earlier builds here: scripts/build_earlier.sh makes them";
-    }
-  }
-
-  std::vector<Build> earlier_;
   std::uint64_t seed_ = static_cast<std::uint64_t>(SoakNumber("SEED", 3));
 };
 
