--- a/src/forwarding/request_settlement.cc
+++ b/src/forwarding/request_settlement.cc
@@ -39,10 +39,10 @@
   settle.completed = std::move(completed);
   settled_ = true;
   absl::Time began = SteadyNow();
-  // A commit under way while the ledger changes hands is known a moment later; the answer is cut only
-  // once the request's own time is over.
-  absl::Time end = std::max(deadline_ - state_->options.answer_margin,
-                            began + state_->options.commit_patience);
+  // A commit under way while the ledger changes hands is known a moment later; the answer is cut
+  // only once the request's own time is over.
+  absl::Time end =
+      std::max(deadline_ - state_->options.answer_margin, began + state_->options.commit_patience);
   auto result = co_await state_->ledger->Call(group_, settle, end);
   state_->log.Write(Line("turn_committed")
                         .Text("request", info_.id.value)
