--- a/src/forwarding/quota/quota_client.cc
+++ b/src/forwarding/quota/quota_client.cc
@@ -38,7 +38,7 @@
 
 tenancy::quota_answer quota_client::take_own_share(tenancy::quota_request request)
 {
-    tenancy::instant now = std::chrono::steady_clock::now();
+    tenancy::instant now = SteadyInstant();
     if (now - m_own_used > m_window)
     {
         m_own_share.reset(now);  // Somebody else counted until now, and may have let a burst in.
@@ -106,7 +106,7 @@
     // Named, since GCC 12 destroys a braced temporary among a co_await's arguments twice.
     turn_ledger::Operation operation = turn_ledger::TakeQuota{request};
     turn_ledger::CallResult result = co_await m_ledger.Call(group, std::move(operation), deadline);
-    if (result.end == turn_ledger::CallEnd::kUnsaid)
+    if (result.end == turn_ledger::CallEnd::kUnsupported)
     {
         result->quota = take_own_share(std::move(request));
         result.end = turn_ledger::CallEnd::kDone;
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -136,7 +136,7 @@
       link_(
           transport_, [this] { return Self(); }, log,
           [this](const wire::Endpoint& peer, std::uint64_t request) {
-            state_->ledger->OnUnsaid(peer, request);
+            state_->ledger->OnUnsupported(peer, request);
           }),
       frontend_(loop.context(),
                 [state = state_](std::shared_ptr<async_http::Exchange> exchange) {
--- a/src/roles/peers/peer_link.cc
+++ b/src/roles/peers/peer_link.cc
@@ -22,11 +22,12 @@
 }  // namespace
 
 peer_link::peer_link(wire::Transport& transport, std::function<turn_ledger::Machine()> self,
-                     event_log::EventLog& log, unsaid_handler on_unsaid, const peer_link_options& options)
+                     event_log::EventLog& log, unsupported_handler on_unsupported,
+                     const peer_link_options& options)
     : m_transport(transport),
       m_self(std::move(self)),
       m_log(log),
-      m_on_unsaid(std::move(on_unsaid)),
+      m_on_unsupported(std::move(on_unsupported)),
       m_options(options),
       m_layouts(options.m_layouts)
 {
@@ -122,9 +123,9 @@
     {
         m_transport.SendFrame(to, *payload);
     }
-    else if (m_on_unsaid)
+    else if (m_on_unsupported)
     {
-        m_on_unsaid(to, number);
+        m_on_unsupported(to, number);
     }
 }
 
--- a/src/roles/peers/peer_link.h
+++ b/src/roles/peers/peer_link.h
@@ -49,13 +49,14 @@
 {
   public:
     using instant = std::chrono::steady_clock::time_point;
-    /// @brief told of a request of this number that the peer at the endpoint has no words for
-    using unsaid_handler = std::function<void(const wire::Endpoint&, std::uint64_t request)>;
+    /// @brief told of a request of this number whose operation the peer at the endpoint does not know
+    using unsupported_handler = std::function<void(const wire::Endpoint&, std::uint64_t request)>;
 
     /// @param[in] self  as messages name their sender
     /// All references must outlive the link.
     peer_link(wire::Transport& transport, std::function<turn_ledger::Machine()> self,
-              event_log::EventLog& log, unsaid_handler on_unsaid = {}, const peer_link_options& options = {});
+              event_log::EventLog& log, unsupported_handler on_unsupported = {},
+              const peer_link_options& options = {});
 
     /// @brief sends a message that the peer answers
     void ask(const wire::Endpoint& to, turn_ledger::Body request);
@@ -104,7 +105,7 @@
     wire::Transport& m_transport;
     std::function<turn_ledger::Machine()> m_self;
     event_log::EventLog& m_log;
-    unsaid_handler m_on_unsaid;
+    unsupported_handler m_on_unsupported;
     peer_link_options m_options;
     turn_ledger::peer_layouts m_layouts;
     std::map<wire::Endpoint, std::vector<waiting_request>> m_waiting;
--- a/src/turn_ledger/frames/frame_codec.h
+++ b/src/turn_ledger/frames/frame_codec.h
@@ -50,7 +50,7 @@
 /// @brief reads the payload of a frame
 frame decode_frame(const std::string& payload);
 
-/// @return the frame's payload, or nothing when the layout has no words for the message: whoever reads it
+/// @return the frame's payload, or nothing when the layout does not have the message: whoever reads it
 ///         doesn't know the operation
 std::optional<std::string> encode_frame(const Envelope& envelope, wire::Layout layout);
 
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -76,14 +76,14 @@
   }
 }
 
-void LedgerClient::OnUnsaid(const wire::Endpoint& peer, std::uint64_t request) {
+void LedgerClient::OnUnsupported(const wire::Endpoint& peer, std::uint64_t request) {
   auto found = waiting_.find(request);
   if (found == waiting_.end()) {
     return;
   }
   Waiting& waiting = *found->second;
   if (!waiting.tries.empty() && waiting.tries.back().target == peer) {
-    waiting.unsaid = true;
+    waiting.unsupported = true;
     waiting.arrived.Notify();
   }
 }
@@ -168,9 +168,9 @@
   std::optional<wire::Endpoint> failed;
   CallResult result;
   absl::Duration try_timeout = options_.try_timeout;
-  std::size_t unhelpful = 0;  // Replies without a leader's address.
-  std::size_t hints = 0;      // Replies with one, since the last pause.
-  std::size_t unsaid = 0;     // Machines that don't know the operation.
+  std::size_t unhelpful = 0;    // Replies without a leader's address.
+  std::size_t hints = 0;        // Replies with one, since the last pause.
+  std::size_t unsupported = 0;  // Machines that don't know the operation.
   bool first = true;
   bool may_be_committed = false;
   while (SteadyNow() < deadline) {
@@ -189,15 +189,16 @@
     }
     waiting.tries.push_back({*target, IsRelay(*target)});
     send_(*target, request);
-    if (!waiting.unsaid) {
+    if (!waiting.unsupported) {
       co_await waiting.arrived.Wait(std::min(try_timeout, deadline - SteadyNow()));
     }
-    if (std::exchange(waiting.unsaid, false)) {
+    if (std::exchange(waiting.unsupported, false)) {
       // Another machine may lead, and know the operation.
       group = Find(group_id);
-      bool last = group == nullptr || group->leader == target || ++unsaid >= group->machines.size();
+      bool last =
+          group == nullptr || group->leader == target || ++unsupported >= group->machines.size();
       if (last) {
-        result.end = CallEnd::kUnsaid;
+        result.end = CallEnd::kUnsupported;
         break;
       }
       failed = target;
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -38,10 +38,10 @@
 
 /// How a call ended.
 enum class CallEnd {
-  kDone,        ///< Committed: the result holds.
-  kNoAnswer,    ///< The deadline passed: it may be committed or not, or later.
-  kOverloaded,  ///< The leader has more than it can do, and no try was taken up: it never will be.
-  kUnsaid,      ///< The leader, or each machine asked, is of a build without the operation.
+  kDone,         ///< Committed: the result holds.
+  kNoAnswer,     ///< The deadline passed: it may be committed or not, or later.
+  kOverloaded,   ///< The leader has more than it can do, and no try was taken up: it never will be.
+  kUnsupported,  ///< The leader, or each machine asked, is of a build without the operation.
 };
 
 /// A call's end, with its result when it is done.
@@ -85,8 +85,8 @@
   std::size_t groups() const { return groups_.size(); }
   /// @param from the endpoint that the reply names as its sender.
   void OnReply(const wire::Endpoint& from, const LedgerReply& reply);
-  /// The peer asked last has no words for the request of this number.
-  void OnUnsaid(const wire::Endpoint& peer, std::uint64_t request);
+  /// The peer asked last does not know the operation of the request of this number.
+  void OnUnsupported(const wire::Endpoint& peer, std::uint64_t request);
   /// Nothing listens at `replica` any more.
   void OnDead(const wire::Endpoint& replica);
   std::size_t pending() const { return waiting_.size(); }
@@ -113,7 +113,7 @@
     explicit Waiting(async_http::asio::io_context& context) : arrived(context) {}
     async_http::Signal arrived;
     std::optional<LedgerReply> reply;
-    bool unsaid = false;       ///< The peer asked last doesn't know the operation.
+    bool unsupported = false;  ///< The peer asked last doesn't know the operation.
     Asked answered;            ///< The try that `reply` answers.
     std::vector<Asked> tries;  ///< The last one is waited for now.
   };
--- a/tests/roles/peers/peer_link_test.cc
+++ b/tests/roles/peers/peer_link_test.cc
@@ -92,7 +92,7 @@
               m_log,
               [this](const wire::Endpoint&, std::uint64_t request)
               {
-                  m_unsaid.push_back(request);
+                  m_unsupported.push_back(request);
               })
     {
         m_endpoint = *m_transport.Listen(at);
@@ -113,7 +113,7 @@
 
     std::vector<turn_ledger::read_message> m_requests;
     std::vector<std::uint64_t> m_answered;
-    std::vector<std::uint64_t> m_unsaid;
+    std::vector<std::uint64_t> m_unsupported;
 
   private:
     void on_frame(const std::string& payload)
@@ -216,7 +216,7 @@
     EXPECT_EQ(gateway.link().earlier_peers(), 0U);
 }
 
-TEST_F(PeerLink, OperationThatThePeerDoesNotKnowIsSaidToBeUnsaidAndNotSent)
+TEST_F(PeerLink, OperationThatThePeerDoesNotKnowIsReportedAsUnsupportedAndNotSent)
 {
     earlier_peer peer(m_loop, Layout::kUnmarked1);
     present_process gateway(m_loop);
@@ -225,10 +225,10 @@
     EXPECT_TRUE(run_until(
         [&]
         {
-            return !gateway.m_unsaid.empty();
+            return !gateway.m_unsupported.empty();
         }));
     gateway.link().ask(peer.endpoint(), request);
-    EXPECT_EQ(gateway.m_unsaid.size(), 2U) << "at once, now that the peer is known";
+    EXPECT_EQ(gateway.m_unsupported.size(), 2U) << "at once, now that the peer is known";
     EXPECT_EQ(peer.m_unreadable, 2);
 }
 
