martenyardd logs who leads its groups, hand-overs, and what a stop waits for

Cause looked for: a planned stop that stayed for its whole limit of 30 s and left nothing in the log between `Stopping` and the end, "with 0 calls under way".

Change: a line when a group's leader, term or the number of voters known here changes; a line for each hand-over with how far the target's log reaches; the end of a stop by its limit names what it waited for. No change of behaviour: MayExit's condition for one group is a function of its own, which the line uses too.

Conclusion: what a replica knows of its group is now visible without a debugger.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -218,8 +218,8 @@
   if (node_->MayExit()) {
     loop_.Stop();
   } else if (SteadyNow() >= stop_deadline_) {
-    MARTENYARD_LOG_WARN(kLog, "The stop limit is over; exiting with "
-                                  << node_->coordinator().active() << " calls under way.");
+    MARTENYARD_LOG_WARN(kLog,
+                        "The stop limit is over; exiting with " << node_->WhyNotExit() << ".");
     loop_.Stop();
   }
 }
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "base/hash.h"
 #include "base/logging.h"
 #include "wire/codec.h"
@@ -107,6 +108,7 @@
   router_.Tick(now_);
   dispatcher_.Tick(now_);
   coordinator_.Tick();
+  group_log_.NoteChanges(replica_host_, membership_);
   for (Periodic& periodic : periodics_) {
     if (now_ >= periodic.next) {
       periodic.next = now_ + periodic.interval * (0.9 + 0.2 * random_.Uniform());
@@ -643,29 +645,46 @@
       }
     }
     if (best != kNoNode) {
+      MARTENYARD_LOG_INFO(kLog, "Handing group " << group.value << " over to "
+                                                 << membership_.FindEvenDead(best)->peer.ToString()
+                                                 << ", whose log reaches " << raft.MatchIndex(best)
+                                                 << " of " << raft.last_index() << ".");
       raft.TransferLeadership(best);
     }
   }
 }
 
+bool Node::MustStayFor(const ledger::GroupReplica& replica) const {
+  const consensus::Configuration& configuration = replica.raft().configuration();
+  bool can_hand_over = live_.all.size() >= 2;
+  if (replica.raft().IsLeader() && can_hand_over && configuration.voters.size() > 1) {
+    return true;
+  }
+  bool replacement_exists = live_.all.size() >= static_cast<std::size_t>(options_.replicas);
+  return !store_.IsDurable() && replacement_exists && configuration.IsVoter(Self());
+}
+
 bool Node::MayExit() const {
   if (coordinator_.active() > 0) {
     return false;
   }
-  bool can_hand_over = live_.all.size() >= 2;
-  bool replacement_exists = live_.all.size() >= static_cast<std::size_t>(options_.replicas);
+  const auto& replicas = replica_host_.replicas();
+  return std::none_of(replicas.begin(), replicas.end(),
+                      [this](const auto& entry) { return MustStayFor(*entry.second); });
+}
+
+std::string Node::WhyNotExit() const {
+  std::vector<std::string> reasons;
+  if (coordinator_.active() > 0) {
+    reasons.push_back(absl::StrCat(coordinator_.active(), " calls under way"));
+  }
   for (const auto& [group, replica] : replica_host_.replicas()) {
-    if (replica->raft().IsLeader() && can_hand_over &&
-        replica->raft().configuration().voters.size() > 1) {
-      return false;
-    }
-    bool still_needed = !store_.IsDurable() && replacement_exists &&
-                        replica->raft().configuration().IsVoter(Self());
-    if (still_needed) {
-      return false;
+    if (MustStayFor(*replica)) {
+      const char* part = replica->raft().IsLeader() ? "led" : "held in memory";
+      reasons.push_back(absl::StrCat("group ", group.value, " ", part, " here"));
     }
   }
-  return true;
+  return absl::StrJoin(reasons, ", ");
 }
 
 }  // namespace martenyard::daemon
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -16,6 +16,7 @@
 #include "base/random.h"
 #include "bundle/roll_manager.h"
 #include "daemon/backend_view.h"
+#include "daemon/group_log.h"
 #include "daemon/group_placement.h"
 #include "daemon/messages.h"
 #include "daemon/poll_tracker.h"
@@ -98,6 +99,8 @@
   void BeginStop(absl::Time now);
   /// True when nothing would be cut by exiting now.
   bool MayExit() const;
+  /// @return what keeps a stop from ending, for the log; empty when nothing does.
+  std::string WhyNotExit() const;
 
   // CallHost:
   absl::Time Now() const override { return environment_.Now(); }
@@ -152,6 +155,8 @@
                    const std::vector<clients::HeldContext>& contexts);
   void RefreshEngines();
   void HandOverLeaderships();
+  /// True while the group would be left without its leader, or without this voter's memory.
+  bool MustStayFor(const ledger::GroupReplica& replica) const;
 
   NodeOptions options_;
   NodeEnvironment& environment_;
@@ -163,6 +168,7 @@
   bundle::BundleBook bundles_;
   bundle::RollManager rolls_;
   ReplicaHost replica_host_;
+  GroupLog group_log_;
   BackendView backends_;
   PollTracker machine_polls_;
   PollTracker key_value_polls_;
