Tests that fail: answers given before the server stops are lost

Symptom: at a planned stop of martenyardd a call that had run, and whose answer had been given to the HTTP server, ended for its caller as a connection closed with no answer or in the middle of one.

--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -118,5 +118,40 @@
   }
 }
 
+/// What a caller of martenyardd saw at a planned stop: its call had run, and the connection closed
+/// with no answer, or in the middle of one.
+TEST(MicrohttpdServerTest, AnswerGivenBeforeAStopReachesItsClientWhole) {
+  const std::string body(std::size_t{4} << 20, 'b');
+  for (int round = 0; round < kRounds; ++round) {
+    SCOPED_TRACE(round);
+    StoppingServer stopping;
+    std::string text;
+    ClientResult result = stopping.AskAndStop(&text, [&body](Responder& responder) {
+      responder.Send({200, {}, body});
+      return false;
+    });
+    EXPECT_EQ(result.error, "");
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(text.size() + result.body.size(), body.size());
+  }
+}
+
+TEST(MicrohttpdServerTest, StreamFinishedBeforeAStopReachesItsClientWhole) {
+  const std::string event = "data: " + std::string(std::size_t{1} << 20, 'e') + "\n\n";
+  for (int round = 0; round < kRounds; ++round) {
+    SCOPED_TRACE(round);
+    StoppingServer stopping;
+    std::string text;
+    ClientResult result = stopping.AskAndStop(&text, [&event](Responder& responder) {
+      responder.StartStream(200, {});
+      responder.Write(event);
+      responder.Finish();
+      return false;
+    });
+    EXPECT_EQ(result.error, "");
+    EXPECT_TRUE(text == event) << text.size() << " of " << event.size() << " bytes";
+  }
+}
+
 }  // namespace
 }  // namespace martenyard::http
