Tests that fail: stops soon after a start that stay for the whole limit

Symptom: the daemon hands a group over for 30 s, nobody takes it, and the results of the calls under way can't be stored: 503 after 20 s, outcome unknown, though they ran.

RaftTest shows the replica alone.

--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -39,6 +39,12 @@
 
   void Kill(NodeId id) { replicas_[id] = nullptr; }
 
+  /// The replica knows nothing of its group, as one whose leader spoke before its founding did.
+  void BootUnfounded(NodeId id) {
+    disks_[id] = storage::StoredGroup{};
+    Boot(id);
+  }
+
   /// Lets `time` pass in ticks, delivering what may be delivered.
   void Run(absl::Duration time) {
     for (absl::Time end = now_ + time; now_ < end; now_ += absl::Milliseconds(10)) {
@@ -274,6 +280,19 @@
   EXPECT_EQ(cluster.LeaderId(), next);
 }
 
+/// Symptom: a leader handed over to such a replica again and again, and could store nothing
+/// meanwhile.
+TEST(RaftTest, FounderThatFirstHearsOfItsGroupFromItsLeaderCanTakeTheLead) {
+  Cluster cluster(3);
+  cluster.BootUnfounded(NodeId(3));
+  cluster.Run(absl::Seconds(2));
+  ASSERT_NE(cluster.Leader(), nullptr);
+  EXPECT_EQ(cluster.replica(3).configuration(), cluster.Leader()->configuration());
+  cluster.Leader()->TransferLeadership(NodeId(3));
+  cluster.Run(absl::Milliseconds(50));
+  EXPECT_EQ(cluster.LeaderId(), NodeId(3));
+}
+
 TEST(RaftTest, LaggingReplicaGetsTheSnapshotAndThenTheLog) {
   Cluster cluster(3);
   cluster.Run(absl::Seconds(2));
