A leader's first entry tells the group's configuration

Callers saw: at a planned stop all calls under way ended after 20 s with 503 "the result could not be stored", outcome unknown, though they had run; the daemon stayed for its whole limit of 30 s.

Cause: who founds a group stands in the directory alone. A founder that the leader's entries reached before the directory did became a replica without voters, and its own founding was passed over. It never stands for election, so a hand-over to it never ends. Ruled out by the printed groups: a target that lags (its log is whole), a change of members beside it (all configurations are the founding one).

Change: the first entry of a leader's term is the configuration, where it was empty.

Why it holds: whoever has a leader's log has its configuration, whenever the directory comes, and replicas that are without voters on disks get it from the next leader.

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -239,7 +239,9 @@
   }
   quorum_check_at_ = now_ + options_.election_timeout;
   next_heartbeat_ = now_;
-  leader_first_index_ = AppendToLog(EntryKind::kNoOp, "");
+  // The first entry tells the configuration: a founder whom the leader reached before its own
+  // founding has it from nowhere else, and would never stand for election.
+  leader_first_index_ = AppendToLog(EntryKind::kConfiguration, wire::Encode(configuration_));
   LeaderTick();
 }
 
@@ -408,7 +410,7 @@
     return false;
   }
   // Before an entry of its own term is committed a leader does not know the commit index; the read
-  // then waits for its no-op.
+  // then waits for its first entry.
   LogIndex index = std::max(commit_, leader_first_index_);
   BeginRound();
   pending_reads_.push_back({read_id, round_, index});
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -194,7 +194,7 @@
   std::map<NodeId, bool> votes_;
 
   std::map<NodeId, Progress> progress_;
-  LogIndex leader_first_index_ = 0;  // The no-op of this leader's term.
+  LogIndex leader_first_index_ = 0;  // The first entry of this leader's term.
   absl::Time next_heartbeat_;
   absl::Time quorum_check_at_;
   NodeId transfer_target_;
--- a/tests/proofs/planned_stop_test.cc
+++ b/tests/proofs/planned_stop_test.cc
@@ -2,6 +2,12 @@
 //
 // Symptom: a daemon that was asked to stop stayed until the stop limit of 30 s was over. All calls
 // under way there had run, and each ended after 20 s with 503 "the result could not be stored".
+// Cause: the leader's first entries reached a founder of the group before the directory did, which
+// says who founds it. That replica knew no voters from then on, since its own founding was passed
+// over, so it never stood for election; the leader handed over to it again and again, and a leader
+// that hands over stores nothing. What showed it: the groups as printed below when a stop does not
+// end. The target follows the right leader, has the whole log and knows 0 voters (seeds 25, 329,
+// 374).
 #include <gtest/gtest.h>
 
 #include <memory>
--- a/tests/system/system_test.cc
+++ b/tests/system/system_test.cc
@@ -237,6 +237,11 @@
   EXPECT_EQ(runs, 1);
 }
 
+/// On a busy machine some calls did not end with 200, for two causes. Answers that the server had
+/// not written yet were lost at its stop (MicrohttpdServerTest): one to three calls a run, whose
+/// connections closed, and no log line. And a leader that handed over to a replica which knew no
+/// voters, and so never stood for election, stored nothing meanwhile (PlannedStopTest): all five
+/// calls ended with 503 after 20 s, and the daemon stayed for the whole stop limit.
 TEST_F(SystemTest, PlannedStopFinishesTheCallsUnderWayAndExitsWithZero) {
   std::atomic<int> ended{0};
   std::atomic<int> whole{0};
