Test that fails: a hand-over that is asked for again and again refuses proposals for good

Symptom: while a stopping daemon hands a group over to a voter that does not take it, nothing can be stored there: the hand-over is repeated each 0.2 s, and each time its limit of 0.9 s begins anew.

--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -293,6 +293,23 @@
   EXPECT_EQ(cluster.LeaderId(), NodeId(3));
 }
 
+/// Symptom: nothing could be stored for as long as a stopping leader's target did not take over.
+TEST(RaftTest, HandOverThatIsAskedForAgainAndAgainRefusesProposalsNoLongerThanItsLimit) {
+  constexpr int kAsks = 10;
+  Cluster cluster(3);
+  cluster.Run(absl::Seconds(2));
+  NodeId leader = cluster.LeaderId();
+  NodeId silent(leader == NodeId(1) ? 2 : 1);
+  cluster.Cut(silent);
+  bool accepted = false;
+  for (int ask = 0; ask < kAsks && !accepted; ++ask) {
+    cluster.replica(leader.value).TransferLeadership(silent);
+    cluster.Run(absl::Milliseconds(200));
+    accepted = cluster.replica(leader.value).Propose(EntryKind::kCommand, "x").has_value();
+  }
+  EXPECT_TRUE(accepted);
+}
+
 TEST(RaftTest, LaggingReplicaGetsTheSnapshotAndThenTheLog) {
   Cluster cluster(3);
   cluster.Run(absl::Seconds(2));
