Tests take ports below the ephemeral ones, and no two processes the same

Seen: of 231 runs of SystemTest.PlannedStop*, six at a time beside three busy processes, 4 did not start: "cannot listen …: Address already in use", and waited a minute for it. No other failed.

Cause: a port was chosen by the system among the ephemeral ones, let go, and bound again by the daemon later; meanwhile an outgoing connection or another test's choice took it.

Change: ports come from 10000 to 32767, and each is claimed by name for the life of the process that asks, in the abstract socket namespace. The platform's tests take theirs from the same place.

--- a/bench/local_system.cc
+++ b/bench/local_system.cc
@@ -1,10 +1,7 @@
 #include "bench/local_system.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <signal.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,6 +14,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "bench/free_ports.h"
 #include "bundle/roll.h"
 
 namespace martenyard::bench {
@@ -34,33 +32,6 @@
   return text.str();
 }
 
-/// Ports free for TCP and UDP, chosen by the system; held together, so that they differ.
-std::vector<int> FreePorts(std::size_t count) {
-  std::vector<int> ports;
-  std::vector<int> held;
-  while (ports.size() < count) {
-    int tcp = socket(AF_INET, SOCK_STREAM, 0);
-    int udp = socket(AF_INET, SOCK_DGRAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    if (bind(tcp, reinterpret_cast<sockaddr*>(&address), size) != 0) {
-      std::abort();  // Loopback always has a free port to give.
-    }
-    getsockname(tcp, reinterpret_cast<sockaddr*>(&address), &size);
-    if (bind(udp, reinterpret_cast<sockaddr*>(&address), size) == 0) {
-      ports.push_back(ntohs(address.sin_port));
-    }
-    held.push_back(tcp);
-    held.push_back(udp);
-  }
-  for (int socket : held) {
-    close(socket);
-  }
-  return ports;
-}
-
 int ExitCode(int status) {
   return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
@@ -180,7 +151,7 @@
 LocalSystem::LocalSystem(const LocalSystemOptions& options)
     : options_(options), keys_(bundle::GenerateKeyPair()), client_(http::Client::Create()) {
   platform_ = std::move(*emulator::Emulator::Start(PlatformConfig(options)));
-  std::vector<int> ports = FreePorts(static_cast<std::size_t>(options.daemons) * 2);
+  std::vector<std::uint16_t> ports = FreePorts(static_cast<std::size_t>(options.daemons) * 2);
   for (int index = 0; index < options.daemons; ++index) {
     auto at = static_cast<std::size_t>(index) * 2;
     endpoints_.emplace_back(ports[at], ports[at + 1]);
--- a/tests/platform/aggregator_contract_test.cc
+++ b/tests/platform/aggregator_contract_test.cc
@@ -27,9 +27,9 @@
     settings.node = "edge-2";
     settings.zone = "near";
     settings.address = "127.0.0.1";
-    settings.internal_port = FreePort(world.loop());
+    settings.internal_port = FreePort();
     settings.frontend = {"127.0.0.1", 0};
-    settings.readiness = {"127.0.0.1", FreePort(world.loop())};
+    settings.readiness = {"127.0.0.1", FreePort()};
     // As it registered before the store began to refuse it.
     aggregation::contact self;
     self.m_name = settings.node;
@@ -127,7 +127,7 @@
     aggregation::contact away;
     away.m_name = absl::StrCat("away-", slot);
     away.m_zone = "near";
-    away.m_endpoint = {"127.0.0.1", FreePort(world.loop())};
+    away.m_endpoint = {"127.0.0.1", FreePort()};
     world.store().Put(absl::StrCat("martenyard/aggregators/near/", slot), wire::Encode(away));
   }
   SecondGateway lone(world, world.store());
--- a/tests/platform/recovery_contract_test.cc
+++ b/tests/platform/recovery_contract_test.cc
@@ -38,10 +38,9 @@
   RestartedDeployment() {
     std::string pattern = ::testing::TempDir() + "recovery-XXXXXX";
     remains_.data_folder = mkdtemp(pattern.data());
-    wire::EventLoop ports;
     for (std::uint16_t* port :
          {&remains_.ledger_port, &remains_.gateway_port, &remains_.near_port, &remains_.far_port}) {
-      *port = FreePort(ports);
+      *port = FreePort();
     }
   }
   ~RestartedDeployment() { std::filesystem::remove_all(remains_.data_folder); }
--- a/tests/platform/support/platform_client.cc
+++ b/tests/platform/support/platform_client.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
+#include "bench/free_ports.h"
 
 namespace martenyard::testing {
 
@@ -96,11 +97,7 @@
   return condition();
 }
 
-std::uint16_t FreePort(wire::EventLoop& loop) {
-  async_http::asio::ip::tcp::acceptor probe(loop.context(),
-                                            {async_http::asio::ip::make_address("127.0.0.1"), 0});
-  return probe.local_endpoint().port();
-}
+std::uint16_t FreePort() { return bench::FreePorts(1).front(); }
 
 std::string StandardConfiguration(int version) {
   return absl::StrCat(R"({"version":)", version, R"(,"routes":[
--- a/tests/platform/support/platform_client.h
+++ b/tests/platform/support/platform_client.h
@@ -54,8 +54,8 @@
 /// Runs the loop until the condition holds. @return false after half a minute.
 bool RunLoopUntil(wire::EventLoop& loop, const std::function<bool()>& condition);
 
-/// @return a port that is free now; give it to a server at once.
-std::uint16_t FreePort(wire::EventLoop& loop);
+/// @return a port that no other test is given while this process lives.
+std::uint16_t FreePort();
 
 /// The standard configuration's document: routes /safe/, /unsafe/, /stream/ and /streamkept/.
 std::string StandardConfiguration(int version);
