--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -476,7 +476,7 @@
 void Raft::SendAppend(NodeId to, bool even_if_empty) {
   Progress& progress = progress_[to];
   if (progress.next <= snapshot_.index) {
-    SendSnapshot(to, progress);
+    SendSnapshot(to, progress, even_if_empty);
     return;
   }
   if (progress.probing && progress.probe_sent && !even_if_empty) {
@@ -511,9 +511,12 @@
   ready_.messages_before_store.push_back({to, std::move(request)});
 }
 
-void Raft::SendSnapshot(NodeId to, Progress& progress) {
+void Raft::SendSnapshot(NodeId to, Progress& progress, bool heartbeat_due) {
   absl::Duration patience = options_.election_timeout * kSnapshotRetryTimeouts;
   if (progress.snapshot_sent && now_ < progress.last_progress + patience) {
+    if (!heartbeat_due) {
+      return;  // Its replies to heartbeats must not bring about more of them.
+    }
     // Only a heartbeat, which keeps the follower from standing for election.
     AppendRequest heartbeat;
     heartbeat.term = hard_state_.term;
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -149,7 +149,7 @@
   void LeaderTick();
   void CheckQuorum();
   void SendAppend(NodeId to, bool even_if_empty);
-  void SendSnapshot(NodeId to, Progress& progress);
+  void SendSnapshot(NodeId to, Progress& progress, bool heartbeat_due);
   void BroadcastAppend(bool even_if_empty);
   void AdvanceCommit();
   void AdvanceReads();
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -210,7 +210,10 @@
   EXPECT_EQ(cluster.AppliedAt(2), cluster.AppliedAt(3));
 }
 
-/// Symptom: a machine whose snapshot was on its way got up to 49,000 messages in two seconds.
+/// A machine whose snapshot was on its way got up to 49,000 messages in two seconds. Each reply to
+/// a heartbeat was answered with one at once, and with another when the leader next had something
+/// to do, so they doubled with every round trip: the ledger's counts of its work showed it, and
+/// here 1,023 were sent in 24 rounds of 2 ms.
 TEST(RaftTest, MemberWhoseSnapshotIsOnItsWayGetsHeartbeatsByTheTimerAlone) {
   constexpr int kRounds = 24;  // 48 ms, less than one heartbeat interval.
   Cluster cluster(3);
