--- a/tests/platform/tenant_contract_test.cc
+++ b/tests/platform/tenant_contract_test.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "base/clock.h"
 #include "platform/support/platform_world.h"
 
 namespace martenyard::testing {
@@ -190,6 +191,28 @@
   EXPECT_EQ(world.Ask(request).status, 200U);
 }
 
+/// Symptom: a store that was back served the gateways' copies at once, and requests with keys were
+/// refused for up to two seconds more.
+TEST(RevocationTest, KeysOpenAgainAsSoonAsTheStoreIsHeard) {
+  // Questions to a silent store are 1.9 s apart by then, and one has just gone unanswered.
+  constexpr absl::Duration kOutageAfterLease = absl::Milliseconds(1200);
+  constexpr absl::Duration kHeardBound = absl::Milliseconds(300);
+  TenantWorld world({.m_within = std::chrono::milliseconds(5000)});
+  auto holds = [&] {
+    return world.gateway().state().lease.holds(std::chrono::steady_clock::now());
+  };
+  world.store().faults().down = true;
+  world.store().WakeWaiting();
+  ASSERT_TRUE(world.RunUntil([&] { return !holds(); }));
+  absl::Time end = SteadyNow() + kOutageAfterLease;
+  ASSERT_TRUE(world.RunUntil([&] { return SteadyNow() >= end; }));
+  world.store().faults().down = false;
+  ASSERT_TRUE(world.RunUntil([&] { return world.gateway().state().store_reachable; }));
+  absl::Time heard = SteadyNow();
+  ASSERT_TRUE(world.RunUntil(holds));
+  EXPECT_LE(SteadyNow() - heard, kHeardBound);
+}
+
 TEST(RevocationTest, GatewayThatCannotAskTheStoreTakesNoKeysAfterItsLease) {
   TenantWorld world({.m_within = std::chrono::milliseconds(1000)});
   ClientRequest request;
