The turn ledger's leaders no longer log the configuration a second time

Since a leader's first entry is the configuration, for both products, the turn ledger's own rule, which logged it again once it led, is needless: one entry a term less, and changes of members are planned a tick earlier.

--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -187,7 +187,6 @@
     ledger_time_at_start_ = state_.now();
     next_plan_ = now_;
     next_hand_over_ = now_ + kHandOverInterval / 2;
-    configuration_logged_ = false;
     quotas_.reset(QuotaTime(now_));
     return;
   }
@@ -241,11 +240,6 @@
   if (!raft_.ConfigurationIsCommitted()) {
     return;
   }
-  if (!configuration_logged_) {
-    // A founder that first hears of the group through its log must find the configuration there.
-    configuration_logged_ = raft_.ProposeConfiguration(raft_.configuration());
-    return;
-  }
   GroupView view = View();
   if (auto next = PlanMembership(view, options_.planner)) {
     raft_.ProposeConfiguration(*next);
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -156,7 +156,6 @@
   absl::Time now_;
 
   bool was_leader_ = false;
-  bool configuration_logged_ = false;  ///< By this leader, in its term.
   absl::Time led_since_;
   LedgerMillis ledger_time_at_start_ = 0;
   absl::Time next_plan_;
