--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -76,6 +76,7 @@
   /// Hands leadership to `to` once it has the whole log. Proposals are refused until it leads, or
   /// for a few election timeouts; asking again meanwhile repeats the message, not the time.
   void TransferLeadership(NodeId to);
+  /// True while a hand-over is under way, so that proposals are refused.
   bool HandsOver() const { return transfer_target_ != kNoNode; }
   /// The state machine was captured at `snapshot.index`; drops the log up to it.
   void Compact(Snapshot snapshot);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -228,9 +228,10 @@
     }
   }
   if (SteadyNow() >= stop_deadline_) {
-    MARTENYARD_LOG_WARN(kLog, "The stop limit is over; exiting with "
-                                  << node_->WhyNotExit() << "; " << server_->unanswered()
-                                  << " requests have no whole answer yet.");
+    std::string waits = node_->WhyNotExit();
+    MARTENYARD_LOG_WARN(kLog, "The stop limit is over; " << (waits.empty() ? "" : waits + ", ")
+                                                         << server_->unanswered()
+                                                         << " requests without a whole answer.");
     loop_.Stop();
   }
 }
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -639,8 +639,7 @@
     if (!raft.IsLeader()) {
       continue;
     }
-    HandOver& last =
-        hand_overs_.try_emplace(group, HandOver{kNoNode, absl::InfinitePast()}).first->second;
+    HandOver& last = hand_overs_[group];
     if (raft.HandsOver()) {
       raft.TransferLeadership(last.target);  // The order may have been lost.
       continue;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -123,6 +123,11 @@
     absl::Time next;
     void (Node::*run)();
   };
+  /// A hand-over of a group's leadership that a planned stop has begun.
+  struct HandOver {
+    NodeId target = kNoNode;
+    absl::Time begun = absl::InfinitePast();
+  };
 
   void Send(NodeId to, PeerMessage message);
   void Handle(NodeId from, const wire::Endpoint& endpoint, const PeerMessage& message);
@@ -181,11 +186,7 @@
 
   std::vector<Periodic> periodics_;
   LiveMembers live_;
-  std::vector<NodeId> peers_;  // The live members but for this one.
-  struct HandOver {
-    NodeId target;
-    absl::Time begun;
-  };
+  std::vector<NodeId> peers_;               // The live members but for this one.
   std::map<GroupId, HandOver> hand_overs_;  // The last one of each group.
   std::uint64_t live_version_ = ~std::uint64_t{0};
   std::map<GroupId, consensus::Configuration> directory_;
