--- a/tests/proofs/promises_test.cc
+++ b/tests/proofs/promises_test.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "bundle/signature.h"
+#include "gateway/caller_api.h"
 #include "support/proof_world.h"
 
 namespace martenyard::testing {
@@ -508,6 +509,33 @@
 
 // ---- An accepted bundle is in force everywhere within seconds and never reverts ----
 
+/// Keeps the whole answer that it is given.
+class RecordingResponder : public http::Responder {
+ public:
+  void Send(http::Response response) override { answer = std::move(response); }
+  void StartStream(int, std::map<std::string, std::string>) override {}
+  void Write(std::string) override {}
+  void Finish() override {}
+  void Cut() override {}
+  void OnDisconnect(std::function<void()>) override {}
+  http::Response answer;
+};
+
+/// Symptom: a caller with a valid token was told 401 by a daemon that had started a moment before.
+TEST(StartedDaemonTest, KnowsNoBundleYetAndSaysSoInsteadOfDenyingTheToken) {
+  ProofWorld proof(ProofOptions{}, kSeed);
+  daemon::Node& node = *proof.world().node(0);
+  gateway::CallerApi api(node, node.coordinator(), node.bundles(), {}, kSeed);
+  http::Request request;
+  request.method = "POST";
+  request.path = "/v1/programs";
+  request.headers["authorization"] = "Bearer floor-token";
+  auto responder = std::make_shared<RecordingResponder>();
+  ASSERT_TRUE(api.Handle(proof.world().queue().now(), request, responder));
+  EXPECT_EQ(responder->answer.status, 503);
+  EXPECT_TRUE(responder->answer.headers.contains("Retry-After"));
+}
+
 TEST_F(PromiseTest, AcceptedBundleIsInForceEverywhereThoughTheKeyValueServiceGoesDown) {
   auto answer = proof_->Roll(0, kTournament, 2, "second");
   ASSERT_TRUE(answer);
