--- a/tests/system/planned_stop_soak_test.cc
+++ b/tests/system/planned_stop_soak_test.cc
@@ -249,15 +249,7 @@
         StartAgain(index);
         break;
       case 1:
-        system_.daemon(index).Signal(SIGSTOP);
-        frozen_.push_back(index);
-        thaw_at_ = SteadyNow() + kMostFreeze * random_.Uniform();
-        thaw_ = std::thread([this, at = thaw_at_] {
-          Sleep(at - SteadyNow());
-          for (std::size_t one : frozen_) {
-            system_.daemon(one).Signal(SIGCONT);
-          }
-        });
+        Freeze(index);
         break;
       case 2:
         system_.SetFault({{"target", "key_value"}, {"refuse", true}});
@@ -270,10 +262,17 @@
     }
   }
 
+  void Freeze(std::size_t index) {
+    system_.daemon(index).Signal(SIGSTOP);
+    thaw_ = std::thread([this, index, time = kMostFreeze * random_.Uniform()] {
+      Sleep(time);
+      system_.daemon(index).Signal(SIGCONT);
+    });
+  }
+
   void EndDisturbances() {
     if (thaw_.joinable()) {
       thaw_.join();
-      frozen_.clear();
     }
     if (outage_until_ > SteadyNow()) {
       Sleep(outage_until_ - SteadyNow());
@@ -305,9 +304,7 @@
   std::atomic<bool> over_ = false;
   std::mutex mutex_;
   std::string report_;
-  std::vector<std::size_t> frozen_;
-  absl::Time thaw_at_;
-  std::thread thaw_;
+  std::thread thaw_;  // Wakes the daemon that is frozen, if one is.
   absl::Time outage_until_ = absl::InfinitePast();
   int stops_ = 0;
   int kills_ = 0;
