HTTP server: accept connections in a listener of our own

Cause: libmicrohttpd's MHD_quiesce_daemon marks each epoll thread as quiesced and then removes the listening socket from the thread's epoll set. A thread that is busy with other connections sees the mark in its own loop and removes the socket too; the second removal fails and libmicrohttpd aborts the process ("Failed to remove listen FD from epoll set", daemon.c:5531). A martenyardd could abort in its stop.

Ruled out: poll threads instead of epoll (no such removal, but each wake-up scans all connections); closing the listening socket without quiescing (the threads would spin on its hang-up event).

Change: a Listener with one thread accepts connections and hands them over with MHD_add_connection; the daemon runs without a listening socket. Connections beyond the limit are closed at once, with a log line, instead of waiting in the accept queue.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,13 +1,11 @@
 #include "http/server.h"
 
-#include <arpa/inet.h>
 #include <microhttpd.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <condition_variable>
 #include <cstring>
 #include <mutex>
@@ -15,11 +13,14 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "base/logging.h"
+#include "http/listener.h"
 
 namespace martenyard::http {
 namespace {
 
 constexpr std::size_t kStreamBlockBytes = 16384;
+constexpr char kLogPrefix[] = "http";
 constexpr char kProblemType[] = "application/problem+json";
 
 /// State of one request from its first header to the last byte of its response.
@@ -206,37 +207,34 @@
 
   ~MicrohttpdServer() override { Stop(); }
 
-  bool Listen() {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(options_.port);
-    if (inet_pton(AF_INET, options_.address.c_str(), &address.sin_addr) != 1) {
-      return false;
+  /// Errors: HttpError::kCannotListen.
+  Result<void> Listen() {
+    daemon_ =
+        MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+                             MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC,
+                         0, nullptr, nullptr, &Accept, this, MHD_OPTION_THREAD_POOL_SIZE,
+                         options_.threads, MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+                         MHD_OPTION_NOTIFY_COMPLETED, &Completed, this, MHD_OPTION_END);
+    if (daemon_ == nullptr) {
+      return leaf::new_error(
+          HttpError{HttpError::Code::kCannotListen, "cannot start the server threads"});
     }
-    daemon_ = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TCP_FASTOPEN,
-        options_.port, nullptr, nullptr, &Accept, this, MHD_OPTION_SOCK_ADDR, &address,
-        MHD_OPTION_THREAD_POOL_SIZE, options_.threads, MHD_OPTION_CONNECTION_LIMIT,
-        options_.max_connections, MHD_OPTION_NOTIFY_COMPLETED, &Completed, this, MHD_OPTION_END);
-    return daemon_ != nullptr;
+    BOOST_LEAF_ASSIGN(
+        listener_, Listener::Start(options_.address, options_.port,
+                                   [this](int socket, const sockaddr* peer, socklen_t peer_size) {
+                                     AddConnection(socket, peer, peer_size);
+                                   }));
+    return {};
   }
 
-  std::uint16_t port() const override {
-    const MHD_DaemonInfo* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT);
-    return info == nullptr ? options_.port : info->port;
-  }
+  std::uint16_t port() const override { return listener_->port(); }
 
   void BeginDrain() override { draining_ = true; }
 
   void StopListening() override {
-    if (daemon_ == nullptr || listener_ != MHD_INVALID_SOCKET) {
-      return;
-    }
     draining_ = true;
-    listener_ = MHD_quiesce_daemon(daemon_);
-    if (listener_ != MHD_INVALID_SOCKET) {
-      // Rejects new connections immediately instead of leaving them in the accept queue.
-      shutdown(listener_, SHUT_RDWR);
+    if (listener_ != nullptr) {
+      listener_->Close();
     }
   }
 
@@ -253,13 +251,17 @@
     std::size_t cut = FinishResponses();
     MHD_stop_daemon(daemon_);
     daemon_ = nullptr;
-    if (listener_ != MHD_INVALID_SOCKET) {
-      close(listener_);
-    }
     return cut;
   }
 
  private:
+  /// Hands an accepted connection to a server thread, which closes it.
+  void AddConnection(int socket, const sockaddr* peer, socklen_t peer_size) {
+    if (MHD_add_connection(daemon_, socket, peer, peer_size) != MHD_YES) {
+      MARTENYARD_LOG_WARN(kLogPrefix, std::string("connection rejected: ") + std::strerror(errno));
+    }
+  }
+
   static MHD_Result Accept(void* server, MHD_Connection* connection, const char* url,
                            const char* method, const char* /*version*/, const char* upload,
                            std::size_t* upload_size, void** context) {
@@ -357,7 +359,7 @@
   ServerOptions options_;
   Handler handler_;
   MHD_Daemon* daemon_ = nullptr;
-  MHD_socket listener_ = MHD_INVALID_SOCKET;  // Set once the server has stopped listening.
+  std::unique_ptr<Listener> listener_;
   std::atomic<bool> draining_ = false;
   mutable std::mutex mutex_;
   std::condition_variable response_written_;
@@ -374,12 +376,7 @@
 
 Result<std::unique_ptr<Server>> Server::Start(const ServerOptions& options, Handler handler) {
   auto server = std::make_unique<MicrohttpdServer>(options, std::move(handler));
-  if (!server->Listen()) {
-    return leaf::new_error(
-        HttpError{HttpError::Code::kCannotListen, "cannot listen on " + options.address + ":" +
-                                                      std::to_string(options.port) + ": " +
-                                                      std::strerror(errno)});
-  }
+  BOOST_LEAF_CHECK(server->Listen());
   return std::unique_ptr<Server>(std::move(server));
 }
 
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -2,15 +2,24 @@
 // client, and against 503 responses without an outcome.
 #include "http/server.h"
 
+#include <arpa/inet.h>
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/blocking_counter.h"
 #include "absl/synchronization/notification.h"
 #include "http/client.h"
+#include "http/listener.h"
 
 namespace martenyard::http {
 namespace {
@@ -147,5 +156,93 @@
   }
 }
 
+/// Guards against an abort when the server stops listening while its threads are busy with other
+/// connections.
+TEST(MicrohttpdServerTest, StopsListeningBesideBusyConnections) {
+  constexpr int kBusyRounds = 500;
+  constexpr int kClients = 4;
+  constexpr int kAnswersBeforeStop = 16;
+  std::unique_ptr<Client> client = Client::Create();
+  for (int round = 0; round < kBusyRounds; ++round) {
+    ServerOptions options;
+    options.threads = 4;
+    auto server = std::move(*Server::Start(options, [](Request, std::shared_ptr<Responder> sender) {
+      sender->Send({200, {}, "ok"});
+    }));
+    std::string url = absl::StrCat("http://127.0.0.1:", server->port(), "/");
+    std::atomic<bool> stopping = false;
+    std::atomic<int> answers = 0;
+    absl::Notification busy;
+    absl::BlockingCounter ended(kClients);
+    std::function<void()> ask = [&] {
+      ClientRequest request;
+      request.url = url;
+      client->Start(
+          std::move(request), [](std::string_view) {},
+          [&](const ClientResult& result) {
+            if (++answers == kAnswersBeforeStop) {
+              busy.Notify();
+            }
+            if (result.ok() && !stopping) {
+              ask();
+              return;
+            }
+            ended.DecrementCount();
+          });
+    };
+    for (int started = 0; started < kClients; ++started) {
+      ask();
+    }
+    busy.WaitForNotification();
+    server->StopListening();
+    stopping = true;
+    server->Stop();
+    ended.Wait();
+  }
+}
+
+TEST(ListenerTest, RejectsConnectionsOnceClosed) {
+  std::atomic<int> accepted = 0;
+  auto listener = std::move(
+      *Listener::Start("127.0.0.1", 0, [&accepted](int socket, const sockaddr*, socklen_t) {
+        close(socket);
+        ++accepted;
+      }));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(listener->port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto connect_once = [&address] {
+    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    int result = connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    char byte = 0;
+    // Returns once the other side has closed the connection.
+    ssize_t received = result == 0 ? read(socket, &byte, 1) : -1;
+    close(socket);
+    return received == 0;
+  };
+  EXPECT_TRUE(connect_once());
+  EXPECT_EQ(accepted, 1);
+  listener->Close();
+  listener->Close();
+  EXPECT_FALSE(connect_once());
+  EXPECT_EQ(accepted, 1);
+}
+
+TEST(ListenerTest, ReportsAnAddressInUseAndOneThatIsNone) {
+  auto accept = [](int socket, const sockaddr*, socklen_t) { close(socket); };
+  auto listener = std::move(*Listener::Start("127.0.0.1", 0, accept));
+  auto error_of = [&](const std::string& address, std::uint16_t port) {
+    return leaf::try_handle_all(
+        [&]() -> Result<std::string> {
+          BOOST_LEAF_CHECK(Listener::Start(address, port, accept));
+          return std::string();
+        },
+        [](const HttpError& error) { return error.detail; }, [] { return std::string("untyped"); });
+  };
+  EXPECT_THAT(error_of("127.0.0.1", listener->port()), ::testing::HasSubstr("in use"));
+  EXPECT_THAT(error_of("localhost", 0), ::testing::HasSubstr("not an IPv4 address"));
+}
+
 }  // namespace
 }  // namespace martenyard::http
