Storage: a full disk no longer ends the process

Cause: RocksDB writes a log file of its own next to the data. When its write fails on a full disk, RocksDB writes to the same file again and asserts that it never does so (writable_file_writer.h:312, exit code 134).

Ruled out: the write-ahead log and tables. With a file system stand-in that refuses every write from a given one on, tables and logs alone never hit the assertion, whether or not syncs fail too; with RocksDB's own log on the same file system the process aborts.

Change: RocksDB's own log is discarded. The replica's handling stays: it drops its replicas, leads and votes for nothing, logs disk_failed, and reopens the disk until that succeeds.

--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cstdarg>
 #include <cstdlib>
 #include <map>
 #include <utility>
@@ -137,6 +138,14 @@
   std::unique_ptr<rocksdb::RateLimiter> limiter_;
 };
 
+/// Discards RocksDB's own log. On a full disk a log file ends the process: RocksDB asserts that it
+/// does not write to a file again after an error.
+class NoLog : public rocksdb::Logger {
+ public:
+  using rocksdb::Logger::Logv;
+  void Logv(const char* /*format*/, va_list /*arguments*/) override {}
+};
+
 class RocksDbLogStore : public LogStore {
  public:
   RocksDbLogStore(std::unique_ptr<rocksdb::DB> db, std::string folder,
@@ -588,7 +597,7 @@
   options.env = files != nullptr ? files : rocksdb::Env::Default();
   options.create_if_missing = true;
   options.write_buffer_size = kWriteBufferBytes;
-  options.keep_log_file_num = 2;
+  options.info_log = std::make_shared<NoLog>();
   rocksdb::BlockBasedTableOptions table;
   table.block_cache = rocksdb::NewLRUCache(kBlockCacheBytes, /*num_shard_bits=*/0);
   table.filter_policy.reset(rocksdb::NewBloomFilterPolicy(kFilterBitsPerKey));
