--- a/emulator/platform/runner_stand_in.cc
+++ b/emulator/platform/runner_stand_in.cc
@@ -62,11 +62,14 @@
 }  // namespace
 
 std::string RunnerEntry(const RunnerListing& listing) {
-  nlohmann::json entry = {
-      {"service", listing.service}, {"address", absl::StrCat("127.0.0.1:", listing.port)},
-      {"zone", listing.zone},       {"version", "v1"},
-      {"slots", listing.slots},     {"state", listing.state},
-      {"coldRemainingMs", 0},       {"sequence", 1}};
+  nlohmann::json entry = {{"service", listing.service},
+                          {"address", absl::StrCat("127.0.0.1:", listing.port)},
+                          {"zone", listing.zone},
+                          {"version", "v1"},
+                          {"slots", listing.slots},
+                          {"state", listing.state},
+                          {"coldRemainingMs", listing.cold_ms},
+                          {"sequence", 1}};
   if (listing.born > 0) {
     entry["born"] = listing.born;
   }
--- a/emulator/platform/runner_stand_in.h
+++ b/emulator/platform/runner_stand_in.h
@@ -59,6 +59,7 @@
   int slots = 8;
   std::string service = "s";
   std::int64_t born = 0;  ///< The Unix millisecond of its start; 0: it doesn't tell.
+  int cold_ms = 0;        ///< How much longer it is cold.
 };
 
 /// @return the entry that a runner writes into the platform's store.
--- a/src/discovery/runner.h
+++ b/src/discovery/runner.h
@@ -21,6 +21,8 @@
   ZoneName zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  /// How much longer it bears only a reduced request rate, as of when it wrote its entry.
+  absl::Duration cold_for = absl::ZeroDuration();
   /// Start time by the runner's own clock; a different time under the same id means a restart. The
   /// Unix epoch if not reported.
   absl::Time started = absl::UnixEpoch();
--- a/src/discovery/runner_table.cc
+++ b/src/discovery/runner_table.cc
@@ -19,6 +19,9 @@
     state = std::move(fresh);
   }
   state.runner = runner;
+  if (runner.cold_for > absl::ZeroDuration()) {
+    state.MarkCold(now + runner.cold_for);
+  }
   state.short_id = static_cast<std::uint32_t>(StableHash(runner.id.value));
   by_short_id_[state.short_id] = &state;
   state.gone = false;
--- a/src/discovery/runner_table.h
+++ b/src/discovery/runner_table.h
@@ -1,6 +1,7 @@
 // The runners known to a gateway and their observed health. Decision logic: no I/O.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -34,7 +35,13 @@
   request_outcomes unreported;    ///< Observed here, not yet reported to peers.
   absl::Time avoid_until = absl::InfinitePast();
   absl::Time full_until = absl::InfinitePast();
+  /// Until then it bears only the reduced request rate of its service.
+  absl::Time cold_until = absl::InfinitePast();
+  /// Until then its slow start admits no request.
+  absl::Time held_back_until = absl::InfinitePast();
 
+  /// The end may only be extended: earlier reports do not tell of later restarts.
+  void MarkCold(absl::Time until) { cold_until = std::max(cold_until, until); }
   bool IsDraining() const {
     return gone || runner.draining || draining_since < absl::InfiniteFuture();
   }
--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -29,6 +29,8 @@
                                                 "disk_opened",
                                                 "replica_role",
                                                 "configuration_applied",
+                                                "zone_evacuated",
+                                                "zone_evacuation_ended",
                                                 "directory_changed",
                                                 "machine_refuses",
                                                 "log_set_aside",
--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -66,6 +66,12 @@
     result.outcome = gone ? AttemptOutcome::kClientGone : AttemptOutcome::kNotSent;
     co_return result;
   }
+  if (const char* reason = WhyWithdrawn()) {
+    result.detail = reason;
+    result.outcome = AttemptOutcome::kWithdrawn;
+    state_.pool.Return(plan_.runner.id, connection_, SteadyNow());
+    co_return result;
+  }
   state_.metrics.Observe(Stage::kConnect, SteadyNow() - start);
   Alarm deadline(state_.context, plan_.deadline - SteadyNow(),
                  [this] { Abort(AttemptOutcome::kTimedOut); });
@@ -132,6 +138,13 @@
   co_return true;
 }
 
+const char* Attempt::WhyWithdrawn() const {
+  if (state_.evacuated_zones.Contains(plan_.runner.zone)) {
+    return "the runner's zone is evacuated";
+  }
+  return SteadyNow() > plan_.send_before ? "the slow start permit expired" : nullptr;
+}
+
 Task<bool> Attempt::SendRequest() {
   connection_->BeginResponse(plan_.head_request);
   bool small = plan_.head.size() + plan_.body->size() <= kInlineSendBytes;
--- a/src/forwarding/attempt.h
+++ b/src/forwarding/attempt.h
@@ -24,6 +24,7 @@
   bool stream = false;  ///< A successful response is an event stream.
   absl::Time deadline;  ///< The attempt is aborted at this time.
   absl::Time first_byte_deadline = absl::InfiniteFuture();
+  absl::Time send_before = absl::InfiniteFuture();  ///< The runner may not receive it later.
 };
 
 /// A response that was read to its end before it is forwarded.
@@ -78,6 +79,8 @@
   enum class HeadStatus { kMatched, kFailed };
 
   async_http::Task<bool> Connect(AttemptResult& result);
+  /// @return the reason why the request must not be sent any more, or null if it may.
+  const char* WhyWithdrawn() const;
   async_http::Task<bool> SendRequest();
   async_http::Task<HeadStatus> ReadMatchingHead(AttemptResult& result);
   async_http::Task<bool> SkipMismatchedResponse();
--- a/src/forwarding/attempt_outcome.cc
+++ b/src/forwarding/attempt_outcome.cc
@@ -32,6 +32,7 @@
 NextStep DecideNextStep(AttemptOutcome outcome, const RetryState& retry_state) {
   switch (outcome) {
     case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kWithdrawn:
     case AttemptOutcome::kNotRun:
       return AfterNotRun(retry_state);
     case AttemptOutcome::kCompleted:
--- a/src/forwarding/attempt_outcome.h
+++ b/src/forwarding/attempt_outcome.h
@@ -10,7 +10,8 @@
 
 /// How an attempt ended, as observed on the connection to the runner.
 enum class AttemptOutcome {
-  kNotSent,     ///< No byte of the request was sent.
+  kNotSent,     ///< No byte of the request was sent: the connection failed.
+  kWithdrawn,   ///< No byte was sent: the runner may not receive it any more.
   kNotRun,      ///< The runner reports that it did not and will not run the request.
   kCompleted,   ///< The runner sent a complete response, with any status.
   kNoResponse,  ///< Sent without a complete response: closed, timeout or malformed.
--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
 #include "async_http/task.h"
 #include "base/random.h"
+#include "discovery/evacuated_zones.h"
 #include "discovery/runner_table.h"
 #include "event_log/event_log.h"
 #include "forwarding/admission/program_admission.h"
@@ -17,6 +19,7 @@
 #include "forwarding/quota/quota_client.h"
 #include "forwarding/route_table.h"
 #include "forwarding/runner_choice.h"
+#include "forwarding/slow_start/slow_start_limiter.h"
 #include "forwarding/streams/id_strides.h"
 #include "forwarding/turn_cache.h"
 #include "tenancy/configuration_lease.h"
@@ -79,18 +82,29 @@
   tenancy::configuration_lease lease;        ///< API keys are accepted while it is held.
   bool store_reachable = false;              ///< The configuration is known to be current.
   discovery::RunnerTable runners;
-  id_strides service_id_strides;  ///< Event id strides by service.
+  discovery::EvacuatedZones evacuated_zones;
+  std::map<ZoneName, std::string> regions;  ///< The region of each zone.
+  id_strides service_id_strides;            ///< Event id strides by service.
   PrefixIndex prefixes{absl::Seconds(30), 40000};
   ConnectionPool pool;
   TurnCache turns{std::uint64_t{2} << 20};
   std::unique_ptr<turn_ledger::LedgerClient> ledger;
   std::unique_ptr<quota_client> quotas;
+  std::unique_ptr<slow_start_limiter> slow_starts;
+  /// Until then no cold runner gets requests: the ledger did not reply to the last permit request.
+  absl::Time slow_starts_held_until = absl::InfinitePast();
   std::unique_ptr<turn_ledger::chain_reader> chains;
   bool ledger_relayed = false;      ///< The ledger is reached only through peers.
   std::uint32_t gateway_count = 1;  ///< Gateways that share the runners' connection limits.
   /// Called with the last prompt part of a request when a runner starts processing it; used to
   /// inform the other gateways.
   std::function<void(const PromptPart& part, std::uint32_t runner)> on_placement;
+
+  /// @return the zone's region; empty if unknown.
+  std::string RegionOf(const ZoneName& of) const {
+    auto found = regions.find(of);
+    return found == regions.end() ? std::string() : found->second;
+  }
 };
 
 }  // namespace martenyard::forwarding
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -99,6 +99,9 @@
     co_return false;
   }
   tenant_ = check.m_tenant;
+  regions_ =
+      region_restriction(route_->allowed_regions,
+                         tenant_ == nullptr ? std::set<std::string>() : tenant_->m_allowed_regions);
   ScopeIds();
   if (tenant_ != nullptr && !IsAvailable(Prerequisite::kLease)) {
     co_await RefuseWithoutLease("the configuration may be too old: the API key may be revoked");
@@ -202,6 +205,12 @@
     co_await SendError(503, "a turn that is kept is answered from its start only", std::nullopt);
     co_return false;
   }
+  // The ledger places its replicas in any region.
+  if (stores_turn &&
+      !regions_.allows_storing(state_->regions, state_->RegionOf(ZoneName(state_->zone)))) {
+    co_await Refuse("its turns can't be stored in the allowed regions only");
+    co_return false;
+  }
   co_await WaitFor(Prerequisite::kLedgerGroups);
   if (!IsAvailable(Prerequisite::kLedgerGroups)) {
     co_await Refuse("the turn ledger is not known yet");
@@ -311,7 +320,8 @@
   engine_load load;
   for (const discovery::RunnerState* runner : state_->runners.OfService(service_name_)) {
     load.m_active += runner->Active();
-    load.m_slots += runner->IsDraining() ? 0 : runner->runner.slots;
+    bool takes_requests = !runner->IsDraining() && IsAllowed(runner->runner);
+    load.m_slots += takes_requests ? runner->runner.slots : 0;
   }
   return load;
 }
--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -25,6 +25,8 @@
   switch (outcome) {
     case AttemptOutcome::kNotSent:
       return "not_sent";
+    case AttemptOutcome::kWithdrawn:
+      return "withdrawn";
     case AttemptOutcome::kNotRun:
       return "not_run";
     case AttemptOutcome::kCompleted:
@@ -110,6 +112,7 @@
   plan.head_request = exchange_->request().method() == http::verb::head;
   plan.stream = route_->kind == RouteKind::kStream;
   plan.deadline = deadline_;
+  plan.send_before = send_before_;
   // A first-byte timeout is useful only if the request may be sent to another runner.
   bool can_retry = route_->Repeatable() && sent_attempts_ + 1 < route_->max_attempts;
   if (can_retry) {
@@ -182,12 +185,25 @@
     case AttemptOutcome::kTimedOut:
       report(RunnerSignal::kFailed);
       break;
+    case AttemptOutcome::kWithdrawn:
     case AttemptOutcome::kClientGone:
       break;
   }
+  MarkPossibleRestart(runner, result.outcome);
   RecordRunnerOutcome(runner, result);
 }
 
+void RequestHandler::MarkPossibleRestart(const discovery::Runner& runner, AttemptOutcome outcome) {
+  bool connection_lost = outcome == AttemptOutcome::kNotSent ||
+                         outcome == AttemptOutcome::kNoResponse ||
+                         outcome == AttemptOutcome::kTruncated;
+  const Service* service = routes_->configuration().FindService(runner.service);
+  discovery::RunnerState* state = state_->runners.Find(runner.id);
+  if (connection_lost && service != nullptr && state != nullptr) {
+    state->MarkCold(SteadyNow() + service->slow_start);
+  }
+}
+
 void RequestHandler::LogAttempt(const discovery::Runner& runner, const AttemptResult& result,
                                 const stream_forwarder& forwarder, absl::Time start) {
   state_->metrics.CountAttempt(NameOf(result.outcome));
@@ -239,7 +255,10 @@
     }
     std::optional<discovery::Runner> runner;
     if (TimeLeft() > kMinAttemptTime) {
-      runner = Choose();
+      runner = co_await ChooseAdmitted();
+    }
+    if (exchange_->client_gone() || !KeyStillValid()) {
+      continue;  // Changed while a permit was requested.
     }
     AttemptOutcome outcome = AttemptOutcome::kNotSent;
     AttemptResult result;
@@ -271,9 +290,12 @@
                               .Text("request", info_.id.value)
                               .Text("after", delivered_.last_id()));
         continue;
-      case NextStep::kRefuse:
-        co_await Refuse(runner ? "no runner took it" : "no runner to send it to");
+      case NextStep::kRefuse: {
+        // Chosen first, since GCC 12 destroys temporaries of a conditional in co_await twice.
+        std::string reason = runner ? "no runner took it" : NoRunnerReason();
+        co_await Refuse(reason);
         co_return;
+      }
       case NextStep::kFail:
         co_await SendError(502, "the runner broke off", std::nullopt);
         co_return;
--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -12,6 +12,7 @@
 #include "forwarding/attempt.h"
 #include "forwarding/gateway_state.h"
 #include "forwarding/history/history_fetch.h"
+#include "forwarding/regions/region_restriction.h"
 #include "forwarding/streams/delivered_events.h"
 #include "forwarding/streams/stream_forwarder.h"
 
@@ -70,8 +71,16 @@
   /// Caches a history that came with the leader's verdict and prepends it to the body.
   void UseLeaderHistory(std::string history, event_log::Line& line);
   async_http::Task<void> TryRunners();
+  /// Chooses a runner that may be sent the request now. Takes a permit for a cold one.
+  async_http::Task<std::optional<discovery::Runner>> ChooseAdmitted();
   std::optional<discovery::Runner> Choose();
   std::vector<Candidate> Candidates();
+  /// @return whether the operator allows this request to be sent to the runner.
+  bool IsAllowed(const discovery::Runner& runner) const;
+  /// Requests a slow start permit for a cold runner. @return whether the request may be sent to it.
+  async_http::Task<bool> TakePermit(const discovery::Runner& runner);
+  /// @return why no runner can be chosen.
+  std::string NoRunnerReason();
   /// @return the cost, in milliseconds, of losing this request at a runner.
   double LossCost() const;
   AttemptPlan MakePlan(const discovery::Runner& runner);
@@ -83,6 +92,8 @@
   void RecordResult(const discovery::Runner& runner, const AttemptResult& result);
   void LogAttempt(const discovery::Runner& runner, const AttemptResult& result,
                   const stream_forwarder& forwarder, absl::Time start);
+  /// A runner that lost a connection may have restarted and be cold before its entry tells so.
+  void MarkPossibleRestart(const discovery::Runner& runner, AttemptOutcome outcome);
   /// Records in the runner's failure statistics whether it lost the request.
   void RecordRunnerOutcome(const discovery::Runner& runner, const AttemptResult& result);
   /// Records that the runner has cached the prompt.
@@ -110,6 +121,7 @@
   const Route* route_ = nullptr;
   const Service* service_ = nullptr;
   const tenancy::tenant* tenant_ = nullptr;  // Owned by `routes_`; null without an API key.
+  region_restriction regions_;
   ServiceName service_name_;
   RequestInfo info_;
   // The client's ids, scoped to the tenant.
@@ -128,6 +140,7 @@
   std::set<std::string> tried_;
   int sent_attempts_ = 0;  // Attempts that sent the request, except to a wrong runner.
   bool may_have_run_ = false;
+  absl::Time send_before_ = absl::InfiniteFuture();  // End of the slow start permit.
   Attempt* attempt_ = nullptr;
   delivered_events delivered_;  // Over all attempts.
   std::string last_detail_;
--- a/src/forwarding/request_runner_selection.cc
+++ b/src/forwarding/request_runner_selection.cc
@@ -31,6 +31,9 @@
   std::vector<Candidate> candidates;
   std::uint64_t share = ConnectionShare(service_name_);
   for (discovery::RunnerState* runner : state_->runners.OfService(service_name_)) {
+    if (!IsAllowed(runner->runner)) {
+      continue;
+    }
     bool draining = runner->IsDraining();
     if (draining && runner->draining_since + state_->options.max_draining_runner_use < now) {
       continue;
@@ -47,11 +50,91 @@
     candidate.tried = tried_.contains(candidate.id);
     candidate.at_connection_limit = state_->pool.OpenCount(runner->runner.id) >= share &&
                                     state_->pool.IdleCount(runner->runner.id) == 0;
+    bool held = now < std::max(runner->held_back_until, state_->slow_starts_held_until);
+    candidate.held_back = runner->cold_until > now && held;
     candidates.push_back(std::move(candidate));
   }
   return candidates;
 }
 
+bool RequestHandler::IsAllowed(const discovery::Runner& runner) const {
+  return !state_->evacuated_zones.Contains(runner.zone) &&
+         regions_.allows(state_->RegionOf(runner.zone));
+}
+
+async_http::Task<std::optional<discovery::Runner>> RequestHandler::ChooseAdmitted() {
+  send_before_ = absl::InfiniteFuture();
+  while (!exchange_->client_gone() && TimeLeft() > kMinAttemptTime) {
+    std::optional<discovery::Runner> runner = Choose();
+    if (!runner) {
+      break;
+    }
+    // The operator may have evacuated the zone while a permit was requested.
+    if (co_await TakePermit(*runner) && IsAllowed(*runner)) {
+      co_return runner;
+    }
+  }
+  co_return std::nullopt;
+}
+
+async_http::Task<bool> RequestHandler::TakePermit(const discovery::Runner& runner) {
+  const Service* service = routes_->configuration().FindService(runner.service);
+  discovery::RunnerState* state = state_->runners.Find(runner.id);
+  absl::Time now = SteadyNow();
+  bool limited = service != nullptr && service->slow_start_rate > 0 && state->cold_until > now;
+  if (!limited) {
+    co_return true;
+  }
+  if (!IsAvailable(Prerequisite::kLedgerGroups)) {
+    state_->slow_starts_held_until = now + state_->options.retry_after;
+    co_return false;
+  }
+  slow_start_permit permit = co_await state_->slow_starts->request_permit(
+      runner.id, service->slow_start_rate, routes_->configuration().version, deadline_);
+  if (permit.m_verdict == permit_verdict::granted) {
+    send_before_ = permit.m_send_before;
+    co_return true;
+  }
+  bool unknown = permit.m_verdict == permit_verdict::unknown;
+  absl::Time held_until = SteadyNow() + permit.m_retry_after;
+  if (unknown) {
+    state_->slow_starts_held_until = held_until;
+  } else if ((state = state_->runners.Find(runner.id)) != nullptr) {
+    state->held_back_until = held_until;
+  }
+  state_->log.Write(Line("slow_start_held_back")
+                        .Text("request", info_.id.value)
+                        .Text("runner", runner.id.value)
+                        .Flag("ledger_replied", !unknown)
+                        .Real("rate", service->slow_start_rate)
+                        .Number("retry_after_ms", absl::ToInt64Milliseconds(permit.m_retry_after)));
+  co_return false;
+}
+
+std::string RequestHandler::NoRunnerReason() {
+  std::size_t evacuated = 0;
+  std::size_t outside_regions = 0;
+  std::size_t usable = 0;
+  for (const WeightedService& part : route_->services) {
+    for (const discovery::RunnerState* runner : state_->runners.OfService(part.service)) {
+      if (!regions_.allows(state_->RegionOf(runner->runner.zone))) {
+        ++outside_regions;
+      } else if (state_->evacuated_zones.Contains(runner->runner.zone)) {
+        ++evacuated;
+      } else {
+        ++usable;
+      }
+    }
+  }
+  if (usable == 0 && evacuated > 0) {
+    return "the zones of all its runners are evacuated";
+  }
+  if (usable == 0 && outside_regions > 0) {
+    return "no runner in the allowed regions";
+  }
+  return "no runner to send it to";
+}
+
 double RequestHandler::LossCost() const {
   const ChoiceOptions& options = state_->options.choice;
   if (route_->Repeatable()) {
@@ -94,6 +177,8 @@
           .Number("configuration", static_cast<std::int64_t>(routes_->configuration().version))
           .Number("candidates", static_cast<std::int64_t>(candidates.size()))
           .Number("active", chosen.active)
+          .Flag("cold", runner->cold_until > SteadyNow())
+          .Number("evacuated_zones", static_cast<std::int64_t>(state_->evacuated_zones.size()))
           .Number("kept_tokens", chosen.cached_tokens)
           .Number("prompt_tokens", info_.prompt_tokens)
           .Real("loss_rate", chosen.loss_rate)
--- a/src/forwarding/runner_choice.cc
+++ b/src/forwarding/runner_choice.cc
@@ -42,7 +42,7 @@
   int best_tier = 0;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
     const Candidate& candidate = candidates[index];
-    if (candidate.tried || candidate.at_connection_limit) {
+    if (candidate.tried || candidate.at_connection_limit || candidate.held_back) {
       continue;
     }
     int tier = PreferenceTier(candidate);
--- a/src/forwarding/runner_choice.h
+++ b/src/forwarding/runner_choice.h
@@ -26,6 +26,7 @@
   bool avoided = false;              ///< It failed or was full recently.
   bool tried = false;                ///< It was tried for this request.
   bool at_connection_limit = false;  ///< This gateway's connection share is in use.
+  bool held_back = false;            ///< It is cold, and its slow start admits no request now.
 };
 
 struct ChoiceOptions {
@@ -60,7 +61,8 @@
 };
 
 /// @return the candidate of the lowest cost, or nothing. Draining and avoided runners are used only
-/// when there is no other; tried runners and those at their connection limit never.
+/// when there is no other; tried runners, those held back and those at their connection limit
+/// never.
 std::optional<Choice> ChooseRunner(const std::vector<Candidate>& candidates,
                                    const ChoiceRequest& request, const ChoiceOptions& options);
 
--- a/src/forwarding/service_configuration.h
+++ b/src/forwarding/service_configuration.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
   bool is_public = false;    ///< Needs no API key.
   bool keeps_turns = false;  ///< Turns are stored; requests carry only new input.
   absl::Duration turn_retention = absl::Seconds(60);
+  /// Regions in which its requests may be processed and stored; empty: all.
+  std::set<std::string> allowed_regions;
 
   /// @return whether running a request twice is safe.
   bool Repeatable() const {
@@ -64,6 +67,10 @@
   ServiceName name;
   std::uint32_t max_connections = 100;  ///< Per runner, from all clients together.
   std::optional<EngineTraits> engine;   ///< Absent for plain services.
+  /// How long a runner stays cold after its start; zero: its runners need no slow start.
+  absl::Duration slow_start = absl::ZeroDuration();
+  /// Requests per second that a cold runner bears, from all gateways together; 0: no limit.
+  double slow_start_rate = 0;
 };
 
 /// Size and time limits for client requests.
--- a/src/roles/exchange/lease_renewer.cc
+++ b/src/roles/exchange/lease_renewer.cc
@@ -28,12 +28,13 @@
 }  // namespace
 
 lease_renewer::lease_renewer(async_http::asio::io_context& context, store::MetadataStore& store,
-                             store::PrefixMirror& configuration, tenancy::configuration_lease& lease,
-                             event_log::EventLog& log, send_datagram send, std::function<void()> on_valid,
-                             std::uint64_t seed)
+                             store::PrefixMirror& configuration, std::string configuration_key,
+                             tenancy::configuration_lease& lease, event_log::EventLog& log,
+                             send_datagram send, std::function<void()> on_valid, std::uint64_t seed)
     : m_context(context),
       m_store(store),
       m_configuration(configuration),
+      m_configuration_key(std::move(configuration_key)),
       m_lease(lease),
       m_log(log),
       m_send(std::move(send)),
@@ -65,13 +66,12 @@
     tenancy::confirmation_targets due = m_plan->due({now, peers.m_role, m_lease.last_confirmed()});
     if (due.m_store && !m_store_request_pending)
     {
-        const auto& items = m_configuration.items();
-        if (!items.empty())
+        auto item = m_configuration.items().find(m_configuration_key);
+        if (item != m_configuration.items().end())
         {
             m_store_request_pending = true;
-            async_http::asio::co_spawn(
-                m_context, request_from_store(items.begin()->first, items.begin()->second.revision),
-                async_http::asio::detached);
+            async_http::asio::co_spawn(m_context, request_from_store(item->first, item->second.revision),
+                                       async_http::asio::detached);
         }
     }
     if (due.m_own_zone && !peers.m_own_zone.empty())
--- a/src/roles/exchange/lease_renewer.h
+++ b/src/roles/exchange/lease_renewer.h
@@ -47,11 +47,12 @@
     using send_datagram = std::function<void(const wire::Endpoint&, const aggregation::datagram&)>;
 
     /// All references must outlive the object.
+    /// @param[in] configuration_key  the configuration's key in the mirror `configuration`
     /// @param[in] on_valid  called when the lease becomes valid; requests may be waiting for it
     lease_renewer(async_http::asio::io_context& context, store::MetadataStore& store,
-                  store::PrefixMirror& configuration, tenancy::configuration_lease& lease,
-                  event_log::EventLog& log, send_datagram send, std::function<void()> on_valid,
-                  std::uint64_t seed);
+                  store::PrefixMirror& configuration, std::string configuration_key,
+                  tenancy::configuration_lease& lease, event_log::EventLog& log, send_datagram send,
+                  std::function<void()> on_valid, std::uint64_t seed);
 
     /// @param[in] length  duration of the lease; if empty, the lease never expires and nothing is requested
     /// @param[in] self    address for replies
@@ -82,6 +83,7 @@
     async_http::asio::io_context& m_context;
     store::MetadataStore& m_store;
     store::PrefixMirror& m_configuration;
+    std::string m_configuration_key;
     tenancy::configuration_lease& m_lease;
     event_log::EventLog& m_log;
     send_datagram m_send;
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -90,7 +90,7 @@
           log),
       m_propagation(state.random.NextId()),
       m_lease_renewer(
-          context, store, mirrors.m_configuration, state.lease, log,
+          context, store, mirrors.m_configuration, mirrors.m_configuration_key, state.lease, log,
           [this](const wire::Endpoint& to, const datagram& message)
           {
               send(to, wire::Encode(message));
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -46,6 +46,8 @@
     store::PrefixMirror& m_runners;
     store::PrefixMirror& m_ledger;
     store::PrefixMirror& m_aggregators;
+    /// the configuration's key; its mirror has all keys that the operator writes
+    std::string m_configuration_key;
 };
 
 /// @brief tuning parameters
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -48,6 +48,12 @@
 /// Batches the slot changes that occur together when a fleet starts.
 constexpr absl::Duration kAggregatorWatchSpacing = absl::Milliseconds(500);
 
+store::MirrorOptions OperatorWatchOptions(const RoleSettings& settings) {
+  store::MirrorOptions options = BoundedStalenessWatchOptions(settings);
+  options.announces_prefix = true;
+  return options;
+}
+
 store::MirrorOptions AggregatorWatchOptions(const RoleSettings& settings) {
   store::MirrorOptions options = LongWatchOptions(settings);
   options.watch_spacing = kAggregatorWatchSpacing;
@@ -153,13 +159,13 @@
                         return ServeMetrics(std::move(exchange));
                       }),
       configuration_(
-          loop.context(), store, formats.ConfigurationKey(),
-          [this](const store::StoreChange& change) { OnConfigurationChange(change); },
+          loop.context(), store, formats.OperatorPrefix(),
+          [this](const store::StoreChange& change) { OnOperatorChange(change); },
           [this](bool reachable, store::StoreStatus status) {
             exchange_.on_store_reachability(reachable);
             OnStoreReachability("configuration", configuration_, reachable, status);
           },
-          BoundedStalenessWatchOptions(settings)),
+          OperatorWatchOptions(settings)),
       runners_(
           loop.context(), store, formats.RunnersPrefix(),
           [this](const store::StoreChange& change) { OnRunnerChange(change); },
@@ -182,8 +188,10 @@
             OnStoreReachability("aggregators", aggregators_, reachable, status);
           },
           AggregatorWatchOptions(settings)),
-      exchange_(loop.context(), settings, store, transport_,
-                {configuration_, runners_, ledger_directory_, aggregators_}, *state_, log),
+      exchange_(
+          loop.context(), settings, store, transport_,
+          {configuration_, runners_, ledger_directory_, aggregators_, formats.ConfigurationKey()},
+          *state_, log),
       ticker_(loop, kTickInterval, log, [this](absl::Time now) { Tick(now); }) {
   state_->options.max_draining_runner_use = MaxDrainingRunnerUse(settings.runner_drain_period);
   DisableMechanisms(settings.policy, *state_);
@@ -196,6 +204,8 @@
       LedgerOptions(settings.policy), state_->random.NextId() >> 16U);
   state_->quotas = std::make_unique<forwarding::quota_client>(
       loop.context(), *state_->ledger, settings.quota, [this] { return state_->gateway_count; });
+  state_->slow_starts = std::make_unique<forwarding::slow_start_limiter>(*state_->quotas);
+  state_->regions = settings.regions;
   state_->chains = std::make_unique<turn_ledger::chain_reader>(
       loop.context(),
       [this](const wire::Endpoint& to, const turn_ledger::chain_request& request) {
@@ -247,14 +257,23 @@
   }
 }
 
-void GatewayRole::OnConfigurationChange(const store::StoreChange& change) {
-  if (!change.value || change.key != formats_.ConfigurationKey()) {
+void GatewayRole::OnOperatorChange(const store::StoreChange& change) {
+  if (change.key == formats_.ConfigurationKey()) {
+    if (change.value) {
+      ApplyConfiguration(*change.value, change.revision);
+    }
     return;
   }
-  auto configuration = formats_.ReadConfiguration(*change.value);
+  if (std::optional<ZoneName> zone = formats_.EvacuatedZone(change.key)) {
+    ApplyEvacuation(*zone, change.value.has_value(), change.revision);
+  }
+}
+
+void GatewayRole::ApplyConfiguration(const std::string& text, store::Revision revision) {
+  auto configuration = formats_.ReadConfiguration(text);
   if (!configuration) {
-    log_.Write(Line("configuration_unreadable")
-                   .Number("revision", static_cast<std::int64_t>(change.revision)));
+    log_.Write(
+        Line("configuration_unreadable").Number("revision", static_cast<std::int64_t>(revision)));
     return;
   }
   std::uint64_t present = state_->routes ? state_->routes->configuration().version : 0;
@@ -273,18 +292,48 @@
           .Number("version", static_cast<std::int64_t>(configuration->version))
           .Number("routes", static_cast<std::int64_t>(configuration->routes.size()))
           .Number("tenants", static_cast<std::int64_t>(configuration->tenants.tenants().size()))
-          .Number("revision", static_cast<std::int64_t>(change.revision)));
+          .Number("revision", static_cast<std::int64_t>(revision)));
   for (const std::string& fault : configuration->tenants.errors()) {
     log_.Write(Line("tenant_faulty")
                    .Number("version", static_cast<std::int64_t>(configuration->version))
                    .Text("detail", fault));
   }
-  state_->lease.set_revision(change.revision);
+  state_->lease.set_revision(revision);
   state_->routes = std::make_shared<forwarding::RouteTable>(std::move(*configuration));
   state_->prerequisite_changed.Notify();
   exchange_.confirm_configuration();
 }
 
+void GatewayRole::ApplyEvacuation(const ZoneName& zone, bool evacuated, store::Revision revision) {
+  discovery::EvacuatedZones& zones = state_->evacuated_zones;
+  bool changed = evacuated ? zones.Add(zone) : zones.Remove(zone);
+  if (!changed) {
+    return;
+  }
+  log_.Write(Line(evacuated ? "zone_evacuated" : "zone_evacuation_ended")
+                 .Text("zone", zone.value)
+                 .Flag("known_zone", settings_.regions.contains(zone))
+                 .Number("evacuated_zones", static_cast<std::int64_t>(zones.size()))
+                 .Number("revision", static_cast<std::int64_t>(revision)));
+  if (!evacuated) {
+    StartSlowly(zone);
+  }
+}
+
+void GatewayRole::StartSlowly(const ZoneName& zone) {
+  if (state_->routes == nullptr) {
+    return;  // No requests were sent yet.
+  }
+  absl::Time now = SteadyNow();
+  for (auto& [id, runner] : state_->runners.all()) {
+    const forwarding::Service* service =
+        state_->routes->configuration().FindService(runner.runner.service);
+    if (runner.runner.zone == zone && service != nullptr) {
+      runner.MarkCold(now + service->slow_start);
+    }
+  }
+}
+
 void GatewayRole::OnRunnerChange(const store::StoreChange& change) {
   absl::Time now = SteadyNow();
   auto runner = change.value ? formats_.ReadRunner(change.key, *change.value) : std::nullopt;
@@ -296,12 +345,14 @@
     return;
   }
   const discovery::RunnerState* known = state_->runners.Find(runner->id);
-  bool changed = known == nullptr || known->runner.draining != runner->draining || known->gone;
+  bool changed = known == nullptr || known->runner.draining != runner->draining || known->gone ||
+                 runner->cold_for > absl::ZeroDuration();
   if (changed) {
     log_.Write(Line("runner_known")
                    .Text("runner", runner->id.value)
                    .Text("service", runner->service.value)
                    .Text("address", runner->endpoint.ToString())
+                   .Number("cold_ms", absl::ToInt64Milliseconds(runner->cold_for))
                    .Flag("draining", runner->draining));
   }
   if (state_->runners.Upsert(now, *runner)) {
@@ -543,6 +594,7 @@
   metrics.Set("ledger_relayed", static_cast<double>(state_->ledger->relayed()));
   metrics.Set("store_calls", static_cast<double>(store_.calls()));
   UpdateStoreMetrics();
+  metrics.Set("evacuated_zones", static_cast<double>(state_->evacuated_zones.size()));
   metrics.Set("known_runners", static_cast<double>(state_->runners.all().size()));
   metrics.Set("known_gateways", static_cast<double>(exchange_.peer_count() + 1));
   const exchange_stats& counters = exchange_.stats();
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -47,7 +47,13 @@
   std::uint16_t readiness_port() const { return readiness_server_.port(); }
 
  private:
-  void OnConfigurationChange(const store::StoreChange& change);
+  /// Handles a change of a key that the operator writes.
+  void OnOperatorChange(const store::StoreChange& change);
+  void ApplyConfiguration(const std::string& text, store::Revision revision);
+  void ApplyEvacuation(const ZoneName& zone, bool evacuated, store::Revision revision);
+  /// Limits the request rates of the zone's runners, which may have become cold while they received
+  /// no requests.
+  void StartSlowly(const ZoneName& zone);
   void OnRunnerChange(const store::StoreChange& change);
   /// Removes the runner that was registered under `key`.
   void RemoveRunner(const std::string& key);
@@ -86,7 +92,7 @@
   async_http::Server frontend_;
   async_http::Server readiness_server_;
   async_http::Server metrics_server_;
-  store::PrefixMirror configuration_;
+  store::PrefixMirror configuration_;  ///< With all keys that the operator writes.
   store::PrefixMirror runners_;
   store::PrefixMirror ledger_directory_;
   group_layout_record layout_record_;
--- a/src/roles/ledger/persisted_mirrors.cc
+++ b/src/roles/ledger/persisted_mirrors.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "roles/directory_keys.h"
@@ -41,6 +42,14 @@
 void ignore_change(const store::StoreChange& /*change*/)
 {
 }
+/// @return options of the mirror of the operator's keys
+store::MirrorOptions operator_mirror_options()
+{
+    store::MirrorOptions options;
+    options.announces_prefix = true;
+    return options;
+}
+
 void ignore_reachability(bool /*reachable*/, store::StoreStatus /*status*/)
 {
 }
@@ -56,7 +65,8 @@
       m_transport(transport),
       m_log(log),
       m_options(options),
-      m_configuration(context, store, formats.ConfigurationKey(), ignore_change, ignore_reachability),
+      m_configuration(context, store, formats.OperatorPrefix(), ignore_change, ignore_reachability,
+                      operator_mirror_options()),
       m_runners(context, store, formats.RunnersPrefix(), ignore_change, ignore_reachability),
       m_aggregators(context, store, kAggregatorsPrefix, ignore_change, ignore_reachability),
       m_mirrors{&m_configuration, &m_runners, &directory, &m_aggregators},
@@ -85,7 +95,9 @@
         return;  // First start on this disk.
     }
     auto file = wire::Unseal<mirror_file>(*bytes);
-    bool usable = file && file->m_format == file_format && file->m_prefix == m_mirrors[mirror]->prefix();
+    // Earlier builds mirrored a narrower prefix; their delta does not count as complete.
+    bool usable = file && file->m_format == file_format &&
+                  absl::StartsWith(file->m_prefix, m_mirrors[mirror]->prefix());
     if (!usable)
     {
         m_log.Write(Line("kept_copy_unreadable")
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -75,6 +75,7 @@
   options.raft.first_election_timeout_factor = 0.4;
   options.planner.replicas = ReplicasPerGroup(settings);
   options.quota = settings.quota;
+  options.slow_start = settings.slow_start;
   options.planner.group = group.value;
   options.planner.live_within =
       std::max(options.planner.live_within, kHelloIntervalPerMachine * kLivenessHelloIntervals *
--- a/src/roles/platform_formats.h
+++ b/src/roles/platform_formats.h
@@ -19,7 +19,12 @@
   /// @return the hasher of the API keys in all configurations read here.
   virtual const tenancy::key_hasher& key_hasher() const = 0;
 
+  /// @return the prefix of all keys that the operator writes. They are mirrored together, so that a
+  /// gateway that knows the configuration also knows the orders that were in force with it.
+  virtual std::string OperatorPrefix() const = 0;
   virtual std::string ConfigurationKey() const = 0;
+  /// @return the zone whose evacuation is ordered by the presence of `key`; nullopt for other keys.
+  virtual std::optional<ZoneName> EvacuatedZone(absl::string_view key) const = 0;
   virtual std::optional<forwarding::ServiceConfiguration> ReadConfiguration(
       absl::string_view text) const = 0;
 
--- a/src/roles/store_watch_options.cc
+++ b/src/roles/store_watch_options.cc
@@ -14,8 +14,8 @@
 }  // namespace
 
 store::MirrorOptions BoundedStalenessWatchOptions(const RoleSettings& settings) {
-  absl::Duration propagation_bound =
-      std::min(settings.configuration_apply, settings.runner_drain_period);
+  absl::Duration propagation_bound = std::min(
+      {settings.configuration_apply, settings.runner_drain_period, settings.evacuation_bound});
   absl::Duration detection_bound =
       std::min(settings.recovery_bound, propagation_bound * kDetectionFactor);
   store::MirrorOptions options;
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -153,6 +153,7 @@
   removals_since_ = std::max(removals_since_, result.revision);
   revision_ = result.revision;
   complete_ = true;
+  covers_prefix_ = true;
   co_return true;
 }
 
@@ -278,6 +279,9 @@
   mirror_delta delta;
   delta.m_last_change = last_change_;
   delta.m_full = last_change == 0 || last_change < removals_since_;
+  if (options_.announces_prefix && covers_prefix_) {
+    delta.m_items.push_back({prefix_, "", 0});
+  }
   for (const auto& [key, item] : items_) {
     if (delta.m_full || item.revision > last_change) {
       delta.m_items.push_back({key, item.value, item.revision});
@@ -291,36 +295,64 @@
   return delta;
 }
 
+bool PrefixMirror::CoversPrefix(const mirror_delta& delta) const {
+  return !options_.announces_prefix ||
+         std::any_of(delta.m_items.begin(), delta.m_items.end(),
+                     [this](const relayed_item& item) { return item.m_key == prefix_; });
+}
+
 void PrefixMirror::ApplyDelta(const mirror_delta& delta) {
-  if (delta.m_last_change <= last_change_) {
+  bool covers = CoversPrefix(delta);
+  bool completes = covers && delta.m_full && !complete_ && delta.m_last_change == last_change_;
+  if (delta.m_last_change <= last_change_ && !completes) {
     return;  // Already known.
   }
   if (!delta.m_full && last_change_ == 0) {
     return;  // Meant for an earlier process at this address; there is no state to apply it to.
   }
-  std::set<std::string> present;
   for (const relayed_item& item : delta.m_items) {
-    present.insert(item.m_key);
-    ApplyChange({item.m_key, item.m_value, item.m_revision}, delta.m_last_change);
+    if (item.m_key != prefix_) {
+      ApplyChange({item.m_key, item.m_value, item.m_revision}, delta.m_last_change);
+    }
   }
   for (const relayed_removal& removal : delta.m_removals) {
     ApplyChange({removal.m_key, std::nullopt, removal.m_revision}, delta.m_last_change);
   }
+  AdvanceLastChange(delta.m_last_change);
+  if (!covers) {
+    covers_prefix_ = false;
+    complete_ = false;  // Other keys of the prefix may have changed: read from the store.
+    return;
+  }
+  RemoveMissing(delta);
+  if (!covers_prefix_ && !delta.m_full) {
+    return;
+  }
+  if (!complete_ || delta.m_full) {
+    removals_since_ = std::max(removals_since_, delta.m_last_change);
+  }
+  complete_ = true;
+  covers_prefix_ = true;
+  revision_ = std::max(revision_, delta.m_last_change);
+}
+
+void PrefixMirror::RemoveMissing(const mirror_delta& delta) {
+  if (!delta.m_full) {
+    return;
+  }
+  std::set<std::string> present;
+  for (const relayed_item& item : delta.m_items) {
+    present.insert(item.m_key);
+  }
   std::vector<std::string> missing_keys;
   for (const auto& [key, item] : items_) {
-    if (delta.m_full && !present.contains(key) && item.revision <= delta.m_last_change) {
+    if (!present.contains(key) && item.revision <= delta.m_last_change) {
       missing_keys.push_back(key);
     }
   }
   for (const std::string& key : missing_keys) {
     ApplyChange({key, std::nullopt, delta.m_last_change}, delta.m_last_change);
   }
-  if (!complete_ || delta.m_full) {
-    removals_since_ = std::max(removals_since_, delta.m_last_change);
-  }
-  complete_ = true;
-  AdvanceLastChange(delta.m_last_change);
-  revision_ = std::max(revision_, delta.m_last_change);
 }
 
 void PrefixMirror::UpdateReachability(absl::Time began, bool reachable, StoreStatus status) {
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -31,6 +31,10 @@
   /// read again. A lost watch is detected when its wait ends, or when other calls show that the
   /// store was unreachable in between.
   absl::Duration watch_timeout = MaxWatchTimeoutWithin(absl::Seconds(3));
+  /// Deltas name the prefix, as an item without a value. Set for a prefix that earlier builds
+  /// mirror only in part: a delta without this item comes from such a build, and the mirror has to
+  /// be read from the store.
+  bool announces_prefix = false;
 };
 
 class PrefixMirror {
@@ -96,6 +100,9 @@
   /// @param as_of revision up to which the source of the change is complete.
   void ApplyChange(const StoreChange& change, Revision as_of);
   void PruneRemovals();
+  /// @return whether the sender of the delta mirrors the whole prefix.
+  bool CoversPrefix(const mirror_delta& delta) const;
+  void RemoveMissing(const mirror_delta& delta);
   /// Updates the store's reachability from the result of a call.
   void RecordCallResult(absl::Time began, StoreStatus status);
   /// @param began start of the call that showed it.
@@ -120,6 +127,7 @@
   bool watching_ = true;
   bool paused_ = false;
   bool complete_ = false;
+  bool covers_prefix_ = true;  ///< No change came from a build that mirrors a part of the prefix.
   bool refreshing_ = false;
   bool reachability_known_ = false;  ///< At least one call has ended, with or without a reply.
   bool reachable_ = false;
--- a/src/tenancy/rate_limiter.cc
+++ b/src/tenancy/rate_limiter.cc
@@ -147,6 +147,20 @@
     return static_cast<std::int32_t>(std::ceil(wait_s * 1000));
 }
 
+void rate_limiter::remove_idle(instant now)
+{
+    if (m_options.m_idle_timeout.count() == 0 || now - m_idle_removed_at < m_options.m_idle_timeout)
+    {
+        return;
+    }
+    m_idle_removed_at = now;
+    absl::erase_if(m_buckets,
+                   [&](const auto& entry)
+                   {
+                       return now - entry.second.m_last_refill > m_options.m_idle_timeout;
+                   });
+}
+
 quota_reply rate_limiter::take(instant now, const quota_request& request)
 {
     quota_reply reply;
@@ -155,6 +169,7 @@
         reply.m_waits_ms.assign(request.m_programs.size(), 0);
         return reply;
     }
+    remove_idle(now);
     tenant_bucket& bucket = find_or_add(now, request);
     prune(now, bucket);
     for (std::uint64_t program : request.m_programs)
--- a/src/tenancy/rate_limiter.h
+++ b/src/tenancy/rate_limiter.h
@@ -15,6 +15,8 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/strings/match.h"
+#include "absl/strings/string_view.h"
 #include "tenancy/bounds.h"
 #include "tenancy/configuration_lease.h"
 #include "tenancy/tenant.h"
@@ -22,9 +24,22 @@
 namespace martenyard::tenancy
 {
 
-/// @brief a gateway's request to admit requests of a tenant
+/// @return the key under which the requests to a cold runner are counted, distinct from all tenants' names
+inline std::string runner_limit_key(absl::string_view runner)
+{
+    return scoped_id("runner", runner);
+}
+
+/// @brief whether `key` is a @ref runner_limit_key
+inline bool is_runner_limit_key(absl::string_view key)
+{
+    return absl::StartsWith(key, scoped_id("runner", ""));
+}
+
+/// @brief a gateway's request to admit requests of a tenant, or requests to a cold runner
 struct quota_request
 {
+    /// the tenant's name, or a @ref runner_limit_key
     std::string m_tenant;
     /// from the gateway's configuration
     rate_limit m_limit;
@@ -78,6 +93,8 @@
     bool m_protect_programs = true;
     /// programs tracked per tenant; further ones are not told from new ones
     std::size_t m_max_programs = 4000;
+    /// buckets without requests for this long are removed; zero: never
+    std::chrono::milliseconds m_idle_timeout{0};
 };
 
 class rate_limiter
@@ -91,7 +108,7 @@
     /// @brief decides on requests in their order
     quota_reply take(instant now, const quota_request& request);
 
-    /// @return the number of tenants with a bucket
+    /// @return the number of tenants or runners with a bucket
     std::size_t tenants() const
     {
         return m_buckets.size();
@@ -125,12 +142,15 @@
     tenant_bucket& find_or_add(instant now, const quota_request& request);
     void refill(instant now, tenant_bucket& bucket) const;
     void prune(instant now, tenant_bucket& bucket) const;
+    /// @brief removes idle buckets; a bucket that is added again is as full as an idle one
+    void remove_idle(instant now);
     bool is_new_program(instant now, const tenant_bucket& bucket, std::uint64_t program) const;
     std::int32_t take_one(instant now, tenant_bucket& bucket, std::uint64_t program) const;
 
     quota_bounds m_bounds;
     rate_limiter_options m_options;
     instant m_reset;
+    instant m_idle_removed_at;
     absl::flat_hash_map<std::string, tenant_bucket> m_buckets;
 };
 
--- a/src/tenancy/tenant.h
+++ b/src/tenancy/tenant.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
     /// 0 is the most urgent; compared before the priority of the route
     int m_priority = 0;
     rate_limit m_limit;
+    /// regions in which its requests may be processed and stored; empty: all
+    std::set<std::string> m_allowed_regions;
 };
 
 /// @brief makes an id chosen by a client unique over all tenants
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -17,6 +17,16 @@
   return tenancy::instant(absl::ToChronoNanoseconds(now - absl::UnixEpoch()));
 }
 
+/// Requests to cold runners are never delayed: another runner can take them.
+tenancy::rate_limiter_options SlowStartOptions() {
+  constexpr std::chrono::seconds kIdleTimeout{60};
+  tenancy::rate_limiter_options options;
+  options.m_max_wait = std::chrono::milliseconds::zero();
+  options.m_protect_programs = false;
+  options.m_idle_timeout = kIdleTimeout;
+  return options;
+}
+
 }  // namespace
 
 TurnReplica::TurnReplica(const Machine& self, const ReplicaOptions& options,
@@ -29,6 +39,7 @@
       state_([this](consensus::EntryId entry) { return ReadEntry(entry); }),
       now_(now),
       snapshot_schedule_(options.snapshot_log_bytes, restored.snapshot),
+      slow_starts_(options.slow_start, SlowStartOptions()),
       quotas_(options.quota) {
   const consensus::Snapshot& snapshot = restored.snapshot;
   if (snapshot.index > 0) {
@@ -153,7 +164,9 @@
       return true;
     }
     OperationResult result;
-    result.quota = quotas_.take(QuotaTime(now_), quota->request);
+    bool for_runner = tenancy::is_runner_limit_key(quota->request.m_tenant);
+    tenancy::rate_limiter& limiter = for_runner ? slow_starts_ : quotas_;
+    result.quota = limiter.take(QuotaTime(now_), quota->request);
     Reply(requester, ReplyStatus::kDone, std::move(result));
     return true;
   }
@@ -190,6 +203,7 @@
     next_plan_ = now_;
     next_leadership_transfer_ = now_ + kLeadershipTransferInterval / 2;
     quotas_.reset(QuotaTime(now_));
+    slow_starts_.reset(QuotaTime(now_));
     return;
   }
   AbandonProposals();
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -31,7 +31,8 @@
   /// Transfer leadership to the first healthy voter, so that different machines lead different
   /// groups.
   bool preferred_leaders = false;
-  tenancy::quota_bounds quota;  ///< Accuracy of the tenants' rate limits.
+  tenancy::quota_bounds quota;       ///< Accuracy of the tenants' rate limits.
+  tenancy::quota_bounds slow_start;  ///< Accuracy of the rate limits of cold runners.
   /// Log size at which a snapshot is taken; the last snapshot's size if that is larger.
   std::uint64_t snapshot_log_bytes = std::uint64_t{2} << 20;
 };
@@ -192,7 +193,8 @@
   std::map<consensus::LogIndex, Proposal> proposals_;
   std::set<Requester> in_flight_;  ///< The requesters of `proposals_`.
   std::vector<OutgoingLedgerReply> replies_;
-  tenancy::rate_limiter quotas_;  ///< For the tenants hashed to this group, while leading.
+  tenancy::rate_limiter slow_starts_;  ///< For the cold runners hashed to this group.
+  tenancy::rate_limiter quotas_;       ///< For the tenants hashed to this group, while leading.
 };
 
 }  // namespace martenyard::turn_ledger
--- a/tests/platform/formats_test.cc
+++ b/tests/platform/formats_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,6 +46,29 @@
   EXPECT_EQ(configuration->limits.idle_timeout, absl::Seconds(15));
 }
 
+TEST(FormatsTest, ReadsSlowStartAndAllowedRegions) {
+  auto configuration = Formats().ReadConfiguration(R"({"version":1,
+    "routes":[{"host":"h","pathPrefix":"/a/","service":"s","allowedRegions":["eu","us"]},
+              {"host":"h","pathPrefix":"/b/","service":"s","allowedRegions":null}],
+    "services":[{"name":"s","coldStartS":3.0,"coldPerS":24.0},{"name":"t"}],
+    "tenants":[{"name":"x","apiKeys":["k"],"allowedRegions":["eu"]}]})");
+  ASSERT_TRUE(configuration.has_value());
+  EXPECT_EQ(configuration->routes[0].allowed_regions, (std::set<std::string>{"eu", "us"}));
+  EXPECT_TRUE(configuration->routes[1].allowed_regions.empty());
+  EXPECT_EQ(configuration->services[0].slow_start, absl::Seconds(3));
+  EXPECT_EQ(configuration->services[0].slow_start_rate, 24);
+  EXPECT_EQ(configuration->services[1].slow_start_rate, 0);
+  EXPECT_EQ(configuration->tenants.tenants()[0].m_allowed_regions, std::set<std::string>{"eu"});
+}
+
+TEST(FormatsTest, ReadsEvacuationOrders) {
+  Formats formats;
+  EXPECT_EQ(formats.EvacuatedZone("op/evacuate/north"), ZoneName("north"));
+  for (const char* key : {"op/evacuate/", "op/config", "op/retire/north", "servers/north", ""}) {
+    EXPECT_FALSE(formats.EvacuatedZone(key).has_value()) << key;
+  }
+}
+
 TEST(FormatsTest, RefusesWhatIsNoConfiguration) {
   for (const char* text : {"", "{", "[]", "{\"version\":1}", "{\"version\":\"x\",\"routes\":[]}",
                            "{\"version\":1,\"routes\":[{}],\"services\":[]}"}) {
@@ -130,7 +154,7 @@
   EXPECT_EQ(settings.node, "edge-1");
   EXPECT_EQ(settings.frontend.port, 8149);
   EXPECT_EQ(settings.internal_port, 7380);
-  EXPECT_EQ(settings.zones.size(), 2U);
+  EXPECT_EQ(settings.regions.size(), 2U);
   EXPECT_TRUE(settings.first_start);
   EXPECT_EQ(settings.metrics->port, 9100);
   EXPECT_EQ(settings.stop_grace, absl::Seconds(8));
--- a/tests/platform/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -65,6 +65,7 @@
                                                     wire::Endpoint{"127.0.0.1", store_.port()});
   roles::RoleSettings settings;
   settings.zone = "near";
+  settings.regions = {{ZoneName("near"), "here"}, {ZoneName("far"), "abroad"}};
   settings.address = "127.0.0.1";
   settings.tolerated_failures = 0;
   settings.first_start = remains.first_start;
@@ -98,6 +99,30 @@
       emulator::RunnerEntry({.port = runner.port(), .zone = zone, .state = state, .born = born}));
 }
 
+void PlatformWorld::ListColdRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
+                                   int cold_ms) {
+  store_.Put("servers/" + runner.id(),
+             emulator::RunnerEntry({.port = runner.port(), .zone = zone, .cold_ms = cold_ms}));
+}
+
+void PlatformWorld::PutConfiguration(int version, const std::string& document) {
+  store_.Put("op/config", document);
+  RunUntil([&] {
+    const auto& routes = gateway_->state().routes;
+    return routes != nullptr &&
+           routes->configuration().version == static_cast<std::uint64_t>(version);
+  });
+}
+
+void PlatformWorld::Evacuate(const std::string& zone, bool evacuated) {
+  if (evacuated) {
+    store_.Put("op/evacuate/" + zone, "{}");
+  } else {
+    store_.Remove("op/evacuate/" + zone);
+  }
+  RunUntil([&] { return gateway_->state().evacuated_zones.Contains(ZoneName(zone)) == evacuated; });
+}
+
 void PlatformWorld::Configure() { store_.Put("op/config", StandardConfiguration(1)); }
 
 void PlatformWorld::StartRoles() {
--- a/tests/platform/support/platform_world.h
+++ b/tests/platform/support/platform_world.h
@@ -63,6 +63,12 @@
   /// @param born the Unix millisecond of its start; 0: it doesn't tell.
   void ListRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
                   const std::string& state = "ready", std::int64_t born = 0);
+  /// Lists a ready runner that is cold for this long.
+  void ListColdRunner(const emulator::RunnerStandIn& runner, const std::string& zone, int cold_ms);
+  /// Puts a configuration in force and waits until the gateway applies it.
+  void PutConfiguration(int version, const std::string& document);
+  /// Orders the evacuation of a zone, or ends it, and waits until the gateway knows.
+  void Evacuate(const std::string& zone, bool evacuated = true);
 
   FaultyDisk& disk() { return *disk_; }
   emulator::StoreStandIn& store() { return store_; }
--- a/tests/store/prefix_mirror_test.cc
+++ b/tests/store/prefix_mirror_test.cc
@@ -96,6 +96,42 @@
   EXPECT_EQ(other.items().at("p/a").value, "2");
 }
 
+// An earlier build mirrors only a part of the prefix: what it sends must not hide other changes.
+TEST_F(PrefixMirrorTest, DeltaOfABuildThatMirrorsAPartLeadsToAFullRead) {
+  MirrorOptions options;
+  options.announces_prefix = true;
+  options.watch_timeout = absl::Milliseconds(200);
+  auto ignore_reachability = [](bool, StoreStatus) {};
+  PrefixMirror earlier(
+      loop_.context(), *client_, "p/config", [](const StoreChange&) {}, ignore_reachability);
+  PrefixMirror present(
+      loop_.context(), *client_, "p/", [](const StoreChange&) {}, ignore_reachability, options);
+  stand_in_.Put("p/order", "1");
+  stand_in_.Put("p/config", "1");
+  earlier.Start();
+  ASSERT_TRUE(RunUntil([&] { return earlier.complete(); }));
+  present.ApplyDelta(earlier.ChangesSince(0));
+  EXPECT_EQ(present.items().size(), 1U) << "what it knows is used";
+  EXPECT_FALSE(present.complete());
+  present.Start();
+  ASSERT_TRUE(RunUntil([&] { return present.complete(); }));
+  EXPECT_EQ(present.items().size(), 2U);
+
+  PrefixMirror peer(
+      loop_.context(), *client_, "p/", [](const StoreChange&) {}, ignore_reachability, options);
+  peer.ApplyDelta(present.ChangesSince(0));
+  EXPECT_TRUE(peer.complete());
+  EXPECT_EQ(peer.items().size(), 2U);
+  earlier.ApplyDelta(present.ChangesSince(0));
+  EXPECT_EQ(earlier.last_change(), present.last_change());
+
+  mirror_delta newer = earlier.ChangesSince(earlier.last_change());
+  newer.m_last_change += 5;
+  newer.m_items = {{"p/config", "2", newer.m_last_change}};
+  peer.ApplyDelta(newer);
+  EXPECT_FALSE(peer.complete()) << "an order in between may be missing";
+}
+
 TEST_F(PrefixMirrorTest, PausedMirrorSendsNoCallsUntilResumed) {
   mirror_->SetPaused(true);
   mirror_->Start();
--- a/tests/tenancy/rate_limiter_test.cc
+++ b/tests/tenancy/rate_limiter_test.cc
@@ -162,5 +162,77 @@
   RC_ASSERT(static_cast<double>(admitted.size()) >= wanted * 0.97 - 2);
 }
 
+/// The limits of a cold runner, as configured for slow starts.
+constexpr double kColdRate = 24;
+constexpr double kColdOverage = 0.5;
+constexpr double kColdSlack = 5;
+constexpr int kMostPerSecond = 41;  // 24 * 1.5 + 5
+/// As in slow_start_options: a permit is used within this time.
+constexpr int kPermitValidity = 400;
+constexpr double kGrantedShare = 0.9;
+
+/// All gateways ask for permits of one cold runner; the leader changes, and gateways are suspended
+/// between the permit and the request. Guards the bound on the requests that reach the runner.
+void CheckColdRunner(int gateways, int spacing_ms) {
+  rate_limiter_options options;
+  options.m_max_wait = milliseconds::zero();
+  options.m_protect_programs = false;
+  rate_limiter limiter({milliseconds(1000), kColdOverage, kColdSlack}, options);
+  limiter.reset(At(0));
+  quota_request request = Request(kColdRate * kGrantedShare, 0, {0});
+  request.m_tenant = runner_limit_key("i-1");
+  const int leader_change = *rc::gen::inRange(0, 3000);
+  // A leader's lease ends before another one can be elected.
+  const int election = *rc::gen::inRange(220, 800);
+  std::vector<int> arrivals;
+  bool changed = false;
+  for (int now = 0; now < 3000; now += spacing_ms) {
+    bool no_leader = now >= leader_change && now < leader_change + election;
+    if (no_leader) {
+      continue;
+    }
+    if (now >= leader_change && !changed) {
+      changed = true;
+      limiter.reset(At(now));
+    }
+    for (int gateway = 0; gateway < gateways; ++gateway) {
+      if (Granted(limiter.take(At(now), request)) == 1) {
+        int delay = *rc::gen::weightedOneOf<int>({{20, rc::gen::inRange(1, 5)},
+                                                  {1, rc::gen::inRange(0, kPermitValidity)},
+                                                  {1, rc::gen::inRange(0, 3000)}});
+        if (delay <= kPermitValidity) {
+          arrivals.push_back(now + delay);
+        }
+      }
+    }
+  }
+  std::sort(arrivals.begin(), arrivals.end());
+  RC_ASSERT(MaxInWindow(arrivals, 1000) <= kMostPerSecond);
+  RC_ASSERT(arrivals.size() >= kColdRate);  // It still gets requests.
+}
+
+RC_GTEST_PROP(ColdRunnerLimit, HoldsOver62Gateways, ()) { CheckColdRunner(62, 50); }
+RC_GTEST_PROP(ColdRunnerLimit, HoldsOver300Gateways, ()) { CheckColdRunner(300, 100); }
+RC_GTEST_PROP(ColdRunnerLimit, HoldsOver1000Gateways, ()) { CheckColdRunner(1000, 250); }
+
+TEST(RateLimiterTest, IdleBucketsAreRemovedAndStartFull) {
+  rate_limiter_options options;
+  options.m_idle_timeout = milliseconds(1000);
+  options.m_max_wait = milliseconds::zero();
+  rate_limiter limiter({milliseconds(1000), 0.5, 5}, options);
+  limiter.reset(At(0));
+  for (int runner = 0; runner < 100; ++runner) {
+    quota_request request = Request(10, 0, {0});
+    request.m_tenant = runner_limit_key(std::to_string(runner));
+    limiter.take(At(2000), request);
+  }
+  EXPECT_EQ(limiter.tenants(), 100U);
+  quota_request late = Request(10, 0, std::vector<std::uint64_t>(50, 0));
+  late.m_tenant = runner_limit_key("0");
+  int at_once = Granted(limiter.take(At(9000), late));
+  EXPECT_EQ(limiter.tenants(), 1U);
+  EXPECT_EQ(at_once, 7) << "0.7 of the headroom of 10";
+}
+
 }  // namespace
 }  // namespace martenyard::tenancy
