Gateways: bound buffered responses; a slow client is not a runner's failure

Cause: a response that is read to its end before it is forwarded was limited to 64 MB each, on machines of 88 MB, and not in sum. A stream that its runner cut because the client left it unread counted as the runner's failure, so that slow clients had sound runners avoided.

Ruled out: streams. Each piece is written to the client before the next is read, so a slow client holds up its runner and nothing else. Ending the responses beyond the limit: they ran, and the client could not repeat them.

Change: the responses share an eighth of the machine's memory. While it is used up, reading pauses for all but the one that began first, so the sum is at most twice that. A single response beyond it ends with 502. After a write to the client that took a second, a truncated stream is recorded as neither a loss nor a restart of the runner.

--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -18,6 +18,12 @@
 
 /// Larger requests are sent while reading: a runner may respond before it has read the whole body.
 constexpr std::size_t kInlineSendBytes = 4096;
+/// Small responses are read even while the buffers are used up.
+constexpr std::size_t kUnboundedResponseBytes = 8192;
+constexpr absl::Duration kBufferPollInterval = absl::Milliseconds(50);
+/// Runners cut responses that stay unread for seconds. After a write to the client that took this
+/// long, a truncated stream is not the runner's failure.
+constexpr absl::Duration kSlowClientWrite = absl::Seconds(1);
 constexpr int kMaxMismatchedResponses = 4;  ///< Skipped on one connection before it is closed.
 
 absl::string_view FieldOf(const async_http::HttpHead& head, const std::string& name) {
@@ -218,10 +224,28 @@
   co_return true;
 }
 
+Task<void> Attempt::AwaitBufferSpace(buffer_reservation& reservation) {
+  while (!reservation.may_grow() && !aborted_) {
+    co_await reservation.wait(kBufferPollInterval);
+  }
+}
+
 Task<void> Attempt::ReadBufferedResponse(AttemptResult& result) {
+  result.response.reservation = std::make_unique<buffer_reservation>(state_.response_buffers);
+  buffer_reservation& reservation = *result.response.reservation;
   ReadStep step = ReadStep::kProgress;
   while (step == ReadStep::kProgress) {
+    std::size_t held = connection_->parser().get().body().size();
+    if (held > state_.response_buffers.limit()) {
+      result.detail = "response too large to be buffered";
+      result.outcome = FailureOutcome(AttemptOutcome::kNoResponse);
+      co_return;
+    }
+    if (held > kUnboundedResponseBytes) {
+      co_await AwaitBufferSpace(reservation);
+    }
     step = co_await connection_->ReadBody();
+    reservation.resize(connection_->parser().get().body().size());
   }
   if (step != ReadStep::kWhole) {
     result.detail = "response truncated";
@@ -242,7 +266,10 @@
     std::string bytes = std::exchange(connection_->parser().get().body(), std::string());
     StreamStatus status = StreamStatus::kForwarded;
     if (!bytes.empty()) {
+      absl::Time write_began = SteadyNow();
       status = co_await sink.OnBytes(std::move(bytes));
+      bool slow = SteadyNow() - write_began >= kSlowClientWrite;
+      result.client_slow = result.client_slow || slow;
     }
     if (status == StreamStatus::kClientGone) {
       Abort(AttemptOutcome::kClientGone);
--- a/src/forwarding/attempt.h
+++ b/src/forwarding/attempt.h
@@ -11,6 +11,7 @@
 #include "async_http/server.h"
 #include "forwarding/attempt_outcome.h"
 #include "forwarding/gateway_state.h"
+#include "forwarding/streams/buffer_budget.h"
 
 namespace martenyard::forwarding {
 
@@ -31,6 +32,8 @@
 struct BufferedResponse {
   async_http::HttpHead head;
   std::string body;
+  /// Of the body, until it is sent; null without one.
+  std::unique_ptr<buffer_reservation> reservation;
 };
 
 /// Result of forwarding a piece of a stream.
@@ -62,6 +65,7 @@
   bool wrong_runner = false;        ///< The address now belongs to another runner.
   bool sent = false;                ///< At least part of the request was sent.
   bool reused = false;              ///< The connection came from the pool.
+  bool client_slow = false;         ///< The client kept the stream from being read for long.
   const char* framing = "none";     ///< How the end of the response is delimited: see `FramingOf`.
   std::string detail;               ///< For the log.
 };
@@ -85,6 +89,8 @@
   async_http::Task<HeadStatus> ReadMatchingHead(AttemptResult& result);
   async_http::Task<bool> SkipMismatchedResponse();
   async_http::Task<void> ReadBufferedResponse(AttemptResult& result);
+  /// Waits while the buffered responses of this process use up their memory.
+  async_http::Task<void> AwaitBufferSpace(buffer_reservation& reservation);
   async_http::Task<void> ForwardStream(AttemptResult& result, StreamSink& sink);
   /// @return the reason why the stream is incomplete, or null when it is complete.
   const char* WhyIncomplete(async_http::ReadStep last, const StreamSink& sink) const;
--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -20,6 +20,7 @@
 #include "forwarding/route_table.h"
 #include "forwarding/runner_choice.h"
 #include "forwarding/slow_start/slow_start_limiter.h"
+#include "forwarding/streams/buffer_budget.h"
 #include "forwarding/streams/id_strides.h"
 #include "forwarding/turn_cache.h"
 #include "tenancy/configuration_lease.h"
@@ -66,6 +67,7 @@
         names(header_names),
         key_hasher(hasher),
         zone(own_zone),
+        response_buffers(io),
         prerequisite_changed(io) {}
 
   async_http::asio::io_context& context;
@@ -73,6 +75,7 @@
   HeaderNames names;
   const tenancy::key_hasher& key_hasher;
   std::string zone;
+  buffer_budget response_buffers;  ///< Of responses that are read to their end before forwarding.
   ForwardingOptions options;
   GatewayMetrics metrics;
   Random random{SystemSeed()};
--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -183,14 +183,18 @@
     case AttemptOutcome::kNoResponse:
     case AttemptOutcome::kTruncated:
     case AttemptOutcome::kTimedOut:
-      report(RunnerSignal::kFailed);
+      if (!result.client_slow) {
+        report(RunnerSignal::kFailed);
+      }
       break;
     case AttemptOutcome::kWithdrawn:
     case AttemptOutcome::kClientGone:
       break;
   }
-  MarkPossibleRestart(runner, result.outcome);
-  RecordRunnerOutcome(runner, result);
+  if (!result.client_slow) {
+    MarkPossibleRestart(runner, result.outcome);
+    RecordRunnerOutcome(runner, result);
+  }
 }
 
 void RequestHandler::MarkPossibleRestart(const discovery::Runner& runner, AttemptOutcome outcome) {
@@ -218,6 +222,7 @@
           .Number("unfinished_bytes", static_cast<std::int64_t>(forwarder.unfinished_bytes()))
           .Text("framing", result.framing)
           .Flag("reused", result.reused)
+          .Flag("client_slow", result.client_slow)
           .Text("detail", result.detail)
           .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - start)));
 }
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -36,6 +36,8 @@
 constexpr absl::Duration kStopMargin = absl::Milliseconds(700);
 /// Limits buffered request bodies to 1/4 of the memory limit.
 constexpr std::uint64_t kBodyMemoryDivisor = 4;
+/// Limits buffered responses to 1/8 of the memory limit.
+constexpr std::uint64_t kResponseMemoryDivisor = 8;
 /// Limits unsent frames to peers to 1/16 of the memory limit.
 constexpr std::uint64_t kFrameMemoryDivisor = 16;
 constexpr std::size_t kReservedDescriptors = 1200;  // For runners, peers, files and the store.
@@ -222,6 +224,7 @@
   settings_.internal_port = bound.port;
   transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
   frontend_.limits().buffered_body_bytes = settings_.memory_bytes / kBodyMemoryDivisor;
+  state_->response_buffers.set_limit(settings_.memory_bytes / kResponseMemoryDivisor);
   frontend_.limits().connections = settings_.max_descriptors > 2 * kReservedDescriptors
                                        ? settings_.max_descriptors - kReservedDescriptors
                                        : settings_.max_descriptors / 2;
@@ -594,6 +597,7 @@
   metrics.Set("ledger_relayed", static_cast<double>(state_->ledger->relayed()));
   metrics.Set("store_calls", static_cast<double>(store_.calls()));
   UpdateStoreMetrics();
+  metrics.Set("response_bytes_buffered", static_cast<double>(state_->response_buffers.used()));
   metrics.Set("evacuated_zones", static_cast<double>(state_->evacuated_zones.size()));
   metrics.Set("known_runners", static_cast<double>(state_->runners.all().size()));
   metrics.Set("known_gateways", static_cast<double>(exchange_.peer_count() + 1));
