--- a/tests/forwarding/forwarding_units_test.cc
+++ b/tests/forwarding/forwarding_units_test.cc
@@ -200,6 +200,8 @@
     {"NotRunIsRetried",       AttemptOutcome::kNotRun,      false, false, false, false, 1, 900, NextStep::kRetry},
     {"NotRunTooLateIsRefused",    AttemptOutcome::kNotRun,      true,  false, false, false, 1, 5,   NextStep::kRefuse},
     {"NotRunAfterEarlierRunFails",AttemptOutcome::kNotRun,      true,  false, false, true,  0, 900, NextStep::kFail},
+    {"WithdrawnIsRetried",    AttemptOutcome::kWithdrawn,   false, false, false, false, 1, 900, NextStep::kRetry},
+    {"WithdrawnWithoutAttemptsIsRefused", AttemptOutcome::kWithdrawn, false, false, false, false, 0, 900, NextStep::kRefuse},
     {"NotSentAfterEarlierRunFails",AttemptOutcome::kNotSent,    true,  false, false, true,  0, 900, NextStep::kFail},
     {"LostNonRepeatableFails",    AttemptOutcome::kNoResponse,    false, false, false, true,  3, 900, NextStep::kFail},
     {"LostRepeatableIsRetried",           AttemptOutcome::kNoResponse,    true,  false, false, true,  1, 900, NextStep::kRetry},
