--- a/tests/aggregation/fleet_test.cc
+++ b/tests/aggregation/fleet_test.cc
@@ -61,10 +61,10 @@
 
 class Fleet {
  public:
-  Fleet(std::size_t count, std::uint64_t seed) : random_(seed) {
+  Fleet(std::size_t count, std::uint64_t seed, std::size_t zone_size = kZoneSize) : random_(seed) {
     for (std::size_t number = 0; number < count; ++number) {
       contact self{"g" + std::to_string(number),
-                   "z" + std::to_string(number / kZoneSize),
+                   "z" + std::to_string(number / zone_size),
                    {"10.0.0.1", static_cast<std::uint16_t>(number + 1)}};
       gateways_.push_back(std::make_unique<SimulatedGateway>(self, random_.NextId()));
       auto phase = milliseconds(static_cast<int>(random_.Below(kTick.count())));
@@ -446,6 +446,23 @@
   EXPECT_LT(fleet.TimeUntilAllHave(kRunners), milliseconds(6000));
 }
 
+/// Zones with more gateways than an aggregator takes as members. Guards against gateways that
+/// receive changes of the store late or never.
+class LargeZonesTest : public ::testing::TestWithParam<std::size_t> {};
+
+TEST_P(LargeZonesTest, AllGatewaysReceiveChangesWithinTheConfigurationBound) {
+  constexpr std::size_t kZones = 5;
+  constexpr milliseconds kConfigurationBound{5000};
+  Fleet fleet(kZones * GetParam(), 21, GetParam());
+  fleet.Run(milliseconds(6000));
+  for (int change = 0; change < 2; ++change) {
+    fleet.Change(kRunners);
+    EXPECT_LT(fleet.TimeUntilAllHave(kRunners), kConfigurationBound);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(ZoneSizes, LargeZonesTest, ::testing::Values(100, 187, 250));
+
 INSTANTIATE_TEST_SUITE_P(Sizes, FleetTest, ::testing::Values(30, 100, 300, 1400));
 
 }  // namespace
