attempt_ended: client_slow behind detail

StreamCornersTest.RefusedRunsFirstEventIsLogged matches the fields up to detail as one text; the new field stood between them. The test is unchanged.

--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -222,8 +222,8 @@
           .Number("unfinished_bytes", static_cast<std::int64_t>(forwarder.unfinished_bytes()))
           .Text("framing", result.framing)
           .Flag("reused", result.reused)
-          .Flag("client_slow", result.client_slow)
           .Text("detail", result.detail)
+          .Flag("client_slow", result.client_slow)
           .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - start)));
 }
 
