Ledger: propose the lapse of a call again after a leadership transfer

A call whose gateway had died stayed "running" for as long as its group's leader kept the lead, so that its program accepted no further call; a drained group never became empty and held its daemons until the stop limit.

Cause: LapseExpiredGrants marked the call as lapsing before it proposed the lapse. During a transfer proposals are rejected; after one that was declined or timed out the mark stayed.

Change: only an accepted proposal is marked.

--- a/src/ledger/group_replica.cc
+++ b/src/ledger/group_replica.cc
@@ -138,8 +138,10 @@
       continue;
     }
     const CallRecord* call = ledger_.Find(program)->Running();
-    lapsing_.insert(program);
-    Propose(Requester{}, LapseCall{Grant{program, call->key, call->attempt}});
+    // During a leadership transfer nothing can be proposed; the next tick tries again.
+    if (Propose(Requester{}, LapseCall{Grant{program, call->key, call->attempt}})) {
+      lapsing_.insert(program);
+    }
   }
 }
 
--- a/tests/proofs/planned_stop_test.cc
+++ b/tests/proofs/planned_stop_test.cc
@@ -216,7 +216,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Overlaps, OverlappingStopsTest,
                          ::testing::Values(Overlap{"AllStop", 3, false},
-                                           Overlap{"TwoOfThreeStop", 2, false}),
+                                           Overlap{"TwoOfThreeStop", 2, false},
+                                           Overlap{"TwoStopAndTheThirdIsKilled", 2, true}),
                          [](const auto& info) { return std::string(info.param.name); });
 
 TEST(PlannedStopTest, StopSoonAfterAStartEndsWithinItsLimitAndCutsNoCall) {
