Aggregators: divide large zones into cells

Cause: an aggregator dropped the reports of all gateways beyond its 128 members without a word; these got neither digests nor pushes and claimed slots from live holders. Ruled out by a trial of the users (limit raised, nothing else: all sizes pass): the eight pushes a tick.

Change: a zone with more than 96 gateways per cell is divided by rendezvous hash into cells of 64 on average, each with slots, aggregators and summaries of its own; to earlier builds a cell is one more zone. Dropped reports are counted and logged; a gateway without digests shows it in its metrics.

New tests: sizes from 90 to 300 with aggregators killed and machines cut from the store, bounds of an aggregator, the roles with 130 reporters.

--- a/src/aggregation/aggregator.cc
+++ b/src/aggregation/aggregator.cc
@@ -31,7 +31,7 @@
     return static_cast<std::size_t>(taken) < max_count;
 }
 
-void aggregator::handle(instant now, const member_report& report)
+bool aggregator::handle(instant now, const member_report& report)
 {
     const std::string& name = report.m_from.m_name;
     auto known = m_members.find(name);
@@ -39,7 +39,7 @@
     {
         if (!has_room_for(report.m_from))
         {
-            return;
+            return false;
         }
         known = m_members.emplace(name, member{}).first;
     }
@@ -52,6 +52,7 @@
     m_zone_loads.update(now, name, report.m_loads);
     m_zone_updates.record(report.m_loads, report.m_placements);
     m_all_updates.record(report.m_loads, report.m_placements);
+    return true;
 }
 
 void aggregator::set_representative(instant now, bool is_representative)
--- a/src/aggregation/aggregator.h
+++ b/src/aggregation/aggregator.h
@@ -30,8 +30,9 @@
     /// a gateway without a report for this time is removed; until then it is sent short digests, so that it
     /// finds its aggregators if it restarts without access to the store
     std::chrono::milliseconds m_retention{60000};
-    /// maximum number of members of the own zone
-    std::size_t m_max_members = 128;
+    /// maximum number of members of the own zone or cell. Cells are added far below it (see cells.h); until
+    /// gateways have moved there, an aggregator serves more of them.
+    std::size_t m_max_members = 512;
     /// maximum number of members of other zones, which report here while their own aggregators are lost
     std::size_t m_max_foreign = 32;
     /// placements per message; 64 of 16 bytes fit into one packet
@@ -66,8 +67,27 @@
   public:
     aggregator(contact self, std::uint64_t seed, const aggregator_options& options = {});
 
+    const contact& self() const
+    {
+        return m_self;
+    }
+
     /// @brief handles a report from a gateway of the zone, or from one whose own aggregators are lost
-    void handle(instant now, const member_report& report);
+    /// @return false if it was dropped, since there is no room for another member
+    bool handle(instant now, const member_report& report);
+
+    /// @brief removes the silent members that belong to another cell now
+    /// @param[in] belongs_here  whether a gateway, by name, belongs to the cell of this aggregator
+    template <typename Predicate>
+    void remove_moved(instant now, Predicate belongs_here)
+    {
+        std::erase_if(m_members,
+                      [&](const auto& entry)
+                      {
+                          bool own = entry.second.m_contact.m_zone == m_self.m_zone;
+                          return own && !is_live(now, entry.second) && !belongs_here(entry.first);
+                      });
+    }
 
     /// @brief handles a summary of another zone, or one of all other zones relayed by an aggregator of this
     ///        zone
--- a/src/aggregation/member_view.h
+++ b/src/aggregation/member_view.h
@@ -53,6 +53,12 @@
     /// @brief replaces the slot table
     void set_slots(const slot_table& table);
 
+    /// @brief sets the cell of the zone that this gateway belongs to
+    void set_cell(const std::string& cell)
+    {
+        m_self.m_zone = cell;
+    }
+
     /// @return the receivers of reports: the aggregators of the own zone and, while these are lost, some of
     ///         other zones
     std::vector<report_target> report_targets(instant now) const;
--- a/src/aggregation/slots.cc
+++ b/src/aggregation/slots.cc
@@ -7,26 +7,32 @@
 
 namespace martenyard::aggregation
 {
+std::vector<std::string> nearest_in_ring(const std::vector<std::string>& names, const std::string& name,
+                                         std::size_t max_count)
+{
+    std::vector<std::string> ring = names;
+    std::rotate(ring.begin(), std::upper_bound(ring.begin(), ring.end(), name), ring.end());
+    std::vector<std::string> nearest;
+    for (std::size_t index = 0; index < std::min(ring.size(), max_count); ++index)
+    {
+        bool from_front = index % 2 == 0;
+        nearest.push_back(from_front ? ring[index / 2] : ring[ring.size() - 1 - index / 2]);
+    }
+    return nearest;
+}
+
 std::vector<std::string> neighbor_zones(const slot_table& table, const std::string& zone,
                                         std::size_t max_count)
 {
-    std::vector<std::string> ring;
-    std::vector<std::string> preceding;
+    std::vector<std::string> others;
     for (const auto& [name, slots] : table)
     {
         if (name != zone)
         {
-            (name < zone ? preceding : ring).push_back(name);
+            others.push_back(name);
         }
     }
-    ring.insert(ring.end(), preceding.begin(), preceding.end());
-    std::vector<std::string> neighbors;
-    for (std::size_t index = 0; index < std::min(ring.size(), max_count); ++index)
-    {
-        bool from_front = index % 2 == 0;
-        neighbors.push_back(from_front ? ring[index / 2] : ring[ring.size() - 1 - index / 2]);
-    }
-    return neighbors;
+    return nearest_in_ring(others, zone, max_count);
 }
 
 std::vector<contact> slot_holders(const slot_table& table, const std::string& zone)
@@ -71,6 +77,15 @@
 {
 }
 
+void slot_claim_policy::set_cell(const std::string& cell)
+{
+    if (cell != m_self.m_zone)
+    {
+        m_self.m_zone = cell;
+        m_tracked.clear();
+    }
+}
+
 std::optional<std::size_t> slot_claim_policy::held_slot(const slot_table& table) const
 {
     auto zone = table.find(m_self.m_zone);
--- a/src/aggregation/slots.h
+++ b/src/aggregation/slots.h
@@ -42,6 +42,11 @@
     std::uint64_t m_revision = 0;
 };
 
+/// @param[in] names  other names than `name`, in order
+/// @return the nearest ones on both sides of `name` in the ring of names
+std::vector<std::string> nearest_in_ring(const std::vector<std::string>& names, const std::string& name,
+                                         std::size_t max_count);
+
 /// @return the zones that `zone` exchanges summaries with: the nearest ones on both sides in the ring of
 ///         zone names; changes reach the other zones through them
 std::vector<std::string> neighbor_zones(const slot_table& table, const std::string& zone,
@@ -73,11 +78,11 @@
 /// @param[in] is_alive  whether a message from an aggregator was received recently
 /// @return the representative of each neighbor zone, or all aggregators of a zone if none is alive
 template <typename Predicate>
-std::vector<wire::Endpoint> summary_targets(const slot_table& table, const contact& self, Predicate is_alive,
-                                            std::size_t max_zones)
+std::vector<wire::Endpoint> summary_targets(const slot_table& table,
+                                            const std::vector<std::string>& neighbors, Predicate is_alive)
 {
     std::vector<wire::Endpoint> targets;
-    for (const std::string& zone : neighbor_zones(table, self.m_zone, max_zones))
+    for (const std::string& zone : neighbors)
     {
         std::vector<contact> holders = slot_holders(table, zone);
         auto representative = std::find_if(holders.begin(), holders.end(), is_alive);
@@ -118,6 +123,9 @@
     /// @param[in] processor_share  share of one core that is available to this machine
     slot_claim_policy(contact self, double processor_share, const slot_options& options = {});
 
+    /// @brief sets the cell of the zone that this gateway belongs to
+    void set_cell(const std::string& cell);
+
     /// @brief when this gateway last received messages from aggregators
     struct peer_activity
     {
--- a/src/roles/exchange/member_registry.cc
+++ b/src/roles/exchange/member_registry.cc
@@ -21,7 +21,7 @@
       m_log(log),
       m_options(options),
       m_node(settings.node),
-      m_zone(settings.zone),
+      m_cell(settings.zone),
       m_records(
           context, store, absl::StrCat(kGatewaysPrefix, settings.zone, "/"), [](const store::StoreChange&) {},
           [](bool, store::StoreStatus) {}, LongWatchOptions(settings))
@@ -55,8 +55,8 @@
     std::vector<contact> missing;
     for (const auto& [name, gateway] : own_aggregator.members())
     {
-        bool in_zone = gateway.m_contact.m_zone == m_zone;
-        bool due = in_zone && own_aggregator.is_live(now, gateway) && !is_registered(gateway.m_contact);
+        bool in_cell = gateway.m_contact.m_zone == m_cell;
+        bool due = in_cell && own_aggregator.is_live(now, gateway) && !is_registered(gateway.m_contact);
         if (due && missing.size() < m_options.m_max_batch_size)
         {
             missing.push_back(gateway.m_contact);
@@ -97,8 +97,8 @@
             m_log.Write(Line("directory_record_unreadable").Text("key", key));
             continue;
         }
-        bool is_self = gateway->m_name == m_node;
-        if (!is_self && !own_aggregator.members().contains(gateway->m_name))
+        bool in_cell = gateway->m_zone == m_cell && gateway->m_name != m_node;
+        if (in_cell && !own_aggregator.members().contains(gateway->m_name))
         {
             endpoints.push_back(gateway->m_endpoint);
         }
--- a/src/roles/exchange/member_registry.h
+++ b/src/roles/exchange/member_registry.h
@@ -42,13 +42,19 @@
     /// @brief starts to mirror the records; paused until @ref set_paused allows it
     void start();
 
+    /// @brief sets the cell of the zone that this gateway belongs to
+    void set_cell(const std::string& cell)
+    {
+        m_cell = cell;
+    }
+
     /// @brief pauses the mirror on gateways that are no aggregators and while the store is unreachable
     void set_paused(bool paused);
 
-    /// @brief writes records of the zone's live gateways whose record is missing or outdated
+    /// @brief writes records of the cell's live gateways whose record is missing or outdated
     void register_missing(instant now, const aggregation::aggregator& own_aggregator);
 
-    /// @return the other registered gateways of the zone that do not report
+    /// @return the other registered gateways of the cell that do not report
     std::vector<wire::Endpoint> unreporting(const aggregation::aggregator& own_aggregator) const;
 
   private:
@@ -60,7 +66,7 @@
     event_log::EventLog& m_log;
     registry_options m_options;
     std::string m_node;
-    std::string m_zone;
+    std::string m_cell;
     store::PrefixMirror m_records;
     bool m_writing = false;
     instant m_written_at;
--- a/src/roles/exchange/storage_link.h
+++ b/src/roles/exchange/storage_link.h
@@ -44,6 +44,12 @@
     /// @param[in] self  the contact at which this process is reached
     void start(instant now, aggregation::contact self);
 
+    /// @brief sets the cell of the zone that this gateway belongs to
+    void set_cell(const std::string& cell)
+    {
+        m_self.m_zone = cell;
+    }
+
     /// @brief sets the storage machines listed in the ledger directory
     void set_machines(std::vector<turn_ledger::Machine> machines);
 
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -88,6 +88,7 @@
               send(to, wire::Encode(message));
           },
           log),
+      m_cells(settings.zone, settings.node),
       m_propagation(state.random.NextId()),
       m_lease_renewer(
           context, store, mirrors.m_configuration, mirrors.m_configuration_key, state.lease, log,
@@ -119,7 +120,7 @@
 
 contact zone_exchange::self() const
 {
-    return {m_settings.node, m_settings.zone, {m_settings.address, m_settings.internal_port}};
+    return {m_settings.node, m_cells.cell(), {m_settings.address, m_settings.internal_port}};
 }
 
 turn_ledger::Machine zone_exchange::machine() const
@@ -158,6 +159,7 @@
     {
         return;
     }
+    update_cell(SteadyInstant());
     m_view->set_slots(m_slots);
     set_slot(m_claim_policy->held_slot(m_slots));
     update_reading(SteadyInstant());
@@ -167,6 +169,67 @@
     }
 }
 
+void zone_exchange::update_cell(instant now)
+{
+    std::string previous = m_cells.cell();
+    m_cells.update(now, m_slots);
+    const std::string& cell = m_cells.cell();
+    if (cell != previous)
+    {
+        m_log.Write(Line("cell_changed").Text("cell", cell).Text("previous", previous));
+        m_view->set_cell(cell);
+        m_claim_policy->set_cell(cell);
+        m_registry.set_cell(cell);
+        m_storage_link.set_cell(cell);
+        m_aggregator.reset();  // It aggregated the other cell.
+        m_slot.reset();
+    }
+}
+
+void zone_exchange::add_cells(instant now)
+{
+    std::vector<aggregation::new_cell> cells = m_cells.plan(now, m_slots, *m_aggregator);
+    if (!cells.empty())
+    {
+        async_http::asio::co_spawn(m_context, write_cells(std::move(cells)), async_http::asio::detached);
+    }
+}
+
+async_http::Task<void> zone_exchange::write_cells(std::vector<aggregation::new_cell> cells)
+{
+    store::Transaction transaction;
+    for (const aggregation::new_cell& cell : cells)
+    {
+        std::string key = slot_key(cell.m_name, 0);
+        transaction.conditions.push_back({key, 0});
+        transaction.puts.push_back({key, wire::Encode(cell.m_holder), 0});
+    }
+    store::StoreStatus status = co_await m_store.Commit(std::move(transaction));
+    m_log.Write(Line("cells_added")
+                    .Text("first", cells.front().m_name)
+                    .Number("cells", static_cast<std::int64_t>(cells.size()))
+                    .Number("status", static_cast<std::int64_t>(status)));
+}
+
+std::vector<std::string> zone_exchange::neighbor_cells() const
+{
+    return aggregation::neighbor_cells(m_slots, m_settings.zone, m_cells.cell(), m_options.m_max_zones);
+}
+
+void zone_exchange::log_dropped_reports(instant now)
+{
+    if (m_stats.m_reports_dropped == m_drops_logged ||
+        now - m_drops_logged_at < m_options.m_drop_log_interval)
+    {
+        return;
+    }
+    m_log.Write(Line("reports_dropped")
+                    .Number("reports", static_cast<std::int64_t>(m_stats.m_reports_dropped - m_drops_logged))
+                    .Number("members", static_cast<std::int64_t>(m_aggregator->members().size())));
+    m_drops_logged_at = now;
+    m_drops_logged = m_stats.m_reports_dropped;
+}
+
 void zone_exchange::on_store_reachability(bool reachable)
 {
     m_store_answered = reachable;
@@ -224,7 +287,7 @@
 async_http::Task<void> zone_exchange::write_claim(aggregation::slot_claim claim)
 {
     store::Transaction transaction;
-    std::string key = slot_key(m_settings.zone, claim.m_slot);
+    std::string key = slot_key(m_cells.cell(), claim.m_slot);
     transaction.conditions.push_back({key, claim.m_revision});
     transaction.puts.push_back({key, wire::Encode(self()), 0});
     store::StoreStatus status = co_await m_store.Commit(std::move(transaction));
@@ -281,7 +344,10 @@
     {
         return;
     }
-    m_aggregator->handle(now, report);
+    if (!m_aggregator->handle(now, report))
+    {
+        ++m_stats.m_reports_dropped;
+    }
     if (report.m_revisions.front() == 0)
     {
         push_changes(now);  // The gateway has just started and is not ready yet.
@@ -340,10 +406,9 @@
         auto place = target.m_primary ? peers.m_own_zone.begin() : peers.m_own_zone.end();
         peers.m_own_zone.insert(place, target.m_endpoint);
     }
-    for (const std::string& zone :
-         aggregation::neighbor_zones(m_slots, m_settings.zone, m_options.m_max_zones))
+    for (const std::string& cell : neighbor_cells())
     {
-        for (const contact& holder : aggregation::slot_holders(m_slots, zone))
+        for (const contact& holder : aggregation::slot_holders(m_slots, cell))
         {
             peers.m_other_zones.push_back(holder.m_endpoint);
         }
@@ -452,12 +517,20 @@
     {
         m_aggregator->set_representative(now, represents_zone(now));
         m_aggregator->expire(now);
+        m_aggregator->remove_moved(now,
+                                   [this](const std::string& name)
+                                   {
+                                       return aggregation::cell_of_gateway(m_slots, m_settings.zone, name) ==
+                                              m_cells.cell();
+                                   });
         send_digests(now);
         send_introductions(now);
         send_summary(now);
         push_changes(now);
+        log_dropped_reports(now);
         if (represents_zone(now))
         {
+            add_cells(now);
             m_storage_link.announce(now, m_slots);
             m_registry.register_missing(now, *m_aggregator);
         }
@@ -653,7 +726,7 @@
     {
         return is_alive(now, aggregator);
     };
-    send_all(aggregation::summary_targets(m_slots, self(), is_alive_now, m_options.m_max_zones), payload,
+    send_all(aggregation::summary_targets(m_slots, neighbor_cells(), is_alive_now), payload,
              m_stats.m_summaries_sent);
     relay_summary(now);
 }
@@ -664,7 +737,7 @@
     others.m_revisions = revisions();
     others.m_store_reachable = reaches_store();
     std::string payload = wire::Encode(datagram(std::move(others)));
-    for (const contact& holder : aggregation::slot_holders(m_slots, m_settings.zone))
+    for (const contact& holder : aggregation::slot_holders(m_slots, m_cells.cell()))
     {
         if (holder.m_name != m_settings.node)
         {
@@ -677,7 +750,7 @@
 void zone_exchange::push_changes(instant now)
 {
     for (const aggregation::change_push& push : m_propagation.take_due_pushes(
-             now, revisions(), *m_aggregator, aggregation::slot_holders(m_slots, m_settings.zone)))
+             now, revisions(), *m_aggregator, aggregation::slot_holders(m_slots, m_cells.cell())))
     {
         ++m_stats.m_changes_pushed;
         m_change_sender.send(push.m_to, push.m_mirror, push.m_since);
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "aggregation/aggregator.h"
+#include "aggregation/cells.h"
 #include "aggregation/change_propagation.h"
 #include "aggregation/member_view.h"
 #include "aggregation/messages.h"
@@ -57,13 +58,15 @@
     std::chrono::milliseconds m_keepalive_interval{1000};
     /// time between summaries to other zones
     std::chrono::milliseconds m_summary_interval{100};
-    /// number of zones that summaries are exchanged with
+    /// number of cells of other zones that summaries are exchanged with
     std::size_t m_max_zones = 8;
     /// an aggregator without a message for this time does not represent its zone; aggregators send at least
     /// one message each 500 ms
     std::chrono::milliseconds m_representative_timeout{900};
     /// time between short digests to registered gateways that do not report
     std::chrono::milliseconds m_introduction_interval{1000};
+    /// minimum time between two log lines about dropped reports
+    std::chrono::milliseconds m_drop_log_interval{1000};
     /// without a full digest for this time, the loads of other gateways are reset
     std::chrono::milliseconds m_digest_lifetime{1600};
     /// a slot is claimed only after watching the slot records for this time, to see concurrent claims
@@ -81,6 +84,7 @@
 {
     std::uint64_t m_reports_sent = 0;
     std::uint64_t m_reports_received = 0;
+    std::uint64_t m_reports_dropped = 0;
     std::uint64_t m_digests_sent = 0;
     std::uint64_t m_digests_received = 0;
     std::uint64_t m_summaries_sent = 0;
@@ -155,6 +159,11 @@
     {
         return m_stats;
     }
+    /// @return whether the loads of other gateways are known from recent digests
+    bool receives_digests() const
+    {
+        return m_digest_received_at.has_value();
+    }
     /// @return the number of gateways that report to this one, if it is an aggregator
     std::size_t member_count() const
     {
@@ -190,6 +199,13 @@
     /// @return whether this gateway is the representative of its zone
     bool represents_zone(instant now) const;
     void set_slot(std::optional<std::size_t> slot);
+    /// updates the cell of this gateway from the slot records
+    void update_cell(instant now);
+    /// adds cells to a zone that has become too large for its aggregators
+    void add_cells(instant now);
+    async_http::Task<void> write_cells(std::vector<aggregation::new_cell> cells);
+    std::vector<std::string> neighbor_cells() const;
+    void log_dropped_reports(instant now);
 
     void report(instant now);
     bool report_is_due(instant now, const aggregation::member_report& fresh,
@@ -224,6 +240,7 @@
     storage_link m_storage_link;
 
     aggregation::slot_table m_slots;
+    aggregation::cell_policy m_cells;
     std::optional<aggregation::slot_claim_policy> m_claim_policy;
     std::optional<aggregation::member_view> m_view;
     aggregation::change_propagation m_propagation;
@@ -246,6 +263,8 @@
     std::vector<aggregation::placement> m_placements;
     instant m_summary_sent_at;
     instant m_introduced_at;
+    instant m_drops_logged_at;
+    std::uint64_t m_drops_logged = 0;
     aggregation::watch_policy m_watch_policy;
     std::optional<instant> m_digest_received_at;
     exchange_stats m_stats;
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -608,6 +608,8 @@
   metrics.Set("reports_taken", static_cast<double>(counters.m_reports_received));
   metrics.Set("digests_sent", static_cast<double>(counters.m_digests_sent));
   metrics.Set("digests_taken", static_cast<double>(counters.m_digests_received));
+  metrics.Set("reports_dropped", static_cast<double>(counters.m_reports_dropped));
+  metrics.Set("without_digests", exchange_.receives_digests() ? 0 : 1);
   metrics.Set("summaries_sent", static_cast<double>(counters.m_summaries_sent));
   metrics.Set("changes_pushed", static_cast<double>(counters.m_changes_pushed));
   metrics.Set("changes_asked", static_cast<double>(counters.m_changes_queried));
--- a/tests/aggregation/fleet_test.cc
+++ b/tests/aggregation/fleet_test.cc
@@ -8,6 +8,7 @@
 #include <queue>
 
 #include "aggregation/aggregator.h"
+#include "aggregation/cells.h"
 #include "aggregation/change_propagation.h"
 #include "aggregation/member_view.h"
 #include "aggregation/slots.h"
@@ -34,13 +35,17 @@
 struct SimulatedGateway {
   SimulatedGateway(const contact& own, std::uint64_t seed)
       : self(own),
+        cells(own.m_zone, own.m_name),
+        zone(own.m_zone),
         claim_policy(own, 0.5),
         view(own),
         propagation(seed),
         store_watch(own.m_name),
         seed(seed) {}
 
-  contact self;
+  contact self;  // With the cell as its zone.
+  cell_policy cells;
+  std::string zone;
   slot_claim_policy claim_policy;
   member_view view;
   change_propagation propagation;
@@ -197,6 +202,10 @@
       return;
     }
     gateway.slots = slots;
+    gateway.cells.update(now_, slots);
+    gateway.self.m_zone = gateway.cells.cell();
+    gateway.view.set_cell(gateway.cells.cell());
+    gateway.claim_policy.set_cell(gateway.cells.cell());
     gateway.view.set_slots(slots);
     bool aggregates = gateway.claim_policy.held_slot(slots).has_value();
     gateway.view.set_is_aggregator(aggregates);
@@ -207,6 +216,16 @@
     }
   }
 
+  void AddCells(SimulatedGateway& gateway) {
+    for (const new_cell& cell : gateway.cells.plan(now_, gateway.slots, *gateway.own_aggregator)) {
+      if (gateway.reaches_store && !slots_.contains(cell.m_name)) {
+        Change(kSlots);
+        slots_[cell.m_name][0] = {cell.m_holder, revision_};
+        ++slot_writes_;
+      }
+    }
+  }
+
   void Apply(SimulatedGateway& gateway, const digest& message) {
     gateway.other_loads.clear();
     for (const runner_load& load : gateway.view.subtract_own(message.m_loads)) {
@@ -220,7 +239,7 @@
     if (!gateway.alive) {
       return;
     }
-    // All gateways watch the slot records while their zone has vacant slots.
+    // All gateways watch the slot records while their cell has vacant slots.
     bool vacant = gateway.slots[gateway.self.m_zone].size() < slots_per_zone;
     bool watching = gateway.store_watch.should_watch(
         {now_, gateway.own_aggregator != nullptr, IsRepresentative(gateway),
@@ -282,6 +301,9 @@
   void Aggregate(SimulatedGateway& gateway) {
     aggregator& own_aggregator = *gateway.own_aggregator;
     own_aggregator.expire(now_);
+    own_aggregator.remove_moved(now_, [&](const std::string& name) {
+      return cell_of_gateway(gateway.slots, gateway.zone, name) == gateway.cells.cell();
+    });
     if (own_aggregator.digest_is_due(now_)) {
       digest full_digest = own_aggregator.make_digest(now_);
       full_digest.m_revisions = gateway.revisions;
@@ -303,7 +325,10 @@
       summary.m_revisions = gateway.revisions;
       summary.m_store_reachable = gateway.store_reachable;
       auto has_live_member = [&](const contact& other) { return IsAlive(gateway, other); };
-      SendAll(gateway, summary_targets(gateway.slots, gateway.self, has_live_member, 8), summary);
+      std::vector<std::string> neighbors =
+          neighbor_cells(gateway.slots, gateway.zone, gateway.cells.cell(), 8);
+      SendAll(gateway, summary_targets(gateway.slots, neighbors, has_live_member), summary);
+      AddCells(gateway);
       zone_summary relayed = own_aggregator.make_relayed_summary(now_);
       relayed.m_revisions = gateway.revisions;
       relayed.m_store_reachable = gateway.store_reachable;
@@ -461,7 +486,53 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(ZoneSizes, LargeZonesTest, ::testing::Values(100, 187, 250));
+/// Guards against changes that are delayed while the aggregators of a large zone are replaced and
+/// machines are cut from the store.
+TEST_P(LargeZonesTest, AllGatewaysReceiveChangesDuringTheLossOfAggregatorsAndOfTheStore) {
+  constexpr std::size_t kZones = 3;
+  constexpr milliseconds kHolderTimeout{14000};  // As in FleetTest.
+  Fleet fleet(kZones * GetParam(), 22, GetParam());
+  fleet.Run(milliseconds(6000));
+  std::size_t number = 0;
+  for (auto& gateway : fleet.gateways()) {
+    bool is_in_first_zone = gateway->zone == "z0";
+    gateway->alive = !(is_in_first_zone && gateway->own_aggregator && ++number % 2 == 0);
+    gateway->reaches_store = is_in_first_zone || ++number % 3 == 0;
+  }
+  fleet.Change(kRunners);
+  EXPECT_LT(fleet.TimeUntilAllHave(kRunners), kHolderTimeout);
+  fleet.Run(milliseconds(10000));
+  fleet.Change(kRunners);
+  EXPECT_LT(fleet.TimeUntilAllHave(kRunners), milliseconds(6000));
+}
+
+/// Guards against aggregators whose traffic and memory grow with their zone.
+TEST_P(LargeZonesTest, LoadOfAnAggregatorIsBounded) {
+  constexpr std::size_t kZones = 2;
+  constexpr std::size_t kMaxMembers = 128;
+  // Ten reports a second and member, a digest for a third of them, summaries of 8 other cells and
+  // of the 16 of the largest zone here, both ways.
+  constexpr double kMaxMessagesPerSecond = 10 * kMaxMembers * 4 / 3 + 20 * (8 + 16);
+  constexpr double kSeconds = 3;
+  Fleet fleet(kZones * GetParam(), 23, GetParam());
+  SetLoads(fleet);
+  fleet.Run(milliseconds(20000));
+  fleet.ResetTraffic();
+  fleet.Run(milliseconds(3000));
+  for (const auto& gateway : fleet.gateways()) {
+    std::string name = gateway->self.m_name + " of " + gateway->self.m_zone;
+    if (gateway->own_aggregator) {
+      EXPECT_LE(gateway->own_aggregator->members().size(), kMaxMembers) << name;
+      double messages =
+          static_cast<double>(gateway->sent.messages + gateway->received.messages) / kSeconds;
+      EXPECT_LT(messages, kMaxMessagesPerSecond) << name;
+    }
+  }
+}
+
+/// Every size around the limit at which a zone is divided.
+INSTANTIATE_TEST_SUITE_P(ZoneSizes, LargeZonesTest,
+                         ::testing::Values(90, 100, 120, 129, 150, 187, 250, 300));
 
 INSTANTIATE_TEST_SUITE_P(Sizes, FleetTest, ::testing::Values(30, 100, 300, 1400));
 
--- a/tests/platform/aggregator_contract_test.cc
+++ b/tests/platform/aggregator_contract_test.cc
@@ -4,6 +4,10 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <optional>
+#include <string>
+#include <vector>
+
 #include "absl/strings/str_cat.h"
 #include "aggregation/messages.h"
 #include "base/clock.h"
@@ -12,6 +16,7 @@
 #include "platform/support/platform_client.h"
 #include "platform/support/platform_world.h"
 #include "wire/codec.h"
+#include "wire/transport.h"
 
 namespace martenyard::testing {
 namespace {
@@ -31,11 +36,10 @@
     settings.frontend = {"127.0.0.1", 0};
     settings.readiness = {"127.0.0.1", FreePort()};
     // As it registered before the store began to refuse it.
-    aggregation::contact self;
-    self.m_name = settings.node;
-    self.m_zone = settings.zone;
-    self.m_endpoint = {settings.address, settings.internal_port};
-    world.store().Put("martenyard/gateways/near/edge-2", wire::Encode(self));
+    self_.m_name = settings.node;
+    self_.m_zone = settings.zone;
+    self_.m_endpoint = {settings.address, settings.internal_port};
+    world.store().Put("martenyard/gateways/near/edge-2", wire::Encode(self_));
     role_ = std::make_unique<roles::GatewayRole>(world.loop(), settings, formats_, *client_, log_);
     leaf::try_handle_all(
         [&]() -> Result<int> {
@@ -50,9 +54,20 @@
   std::uint64_t version() {
     return role_->state().routes ? role_->state().routes->configuration().version : 0;
   }
+  /// @return its contact as a member of the cell
+  aggregation::contact Contact(const std::string& cell) const {
+    return {self_.m_name, cell, self_.m_endpoint};
+  }
+  std::string Log() const {
+    std::string text(std::size_t{1} << 20, '\0');
+    ssize_t size = pread(log_file_, text.data(), text.size(), 0);
+    text.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+    return text;
+  }
 
  private:
   int log_file_;
+  aggregation::contact self_;
   event_log::EventLog log_;
   platform::Formats formats_;
   std::unique_ptr<platform::StoreClient> client_;
@@ -138,5 +153,71 @@
   EXPECT_FALSE(lone.role().state().store_reachable);
 }
 
+/// The only aggregator of a zone to which more gateways report than it serves for long.
+class LargeZoneContractTest : public ::testing::Test {
+ protected:
+  static constexpr std::size_t kGateways = 130;
+
+  static aggregation::contact Reporter(std::size_t number) {
+    return {absl::StrCat("front-", number), "near", {"127.0.0.1", FreePort()}};
+  }
+
+  std::optional<aggregation::contact> HolderOf(const std::string& slot) {
+    return wire::Decode<aggregation::contact>(
+        world_.store().Value("martenyard/aggregators/" + slot));
+  }
+
+  /// Sends one report of each gateway to the aggregator.
+  void SendReports(const wire::Endpoint& aggregator) {
+    for (const aggregation::contact& reporter : reporters_) {
+      aggregation::member_report report;
+      report.m_from = reporter;
+      report.m_primary = true;
+      transport_.SendDatagram(aggregator, wire::Encode(aggregation::datagram(report)));
+    }
+  }
+
+  PlatformWorld world_;
+  wire::Transport transport_{world_.loop(), [](const std::string&) {}, [](const std::string&) {},
+                             [](const wire::Endpoint&, absl::Time) {}};
+  std::vector<aggregation::contact> reporters_;
+};
+
+/// Guards against gateways of a large zone that no aggregator serves: the zone is divided.
+TEST_F(LargeZoneContractTest, AggregatorAddsCellsToItsZone) {
+  world_.Start();
+  ASSERT_TRUE(transport_.Listen({"127.0.0.1", 0}));
+  std::optional<aggregation::contact> aggregator;
+  ASSERT_TRUE(world_.RunUntil([&] {
+    aggregator = HolderOf("near/0");
+    return aggregator.has_value();
+  }));
+  for (std::size_t number = 0; number < kGateways; ++number) {
+    reporters_.push_back(Reporter(number));
+  }
+  absl::Time next = SteadyNow();
+  EXPECT_TRUE(world_.RunUntil([&] {
+    if (SteadyNow() >= next) {
+      next = SteadyNow() + absl::Milliseconds(500);
+      SendReports(aggregator->m_endpoint);
+    }
+    return HolderOf("near#1/0").has_value();
+  }));
+}
+
+/// Guards against a gateway that was given a slot of a cell and does not serve it.
+TEST_F(LargeZoneContractTest, GatewayAggregatesTheCellWhoseSlotItWasGiven) {
+  world_.Start();
+  SecondGateway second(world_, world_.store());
+  ASSERT_TRUE(world_.RunUntil([&] { return second.version() == 1; }));
+  world_.store().Put("martenyard/aggregators/near#1/0", wire::Encode(second.Contact("near#1")));
+  EXPECT_TRUE(world_.RunUntil([&] {
+    std::string log = second.Log();
+    std::size_t moved = log.find(R"("cell":"near#1")");
+    return moved != std::string::npos &&
+           log.find(R"("aggregates":true)", moved) != std::string::npos;
+  })) << second.Log();
+}
+
 }  // namespace
 }  // namespace martenyard::testing
