Server tests: one loopback address a server; starts say why they fail

Cause: each of its 500 rounds listened on a new port of 127.0.0.1, whose closed connections keep it in TIME_WAIT for a minute; with 13,969 ports taken no listener could start, and the result was dereferenced unchecked.

Change: each server listens on a loopback address of its own; starts in tests and bench go through ValueOrThrow, which reports the error's detail. The same unchecked dereference stood in the tests of the log store and of the key-value service and in bench/local_system. Rounds and checks of the test are as they were.

--- a/bench/local_system.cc
+++ b/bench/local_system.cc
@@ -150,7 +150,8 @@
 
 LocalSystem::LocalSystem(const LocalSystemOptions& options)
     : options_(options), keys_(bundle::GenerateKeyPair()), client_(http::Client::Create()) {
-  platform_ = std::move(*emulator::Emulator::Start(PlatformConfig(options)));
+  platform_ = ValueOrThrow<http::HttpError>(
+      [&] { return emulator::Emulator::Start(PlatformConfig(options)); });
   std::vector<std::uint16_t> ports = FreePorts(static_cast<std::size_t>(options.daemons) * 2);
   for (int index = 0; index < options.daemons; ++index) {
     auto at = static_cast<std::size_t>(index) * 2;
--- a/src/base/errors.h
+++ b/src/base/errors.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <boost/leaf.hpp>
+#include <stdexcept>
 #include <string>
+#include <type_traits>
 #include <utility>
 
 namespace martenyard {
@@ -24,6 +26,16 @@
       [&] { return on_error(Error{}); });
 }
 
+/// @return the value of `attempt`. Throws std::runtime_error with the error's detail if there is
+/// none; for tests and benchmarks, which cannot continue without it.
+template <typename Error, typename Attempt>
+auto ValueOrThrow(Attempt&& attempt) {
+  using Value = std::decay_t<decltype(attempt().value())>;
+  return Recover<Error>(std::forward<Attempt>(attempt), [](const Error& error) -> Value {
+    throw std::runtime_error(error.detail.empty() ? "an error of another layer" : error.detail);
+  });
+}
+
 /// Runs `attempt` and translates an `Error` of a lower layer into one of this layer.
 /// @param translate takes the error and returns the result of `leaf::new_error` for the new one.
 template <typename Error, typename Attempt, typename Translate>
--- a/tests/clients/key_value_test.cc
+++ b/tests/clients/key_value_test.cc
@@ -32,7 +32,8 @@
 class EtcdSubject : public Subject {
  public:
   EtcdSubject() {
-    emulator_ = std::move(*emulator::Emulator::Start(emulator::Config{}));
+    emulator_ =
+        ValueOrThrow<http::HttpError>([] { return emulator::Emulator::Start(emulator::Config{}); });
     store_ = CreateEtcdKeyValue(*client_, emulator_->url(), [](auto task) { task(); });
   }
   KeyValue& store() override { return *store_; }
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -12,8 +12,11 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/blocking_counter.h"
@@ -24,14 +27,39 @@
 namespace martenyard::http {
 namespace {
 
+/// @return another loopback address on each call. Closed connections occupy a listening port for a
+/// minute, and an address has only 14,000 ports for listeners.
+std::string NextLoopbackAddress() {
+  constexpr unsigned kAddressesPerNetwork = 250;
+  static std::atomic<unsigned> last = 0;
+  unsigned number = ++last;
+  unsigned network = static_cast<unsigned>(getpid()) % kAddressesPerNetwork + 1;
+  return absl::StrCat("127.", network, ".", number / kAddressesPerNetwork % kAddressesPerNetwork,
+                      ".", number % kAddressesPerNetwork + 1);
+}
+
+std::unique_ptr<Server> StartServer(const ServerOptions& options, Handler handler) {
+  return ValueOrThrow<HttpError>([&] { return Server::Start(options, std::move(handler)); });
+}
+
+std::unique_ptr<Listener> StartListener(Listener::OnAccept on_accept,
+                                        const std::string& address = "127.0.0.1") {
+  return ValueOrThrow<HttpError>([&] { return Listener::Start(address, 0, std::move(on_accept)); });
+}
+
+std::string UrlOf(const ServerOptions& options, const Server& server) {
+  return absl::StrCat("http://", options.address, ":", server.port(), "/");
+}
+
 /// A server that stores its request for the test, and a client.
 class StoppingServer {
  public:
   StoppingServer() {
-    server_ = std::move(*Server::Start({}, [this](Request, std::shared_ptr<Responder> responder) {
+    options_.address = NextLoopbackAddress();
+    server_ = StartServer(options_, [this](Request, std::shared_ptr<Responder> responder) {
       responder_ = std::move(responder);
       request_received_.Notify();
-    }));
+    });
   }
 
   /// Sends a request, calls `respond`, waits for body text if it returns true, stops the server
@@ -39,7 +67,7 @@
   template <typename Respond>
   ClientResult RequestAndStop(std::string* text, Respond respond, bool finished = false) {
     ClientRequest request;
-    request.url = absl::StrCat("http://127.0.0.1:", server_->port(), "/");
+    request.url = UrlOf(options_, *server_);
     absl::Notification text_received;
     absl::Notification ended;
     ClientResult result;
@@ -67,6 +95,7 @@
   }
 
  private:
+  ServerOptions options_;
   std::shared_ptr<Responder> responder_;
   absl::Notification request_received_;
   std::unique_ptr<Server> server_;
@@ -166,10 +195,11 @@
   for (int round = 0; round < kBusyRounds; ++round) {
     ServerOptions options;
     options.threads = 4;
-    auto server = std::move(*Server::Start(options, [](Request, std::shared_ptr<Responder> sender) {
+    options.address = NextLoopbackAddress();
+    auto server = StartServer(options, [](Request, std::shared_ptr<Responder> sender) {
       sender->Send({200, {}, "ok"});
-    }));
-    std::string url = absl::StrCat("http://127.0.0.1:", server->port(), "/");
+    });
+    std::string url = UrlOf(options, *server);
     std::atomic<bool> stopping = false;
     std::atomic<int> answers = 0;
     absl::Notification busy;
@@ -203,11 +233,10 @@
 
 TEST(ListenerTest, RejectsConnectionsOnceClosed) {
   std::atomic<int> accepted = 0;
-  auto listener = std::move(
-      *Listener::Start("127.0.0.1", 0, [&accepted](int socket, const sockaddr*, socklen_t) {
-        close(socket);
-        ++accepted;
-      }));
+  auto listener = StartListener([&accepted](int socket, const sockaddr*, socklen_t) {
+    close(socket);
+    ++accepted;
+  });
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(listener->port());
@@ -231,7 +260,7 @@
 
 TEST(ListenerTest, ReportsAnAddressInUseAndOneThatIsNone) {
   auto accept = [](int socket, const sockaddr*, socklen_t) { close(socket); };
-  auto listener = std::move(*Listener::Start("127.0.0.1", 0, accept));
+  auto listener = StartListener(accept);
   auto error_of = [&](const std::string& address, std::uint16_t port) {
     return leaf::try_handle_all(
         [&]() -> Result<std::string> {
--- a/tests/storage/log_store_test.cc
+++ b/tests/storage/log_store_test.cc
@@ -57,6 +57,10 @@
       [](const StorageError& error) { return error.code; });
 }
 
+std::unique_ptr<LogStore> OpenStore(const std::string& folder) {
+  return ValueOrThrow<StorageError>([&] { return OpenRocksDbLogStore(folder); });
+}
+
 /// Contract of every durable store: written data is read back after the store is reopened.
 class LogStoreContract : public ::testing::TestWithParam<bool> {
  protected:
@@ -64,7 +68,7 @@
   void Open() {
     if (GetParam()) {
       store_.reset();
-      store_ = std::move(*OpenRocksDbLogStore(folder_.path()));
+      store_ = OpenStore(folder_.path());
     } else if (store_ == nullptr) {
       store_ = CreateMemoryLogStore(/*durable_for_tests=*/true);
     }
@@ -204,7 +208,7 @@
 
   void Reopen() {
     rocks_.reset();
-    rocks_ = std::move(*OpenRocksDbLogStore(folder_.path()));
+    rocks_ = OpenStore(folder_.path());
     RC_ASSERT(rocks_->Load());
   }
   void Write(GroupWrite write) {
@@ -312,7 +316,7 @@
   constexpr std::uint64_t kWrites = 20000;
   Folder folder;
   {
-    auto store = std::move(*OpenRocksDbLogStore(folder.path()));
+    auto store = OpenStore(folder.path());
     std::vector<GroupWrite> batch;
     for (std::uint64_t index = 1; index <= kWrites; ++index) {
       batch.push_back(Entries(index, index, 1));
@@ -322,7 +326,7 @@
       }
     }
   }
-  auto store = std::move(*OpenRocksDbLogStore(folder.path()));
+  auto store = OpenStore(folder.path());
   EXPECT_EQ(store->Load()->groups[GroupId(1)].entries.size(), kWrites);
 }
 
@@ -331,7 +335,7 @@
   const GroupId kGroup(1);
   std::string last;
   for (std::size_t round = 1; round <= 3; ++round) {
-    auto store = OpenRocksDbLogStore(folder.path()).value();
+    auto store = OpenStore(folder.path());
     StoredNode before = store->Load().value();
     EXPECT_EQ(before.groups[kGroup].snapshot.data, last);
     last.clear();
@@ -345,7 +349,7 @@
     write.snapshot->data = last;
     ASSERT_TRUE(store->Write({write}));
   }
-  auto store = OpenRocksDbLogStore(folder.path()).value();
+  auto store = OpenStore(folder.path());
   EXPECT_EQ(store->Load().value().groups[kGroup].snapshot.data, last);
 }
 
@@ -357,7 +361,7 @@
   constexpr std::uint64_t kEntries = 400;  // Per group.
   constexpr std::uint32_t kGroups = 8;     // Makes the key ranges of the files overlap.
   Folder folder;
-  auto store = OpenRocksDbLogStore(folder.path()).value();
+  auto store = OpenStore(folder.path());
   ASSERT_TRUE(store->Load());
   std::minstd_rand bytes;  // Incompressible payloads.
   absl::Duration longest;
@@ -381,7 +385,7 @@
 
 TEST(RocksDbLogStoreTest, FolderInUseIsRejected) {
   Folder folder;
-  auto first = std::move(*OpenRocksDbLogStore(folder.path()));
+  auto first = OpenStore(folder.path());
   EXPECT_EQ(CodeOf([&]() -> Result<void> {
               BOOST_LEAF_CHECK(OpenRocksDbLogStore(folder.path()));
               return {};
@@ -394,7 +398,7 @@
 TEST(RocksDbLogStoreTest, RecordOfALaterBuildIsNotDamage) {
   Folder folder;
   {
-    auto store = std::move(*OpenRocksDbLogStore(folder.path()));
+    auto store = OpenStore(folder.path());
     ASSERT_TRUE(store->SetIdentity(NodeId(5)));
     ASSERT_TRUE(store->Write({Entries(1, 20, 1)}));
   }
@@ -415,7 +419,7 @@
 TEST(RocksDbLogStoreTest, DamagedLogIsRejected) {
   Folder folder;
   {
-    auto store = std::move(*OpenRocksDbLogStore(folder.path()));
+    auto store = OpenStore(folder.path());
     ASSERT_TRUE(store->SetIdentity(NodeId(5)));
     ASSERT_TRUE(store->Write({Entries(1, 200, 1)}));
     ASSERT_TRUE(store->Write({Entries(201, 400, 1)}));
