HTTP server: answer callers beyond the connection limit with 503

A caller beyond max_connections had its connection closed without an answer, since the server accepts connections by itself; before, it waited in the accept queue.

Cause: libmicrohttpd closes what exceeds its own limit. Change: its limit is 64 higher than ours; a request on a connection beyond ours gets 503 with Retry-After and "Connection: close", outcome unknown as for any overload. Beyond the 64 connections are closed as before.

ConnectionBeyondTheLimitIsToldToRetry, four connections and one more: before "Server returned nothing", now 503, Retry-After 1; the other four get their answers.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -22,6 +22,9 @@
 constexpr std::size_t kStreamBlockBytes = 16384;
 constexpr char kLogPrefix[] = "http";
 constexpr char kProblemType[] = "application/problem+json";
+/// Connections beyond the limit that are answered with 503; further ones are closed.
+constexpr unsigned kRejectedConnections = 64;
+constexpr char kRetryAfterSeconds[] = "1";
 
 /// State of one request from its first header to the last byte of its response.
 ///
@@ -209,12 +212,13 @@
 
   /// Errors: HttpError::kCannotListen.
   Result<void> Listen() {
-    daemon_ =
-        MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
-                             MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC,
-                         0, nullptr, nullptr, &Accept, this, MHD_OPTION_THREAD_POOL_SIZE,
-                         options_.threads, MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
-                         MHD_OPTION_NOTIFY_COMPLETED, &Completed, this, MHD_OPTION_END);
+    daemon_ = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+                                   MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC,
+                               0, nullptr, nullptr, &Accept, this, MHD_OPTION_THREAD_POOL_SIZE,
+                               options_.threads, MHD_OPTION_CONNECTION_LIMIT,
+                               options_.max_connections + kRejectedConnections,
+                               MHD_OPTION_NOTIFY_CONNECTION, &ConnectionChanged, this,
+                               MHD_OPTION_NOTIFY_COMPLETED, &Completed, this, MHD_OPTION_END);
     if (daemon_ == nullptr) {
       return leaf::new_error(
           HttpError{HttpError::Code::kCannotListen, "cannot start the server threads"});
@@ -262,6 +266,24 @@
     }
   }
 
+  /// Counts the open connections and marks those beyond the limit.
+  static void ConnectionChanged(void* server, MHD_Connection* /*connection*/, void** socket_context,
+                                MHD_ConnectionNotificationCode code) {
+    auto& self = *static_cast<MicrohttpdServer*>(server);
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+      --self.open_connections_;
+      return;
+    }
+    bool beyond_limit = ++self.open_connections_ > self.options_.max_connections;
+    *socket_context = beyond_limit ? &self : nullptr;
+  }
+
+  static bool IsBeyondLimit(MHD_Connection* connection) {
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return info != nullptr && info->socket_context != nullptr;
+  }
+
   static MHD_Result Accept(void* server, MHD_Connection* connection, const char* url,
                            const char* method, const char* /*version*/, const char* upload,
                            std::size_t* upload_size, void** context) {
@@ -282,7 +304,7 @@
       exchange->handled = true;
       self.Dispatch(connection, url, method, exchange);
     }
-    return exchange->QueueOrSuspend(exchange, self.draining_);
+    return exchange->QueueOrSuspend(exchange, self.draining_ || IsBeyondLimit(connection));
   }
 
   /// Aborts pending requests and waits until the responses have been written: closing a connection
@@ -321,6 +343,15 @@
       exchange->Abort();
       return;
     }
+    if (IsBeyondLimit(connection)) {
+      Response response;
+      response.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+      response.headers["Content-Type"] = kProblemType;
+      response.headers["Retry-After"] = kRetryAfterSeconds;
+      response.body = R"({"title":"too many connections","status":503,"outcome":"unknown"})";
+      exchange->Send(std::move(response));
+      return;
+    }
     if (exchange->body_too_large) {
       Response response;
       response.status = MHD_HTTP_CONTENT_TOO_LARGE;
@@ -361,6 +392,7 @@
   MHD_Daemon* daemon_ = nullptr;
   std::unique_ptr<Listener> listener_;
   std::atomic<bool> draining_ = false;
+  std::atomic<unsigned> open_connections_ = 0;
   mutable std::mutex mutex_;
   std::condition_variable response_written_;
   bool stopping_ = false;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -63,6 +63,7 @@
   std::uint16_t port = 0;  ///< 0: chosen by the system.
   std::size_t max_body_bytes = std::size_t{4} << 20;
   unsigned threads = 2;
+  /// Requests on further connections are answered with 503 and Retry-After.
   unsigned max_connections = 4000;
   /// How long `Stop` waits for responses to be written.
   std::chrono::milliseconds stop_timeout{1000};
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -231,6 +231,47 @@
   }
 }
 
+/// Guards against callers beyond the connection limit whose connection is closed without an answer.
+TEST(MicrohttpdServerTest, ConnectionBeyondTheLimitIsToldToRetry) {
+  constexpr unsigned kMaxConnections = 4;
+  ServerOptions options;
+  options.max_connections = kMaxConnections;
+  std::mutex mutex;
+  std::vector<std::shared_ptr<Responder>> pending;
+  absl::BlockingCounter received(kMaxConnections);
+  auto server = StartServer(options, [&](Request, std::shared_ptr<Responder> responder) {
+    std::lock_guard lock(mutex);
+    pending.push_back(std::move(responder));
+    received.DecrementCount();
+  });
+  std::unique_ptr<Client> client = Client::Create();
+  std::vector<ClientResult> results(kMaxConnections);
+  absl::BlockingCounter ended(kMaxConnections);
+  for (ClientResult& result : results) {
+    ClientRequest request;
+    request.url = UrlOf(options, *server);
+    client->Start(std::move(request), nullptr, [&](ClientResult finished) {
+      result = std::move(finished);
+      ended.DecrementCount();
+    });
+  }
+  received.Wait();
+  ClientRequest beyond;
+  beyond.url = UrlOf(options, *server);
+  ClientResult rejected = Client::Create()->Fetch(std::move(beyond));
+  EXPECT_EQ(rejected.error, "");
+  EXPECT_EQ(rejected.status, 503);
+  EXPECT_THAT(rejected.body, ::testing::HasSubstr(R"("outcome":"unknown")"));
+  EXPECT_EQ(rejected.retry_after_seconds, 1);
+  for (const auto& responder : pending) {
+    responder->Send({200, {}, "ok"});
+  }
+  ended.Wait();
+  for (const ClientResult& result : results) {
+    EXPECT_TRUE(result.ok()) << result.error;
+  }
+}
+
 TEST(ListenerTest, RejectsConnectionsOnceClosed) {
   std::atomic<int> accepted = 0;
   auto listener = StartListener([&accepted](int socket, const sockaddr*, socklen_t) {
