HTTP listener: hand over established connections before it closes

A caller whose connection the kernel had accepted as the listener closed saw a reset, although its request may have been sent.

Cause: the thread returned as soon as it was told to end, without a last accept; closing the socket resets what is queued. Change: it accepts what is pending first. What arrives between that and the close is still reset.

--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -100,10 +100,11 @@
       MARTENYARD_LOG_ERROR(kLogPrefix, std::string("poll failed: ") + std::strerror(errno));
       return;
     }
+    // Also before the end: closing the socket resets the connections that were not accepted.
+    AcceptPending();
     if (waiting[0].revents != 0) {
       return;
     }
-    AcceptPending();
   }
 }
 
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -34,8 +34,7 @@
 
   /// @return the listening port.
   std::uint16_t port() const { return port_; }
-  /// Waits until `on_accept` has returned, then rejects new connections and those not accepted yet.
-  /// Later calls have no effect.
+  /// Accepts the established connections, then rejects new ones. Later calls have no effect.
   void Close();
 
  private:
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -272,6 +272,29 @@
   }
 }
 
+/// Guards against a reset of connections that the kernel established before the listener closed.
+TEST(ListenerTest, HandsOverEstablishedConnectionsWhenItCloses) {
+  constexpr int kCloses = 300;
+  for (int round = 0; round < kCloses; ++round) {
+    std::atomic<int> accepted = 0;
+    std::string host = NextLoopbackAddress();
+    auto count = [&accepted](int socket, const sockaddr*, socklen_t) {
+      close(socket);
+      ++accepted;
+    };
+    auto listener = StartListener(count, host);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(listener->port());
+    ASSERT_EQ(inet_pton(AF_INET, host.c_str(), &address.sin_addr), 1);
+    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    listener->Close();
+    EXPECT_EQ(accepted, 1);
+    close(socket);
+  }
+}
+
 TEST(ListenerTest, RejectsConnectionsOnceClosed) {
   std::atomic<int> accepted = 0;
   auto listener = StartListener([&accepted](int socket, const sockaddr*, socklen_t) {
