Ledger role: a stopping machine declines leadership, and tries on

The platform's side of the overlapping stops: a ledger leader that stops transferred its groups once, to the voter with the longest log, which may be stopping too and then leads until it exits; the group is without a leader for an election afterwards.

--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -450,6 +450,9 @@
     LogWork();
   }
   if (stopping_) {
+    for (auto& [group, replica] : replicas_) {
+      replica->TransferLeadership();  // The first target may have declined since it stops too.
+    }
     bool leads = std::any_of(replicas_.begin(), replicas_.end(),
                              [](const auto& entry) { return entry.second->raft().IsLeader(); });
     if (!leads || now >= stop_deadline_) {
@@ -464,6 +467,7 @@
   stop_deadline_ = SteadyNow() + kLeadershipTransferTimeout;
   log_.Write(Line("stopping"));
   for (auto& [group, replica] : replicas_) {
+    replica->DeclineLeadership();
     replica->TransferLeadership();
   }
 }
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -108,12 +108,13 @@
 }
 
 void TurnReplica::TransferLeadership() {
-  if (!raft_.IsLeader()) {
+  if (!raft_.IsLeader() || raft_.IsTransferringLeadership()) {
     return;
   }
   NodeId best = kNoNode;
   for (NodeId voter : raft_.configuration().voters) {
-    bool recent = raft_.LastContact(voter) + options_.raft.election_timeout >= now_;
+    bool recent = raft_.LastContact(voter) + options_.raft.election_timeout >= now_ &&
+                  !raft_.DeclinedLeadership(voter);
     bool better = best == kNoNode || raft_.MatchIndex(voter) > raft_.MatchIndex(best);
     best = voter != self_.identity && recent && better ? voter : best;
   }
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -88,6 +88,8 @@
   /// Before a planned stop: transfers leadership to the most up-to-date reachable voter, if this
   /// replica leads.
   void TransferLeadership();
+  /// The process stops: transfers of leadership to it are declined.
+  void DeclineLeadership() { raft_.DeclineLeadership(); }
 
   bool HasWork() const { return raft_.HasReady() || !replies_.empty(); }
   /// Its messages exclude snapshots, which `NextTransferParts` returns.
--- a/tests/turn_ledger/ledger_cluster_test.cc
+++ b/tests/turn_ledger/ledger_cluster_test.cc
@@ -73,6 +73,19 @@
     disks_[number] = NewDisk();
     Start(number);
   }
+  /// The process stops, as LedgerRole does it, but does not exit.
+  void BeginStop(std::size_t number) {
+    replicas_[number]->DeclineLeadership();
+    stopping_.insert(number);
+  }
+  std::optional<std::size_t> LeaderNumber() {
+    for (std::size_t number = 0; number < size(); ++number) {
+      if (replicas_[number] && replicas_[number]->IsCurrentLeader()) {
+        return number;
+      }
+    }
+    return std::nullopt;
+  }
   void Isolate(std::size_t number) { isolated_.insert(number); }
   void Heal() { isolated_.clear(); }
   bool IsUp(std::size_t number) const { return up_.contains(number); }
@@ -86,6 +99,9 @@
         if (replicas_[number]) {
           replicas_[number]->SetRetiring(retiring_);
           replicas_[number]->Tick(now_);
+          if (stopping_.contains(number)) {
+            replicas_[number]->TransferLeadership();
+          }
           StoreSnapshotStep(number);
           SendTransfers(number);
           ProcessReady(number);
@@ -309,6 +325,7 @@
   std::vector<std::unique_ptr<TurnReplica>> replicas_;
   std::set<std::size_t> up_;
   std::set<std::size_t> isolated_;
+  std::set<std::size_t> stopping_;
   std::vector<std::string> retiring_;
   std::deque<InFlight> messages_in_flight_;
   std::map<std::uint64_t, OperationResult> replies_;
@@ -393,6 +410,21 @@
   EXPECT_TRUE(cluster.Submit(MakeContinuation("next", "t"), absl::Seconds(1)).has_value());
 }
 
+/// Guards against leadership that goes from one stopping machine to another and ends with it.
+TEST(LedgerClusterTest, LeadershipGoesToTheMachineThatStaysWhenTwoStopAtOnce) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE(seed);
+    LedgerCluster cluster(3, seed);
+    ASSERT_TRUE(WaitUntilHealthy(cluster, absl::Seconds(5)));
+    std::size_t leader = cluster.LeaderNumber().value();
+    std::size_t stays = (leader + 1 + seed % 2) % 3;
+    cluster.BeginStop(leader);
+    cluster.BeginStop(3 - leader - stays);
+    cluster.Run(absl::Milliseconds(100));
+    EXPECT_EQ(cluster.LeaderNumber(), stays);
+  }
+}
+
 TEST(LedgerClusterTest, RetiringMachineIsReplacedByTheSpareAndCanThenBeRemoved) {
   LedgerCluster cluster(4, 4);
   ASSERT_TRUE(WaitUntilHealthy(cluster, absl::Seconds(5)));
