Logs: versions of runners, and resumptions by clients

Cause: an incident of streams over two software versions could not be read off the gateways' logs: the version of a runner was checked and dropped when its entry was decoded, and no line told that a request resumes a stream. Change: discovery::Runner has the version, RequestInfo the request that is resumed; runner_known, runner_chosen and attempt_ended name the version, and a line client_resumption names the stream. No decision changes.

--- a/src/discovery/runner.h
+++ b/src/discovery/runner.h
@@ -18,6 +18,7 @@
   ServiceName service;
   wire::Endpoint endpoint;
   ZoneName zone;
+  std::string version;  ///< Of its software. Streams of two versions can't be joined.
   std::uint32_t slots = 1;
   bool draining = false;
   /// How much longer it bears only a reduced request rate, as of when it wrote its entry.
--- a/src/forwarding/header_names.h
+++ b/src/forwarding/header_names.h
@@ -13,6 +13,9 @@
   std::string affinity_cookie = "Affinity";   ///< Cookie shared by requests on the same object.
   std::string prompt_parts = "Prompt-Parts";  ///< Comma-separated list of ID:TOKENS.
   std::string last_event_id = "Last-Event-Id";
+  /// Set by a client that resumes a stream: the id of the request whose response had its first
+  /// event. Forwarded to runners like any other header.
+  std::string resumes = "Resumes";
   std::string expected_runner = "Expected-Runner";
   std::string runner_id = "Runner-Id";
   std::string not_run = "Not-Run";  ///< Set by a runner that did not run the request.
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -83,6 +83,12 @@
   service_name_ = ChooseService(*route_, SplitPoint(info_, state_->random));
   service_ = routes_->configuration().FindService(service_name_);
   if (route_->kind == RouteKind::kStream && route_->resumable) {
+    if (!info_.last_event_id.empty()) {
+      state_->log.Write(Line("client_resumption")
+                            .Text("request", info_.id.value)
+                            .Text("resumes", info_.resumes ? info_.resumes->value : "")
+                            .Text("after", info_.last_event_id));
+    }
     delivered_ =
         delivered_events(info_.last_event_id, state_->service_id_strides.stride_of(service_name_));
   }
--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -237,6 +237,7 @@
       Line("attempt_ended")
           .Text("request", info_.id.value)
           .Text("runner", runner.id.value)
+          .Text("version", runner.version)
           .Text("end", NameOf(result.outcome))
           .Number("status", result.response.head.result_int())
           .Number("events", static_cast<std::int64_t>(delivered_.count()))
--- a/src/forwarding/request_info.cc
+++ b/src/forwarding/request_info.cc
@@ -82,6 +82,10 @@
     info.previous_turn = RequestId(std::string(previous));
   }
   info.last_event_id = std::string(Find(fields, names.last_event_id));
+  absl::string_view resumes = Find(fields, names.resumes);
+  if (!resumes.empty()) {
+    info.resumes = RequestId(std::string(resumes));
+  }
   return info;
 }
 
--- a/src/forwarding/request_info.h
+++ b/src/forwarding/request_info.h
@@ -34,7 +34,8 @@
   std::optional<std::uint64_t> token_budget;  ///< Output tokens allowed for the whole program.
   std::optional<RequestId> previous_turn;     ///< The turn that this one continues.
   std::optional<absl::Duration> program_deadline;
-  std::string last_event_id;  ///< The last event that the client has received; may be empty.
+  std::string last_event_id;         ///< The last event that the client has received; may be empty.
+  std::optional<RequestId> resumes;  ///< The request that delivered the first event of the stream.
 };
 
 /// Parses the headers. Malformed values are treated as absent.
--- a/src/forwarding/request_runner_selection.cc
+++ b/src/forwarding/request_runner_selection.cc
@@ -214,6 +214,7 @@
       Line("runner_chosen")
           .Text("request", info_.id.value)
           .Text("runner", chosen.id)
+          .Text("version", runner->runner.version)
           .Number("configuration", static_cast<std::int64_t>(routes_->configuration().version))
           .Number("candidates", static_cast<std::int64_t>(candidates.size()))
           .Number("active", chosen.active)
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -389,12 +389,14 @@
   }
   const discovery::RunnerState* known = state_->runners.Find(runner->id);
   bool changed = known == nullptr || known->runner.draining != runner->draining || known->gone ||
+                 known->runner.version != runner->version ||
                  runner->cold_for > absl::ZeroDuration();
   if (changed) {
     log_.Write(Line("runner_known")
                    .Text("runner", runner->id.value)
                    .Text("service", runner->service.value)
                    .Text("address", runner->endpoint.ToString())
+                   .Text("version", runner->version)
                    .Number("cold_ms", absl::ToInt64Milliseconds(runner->cold_for))
                    .Flag("draining", runner->draining));
   }
--- a/tests/platform/formats_test.cc
+++ b/tests/platform/formats_test.cc
@@ -101,6 +101,7 @@
   EXPECT_EQ(runner->endpoint.port, 80);
   EXPECT_EQ(runner->slots, 12U);
   EXPECT_FALSE(runner->draining);
+  EXPECT_EQ(runner->version, "v1");
   EXPECT_EQ(runner->started, absl::UnixEpoch()) << "not told";
   EXPECT_TRUE(formats.ReadRunner("servers/i-1", RunnerEntry("state", "\"draining\""))->draining);
   runner = formats.ReadRunner("servers/i-1", RunnerEntry("born", "1786665561000"));
