Tests: a stream is continued only at the software version that began it

What callers saw: streams with events of two versions of a service's software, which don't fit together. Change: the runners' stand-in has a version, and its events can name it; the test world can have a second gateway. Three contract tests with two versions: within one response, over a client's requests, and through a gateway that never saw the stream.

--- a/emulator/platform/runner_stand_in.cc
+++ b/emulator/platform/runner_stand_in.cc
@@ -41,8 +41,8 @@
       Head(status, id, absl::StrCat(extra, "Content-Length: ", body.size(), "\r\n\r\n")), body);
 }
 
-std::string Event(int number) {
-  return absl::StrCat("id: ", number, "\ndata: event-", number, "\n\n");
+std::string Event(int number, const std::string& suffix) {
+  return absl::StrCat("id: ", number, "\ndata: event-", number, suffix, "\n\n");
 }
 
 std::string WithId(const std::string& text, const std::string& id) {
@@ -65,7 +65,7 @@
   nlohmann::json entry = {{"service", listing.service},
                           {"address", absl::StrCat("127.0.0.1:", listing.port)},
                           {"zone", listing.zone},
-                          {"version", "v1"},
+                          {"version", listing.version},
                           {"slots", listing.slots},
                           {"state", listing.state},
                           {"coldRemainingMs", listing.cold_ms},
@@ -267,8 +267,9 @@
   } else if (breaks) {
     end = std::min(first + 1, events);
   }
+  std::string suffix = events_name_version ? absl::StrCat(" of ", version) : "";
   for (int number = first; number <= end; ++number) {
-    co_await Write(socket, framed(Event(number)));
+    co_await Write(socket, framed(Event(number, suffix)));
     if (event_gap > absl::ZeroDuration()) {
       co_await async_http::Sleep(context_, event_gap);
     }
--- a/emulator/platform/runner_stand_in.h
+++ b/emulator/platform/runner_stand_in.h
@@ -58,8 +58,9 @@
   std::string state = "ready";
   int slots = 8;
   std::string service = "s";
-  std::int64_t born = 0;  ///< The Unix millisecond of its start; 0: it doesn't tell.
-  int cold_ms = 0;        ///< How much longer it is cold.
+  std::int64_t born = 0;       ///< The Unix millisecond of its start; 0: it doesn't tell.
+  int cold_ms = 0;             ///< How much longer it is cold.
+  std::string version = "v1";  ///< Of its software.
 };
 
 /// @return the entry that a runner writes into the platform's store.
@@ -80,9 +81,11 @@
   int runs() const;
   /// Connections whose peer left while a request hung.
   int abandoned() const { return abandoned_; }
-  int events = 4;            ///< Of a stream.
-  absl::Duration event_gap;  ///< Between two events.
-  std::string raw;           ///< What `kRaw` sends.
+  int events = 4;              ///< Of a stream.
+  absl::Duration event_gap;    ///< Between two events.
+  std::string raw;             ///< What `kRaw` sends.
+  std::string version = "v1";  ///< Of its software, as its listing has it.
+  bool events_name_version = false;
 
  private:
   async_http::Task<void> AcceptAll();
--- /dev/null
+++ b/tests/platform/stream_version_contract_test.cc
@@ -0,0 +1,113 @@
+// Runners of two software versions beside each other: a stream is continued only by runners of the
+// version that delivered its first event, within one response and over a client's requests.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "platform/support/platform_world.h"
+
+namespace martenyard::testing {
+namespace {
+
+using emulator::RunnerBehavior;
+
+/// Whether the stream belongs to a program whose tokens the ledger counts.
+enum class Accounting { kBudget, kNone };
+
+std::string Events(int first, int last, const std::string& version) {
+  std::string text;
+  for (int number = first; number <= last; ++number) {
+    absl::StrAppend(&text, "id: ", number, "\ndata: event-", number, " of ", version, "\n\n");
+  }
+  return text;
+}
+
+/// Runner `a`, the nearer one, is of version v2 and runner `b` of version v1.
+class VersionWorld : public PlatformWorld {
+ public:
+  explicit VersionWorld(const WorldRemains& remains = {}) : PlatformWorld({}, remains) {
+    a().version = "v2";
+    b().version = "v1";
+    a().events_name_version = true;
+    b().events_name_version = true;
+  }
+
+  /// Begins `attempt-1` at runner `b`, which breaks off after its second event.
+  void BeginAtV1(Accounting accounting) {
+    a().Script({RunnerBehavior::kShed, RunnerBehavior::kServe});
+    b().Script({RunnerBehavior::kBreakMidEvent, RunnerBehavior::kServe});
+    ClientAnswer answer = Ask(Stream("attempt-1", accounting));
+    ASSERT_FALSE(answer.whole);
+    ASSERT_EQ(answer.body, Events(1, 2, "v1"));
+    ASSERT_EQ(a().runs(), 0);
+    ASSERT_EQ(b().runs(), 1);
+    // Until runner `a` is no longer avoided for being full.
+    auto& runners = gateway().state().runners;
+    RunUntil([&] { return runners.Find(discovery::RunnerId("i-near"))->full_until < SteadyNow(); });
+  }
+
+  static ClientRequest Stream(const std::string& id, Accounting accounting) {
+    ClientRequest request;
+    request.target = "/stream/1";
+    request.id = id;
+    if (accounting == Accounting::kBudget) {
+      request.headers = {"Program-Id: p", "Token-Budget: 100000", "Token-Usage: 10,200"};
+    }
+    return request;
+  }
+
+  /// @param resumes empty: the client doesn't name the request that it resumes.
+  static ClientRequest Resumption(const std::string& id, const std::string& resumes,
+                                  Accounting accounting = Accounting::kBudget) {
+    ClientRequest request = Stream(id, accounting);
+    request.headers.push_back("Last-Event-Id: 2");
+    if (!resumes.empty()) {
+      request.headers.push_back("Resumes: " + resumes);
+    }
+    return request;
+  }
+
+  void ExpectContinuedByB(ClientAnswer answer, const std::string& id) {
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.status, 200U) << answer.body;
+    EXPECT_EQ(answer.body, Events(3, 4, "v1"));
+    EXPECT_EQ(answer.headers["server-signature"], absl::StrCat("sig-i-far-", id));
+    EXPECT_EQ(a().runs(), 0);
+    if (::testing::Test::HasFailure()) {
+      ADD_FAILURE() << Log();
+    }
+  }
+};
+
+TEST(StreamVersionContractTest, ResponseIsNotContinuedAtAnotherVersion) {
+  VersionWorld world;
+  world.Start();
+  world.a().Script({RunnerBehavior::kBreakMidEvent, RunnerBehavior::kServe});
+  ClientAnswer answer = world.Ask(VersionWorld::Stream("attempt-1", Accounting::kBudget));
+  EXPECT_FALSE(answer.whole);
+  EXPECT_EQ(answer.body, Events(1, 2, "v2"));
+  EXPECT_EQ(world.b().runs(), 0) << world.Log();
+}
+
+TEST(StreamVersionContractTest, ResumptionGoesToTheVersionThatBeganTheStream) {
+  VersionWorld world;
+  world.Start();
+  world.BeginAtV1(Accounting::kBudget);
+  ClientRequest request = VersionWorld::Resumption("attempt-2", "attempt-1", Accounting::kBudget);
+  world.ExpectContinuedByB(world.Ask(request), "attempt-2");
+}
+
+TEST(StreamVersionContractTest, AnotherGatewayKnowsTheVersionOfAStream) {
+  VersionWorld world;
+  world.Start();
+  world.StartOtherGateway();
+  world.BeginAtV1(Accounting::kBudget);
+  ClientRequest request = VersionWorld::Resumption("attempt-2", "attempt-1", Accounting::kBudget);
+  world.ExpectContinuedByB(world.AskOther(request), "attempt-2");
+}
+
+}  // namespace
+}  // namespace martenyard::testing
--- a/tests/platform/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -87,6 +87,7 @@
   settings.revocation = revocation;
   settings.readiness = {"127.0.0.1", 0};
   settings.frontend = {"127.0.0.1", 0};
+  gateway_settings_ = settings;
   gateway_ = std::make_unique<roles::GatewayRole>(loop_, settings, formats_, *client_, *log_);
 }
 
@@ -94,9 +95,11 @@
 
 void PlatformWorld::ListRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
                                const std::string& state, std::int64_t born) {
-  store_.Put(
-      "servers/" + runner.id(),
-      emulator::RunnerEntry({.port = runner.port(), .zone = zone, .state = state, .born = born}));
+  store_.Put("servers/" + runner.id(), emulator::RunnerEntry({.port = runner.port(),
+                                                              .zone = zone,
+                                                              .state = state,
+                                                              .born = born,
+                                                              .version = runner.version}));
 }
 
 void PlatformWorld::ListColdRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
@@ -155,13 +158,41 @@
   return RunLoopUntil(loop_, condition);
 }
 
-ClientAnswer PlatformWorld::Ask(const ClientRequest& request) {
+ClientAnswer PlatformWorld::AskGateway(const roles::GatewayRole& gateway,
+                                       const ClientRequest& request) {
   auto dialogue =
-      StartDialogue(loop_, {"127.0.0.1", gateway_->frontend_port()}, RequestText(request));
+      StartDialogue(loop_, {"127.0.0.1", gateway.frontend_port()}, RequestText(request));
   RunUntil([&] { return dialogue->done; });
   return dialogue->answer;
 }
 
+ClientAnswer PlatformWorld::Ask(const ClientRequest& request) {
+  return AskGateway(*gateway_, request);
+}
+
+ClientAnswer PlatformWorld::AskOther(const ClientRequest& request) {
+  return AskGateway(*other_gateway_, request);
+}
+
+void PlatformWorld::StartOtherGateway() {
+  roles::RoleSettings settings = gateway_settings_;
+  settings.node = "edge-2";
+  settings.internal_port = 0;
+  other_gateway_ = std::make_unique<roles::GatewayRole>(loop_, settings, formats_, *client_, *log_);
+  bool started = leaf::try_handle_all(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(other_gateway_->Start());
+        return true;
+      },
+      [] { return false; });
+  ASSERT_TRUE(started) << "the second gateway could not listen";
+  bool serves = RunUntil([&] {
+    return other_gateway_->ready() && other_gateway_->state().ledger->has_replicas() &&
+           other_gateway_->state().runners.all().size() == 2;
+  });
+  ASSERT_TRUE(serves) << Log();
+}
+
 void PlatformWorld::AskAndLeave(const ClientRequest& request,
                                 const std::function<bool()>& condition) {
   auto dialogue =
--- a/tests/platform/support/platform_world.h
+++ b/tests/platform/support/platform_world.h
@@ -53,6 +53,10 @@
   void Configure();
   bool RunUntil(const std::function<bool()>& condition);
   ClientAnswer Ask(const ClientRequest& request);
+  /// Starts a second gateway, on a machine of the same zone, and waits until it serves.
+  void StartOtherGateway();
+  /// Sends a request to the second gateway.
+  ClientAnswer AskOther(const ClientRequest& request);
   /// Sends a request and leaves as soon as `condition` holds.
   void AskAndLeave(const ClientRequest& request, const std::function<bool()>& condition);
   bool Ready();
@@ -60,6 +64,7 @@
   void HearAsLedger(const turn_ledger::Machine& peer);
   /// What the processes have logged so far.
   std::string Log();
+  /// Lists a runner with its version.
   /// @param born the Unix millisecond of its start; 0: it doesn't tell.
   void ListRunner(const emulator::RunnerStandIn& runner, const std::string& zone,
                   const std::string& state = "ready", std::int64_t born = 0);
@@ -75,10 +80,13 @@
   emulator::RunnerStandIn& a() { return near_; }
   emulator::RunnerStandIn& b() { return far_; }
   roles::GatewayRole& gateway() { return *gateway_; }
+  roles::GatewayRole& other_gateway() { return *other_gateway_; }
   roles::LedgerRole& ledger() { return *ledger_; }
   wire::EventLoop& loop() { return loop_; }
 
  private:
+  ClientAnswer AskGateway(const roles::GatewayRole& gateway, const ClientRequest& request);
+
   wire::EventLoop loop_;
   emulator::StoreStandIn store_;
   emulator::RunnerStandIn near_;
@@ -89,7 +97,9 @@
   std::unique_ptr<event_log::EventLog> log_;
   std::unique_ptr<platform::StoreClient> client_;
   std::unique_ptr<roles::LedgerRole> ledger_;
+  roles::RoleSettings gateway_settings_;
   std::unique_ptr<roles::GatewayRole> gateway_;
+  std::unique_ptr<roles::GatewayRole> other_gateway_;
 };
 
 }  // namespace martenyard::testing
