Turn ledger: reservations record where streams began, and leaders tell it

Cause (of the incident of two software versions): no process but the gateway that began a stream could know the version that it began at, and not even that one did. Weighed: docs/design/0020: two owners by a hash, the zone's aggregators, a record of its own at the ledger. Change: the id of a reservation may also name the origin of its stream, a service and a software version, with a generation. Requests may ask for the origin of a stream; the leader answers with the operation's result, once that is committed (layout marked-5). Conclusion: no message more for a stream or for its resumption.

--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -505,9 +505,9 @@
       settlement ? state_->options.min_commit_timeout : state_->options.ledger_timeout;
   absl::Time deadline = SteadyNow() + timeout;
   turn_ledger::Programs programs = turn_ledger::ProgramsOf(request);
-  turn_ledger::CallResult result =
-      co_await state_->ledger->Call(request.group, std::move(request.operation), deadline,
-                                    turn_ledger::Relaying::kDirectOnly, programs);
+  turn_ledger::CallResult result = co_await state_->ledger->Call(
+      request.group, std::move(request.operation), deadline, turn_ledger::Relaying::kDirectOnly,
+      programs, std::move(request.origin));
   bool answered = result.status == turn_ledger::CallStatus::kDone ||
                   result.status == turn_ledger::CallStatus::kOverloaded;
   if (!answered) {
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -137,7 +137,8 @@
 }
 
 Task<CallResult> LedgerClient::Call(GroupId group_id, Operation operation, absl::Time deadline,
-                                    Relaying relaying, Programs programs) {
+                                    Relaying relaying, Programs programs,
+                                    std::optional<origin_query> origin) {
   bool limited = !std::holds_alternative<SettleTurn>(operation) &&
                  !std::holds_alternative<Probe>(operation) &&
                  !std::holds_alternative<TakeQuota>(operation);
@@ -148,6 +149,7 @@
   request.group = group_id;
   request.known_programs_only = programs != Programs::kAll;
   request.admit_waiting = programs == Programs::kKnownOrWaiting;
+  request.origin = std::move(origin);
   Group* group = FindGroup(group_id);
   if (!limited || group == nullptr) {
     co_return co_await RunCall(std::move(request), deadline, relaying);
--- a/src/turn_ledger/messages.h
+++ b/src/turn_ledger/messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -59,6 +60,8 @@
   bool known_programs_only = false;
   /// With `known_programs_only`: create the account of a program that was refused before.
   bool admit_waiting = false;
+  /// Answered together with the operation, once that is committed.
+  std::optional<origin_query> origin;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(request, operation, group);
@@ -68,6 +71,9 @@
     if (wire::HasLayout(archive, wire::Layout::kMarked4)) {
       archive(admit_waiting);
     }
+    if (wire::HasLayout(archive, wire::Layout::kMarked5)) {
+      archive(origin);
+    }
   }
 };
 
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -150,7 +150,7 @@
     Reply(requester, ReplyStatus::kNotLeader);
     return;
   }
-  proposals_[*index] = {raft_.term(), requester, now_};
+  proposals_[*index] = {raft_.term(), requester, now_, request.origin};
   in_flight_.insert(requester);
 }
 
@@ -415,6 +415,9 @@
   if (proposal.empty()) {
     return;
   }
+  if (proposal.mapped().origin) {
+    result.origin = state_.OriginOf(*proposal.mapped().origin);
+  }
   in_flight_.erase(proposal.mapped().requester);
   bool valid = proposal.mapped().term == entry.term && !result.history_missing;
   Reply(proposal.mapped().requester, valid ? ReplyStatus::kDone : ReplyStatus::kUncertain,
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -143,6 +143,7 @@
     consensus::Term term = 0;
     Requester requester;
     absl::Time proposed_at;
+    std::optional<origin_query> origin;
   };
 
   LedgerMillis LedgerNow() const;
--- a/src/turn_ledger/turn_state.cc
+++ b/src/turn_ledger/turn_state.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "turn_ledger/streams/origin_record.h"
 #include "wire/codec.h"
 
 namespace martenyard::turn_ledger {
@@ -182,6 +183,17 @@
   return reply;
 }
 
+std::optional<stream_origin> TurnState::OriginOf(const origin_query& query) const {
+  auto found = accounts_.find(query.m_account);
+  if (found == accounts_.end()) {
+    return std::nullopt;
+  }
+  origin_search search(query.m_stream);
+  search.add(found->second.m_reserved);
+  search.add(found->second.m_settled);
+  return search.result();
+}
+
 std::vector<consensus::LogIndex> TurnState::ReferencedEntries(consensus::LogIndex last) const {
   std::vector<consensus::LogIndex> entries;
   for (const auto& [id, kept] : turns_) {
--- a/src/turn_ledger/turn_state.h
+++ b/src/turn_ledger/turn_state.h
@@ -42,6 +42,8 @@
   /// read.
   chain_reply ReadChain(const chain_request& request) const;
 
+  /// @return where the stream began; nothing if its account has no unambiguous record.
+  std::optional<stream_origin> OriginOf(const origin_query& query) const;
   /// @return whether the program has an account.
   bool HasProgram(const ProgramId& program) const { return accounts_.contains(program); }
   LedgerMillis now() const { return now_; }
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -13,6 +13,7 @@
 
 #include "base/ids.h"
 #include "tenancy/rate_limiter.h"
+#include "turn_ledger/streams/stream_origin.h"
 #include "wire/layout.h"
 
 namespace martenyard::turn_ledger {
@@ -135,6 +136,8 @@
   bool history_missing = false;
   TurnPlace previous_place;    ///< For a reservation: where `previous` ran.
   tenancy::quota_reply quota;  ///< For `TakeQuota`.
+  /// For a request with an `origin_query`: where the stream began; empty if there is no record.
+  std::optional<stream_origin> origin;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -142,6 +145,20 @@
     if (wire::HasLayout(archive, wire::Layout::kUnmarked2)) {
       archive(quota);
     }
+    if (wire::HasLayout(archive, wire::Layout::kMarked5)) {
+      archive(origin);
+    }
+  }
+};
+
+/// Asks for the origin of a stream.
+struct origin_query {
+  ProgramId m_account;  ///< The account that has the reservations of the stream.
+  TurnId m_stream;      ///< The request that delivered the stream's first event.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(m_account, m_stream);
   }
 };
 
--- a/tests/layouts/samples.h
+++ b/tests/layouts/samples.h
@@ -73,6 +73,10 @@
     {
         request.admit_waiting = true;
     }
+    if constexpr (requires { request.origin; })
+    {
+        request.origin = {ProgramId("program-1"), turn_ledger::TurnId("turn-1")};
+    }
     return request;
 }
 
@@ -93,6 +97,10 @@
         reply.result.quota.m_waits_ms = {0, 25, -1};
         reply.result.quota.m_retry_after_ms = 400;
     }
+    if constexpr (requires { reply.result.origin; })
+    {
+        reply.result.origin = {ServiceName("service-1"), "v1"};
+    }
     reply.leader = {"10.0.0.2", 7380};
     return reply;
 }
--- a/tests/turn_ledger/frames/frame_codec_test.cc
+++ b/tests/turn_ledger/frames/frame_codec_test.cc
@@ -85,7 +85,9 @@
         auto operation = std::get<TakeQuota>(received(quota, layout).operation);
         EXPECT_EQ(operation.request.m_overloaded, knows);
         EXPECT_EQ(operation.request.m_programs.size(), 3U);
+        EXPECT_FALSE(received(reserve, layout).origin.has_value());
     }
+    EXPECT_TRUE(received(reserve, Layout::kMarked5).origin.has_value());
 }
 
 TEST(FrameCodec, UnmarkedMessageDoesNotStartWithAMark)
--- a/tests/turn_ledger/ledger_cluster_test.cc
+++ b/tests/turn_ledger/ledger_cluster_test.cc
@@ -12,6 +12,7 @@
 
 #include "base/random.h"
 #include "storage/log_store.h"
+#include "turn_ledger/streams/origin_record.h"
 #include "turn_ledger/turn_replica.h"
 
 namespace martenyard::turn_ledger {
@@ -114,13 +115,16 @@
 
   /// Sends `operation` to all replicas until it is acknowledged.
   /// @return nothing if `timeout` passes first.
-  std::optional<OperationResult> Submit(const Operation& operation, absl::Duration timeout) {
-    std::uint64_t request = ++last_request_;
+  std::optional<OperationResult> Submit(const Operation& operation, absl::Duration timeout,
+                                        const std::optional<origin_query>& origin = std::nullopt) {
+    LedgerRequest message{++last_request_, operation};
+    message.origin = origin;
+    std::uint64_t request = message.request;
     absl::Time end = now_ + timeout;
     while (now_ < end) {
       for (std::size_t number = 0; number < size(); ++number) {
         if (replicas_[number] && !isolated_.contains(number)) {
-          replicas_[number]->OnRequest(now_, kGateway, {request, operation});
+          replicas_[number]->OnRequest(now_, kGateway, message);
           ProcessReady(number);
         }
       }
@@ -425,6 +429,32 @@
   }
 }
 
+/// Guards against a resumed stream whose origin only a former leader knew.
+TEST(LedgerClusterTest, EachLeaderKnowsTheOriginsOfStreams) {
+  LedgerCluster cluster(3, 5);
+  ASSERT_TRUE(WaitUntilHealthy(cluster, absl::Seconds(5)));
+  const ProgramId program("streams");
+  const TurnId stream("stream");
+  const stream_origin origin{ServiceName("s"), "v1"};
+  ReserveTurn reserve;
+  reserve.program = program;
+  reserve.turn = recording_id(stream, {1, origin});
+  reserve.retention_ms = kRetention;
+  ASSERT_TRUE(cluster.Submit(reserve, absl::Seconds(5)).has_value());
+  for (int round = 0; round < 6; ++round) {
+    std::size_t leader = cluster.LeaderNumber().value();
+    round % 2 == 0 ? cluster.Wipe(leader) : cluster.Kill(leader);
+    FindTurn find{stream, kRetention};
+    auto result = cluster.Submit(find, absl::Seconds(5), origin_query{program, stream});
+    ASSERT_TRUE(result.has_value());
+    EXPECT_EQ(result->origin, origin) << "round " << round;
+    if (round % 2 != 0) {
+      cluster.Start(leader);
+    }
+    ASSERT_TRUE(WaitUntilHealthy(cluster, absl::Seconds(5))) << "round " << round;
+  }
+}
+
 TEST(LedgerClusterTest, RetiringMachineIsReplacedByTheSpareAndCanThenBeRemoved) {
   LedgerCluster cluster(4, 4);
   ASSERT_TRUE(WaitUntilHealthy(cluster, absl::Seconds(5)));
