Streams are continued only at the software version that began them

Cause: the version that began a stream was known to no gateway. A resumed request went to whichever runner cost least, and a gateway that continued a broken response took any runner that had not been tried. Evidence: in both printed cases the runner that went on was of another version and none of the response's own attempts had more than one runner; the three contract tests. Change: a stream is bound to the service and version of its origin. A turn with a token budget records it with its reservation; if it begins elsewhere, the new origin is recorded before the runner gets the request. Other streams record it when they start. A resumption asks with its own reservation and goes to runners of that origin only; one whose origin is not known is refused as not run. Within one response a stream without another runner of its origin is broken off. The operator's view: client_resumption, stream_origin_changed, stream_origin_unrecorded, martenyard_resumptions_total. Why it holds: the ledger commits the record before the first event leaves the gateway, or the resumption is refused.

--- a/src/discovery/runner_table.cc
+++ b/src/discovery/runner_table.cc
@@ -8,7 +8,12 @@
 namespace martenyard::discovery {
 
 bool RunnerTable::Upsert(absl::Time now, const Runner& runner) {
-  RunnerState& state = runners_[runner.id];
+  auto [entry, is_new] = runners_.try_emplace(runner.id);
+  RunnerState& state = entry->second;
+  if (!is_new) {
+    UncountVersion(state.runner);
+  }
+  CountVersion(runner);
   bool restarted = state.runner.started != absl::UnixEpoch() &&
                    runner.started != absl::UnixEpoch() && state.runner.started != runner.started;
   if (restarted) {
@@ -171,11 +176,35 @@
       ++entry;
       continue;
     }
+    UncountVersion(state.runner);
     by_short_id_.erase(state.short_id);
     entry = runners_.erase(entry);
   }
 }
 
+void RunnerTable::CountVersion(const Runner& runner) {
+  ++versions_[runner.service][runner.version];
+}
+
+void RunnerTable::UncountVersion(const Runner& runner) {
+  auto service = versions_.find(runner.service);
+  auto version = service->second.find(runner.version);
+  if (--version->second == 0) {
+    service->second.erase(version);
+  }
+  if (service->second.empty()) {
+    versions_.erase(service);
+  }
+}
+
+std::optional<std::string> RunnerTable::SoleVersion(const ServiceName& service) const {
+  auto found = versions_.find(service);
+  if (found == versions_.end() || found->second.size() > 1) {
+    return std::nullopt;
+  }
+  return found->second.begin()->first;
+}
+
 RunnerState* RunnerTable::Find(const RunnerId& id) {
   auto found = runners_.find(id);
   return found == runners_.end() ? nullptr : &found->second;
--- a/src/discovery/runner_table.h
+++ b/src/discovery/runner_table.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,10 @@
   /// here.
   void Prune(absl::Time now, absl::Duration retention);
 
+  /// @return the software version of all runners of the service, removed ones that are not erased
+  /// yet included; nothing if there are several, or no runner.
+  std::optional<std::string> SoleVersion(const ServiceName& service) const;
+
   RunnerState* Find(const RunnerId& id);
   /// @return the runner with this short id, or null.
   RunnerState* FindByShortId(std::uint32_t short_id);
@@ -108,10 +113,15 @@
   std::map<RunnerId, RunnerState>& all() { return runners_; }
 
  private:
+  void CountVersion(const Runner& runner);
+  void UncountVersion(const Runner& runner);
+
   HealthOptions options_;
   std::map<RunnerId, RunnerState> runners_;
   absl::flat_hash_map<std::uint32_t, RunnerState*> by_short_id_;  // Into `runners_`.
   std::map<ServiceName, token_mean> token_means_;
+  /// The number of runners of each version.
+  std::map<ServiceName, std::map<std::string, std::size_t>> versions_;
 };
 
 }  // namespace martenyard::discovery
--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -190,6 +190,10 @@
   if (state_.evacuated_zones.Contains(plan_.runner.zone)) {
     return "the runner's zone is evacuated";
   }
+  const discovery::RunnerState* known = state_.runners.Find(plan_.runner.id);
+  if (known != nullptr && known->runner.version != plan_.runner.version) {
+    return "the runner has another version now";
+  }
   absl::Time now = SteadyNow();
   if (now >= plan_.deadline) {
     return "the deadline passed before the request was sent";
--- a/src/forwarding/gateway_metrics.cc
+++ b/src/forwarding/gateway_metrics.cc
@@ -36,6 +36,10 @@
                     .Name("martenyard_attempts_total")
                     .Help("Attempts at runners, by end.")
                     .Register(registry_)),
+      resumptions_(prometheus::BuildCounter()
+                       .Name("martenyard_resumptions_total")
+                       .Help("Streams resumed by clients, by how their origin is known.")
+                       .Register(registry_)),
       stages_(prometheus::BuildHistogram()
                   .Name("martenyard_stage_seconds")
                   .Help("Time of each stage of a request, in seconds.")
@@ -66,6 +70,14 @@
   counter->Increment();
 }
 
+void GatewayMetrics::CountResumption(const std::string& origin) {
+  prometheus::Counter*& counter = resumption_counters_[origin];
+  if (counter == nullptr) {
+    counter = &resumptions_.Add({{"origin", origin}});
+  }
+  counter->Increment();
+}
+
 void GatewayMetrics::Observe(Stage stage, absl::Duration took) {
   histograms_[stage]->Observe(absl::ToDoubleSeconds(took));
 }
--- a/src/forwarding/gateway_metrics.h
+++ b/src/forwarding/gateway_metrics.h
@@ -24,6 +24,8 @@
   /// @param outcome one of the outcomes listed in docs/LOGS.md.
   void CountRequest(const std::string& outcome);
   void CountAttempt(const std::string& end);
+  /// Counts a resumption by a client. @param origin how the stream's origin is known, or "unknown".
+  void CountResumption(const std::string& origin);
   void Observe(Stage stage, absl::Duration took);
   void Set(const std::string& name, double value);
   std::string Text() const;
@@ -32,10 +34,12 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Counter>& resumptions_;
   prometheus::Family<prometheus::Histogram>& stages_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   std::map<std::string, prometheus::Counter*> request_counters_;
   std::map<std::string, prometheus::Counter*> attempt_counters_;
+  std::map<std::string, prometheus::Counter*> resumption_counters_;
   std::map<Stage, prometheus::Histogram*> histograms_;
 };
 
--- a/src/forwarding/rejections/reject_reason.cc
+++ b/src/forwarding/rejections/reject_reason.cc
@@ -25,6 +25,9 @@
     reject_reason::quota_unknown,
     reject_reason::quota_exceeded,
     reject_reason::kept_turn_resumed,
+    reject_reason::stream_unnamed,
+    reject_reason::stream_unknown,
+    reject_reason::stream_version_unavailable,
     reject_reason::storage_region_not_allowed,
     reject_reason::ledger_unknown,
     reject_reason::ledger_silent,
@@ -76,6 +79,12 @@
             return "the tenant's limit is reached";
         case reject_reason::kept_turn_resumed:
             return "a turn that is kept is answered from its start only";
+        case reject_reason::stream_unnamed:
+            return "the request does not name the stream that it resumes";
+        case reject_reason::stream_unknown:
+            return "where the stream began is not known";
+        case reject_reason::stream_version_unavailable:
+            return "no runner of the version that began the stream can take it";
         case reject_reason::storage_region_not_allowed:
             return "its turns can't be stored in the allowed regions only";
         case reject_reason::ledger_unknown:
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -83,12 +83,6 @@
   service_name_ = ChooseService(*route_, SplitPoint(info_, state_->random));
   service_ = routes_->configuration().FindService(service_name_);
   if (route_->kind == RouteKind::kStream && route_->resumable) {
-    if (!info_.last_event_id.empty()) {
-      state_->log.Write(Line("client_resumption")
-                            .Text("request", info_.id.value)
-                            .Text("resumes", info_.resumes ? info_.resumes->value : "")
-                            .Text("after", info_.last_event_id));
-    }
     delivered_ =
         delivered_events(info_.last_event_id, state_->service_id_strides.stride_of(service_name_));
   }
@@ -201,7 +195,8 @@
 
 bool RequestHandler::NeedsLedger() const {
   bool limited = tenant_ != nullptr && tenant_->m_limit.limited();
-  return limited || info_.token_budget.has_value() || route_->keeps_turns;
+  bool needs_origin = IsResumption() && info_.resumes.has_value();
+  return limited || needs_origin || info_.token_budget.has_value() || route_->keeps_turns;
 }
 
 Task<bool> RequestHandler::AdmitUnlessIsolated() {
@@ -270,6 +265,7 @@
 void RequestHandler::ScopeIds() {
   absl::string_view tenant = tenant_ == nullptr ? absl::string_view() : tenant_->m_name;
   turn_ = turn_ledger::TurnId(tenancy::scoped_id(tenant, info_.id.value));
+  reservation_ = turn_;
   program_ = ProgramId(tenancy::scoped_id(tenant, info_.program.value));
   if (info_.previous_turn) {
     previous_turn_ = RequestId(tenancy::scoped_id(tenant, info_.previous_turn->value));
@@ -279,7 +275,10 @@
 Task<bool> RequestHandler::AdmitTurn() {
   bool stores_turn = route_->keeps_turns;
   if (!info_.token_budget && !stores_turn) {
-    co_return true;
+    if (!IsResumption()) {
+      co_return true;
+    }
+    co_return co_await FindOrigin();
   }
   if (stores_turn && !info_.last_event_id.empty()) {
     // The events that the client already has are unknown here and can't be stored.
@@ -303,7 +302,6 @@
   }
   turn_ledger::ReserveTurn reserve;
   reserve.program = program_;
-  reserve.turn = turn_;
   reserve.tokens = info_.max_output_tokens;
   reserve.budget = info_.token_budget;
   reserve.retention_ms = RetentionMilliseconds();
@@ -323,6 +321,10 @@
       std::min(deadline_ - state_->options.response_margin, start + state_->options.ledger_timeout);
   engine_load load = EngineLoad();
   turn_ledger::Programs programs = AdmittedPrograms(load);
+  if (IsResumable() && !IsResumption()) {
+    PlanOrigin();
+  }
+  reserve.turn = reservation_;
   reserved_ = true;
   turn_ledger::CallResult result = co_await Reserve(reserve, ledger_deadline, programs);
   state_->metrics.Observe(Stage::kLedger, SteadyNow() - start);
@@ -339,6 +341,14 @@
   if (!co_await HandleVerdict(result, line)) {
     co_return false;
   }
+  if (IsResumption()) {
+    bool named = info_.resumes.has_value();
+    auto origin = named ? std::move(result->origin) : SoleOrigin();
+    auto source = named ? OriginSource::kLedger : OriginSource::kSoleVersion;
+    if (!co_await AdoptOrigin(std::move(origin), source)) {
+      co_return false;
+    }
+  }
   const turn_ledger::TurnPlace& place = result->previous_place;
   if (place.runner != 0 && state_->options.uses_turn_places) {
     state_->prefixes.RecordPrefix(SteadyNow(), info_.prompt, place.tokens, place.runner);
@@ -465,8 +475,9 @@
 Task<turn_ledger::CallResult> RequestHandler::Reserve(turn_ledger::ReserveTurn reserve,
                                                       absl::Time ledger_deadline,
                                                       turn_ledger::Programs programs) {
+  std::optional<turn_ledger::origin_query> query = OriginQuery();
   turn_ledger::CallResult result = co_await state_->ledger->Call(
-      group_, reserve, ledger_deadline, turn_ledger::Relaying::kAllowed, programs);
+      group_, reserve, ledger_deadline, turn_ledger::Relaying::kAllowed, programs, query);
   bool unknown = result && result->verdict == turn_ledger::Verdict::kUnknownPrevious;
   if (unknown && state_->ledger->groups() > 1) {
     result = co_await ReserveAfterOtherGroupsTurn(std::move(reserve), ledger_deadline);
--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -291,7 +291,8 @@
     AttemptOutcome outcome = AttemptOutcome::kNotSent;
     AttemptResult result;
     // One forwarder per attempt: the head and partial event of a failed attempt are discarded.
-    stream_forwarder forwarder(*exchange_, delivered_, [this] { RecordPlacement(); });
+    stream_forwarder forwarder(
+        *exchange_, delivered_, [this] { RecordPlacement(); }, [&] { StartStream(*runner); });
     RetryState retry_state = CurrentRetryState();
     if (runner) {
       result = co_await RunAttempt(*runner, forwarder);
@@ -312,6 +313,7 @@
         co_await ForwardResponse(result, forwarder);
         co_return;
       case NextStep::kRetry:
+        origin_open_ = MayChangeOrigin();
         continue;
       case NextStep::kResume:
         state_->log.Write(Line("stream_resumed")
--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -19,6 +19,12 @@
 
 namespace martenyard::forwarding {
 
+/// How the origin of a resumed stream is known.
+enum class OriginSource {
+  kLedger,
+  kSoleVersion,  ///< All known runners of the service have the same version.
+};
+
 class RequestHandler {
  public:
   RequestHandler(std::shared_ptr<GatewayState> state,
@@ -84,17 +90,50 @@
   void PrependHistory(std::shared_ptr<const std::string> history);
   /// Caches a history that came with the leader's verdict and prepends it to the body.
   void UseLeaderHistory(std::string history, event_log::Line& line);
+  /// @return whether the client may resume the stream with a later request.
+  bool IsResumable() const;
+  /// @return whether the client resumes a stream with this request.
+  bool IsResumption() const;
+  /// @return whether the stream may still begin at another origin: the client has no part of it.
+  bool MayChangeOrigin() const;
+  /// @return whether the runner may deliver the next event of the stream.
+  bool ContinuesStream(const discovery::Runner& runner) const;
+  /// @return the ledger account with the origin of the stream that the request `stream` began.
+  ProgramId OriginAccount(const turn_ledger::TurnId& stream) const;
+  /// @return the question for the origin of the stream that the client resumes; nothing if the
+  /// client resumes none, or doesn't name it.
+  std::optional<turn_ledger::origin_query> OriginQuery() const;
+  /// @return the only origin that streams of the route can have now; nothing if there are several.
+  std::optional<turn_ledger::stream_origin> SoleOrigin() const;
+  /// Chooses the origin that the reservation of a new stream records.
+  void PlanOrigin();
+  /// Records the origin of a reserved stream anew if it begins elsewhere than planned.
+  /// @return false if that is not known to be committed: the runner may not be used.
+  async_http::Task<bool> RecordOrigin(const discovery::Runner& runner);
+  /// The first event of the runner is about to be delivered.
+  void StartStream(const discovery::Runner& runner);
+  void RecordOriginInBackground();
+  /// Finds the origin of the stream that the client resumes without a reservation.
+  /// @return false if it sent an error.
+  async_http::Task<bool> FindOrigin();
+  /// Restricts the request to the runners of an origin. @return false if it sent an error.
+  async_http::Task<bool> AdoptOrigin(std::optional<turn_ledger::stream_origin> origin,
+                                     OriginSource source);
   async_http::Task<void> TryRunners();
   /// Chooses a runner that may be sent the request now. Takes a permit for a cold one.
   async_http::Task<std::optional<discovery::Runner>> ChooseAdmitted();
   std::optional<discovery::Runner> Choose();
+  /// Chooses among the runners of the service, or else of the route's other services.
+  /// @param[out] candidates those that the choice's index refers to.
+  std::optional<Choice> PickRunner(std::vector<Candidate>& candidates);
   std::vector<Candidate> Candidates();
   /// @return the mechanisms with those of placement disabled that do not apply to this request.
   overload_options PlacementMechanisms() const;
   /// @return whether runners of unreachable zones are disregarded: the service has others that may
   /// be sent the request.
   bool DisregardsUnreachable() const;
-  /// @return whether the operator allows this request to be sent to the runner.
+  /// @return whether this request may be sent to the runner: the operator allows it, and the runner
+  /// continues the stream.
   bool IsAllowed(const discovery::Runner& runner) const;
   /// Requests a slow start permit for a cold runner. @return whether the request may be sent to it.
   async_http::Task<bool> TakePermit(const discovery::Runner& runner);
@@ -151,6 +190,7 @@
   RequestInfo info_;
   // The client's ids, scoped to the tenant.
   turn_ledger::TurnId turn_;
+  turn_ledger::TurnId reservation_;  ///< Id of the turn's reservation.
   ProgramId program_;
   std::optional<RequestId> previous_turn_;
   absl::Time deadline_;
@@ -166,6 +206,11 @@
   std::shared_ptr<const std::string> history_;              // Chain of the previous turns.
   std::shared_ptr<const std::string> other_group_history_;  // The same, of another program.
 
+  /// Of the stream: planned until it starts, then fixed. Empty if not planned.
+  std::optional<turn_ledger::stream_origin> origin_;
+  bool origin_open_ = false;             ///< Runners of other origins may be chosen, too.
+  std::uint32_t origin_generation_ = 0;  ///< Of the last record of the origin.
+
   std::set<std::string> tried_;
   int sent_attempts_ = 0;  // Attempts that sent the request, except to a wrong runner.
   bool may_have_run_ = false;
--- a/src/forwarding/request_runner_selection.cc
+++ b/src/forwarding/request_runner_selection.cc
@@ -85,7 +85,7 @@
 }
 
 bool RequestHandler::IsAllowed(const discovery::Runner& runner) const {
-  if (state_->evacuated_zones.Contains(runner.zone)) {
+  if (state_->evacuated_zones.Contains(runner.zone) || !ContinuesStream(runner)) {
     return false;
   }
   return !regions_.restricted() || regions_.allows(state_->RegionOf(runner.zone));
@@ -95,11 +95,21 @@
   send_before_ = absl::InfiniteFuture();
   while (!exchange_->client_gone() && TimeLeft() > kMinAttemptTime) {
     std::optional<discovery::Runner> runner = Choose();
+    if (!runner && origin_ && !origin_open_ && MayChangeOrigin()) {
+      origin_open_ = true;
+      continue;
+    }
     if (!runner) {
       break;
     }
-    // The operator may have evacuated the zone while a permit was requested.
-    if (co_await TakePermit(*runner) && IsAllowed(*runner)) {
+    if (!co_await TakePermit(*runner)) {
+      continue;
+    }
+    if (!co_await RecordOrigin(*runner)) {
+      break;
+    }
+    // The operator may have evacuated the zone meanwhile.
+    if (IsAllowed(*runner)) {
       co_return runner;
     }
   }
@@ -144,6 +154,9 @@
   if (TimeLeft() <= kMinAttemptTime) {
     return reject_reason::deadline_passed;
   }
+  if (IsResumption()) {
+    return reject_reason::stream_version_unavailable;
+  }
   std::size_t evacuated = 0;
   std::size_t outside_regions = 0;
   std::size_t usable = 0;
@@ -179,8 +192,7 @@
   return info_.prompt_tokens == 0 ? 0 : info_.prompt_tokens + info_.max_output_tokens;
 }
 
-std::optional<discovery::Runner> RequestHandler::Choose() {
-  std::vector<Candidate> candidates = Candidates();
+std::optional<Choice> RequestHandler::PickRunner(std::vector<Candidate>& candidates) {
   ChoiceRequest request;
   request.prompt_tokens = info_.prompt_tokens;
   request.loss_ms = LossCost();
@@ -192,18 +204,26 @@
   request.expected_tokens = ExpectedTokens();
   ChoiceOptions options = state_->options.choice;
   options.load_bound = PlacementMechanisms().m_load_bound;
+  candidates = Candidates();
   auto choice = ChooseRunner(candidates, request, options);
-  if (!choice) {
-    // Try the other services of a split route.
-    for (const WeightedService& part : route_->services) {
-      if (choice || part.service == service_name_) {
-        continue;
-      }
-      service_name_ = part.service;
-      candidates = Candidates();
-      choice = ChooseRunner(candidates, request, options);
+  const ServiceName preferred = service_name_;
+  for (const WeightedService& part : route_->services) {
+    if (choice || part.service == preferred) {
+      continue;
     }
+    service_name_ = part.service;
+    candidates = Candidates();
+    choice = ChooseRunner(candidates, request, options);
+  }
+  if (!choice) {
+    service_name_ = preferred;
   }
+  return choice;
+}
+
+std::optional<discovery::Runner> RequestHandler::Choose() {
+  std::vector<Candidate> candidates;
+  std::optional<Choice> choice = PickRunner(candidates);
   if (!choice) {
     return std::nullopt;
   }
--- a/src/forwarding/streams/stream_forwarder.cc
+++ b/src/forwarding/streams/stream_forwarder.cc
@@ -15,10 +15,11 @@
 using async_http::Task;
 
 stream_forwarder::stream_forwarder(async_http::Exchange& exchange, delivered_events& delivered,
-                                   std::function<void()> on_head)
+                                   std::function<void()> on_head, std::function<void()> on_start)
     : m_exchange(exchange),
       m_delivered(delivered),
       m_on_head(std::move(on_head)),
+      m_on_start(std::move(on_start)),
       m_is_resumption(exchange.stream_started())
 {
 }
@@ -116,6 +117,7 @@
         co_return true;  // A resumed stream keeps the head of the first attempt.
     }
     m_sent_head = true;
+    m_on_start();
     co_return co_await m_exchange.StartStream(*m_head);
 }
 
--- a/src/forwarding/streams/stream_forwarder.h
+++ b/src/forwarding/streams/stream_forwarder.h
@@ -24,8 +24,9 @@
     /// @param[in] exchange   the client's request
     /// @param[in] delivered  events delivered by earlier attempts; those of this attempt are added
     /// @param[in] on_head    called when the runner has started its response
+    /// @param[in] on_start   called before the response head is sent to the client
     stream_forwarder(async_http::Exchange& exchange, delivered_events& delivered,
-                     std::function<void()> on_head);
+                     std::function<void()> on_head, std::function<void()> on_start);
 
     void OnHead(const async_http::HttpHead& head) override;
     async_http::Task<StreamStatus> OnBytes(std::string bytes) override;
@@ -75,6 +76,7 @@
     async_http::Exchange& m_exchange;
     delivered_events& m_delivered;
     std::function<void()> m_on_head;
+    std::function<void()> m_on_start;
     std::optional<async_http::HttpHead> m_head;
     sse_parser m_parser;
     std::string m_first_event_id;
--- a/tests/platform/recovery_contract_test.cc
+++ b/tests/platform/recovery_contract_test.cc
@@ -49,13 +49,18 @@
   ~RestartedDeployment() { std::filesystem::remove_all(remains_.data_folder); }
 
   /// Its first life, with version `version` in force at the end.
-  void Live(int version) {
+  /// @param use called once the processes serve.
+  void Live(int version, const std::function<void(PlatformWorld&)>& use = {}) {
     PlatformWorld world({}, remains_);
     world.Start();
+    if (use) {
+      use(world);
+    }
     for (int next = 2; next <= version; ++next) {
       world.store().Put("op/config", StandardConfiguration(next));
     }
-    ASSERT_TRUE(Within(world, kKeptWithin, [&] { return KeepsAllCopies(version); })) << world.Log();
+    ASSERT_TRUE(Within(world, kKeptWithin, [&] { return KeepsAllCopies(world, version); }))
+        << world.Log();
     remains_.first_start = false;
   }
   static void Run(PlatformWorld& world, absl::Duration time) {
@@ -76,9 +81,10 @@
 
  private:
   /// @return whether the disk has what the first life knew at its end.
-  bool KeepsAllCopies(int version) const {
+  bool KeepsAllCopies(PlatformWorld& world, int version) const {
     return CopyContains("configuration", absl::StrCat("\"version\":", version)) &&
            CopyContains("runners", "i-near") && CopyContains("runners", "i-far") &&
+           CopyContains("runners", absl::StrCat("\"version\":\"", world.a().version, "\"")) &&
            CopyContains("ledger_directory", "storage-1") &&
            CopyContains("ledger_directory", roles::kLedgerGroupsKey) &&
            CopyContains("aggregators", "edge-1");
@@ -125,6 +131,40 @@
   }
 }
 
+TEST(RecoveryContractTest, StreamsAreContinuedAtTheirVersionAfterAllHaveRestarted) {
+  ClientRequest stream;
+  stream.target = "/stream/1";
+  stream.headers = {"Program-Id: p", "Token-Budget: 100000", "Token-Usage: 10,200"};
+  RestartedDeployment deployment;
+  deployment.Live(3, [&](PlatformWorld& world) {
+    world.a().version = "v2";
+    world.ListRunner(world.a(), "near");
+    ASSERT_TRUE(world.RunUntil([&] {
+      return !world.gateway().state().runners.SoleVersion(ServiceName("s")).has_value();
+    }));
+    world.a().Script({emulator::RunnerBehavior::kShed, emulator::RunnerBehavior::kServe});
+    world.b().Script({emulator::RunnerBehavior::kBreakMidEvent});
+    ASSERT_FALSE(world.Ask(stream).whole);
+    ASSERT_EQ(world.b().runs(), 1) << "it began at v1";
+  });
+  PlatformWorld world({}, deployment.remains());
+  world.store().faults().silent = true;
+  world.StartRoles();
+  ASSERT_TRUE(RestartedDeployment::Within(world, kRecoveryBound, [&] { return Serves(world); }))
+      << world.Log();
+  stream.id = "attempt-2";
+  stream.headers.emplace_back("Last-Event-Id: 2");
+  stream.headers.emplace_back("Resumes: attempt-1");
+  ClientAnswer answer;
+  // A new leader reads its log first.
+  RestartedDeployment::Within(world, kRecoveryBound, [&] {
+    answer = world.Ask(stream);
+    return answer.whole && answer.status == 200;
+  });
+  EXPECT_EQ(answer.headers["server-signature"], "sig-i-far-attempt-2") << world.Log();
+  EXPECT_EQ(world.a().runs(), 0);
+}
+
 TEST(RecoveryContractTest, KeptCopiesYieldToTheStoreAndNothingGoesBack) {
   RestartedDeployment deployment;
   deployment.Live(3);
--- a/tests/platform/stream_version_contract_test.cc
+++ b/tests/platform/stream_version_contract_test.cc
@@ -28,7 +28,7 @@
 /// Runner `a`, the nearer one, is of version v2 and runner `b` of version v1.
 class VersionWorld : public PlatformWorld {
  public:
-  explicit VersionWorld(const WorldRemains& remains = {}) : PlatformWorld({}, remains) {
+  VersionWorld() {
     a().version = "v2";
     b().version = "v1";
     a().events_name_version = true;
@@ -80,34 +80,122 @@
       ADD_FAILURE() << Log();
     }
   }
+
+  void ExpectRefused(ClientAnswer answer) {
+    EXPECT_EQ(answer.status, 503U) << answer.body;
+    EXPECT_FALSE(answer.headers["retry-after"].empty());
+    EXPECT_EQ(a().runs(), 0);
+    EXPECT_EQ(b().runs(), 1) << "only the request that began the stream";
+    if (::testing::Test::HasFailure()) {
+      ADD_FAILURE() << Log();
+    }
+  }
 };
 
-TEST(StreamVersionContractTest, ResponseIsNotContinuedAtAnotherVersion) {
+class StreamVersionContractTest : public ::testing::TestWithParam<Accounting> {};
+
+INSTANTIATE_TEST_SUITE_P(Accounting, StreamVersionContractTest,
+                         ::testing::Values(Accounting::kBudget, Accounting::kNone),
+                         [](const auto& info) {
+                           return info.param == Accounting::kBudget ? "Budget" : "None";
+                         });
+
+TEST_P(StreamVersionContractTest, ResponseIsNotContinuedAtAnotherVersion) {
   VersionWorld world;
   world.Start();
   world.a().Script({RunnerBehavior::kBreakMidEvent, RunnerBehavior::kServe});
-  ClientAnswer answer = world.Ask(VersionWorld::Stream("attempt-1", Accounting::kBudget));
+  ClientAnswer answer = world.Ask(VersionWorld::Stream("attempt-1", GetParam()));
   EXPECT_FALSE(answer.whole);
   EXPECT_EQ(answer.body, Events(1, 2, "v2"));
   EXPECT_EQ(world.b().runs(), 0) << world.Log();
 }
 
-TEST(StreamVersionContractTest, ResumptionGoesToTheVersionThatBeganTheStream) {
+TEST_P(StreamVersionContractTest, ResumptionGoesToTheVersionThatBeganTheStream) {
   VersionWorld world;
   world.Start();
-  world.BeginAtV1(Accounting::kBudget);
-  ClientRequest request = VersionWorld::Resumption("attempt-2", "attempt-1", Accounting::kBudget);
+  world.BeginAtV1(GetParam());
+  ClientRequest request = VersionWorld::Resumption("attempt-2", "attempt-1", GetParam());
   world.ExpectContinuedByB(world.Ask(request), "attempt-2");
 }
 
-TEST(StreamVersionContractTest, AnotherGatewayKnowsTheVersionOfAStream) {
+TEST_P(StreamVersionContractTest, AnotherGatewayKnowsTheVersionOfAStream) {
   VersionWorld world;
   world.Start();
   world.StartOtherGateway();
-  world.BeginAtV1(Accounting::kBudget);
-  ClientRequest request = VersionWorld::Resumption("attempt-2", "attempt-1", Accounting::kBudget);
+  world.BeginAtV1(GetParam());
+  ClientRequest request = VersionWorld::Resumption("attempt-2", "attempt-1", GetParam());
   world.ExpectContinuedByB(world.AskOther(request), "attempt-2");
 }
 
+TEST_P(StreamVersionContractTest, ThirdRequestOfAStreamNamesTheFirst) {
+  VersionWorld world;
+  world.Start();
+  world.BeginAtV1(GetParam());
+  world.b().Script({RunnerBehavior::kBreakInFirst, RunnerBehavior::kServe});
+  EXPECT_FALSE(world.Ask(VersionWorld::Resumption("attempt-2", "attempt-1", GetParam())).status ==
+               200);
+  ClientRequest request = VersionWorld::Resumption("attempt-3", "attempt-1", GetParam());
+  world.ExpectContinuedByB(world.Ask(request), "attempt-3");
+}
+
+TEST_P(StreamVersionContractTest, ResumptionOfAnUnknownStreamIsRefused) {
+  VersionWorld world;
+  world.Start();
+  world.BeginAtV1(GetParam());
+  world.ExpectRefused(world.Ask(VersionWorld::Resumption("attempt-2", "forged", GetParam())));
+}
+
+TEST_P(StreamVersionContractTest, ResumptionWithoutTheStreamsNameIsRefusedAmongTwoVersions) {
+  VersionWorld world;
+  world.Start();
+  world.BeginAtV1(GetParam());
+  world.ExpectRefused(world.Ask(VersionWorld::Resumption("attempt-2", "", GetParam())));
+}
+
+TEST_P(StreamVersionContractTest, DrainingRunnerContinuesStreamsOfItsVersion) {
+  VersionWorld world;
+  world.Start();
+  world.BeginAtV1(GetParam());
+  world.ListRunner(world.b(), "far", "draining");
+  world.RunUntil([&] {
+    return world.gateway().state().runners.Find(discovery::RunnerId("i-far"))->IsDraining();
+  });
+  ClientRequest request = VersionWorld::Resumption("attempt-2", "attempt-1", GetParam());
+  world.ExpectContinuedByB(world.Ask(request), "attempt-2");
+}
+
+TEST_P(StreamVersionContractTest, ResumptionIsRefusedWhenItsVersionIsGone) {
+  VersionWorld world;
+  world.Start();
+  world.BeginAtV1(GetParam());
+  world.b().version = "v3";
+  world.ListRunner(world.b(), "far", "ready", /*born=*/1000);
+  world.RunUntil([&] {
+    auto* runner = world.gateway().state().runners.Find(discovery::RunnerId("i-far"));
+    return runner->runner.version == "v3";
+  });
+  world.ExpectRefused(world.Ask(VersionWorld::Resumption("attempt-2", "attempt-1", GetParam())));
+}
+
+TEST(StreamVersionTenantTest, TenantCannotResumeAnotherTenantsStream) {
+  constexpr char kTenants[] = R"([{"name":"north","apiKeys":["north-key"]},
+                                  {"name":"south","apiKeys":["south-key"]}])";
+  VersionWorld world;
+  world.Start(/*configured=*/false);
+  world.store().Put("op/config", TenantConfiguration(1, kTenants));
+  world.RunUntil([&] { return world.gateway().ready(); });
+  world.a().Script({RunnerBehavior::kShed, RunnerBehavior::kServe});
+  world.b().Script({RunnerBehavior::kBreakMidEvent, RunnerBehavior::kServe});
+  ClientRequest first = VersionWorld::Stream("attempt-1", Accounting::kBudget);
+  first.headers.emplace_back("Api-Key: north-key");
+  EXPECT_EQ(world.Ask(first).body, Events(1, 2, "v1"));
+  ClientRequest foreign = VersionWorld::Resumption("attempt-2", "attempt-1");
+  foreign.headers.emplace_back("Api-Key: south-key");
+  world.ExpectRefused(world.Ask(foreign));
+  ClientRequest own = VersionWorld::Resumption("attempt-3", "attempt-1");
+  own.headers.emplace_back("Api-Key: north-key");
+  world.ExpectContinuedByB(world.Ask(own), "attempt-3");
+}
+
 }  // namespace
 }  // namespace martenyard::testing
