Event id strides: learned for each version of a service

A version that counts its events otherwise would have made every resumption at the other one look out of order, or a gap pass. Change: strides belong to an origin. A version of which no stream is known yet is expected to count as the others do, if they agree, so that nothing is checked less.

--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -97,7 +97,7 @@
   std::map<ZoneName, std::string> regions;  ///< The region of each zone.
   /// Which zones this gateway can reach; null without `overload.m_zone_reachability`.
   std::shared_ptr<reachability_monitor> reachability;
-  id_strides service_id_strides;  ///< Event id strides by service.
+  id_strides event_id_strides;  ///< By the origin of the streams.
   PrefixIndex prefixes{absl::Seconds(30), 40000};
   ConnectionPool pool;
   TurnCache turns{std::uint64_t{2} << 20};
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -83,8 +83,7 @@
   service_name_ = ChooseService(*route_, SplitPoint(info_, state_->random));
   service_ = routes_->configuration().FindService(service_name_);
   if (route_->kind == RouteKind::kStream && route_->resumable) {
-    delivered_ =
-        delivered_events(info_.last_event_id, state_->service_id_strides.stride_of(service_name_));
+    delivered_ = delivered_events(info_.last_event_id);
   }
   if (!route_->keeps_turns) {
     delivered_.discard_data();
--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -143,6 +143,7 @@
   std::uint32_t tokens = ExpectedTokens();
   state_->runners.BeginRequest(SteadyInstant(), *entry, tokens);
   last_runner_ = entry->short_id;
+  delivered_.expect_stride(state_->event_id_strides.stride_of({runner.service, runner.version}));
   absl::Time start = SteadyNow();
   Attempt attempt(*state_, MakePlan(runner));
   attempt_ = &attempt;
@@ -369,8 +370,8 @@
     EndRequest("client_gone");
     co_return;
   }
-  if (auto stride = delivered_.stride()) {
-    state_->service_id_strides.record(service_name_, *stride);
+  if (auto stride = delivered_.stride(); stride && origin_) {
+    state_->event_id_strides.record(*origin_, *stride);
   }
   if (route_->keeps_turns && !co_await CommitTurn()) {
     exchange_->Break();
--- a/src/forwarding/streams/delivered_events.h
+++ b/src/forwarding/streams/delivered_events.h
@@ -15,9 +15,15 @@
 {
   public:
     /// @param[in] after   id of the event after which the client resumes; empty: from the start
-    /// @param[in] stride  known id stride of the service; 0 if unknown
+    /// @param[in] stride  see @ref expect_stride
     explicit delivered_events(std::string after = {}, std::uint64_t stride = 0);
 
+    /// @brief sets the known id stride of the runners that continue the stream; 0 if unknown
+    void expect_stride(std::uint64_t stride)
+    {
+        m_known_stride = stride;
+    }
+
     /// @brief checks whether `event` directly follows `last_id`, so that no event is missing or repeated
     ///
     /// The expected id stride comes from the delivered events or from other streams of the service. If
