Stream soak: runners of three versions, resumptions that name their stream

Cause: each runner of the soak said the same version, so it could not see streams of two; its clients resumed without naming the stream. Change: runners have versions, also after their address is reused; clients name the request that began a stream; half of the streams have a token budget. The judge's rule VERSION holds all events of a stream, over its requests, to one version. A second soak replaces runners and kills gateways only, and bounds the share of resumptions that go on: at least half of that of streams that begin, while two runners of the version serve. Tests: StreamJudgeTest.RejectsEventsOfTwoVersions.

--- a/tests/platform/stream_judge_test.cc
+++ b/tests/platform/stream_judge_test.cc
@@ -390,5 +390,35 @@
   EXPECT_EQ(EventId("id: 12\ndata: x\n\n"), 12);
 }
 
+TEST(StreamJudgeTest, RejectsEventsOfTwoVersions) {
+  RunRecord first = MadeBy("a", Events("a", 1, 2), false);
+  first.version = "v1";
+  RunRecord second = MadeBy("b", Events("b", 3, 4), true, "2");
+  ClientRecord began = Answer("a", Events("a", 1, 2), ClientEnd::kBroken);
+  ClientRecord resumed = Answer("b", Events("b", 3, 4));
+  resumed.id = "q2";
+  resumed.answer_id = "q2";
+  resumed.resumes = "q";
+  resumed.asked_after = 2;
+  for (const char* version : {"v1", "v2"}) {
+    second.version = version;
+    bool same = second.version == first.version;
+    Evidence in_one_response;
+    in_one_response.runs = {first, second};
+    in_one_response.requests = {Answer("a", Events("a", 1, 2) + Events("b", 3, 4))};
+    EXPECT_EQ(Judge(in_one_response).empty(), same) << version;
+    Evidence over_requests;
+    over_requests.runs = {first, second};
+    over_requests.runs.back().attempt = "q2";
+    over_requests.requests = {began, resumed};
+    std::vector<BrokenRule> broken = Judge(over_requests);
+    ASSERT_EQ(broken.size(), same ? 0U : 2U) << version;
+    if (!same) {
+      EXPECT_EQ(broken[0].rule, "VERSION");
+      EXPECT_EQ(broken[0].request, "q2");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace martenyard::testing
--- a/tests/platform/support/recording_runner.cc
+++ b/tests/platform/support/recording_runner.cc
@@ -113,8 +113,13 @@
   bool streams = false;
 };
 
-RecordingRunner::RecordingRunner(asio::io_context& context, std::string id, RunBook& book)
-    : context_(context), id_(std::move(id)), book_(book), acceptor_(context) {}
+RecordingRunner::RecordingRunner(asio::io_context& context, std::string id, std::string version,
+                                 RunBook& book)
+    : context_(context),
+      id_(std::move(id)),
+      version_(std::move(version)),
+      book_(book),
+      acceptor_(context) {}
 
 void RecordingRunner::Listen() {
   asio::ip::tcp::endpoint local(asio::ip::make_address("127.0.0.1"), port_);
@@ -138,9 +143,10 @@
   sessions_.clear();
 }
 
-void RecordingRunner::ReturnAs(std::string id) {
+void RecordingRunner::ReturnAs(std::string id, std::string version) {
   Crash();
   id_ = std::move(id);
+  version_ = std::move(version);
   Listen();
 }
 
@@ -188,6 +194,7 @@
     ++book_.plans[NameOf(plan)];
     RunRecord run;
     run.runner = id_;
+    run.version = version_;
     run.attempt = request.attempt;
     run.asked_after = request.last_event_id;
     run.request_body = message.body();
--- a/tests/platform/support/recording_runner.h
+++ b/tests/platform/support/recording_runner.h
@@ -50,17 +50,19 @@
 /// On the loop's thread only; outlives the loop's last round.
 class RecordingRunner {
  public:
-  RecordingRunner(async_http::asio::io_context& context, std::string id, RunBook& book);
+  RecordingRunner(async_http::asio::io_context& context, std::string id, std::string version,
+                  RunBook& book);
 
   /// Listens on its present port, or on one that the system chooses.
   void Listen();
   /// Resets every connection and listens no more.
   void Crash();
   /// The same address is now another runner's. Connections from before are reset.
-  void ReturnAs(std::string id);
+  void ReturnAs(std::string id, std::string version);
 
   std::uint16_t port() const { return port_; }
   const std::string& id() const { return id_; }
+  const std::string& version() const { return version_; }
   bool listens() const { return acceptor_.is_open(); }
 
  private:
@@ -84,6 +86,7 @@
 
   async_http::asio::io_context& context_;
   std::string id_;
+  std::string version_;  ///< Of its software.
   RunBook& book_;
   async_http::asio::ip::tcp::acceptor acceptor_;
   std::uint16_t port_ = 0;
--- a/tests/platform/support/soak_client.cc
+++ b/tests/platform/support/soak_client.cc
@@ -26,6 +26,7 @@
 constexpr absl::Duration kLongPause = absl::Milliseconds(3500);
 constexpr int kMostEvents = 8;
 constexpr int kMostTurns = 8;
+constexpr std::uint64_t kStreamPrograms = 4;  ///< Of a client, beside the chains.
 constexpr int kLargeBody = 9000;  ///< Bytes; gateways send these while they read the answer.
 /// For one chain's last turn at sound processes.
 constexpr absl::Duration kProofPatience = absl::Seconds(45);
@@ -34,6 +35,7 @@
 constexpr double kLeaves = 0.05;
 constexpr double kSendsEarly = 0.12;
 constexpr double kGoesOnItself = 0.7;
+constexpr double kCountedStreams = 0.5;
 constexpr double kLargeBodies = 0.15;
 constexpr double kLongPauses = 0.02;
 
@@ -118,7 +120,10 @@
 
 SoakClient::Call SoakClient::MakeCall(CallKind kind) {
   if (kind == CallKind::kResumable) {
-    return MakeStream(0, 1 + static_cast<int>(random_.Below(kMostEvents)));
+    BrokenStream fresh;
+    fresh.program = Chance(kCountedStreams) ? DrawProgram() : "";
+    fresh.events = 1 + static_cast<int>(random_.Below(kMostEvents));
+    return MakeStream(fresh);
   }
   ClientRecord record;
   record.kind = kind;
@@ -142,25 +147,39 @@
   return Finished(std::move(record), "/streamkept/", own, std::move(headers));
 }
 
-SoakClient::Call SoakClient::MakeStream(int asked_after, int events) {
+std::string SoakClient::DrawProgram() {
+  return absl::StrCat(name_, "-streams-", random_.Below(kStreamPrograms));
+}
+
+SoakClient::Call SoakClient::MakeStream(const BrokenStream& stream) {
   ClientRecord record;
   record.kind = CallKind::kResumable;
   record.id = absl::StrCat(name_, "-", ++requests_);
-  record.asked_after = asked_after;
-  record.events = events;
+  record.program = stream.program;
+  record.asked_after = stream.last_event;
+  record.resumes = stream.first_request;
+  record.stream_signature = stream.signature;
+  record.version_served = !stream.signature.empty() && scene_.version_serves(stream.signature);
+  record.events = stream.events;
   record.expected_body = absl::StrCat("[", record.id, "]");
   std::vector<std::string> headers;
-  if (asked_after > 0) {
-    headers.push_back(absl::StrCat("Last-Event-Id: ", asked_after));
+  if (stream.last_event > 0) {
+    headers.push_back(absl::StrCat("Last-Event-Id: ", stream.last_event));
+    headers.push_back("Resumes: " + stream.first_request);
+  }
+  if (!stream.program.empty()) {
+    headers.push_back("Program-Id: " + stream.program);
+    headers.emplace_back("Token-Usage: 1,200");
+    headers.emplace_back("Token-Budget: 100000000");
   }
   return Finished(record, "/stream/", record.expected_body, std::move(headers));
 }
 
 SoakClient::Call SoakClient::NextCall() {
   if (resume_) {
-    auto [after, events] = *std::exchange(resume_, std::nullopt);
+    BrokenStream stream = *std::exchange(resume_, std::nullopt);
     ++scene_.client_resumes;
-    return MakeStream(after, events);
+    return MakeStream(stream);
   }
   double draw = random_.Uniform();
   if (draw < 0.5) {
@@ -279,7 +298,10 @@
   bool unfinished = record.status == 200 && record.end != ClientEnd::kWhole;
   std::vector<std::string> events = WholeEvents(record.body);
   if (unfinished && !events.empty() && Chance(kGoesOnItself)) {
-    resume_ = {EventId(events.back()), record.events};
+    bool began = record.resumes.empty();
+    resume_ = {began ? record.id : record.resumes, record.program,
+               began ? record.signature : record.stream_signature, EventId(events.back()),
+               record.events};
   }
 }
 
--- a/tests/platform/support/soak_client.h
+++ b/tests/platform/support/soak_client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -26,6 +27,8 @@
   absl::Duration least_limit;
   /// Processes that have passed on a whole stream of two events or more.
   std::set<std::string> ids_known;
+  /// Whether two runners of the version that signed an answer serve now.
+  std::function<bool(const std::string& signature)> version_serves;
   bool stopping = false;
   int active = 0;          ///< Clients that have not stopped.
   int client_resumes = 0;  ///< Streams that clients went on with themselves.
@@ -53,6 +56,14 @@
     std::string text;
     int turns = 0;
   };
+  /// A stream that the client goes on with.
+  struct BrokenStream {
+    std::string first_request;  ///< Delivered its first event.
+    std::string program;        ///< Empty without one.
+    std::string signature;      ///< Of the answer with its first event.
+    int last_event = 0;
+    int events = 0;
+  };
   /// A request that may have been sent already.
   struct Call {
     ClientRecord* record = nullptr;
@@ -64,7 +75,7 @@
   async_http::Task<bool> AddTurn();
   async_http::Task<bool> EnsureConnection();
   Call MakeCall(CallKind kind);
-  Call MakeStream(int asked_after, int events);
+  Call MakeStream(const BrokenStream& stream);
   Call Finished(ClientRecord record, const std::string& target, const std::string& own,
                 std::vector<std::string> headers);
   Call NextCall();
@@ -74,6 +85,7 @@
   void NoteEnd(const Call& call, async_http::ReadStep step, bool left);
   void GoOnWithChain(const ClientRecord& record);
   void GoOnWithStream(const ClientRecord& record);
+  std::string DrawProgram();
   bool Chance(double share) { return random_.Uniform() < share; }
 
   SoakScene& scene_;
@@ -84,7 +96,7 @@
   Chain chain_;
   std::vector<Chain> ended_chains_;
   std::vector<std::string> stuck_;
-  std::optional<std::pair<int, int>> resume_;  ///< The last event passed, and how many there are.
+  std::optional<BrokenStream> resume_;
   std::shared_ptr<async_http::Connection> connection_;
   std::string process_;  ///< That the connection goes to.
   absl::Time idle_since_;
--- a/tests/platform/support/stream_judge.cc
+++ b/tests/platform/support/stream_judge.cc
@@ -245,6 +245,34 @@
   int last_id_ = 0;
 };
 
+/// Judges the versions of the streams' events.
+void JudgeVersions(const Evidence& evidence, std::map<std::string, Runs>& runs,
+                   std::vector<BrokenRule>& broken) {
+  std::map<std::string, std::string> version_of;  // By the request that began the stream.
+  for (const ClientRecord& request : evidence.requests) {
+    if (request.kind != CallKind::kResumable || request.status != 200) {
+      continue;
+    }
+    const std::string& stream = request.resumes.empty() ? request.id : request.resumes;
+    for (const std::string& event : WholeEvents(request.body)) {
+      for (const RunRecord* run : runs[request.id]) {
+        std::vector<std::string> events = WholeEvents(run->body);
+        if (std::find(events.begin(), events.end(), event) == events.end()) {
+          continue;
+        }
+        const std::string& version = version_of.try_emplace(stream, run->version).first->second;
+        if (version != run->version) {
+          broken.push_back(
+              {"VERSION", request.id,
+               absl::StrCat("stream ", stream, " began at ", version, ", and event ",
+                            EventId(event), " is of ", run->runner, " at ", run->version)});
+        }
+        break;
+      }
+    }
+  }
+}
+
 /// A stopped gateway may cut an answer only where a runner, the ledger or the time limit did.
 void JudgeCut(const ClientRecord& request, const Runs& runs, std::vector<BrokenRule>& broken) {
   bool cut = request.end == ClientEnd::kBroken || request.end == ClientEnd::kNoAnswer;
@@ -344,6 +372,7 @@
       JudgeCut(request, own, broken);
     }
   }
+  JudgeVersions(evidence, runs, broken);
   return broken;
 }
 
@@ -352,16 +381,17 @@
   for (const ClientRecord& record : evidence.requests) {
     if (record.id == request) {
       absl::StrAppend(&text, "  client at ", record.process, ": ", NameOf(record.end), ", status ",
-                      record.status, ", signature '", record.signature, "', asked after ",
-                      record.asked_after, " of ", record.events, ", previous '", record.previous,
-                      "', ", absl::FormatDuration(record.took), ", outcome '", record.outcome,
-                      "'\n    body \"", absl::CEscape(record.body), "\"\n    must send \"",
-                      absl::CEscape(record.expected_body.substr(0, 400)), "\"\n");
+                      record.status, ", signature '", record.signature, "', resumes '",
+                      record.resumes, "', asked after ", record.asked_after, " of ", record.events,
+                      ", previous '", record.previous, "', ", absl::FormatDuration(record.took),
+                      ", outcome '", record.outcome, "'\n    body \"", absl::CEscape(record.body),
+                      "\"\n    must send \"", absl::CEscape(record.expected_body.substr(0, 400)),
+                      "\"\n");
     }
   }
   for (const RunRecord& run : evidence.runs) {
     if (run.attempt == request) {
-      absl::StrAppend(&text, "  run at ", run.runner, ": ", run.behavior,
+      absl::StrAppend(&text, "  run at ", run.runner, " (", run.version, "): ", run.behavior,
                       run.ran ? "" : ", not run", run.ended ? ", ended" : "",
                       run.tells_end ? "" : ", close-delimited", ", status ", run.status,
                       ", signature '", run.signature, "', asked after '", run.asked_after,
--- a/tests/platform/support/stream_judge.h
+++ b/tests/platform/support/stream_judge.h
@@ -23,6 +23,7 @@
 /// What one runner made of one request.
 struct RunRecord {
   std::string runner;
+  std::string version;  ///< Of the runner's software.
   std::string attempt;
   std::string asked_after;  ///< Last-Event-Id as the runner got it; empty when there was none.
   std::string request_body;
@@ -49,11 +50,15 @@
 struct ClientRecord {
   std::string id;
   CallKind kind = CallKind::kResumable;
-  std::string process;        ///< The gateway's process, as in `ProcessLife::name`.
-  std::string previous;       ///< A kept turn that ended whole before; empty for a first turn.
-  std::string expected_body;  ///< What a runner must get.
-  int asked_after = 0;        ///< The client's own last event id.
-  int events = 0;             ///< The last event's id in a whole stream.
+  std::string process;           ///< The gateway's process, as in `ProcessLife::name`.
+  std::string stream_signature;  ///< Of the answer that began the stream, if it is resumed.
+  bool version_served = false;   ///< Two runners of the resumed stream's version served.
+  std::string program;           ///< Of a stream whose tokens are counted; empty otherwise.
+  std::string previous;          ///< A kept turn that ended whole before; empty for a first turn.
+  std::string expected_body;     ///< What a runner must get.
+  int asked_after = 0;           ///< The client's own last event id.
+  std::string resumes;  ///< The request that delivered the stream's first event; may be empty.
+  int events = 0;       ///< The last event's id in a whole stream.
   /// The gateway's process had passed on a whole stream of two events or more before: it knows by
   /// how much ids rise.
   bool ids_known = true;
@@ -99,6 +104,7 @@
 /// - WHOLE: an answer that looks complete isn't wholly the runner's, or carries another's head;
 /// - END: a broken answer looks complete, or is no HTTP answer;
 /// - STATUS: a failure carries a runner's signature without that runner's having given it;
+/// - VERSION: a stream has events of two software versions, in one answer or over its requests;
 /// - ONCE: more runs than the request may have, or any run of one that was refused;
 /// - CHAIN: a kept turn that ended whole is unknown, or a runner got another body than the chain;
 /// - STOP: a stopped gateway cut an answer or overstayed its grace, or a process ended by itself.
--- a/tests/platform/system/stream_soak_test.cc
+++ b/tests/platform/system/stream_soak_test.cc
@@ -57,10 +57,17 @@
 constexpr absl::Duration kAfterDrain = absl::Milliseconds(2300);
 /// Disks are lost only where the ledger is one group: `GroupIsWhole` reads one group's members.
 constexpr int kMostLedgersOfOneGroup = 5;
+constexpr std::uint64_t kVersions = 3;     ///< Of the runners' software.
 constexpr int kGatewaysStoppedInTurn = 6;  ///< At most, in one series.
 constexpr int kReportedRules = 20;         ///< More are counted only.
 constexpr int kLinesOfOneRequest = 40;     ///< Of the logs, in a report.
 
+/// Which troubles a soak has.
+enum class Troubles {
+  kAll,
+  kReleases,  ///< Runners are replaced by other versions, and gateways are killed one at a time.
+};
+
 struct SoakSize {
   int gateways = SoakNumber("GATEWAYS", 3);
   int ledgers = SoakNumber("LEDGERS", 3);
@@ -69,6 +76,7 @@
   int lines = SoakNumber("LINES", 3);
   int rounds = SoakNumber("ROUNDS", 4);
   int trouble = SoakNumber("TROUBLE", 40);
+  Troubles troubles = Troubles::kAll;
 };
 
 class StreamSoak : private SoakLoop {
@@ -77,9 +85,12 @@
       : seed_(seed), size_(size), random_(seed), store_(loop_.context()) {
     store_.Listen(0);
     book_.seed = seed;
+    scene_.version_serves = [this](const std::string& signature) {
+      return VersionServes(signature);
+    };
     for (int number = 0; number < size_.runners; ++number) {
-      runners_.push_back(std::make_unique<RecordingRunner>(loop_.context(),
-                                                           absl::StrCat("r", number, "-1"), book_));
+      runners_.push_back(std::make_unique<RecordingRunner>(
+          loop_.context(), absl::StrCat("r", number, "-1"), VersionOf(number % 2), book_));
       runners_.back()->Listen();
       List(*runners_.back(), "ready");
     }
@@ -129,12 +140,33 @@
     return report;
   }
 
+  /// @return the share of streams that began, of those that clients asked for.
+  double BegunShare() const {
+    return Share([](const ClientRecord& record) { return record.resumes.empty(); });
+  }
+  /// @return the share of streams that went on, of those that clients resumed while two runners of
+  /// their version served.
+  double ContinuedShare() const {
+    return Share([](const ClientRecord& record) { return record.version_served; });
+  }
   int Count(const std::string& what) const {
     auto found = counts_.find(what);
     return found == counts_.end() ? 0 : found->second;
   }
 
  private:
+  double Share(const std::function<bool(const ClientRecord&)>& counts) const {
+    int all = 0;
+    int served = 0;
+    for (const ClientRecord& record : evidence_.requests) {
+      if (record.kind == CallKind::kResumable && record.end != ClientEnd::kLeft && counts(record)) {
+        ++all;
+        served += record.status == 200 ? 1 : 0;
+      }
+    }
+    return all == 0 ? 1 : static_cast<double>(served) / all;
+  }
+
   // ---- The system ----
 
   std::unique_ptr<Machine> MakeMachine(bool storage, int number) {
@@ -154,9 +186,12 @@
                emulator::RunnerEntry({.port = runner.port(),
                                       .zone = "z" + runner.id().substr(1, 1),
                                       .state = state,
-                                      .slots = 32}));
+                                      .slots = 32,
+                                      .version = runner.version()}));
   }
 
+  static std::string VersionOf(std::uint64_t number) { return absl::StrCat("v", number + 1); }
+
   void Configure(int version, int limit_ms, bool extra_route) {
     auto route = [&](const std::string& name, const std::string& path, const std::string& more) {
       return absl::StrCat(R"({"name":")", name, R"(","host":"h.example","pathPrefix":")", path,
@@ -180,6 +215,16 @@
                             R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})"));
   }
 
+  /// @return whether two runners of the version that made the signed answer serve.
+  bool VersionServes(const std::string& signature) const {
+    auto run = std::find_if(book_.runs.rbegin(), book_.runs.rend(),
+                            [&](const RunRecord& record) { return record.signature == signature; });
+    auto serving = std::count_if(runners_.begin(), runners_.end(), [&](const auto& runner) {
+      return run != book_.runs.rend() && runner->version() == run->version && runner->listens();
+    });
+    return serving >= 2;
+  }
+
   // ---- Waiting ----
 
   /// @return a line of the report when the condition does not come about.
@@ -273,6 +318,10 @@
   }
 
   Task<void> OneTrouble(Random& random) {
+    if (size_.troubles == Troubles::kReleases) {
+      return random.Below(2) == 0 ? KillAndStart(TakeSome(gateways_, 1, random), random)
+                                  : ReplaceRunner(random);
+    }
     switch (random.Below(14)) {
       case 0:
       case 1:
@@ -501,7 +550,7 @@
       default: {
         ++counts_["address reused"];
         std::string id = absl::StrCat("r", number, "-", ++incarnations_ + 1);
-        runner.ReturnAs(id);
+        runner.ReturnAs(id, VersionOf(random.Below(kVersions)));
         co_await Pause(Draw(random, 1, 300));  // Requests for the old one still come.
         store_.Remove("servers/" + old);
         List(runner, "ready");
@@ -511,6 +560,24 @@
     taken_runners_.erase(number);
   }
 
+  /// A release: the new runner's version may be another one. Versions have two runners at least.
+  Task<void> ReplaceRunner(Random& random) {
+    std::size_t number = random.Below(runners_.size());
+    RecordingRunner& runner = *runners_[number];
+    if (!taken_runners_.insert(number).second) {
+      co_return;
+    }
+    ++counts_["runner replaced"];
+    std::string old = runner.id();
+    List(runner, "draining");
+    co_await Pause(kAfterDrain);
+    store_.Remove("servers/" + old);
+    runner.ReturnAs(absl::StrCat("r", number, "-", ++incarnations_ + 1),
+                    VersionOf(random.Below(kVersions)));
+    List(runner, "ready");
+    taken_runners_.erase(number);
+  }
+
   // ---- Judging ----
 
   /// With all sound again, every kept turn must be known to the ledger.
@@ -603,6 +670,11 @@
       counts_["streams of several runs served"] += joined ? 1 : 0;
     }
     counts_["resumed by clients"] = scene_.client_resumes;
+    for (const ClientRecord& record : evidence_.requests) {
+      counts_["resumed, version served"] += record.version_served ? 1 : 0;
+    }
+    counts_["percent begun"] = static_cast<int>(100 * BegunShare());
+    counts_["percent continued"] = static_cast<int>(100 * ContinuedShare());
     counts_["sent early"] = scene_.early;
     std::cout << "seed " << seed_ << ": " << evidence_.requests.size() << " requests, "
               << evidence_.runs.size() << " runs, " << evidence_.processes.size() << " processes, "
@@ -651,6 +723,17 @@
   EXPECT_GT(soak.Count("streams of several runs served"), 0);
 }
 
+// Guards against resumptions that are refused although runners of the stream's version serve.
+TEST(StreamSoakTest, ResumedStreamsGoOnWhileRunnersAreReplacedByOtherVersions) {
+  SoakSize size;
+  size.troubles = Troubles::kReleases;
+  size.runners = SoakNumber("RUNNERS", 8);
+  StreamSoak soak(static_cast<std::uint64_t>(SoakNumber("SEED", 3)), size);
+  EXPECT_EQ(soak.Run(), "");
+  ASSERT_GE(soak.Count("resumed, version served"), 12);
+  EXPECT_GE(soak.ContinuedShare(), 0.5 * soak.BegunShare());
+}
+
 TEST(StreamSoakTest, StreamsStayTrueUnderOverlappingTroubles) {
   int chosen = SoakNumber("SEED", 0);
   std::vector<std::uint64_t> seeds = {1, 2};
