--- a/src/turn_ledger/messages.h
+++ b/src/turn_ledger/messages.h
@@ -11,6 +11,7 @@
 #include "consensus/types.h"
 #include "store/relay/mirror_delta.h"
 #include "turn_ledger/chain/chain_messages.h"
+#include "turn_ledger/streams/origin_query.h"
 #include "turn_ledger/types.h"
 #include "wire/endpoint.h"
 #include "wire/layout.h"
--- a/src/turn_ledger/turn_state.h
+++ b/src/turn_ledger/turn_state.h
@@ -12,6 +12,7 @@
 #include "consensus/types.h"
 #include "turn_ledger/chain/chain_messages.h"
 #include "turn_ledger/image/state_image.h"
+#include "turn_ledger/streams/origin_query.h"
 #include "turn_ledger/types.h"
 
 namespace martenyard::turn_ledger {
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -151,15 +151,4 @@
   }
 };
 
-/// Asks for the origin of a stream.
-struct origin_query {
-  ProgramId m_account;  ///< The account that has the reservations of the stream.
-  TurnId m_stream;      ///< The request that delivered the stream's first event.
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(m_account, m_stream);
-  }
-};
-
 }  // namespace martenyard::turn_ledger
