Unnamed resumptions are refused before a reservation; more of them in the soak

Cause: found by reading: a request that resumes a stream without naming it reserved tokens first, and was refused afterwards. Its bound and its precondition are unchanged.

--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -264,7 +264,7 @@
 void RequestHandler::ScopeIds() {
   absl::string_view tenant = tenant_ == nullptr ? absl::string_view() : tenant_->m_name;
   turn_ = turn_ledger::TurnId(tenancy::scoped_id(tenant, info_.id.value));
-  reservation_ = turn_;
+  reservation_id_ = turn_;
   program_ = ProgramId(tenancy::scoped_id(tenant, info_.program.value));
   if (info_.previous_turn) {
     previous_turn_ = RequestId(tenancy::scoped_id(tenant, info_.previous_turn->value));
@@ -273,8 +273,15 @@
 
 Task<bool> RequestHandler::AdmitTurn() {
   bool stores_turn = route_->keeps_turns;
+  bool asks_ledger = false;  // For the origin of the stream that the client resumes.
+  if (IsResumption()) {
+    asks_ledger = info_.resumes.has_value();
+    if (!asks_ledger && !co_await AdoptOrigin(SoleOrigin(), OriginSource::kSoleVersion)) {
+      co_return false;
+    }
+  }
   if (!info_.token_budget && !stores_turn) {
-    if (!IsResumption()) {
+    if (!asks_ledger) {
       co_return true;
     }
     co_return co_await FindOrigin();
@@ -323,7 +330,7 @@
   if (IsResumable() && !IsResumption()) {
     PlanOrigin();
   }
-  reserve.turn = reservation_;
+  reserve.turn = reservation_id_;
   reserved_ = true;
   turn_ledger::CallResult result = co_await Reserve(reserve, ledger_deadline, programs);
   state_->metrics.Observe(Stage::kLedger, SteadyNow() - start);
@@ -340,13 +347,8 @@
   if (!co_await HandleVerdict(result, line)) {
     co_return false;
   }
-  if (IsResumption()) {
-    bool named = info_.resumes.has_value();
-    auto origin = named ? std::move(result->origin) : SoleOrigin();
-    auto source = named ? OriginSource::kLedger : OriginSource::kSoleVersion;
-    if (!co_await AdoptOrigin(std::move(origin), source)) {
-      co_return false;
-    }
+  if (asks_ledger && !co_await AdoptOrigin(std::move(result->origin), OriginSource::kLedger)) {
+    co_return false;
   }
   const turn_ledger::TurnPlace& place = result->previous_place;
   if (place.runner != 0 && state_->options.uses_turn_places) {
--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -113,7 +113,7 @@
   /// The first event of the runner is about to be delivered.
   void StartStream(const discovery::Runner& runner);
   void RecordOriginInBackground();
-  /// Finds the origin of the stream that the client resumes without a reservation.
+  /// Finds the origin of the stream that the client names and resumes without a reservation.
   /// @return false if it sent an error.
   async_http::Task<bool> FindOrigin();
   /// Restricts the request to the runners of an origin. @return false if it sent an error.
@@ -190,7 +190,7 @@
   RequestInfo info_;
   // The client's ids, scoped to the tenant.
   turn_ledger::TurnId turn_;
-  turn_ledger::TurnId reservation_;  ///< Id of the turn's reservation.
+  turn_ledger::TurnId reservation_id_;  ///< The turn's id; that of a resumable turn has an origin.
   ProgramId program_;
   std::optional<RequestId> previous_turn_;
   absl::Time deadline_;
--- a/src/forwarding/request_origin.cc
+++ b/src/forwarding/request_origin.cc
@@ -81,7 +81,7 @@
     }
   }
   if (origin_) {
-    reservation_ = turn_ledger::recording_id(turn_, {++origin_generation_, *origin_});
+    reservation_id_ = turn_ledger::recording_id(turn_, {++origin_generation_, *origin_});
   }
 }
 
@@ -146,9 +146,6 @@
 
 Task<bool> RequestHandler::FindOrigin() {
   std::optional<turn_ledger::origin_query> query = OriginQuery();
-  if (!query) {
-    co_return co_await AdoptOrigin(SoleOrigin(), OriginSource::kSoleVersion);
-  }
   co_await WaitFor(Prerequisite::kLedgerGroups);
   if (!IsAvailable(Prerequisite::kLedgerGroups)) {
     co_await Refuse(reject_reason::ledger_unknown);
--- a/src/forwarding/request_settlement.cc
+++ b/src/forwarding/request_settlement.cc
@@ -18,7 +18,7 @@
 turn_ledger::SettleTurn RequestHandler::Settlement(std::uint64_t tokens) const {
   turn_ledger::SettleTurn settle;
   settle.program = program_;
-  settle.turn = reservation_;
+  settle.turn = reservation_id_;
   settle.tokens = tokens;
   settle.retention_ms = RetentionMilliseconds();
   return settle;
--- a/tests/platform/system/stream_soak_test.cc
+++ b/tests/platform/system/stream_soak_test.cc
@@ -728,6 +728,8 @@
   SoakSize size;
   size.troubles = Troubles::kReleases;
   size.runners = SoakNumber("RUNNERS", 8);
+  size.clients = SoakNumber("CLIENTS", 24);
+  size.rounds = SoakNumber("ROUNDS", 8);
   StreamSoak soak(static_cast<std::uint64_t>(SoakNumber("SEED", 3)), size);
   EXPECT_EQ(soak.Run(), "");
   ASSERT_GE(soak.Count("resumed, version served"), 12);
