Tests: versions of a service, resumptions without the ledger, origins asked by each try

Cause: three parts of the change had no test of their own. Change: RunnerTableTest.SoleVersion…, StreamVersionContractTest.ResumptionIsRefusedWhile TheLedgerIsSilent, LedgerClientTest.EachTryAsksFor…; one doc comment reworded.

--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -107,8 +107,8 @@
   std::optional<turn_ledger::stream_origin> SoleOrigin() const;
   /// Chooses the origin that the reservation of a new stream records.
   void PlanOrigin();
-  /// Records the origin of a reserved stream anew if it begins elsewhere than planned.
-  /// @return false if that is not known to be committed: the runner may not be used.
+  /// Records the runner's origin if the reserved stream was planned to begin at another one.
+  /// @return false if the record is not known to be committed: the runner may not be used.
   async_http::Task<bool> RecordOrigin(const discovery::Runner& runner);
   /// The first event of the runner is about to be delivered.
   void StartStream(const discovery::Runner& runner);
--- a/tests/discovery/runner_table_test.cc
+++ b/tests/discovery/runner_table_test.cc
@@ -141,5 +141,28 @@
   EXPECT_EQ(table.Find(runner.id)->own_tokens, 500U) << "the request is still in flight";
 }
 
+TEST(RunnerTableTest, SoleVersionIsThatOfAllRunnersOfTheService) {
+  RunnerTable table;
+  const ServiceName service("s");
+  EXPECT_EQ(table.SoleVersion(service), std::nullopt) << "no runner";
+  Runner first = MakeRunner("a");
+  first.version = "v1";
+  Runner second = MakeRunner("b");
+  second.version = "v2";
+  table.Upsert(kNow, first);
+  EXPECT_EQ(table.SoleVersion(service), "v1");
+  table.Upsert(kNow, second);
+  EXPECT_EQ(table.SoleVersion(service), std::nullopt);
+  first.version = "v2";
+  table.Upsert(kNow, first);
+  EXPECT_EQ(table.SoleVersion(service), "v2") << "its entry has changed";
+  first.version = "v1";
+  table.Upsert(kNow, first);
+  table.Remove(kNow, first.id);
+  EXPECT_EQ(table.SoleVersion(service), std::nullopt) << "it may still serve";
+  table.Prune(kNow + absl::Minutes(2), absl::Minutes(1));
+  EXPECT_EQ(table.SoleVersion(service), "v2");
+}
+
 }  // namespace
 }  // namespace martenyard::discovery
--- a/tests/platform/stream_version_contract_test.cc
+++ b/tests/platform/stream_version_contract_test.cc
@@ -177,6 +177,14 @@
   world.ExpectRefused(world.Ask(VersionWorld::Resumption("attempt-2", "attempt-1", GetParam())));
 }
 
+TEST_P(StreamVersionContractTest, ResumptionIsRefusedWhileTheLedgerIsSilent) {
+  VersionWorld world;
+  world.Start();
+  world.BeginAtV1(GetParam());
+  world.disk().fails = true;
+  world.ExpectRefused(world.Ask(VersionWorld::Resumption("attempt-2", "attempt-1", GetParam())));
+}
+
 TEST(StreamVersionTenantTest, TenantCannotResumeAnotherTenantsStream) {
   constexpr char kTenants[] = R"([{"name":"north","apiKeys":["north-key"]},
                                   {"name":"south","apiKeys":["south-key"]}])";
--- a/tests/turn_ledger/ledger_client_test.cc
+++ b/tests/turn_ledger/ledger_client_test.cc
@@ -227,6 +227,27 @@
   }
 }
 
+// Guards against a resumed stream whose origin is never asked for.
+TEST_F(LedgerClientTest, EachTryAsksForTheOriginOfTheStream) {
+  std::optional<origin_query> query = origin_query{ProgramId("p"), TurnId("stream")};
+  async_http::asio::co_spawn(
+      loop_.context(),
+      [this, query]() -> async_http::Task<void> {
+        Operation operation = ReserveTurn{};
+        co_await client_.Call(kGroup, std::move(operation), SteadyNow() + absl::Seconds(10),
+                              Relaying::kAllowed, Programs::kAll, query);
+      },
+      async_http::asio::detached);
+  ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() >= 2; }));
+  for (const auto& [target, request] : sent_) {
+    ASSERT_TRUE(request.origin.has_value());
+    EXPECT_EQ(request.origin->m_stream, query->m_stream);
+    EXPECT_EQ(request.origin->m_account, query->m_account);
+  }
+  SendReply(sent_.back().second, ReplyStatus::kDone);
+  EXPECT_TRUE(RunUntil(loop_, [&] { return client_.pending() == 0; }));
+}
+
 // Guards against losing a whole try timeout to a machine that has just refused a connection.
 TEST_F(LedgerClientTest, MachineThatRefusedAConnectionIsSkippedForAWhile) {
   client_.OnReplicaDown(kFirst);
