Logs: a fingerprint that all tries of a client's request share, and lost connections

Change: request_ended and attempt_ended carry a keyed hash of what stays the same over the tries (tenant, method, host, target, program, session, previous turn, the prompt's own part, body); the key is the ledger's group layout, which is written once, at random, and known to the deployment's own processes only. attempt_ended tells connection_lost and refused.

--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -88,6 +88,7 @@
                                 [this] { Abort(AttemptOutcome::kNoResponse); });
   }
   bool sent = co_await SendRequest();
+  peer_closed_ = !sent;
   result.sent = connection_->any_sent();
   if (!result.sent) {
     // Not a byte was accepted, whatever the reason: the request has not run and never will.
@@ -138,6 +139,7 @@
   state_.pool.CountOpened(plan_.runner.id);
   if (!co_await OpenConnection()) {
     result.detail = "connection failed";
+    result.refused = connection_->connect_error() == async_http::asio::error::connection_refused;
     connection_->Close();
     state_.pool.CountClosed(plan_.runner.id);
     co_return false;
@@ -171,6 +173,7 @@
 Task<ReadStep> Attempt::ReadHead() {
   silence_.begin_wait();
   ReadStep step = co_await connection_->ReadHead();
+  peer_closed_ = peer_closed_ || step == ReadStep::kClosed;
   silence_.end_wait(step == ReadStep::kProgress || step == ReadStep::kWhole);
   co_return step;
 }
@@ -179,6 +182,7 @@
   bool caught_up = unread_time_ > absl::ZeroDuration() && !connection_->HasUnreadBytes();
   silence_.begin_wait();
   ReadStep step = co_await connection_->ReadBody();
+  peer_closed_ = peer_closed_ || step == ReadStep::kClosed || connection_->ended_by_close();
   silence_.end_wait(step == ReadStep::kProgress || step == ReadStep::kWhole);
   if (caught_up && step == ReadStep::kProgress) {
     unread_time_ = absl::ZeroDuration();  // The runner was able to send all it had.
@@ -378,11 +382,18 @@
   return sink.WhyIncomplete(connection_->ended_by_close());
 }
 
+bool Attempt::LostConnection(const AttemptResult& result) const {
+  bool unfinished =
+      result.outcome == AttemptOutcome::kNoResponse || result.outcome == AttemptOutcome::kTruncated;
+  return unfinished && peer_closed_ && !aborted_;
+}
+
 void Attempt::Finish(AttemptResult& result) {
   if (sending_done_) {
     *sending_done_ = nullptr;
   }
   result.client_slow = unread_time_ >= kMaxUnreadTime;
+  result.connection_lost = LostConnection(result);
   bool good =
       result.outcome == AttemptOutcome::kCompleted || result.outcome == AttemptOutcome::kNotRun;
   if (good && !sending_ && !aborted_ && connection_->MayBeReused()) {
--- a/src/forwarding/attempt.h
+++ b/src/forwarding/attempt.h
@@ -68,6 +68,8 @@
   bool wrong_runner = false;        ///< The address now belongs to another runner.
   bool sent = false;                ///< The connection accepted at least one byte of the request.
   bool reused = false;              ///< The connection came from the pool.
+  bool connection_lost = false;     ///< The runner's side closed it before the response's end.
+  bool refused = false;             ///< The runner's address refused a new connection.
   bool client_slow = false;         ///< The response was not read for long before it ended.
   const char* framing = "none";     ///< How the end of the response is delimited: see `FramingOf`.
   std::string detail;               ///< For the log.
@@ -89,6 +91,8 @@
   async_http::Task<bool> Connect(AttemptResult& result);
   /// Opens a new connection and reports what it tells of the way to the runner.
   async_http::Task<bool> OpenConnection();
+  /// @return whether the runner closed the connection, or failed, before the response's end.
+  bool LostConnection(const AttemptResult& result) const;
   /// Reads from the connection as the functions of the same names; reports answers and silence.
   async_http::Task<async_http::ReadStep> ReadHead();
   async_http::Task<async_http::ReadStep> ReadBody();
@@ -116,6 +120,7 @@
   std::shared_ptr<async_http::Connection> connection_;
   bool aborted_ = false;
   AttemptOutcome abort_outcome_ = AttemptOutcome::kNoResponse;
+  bool peer_closed_ = false;  // Or the connection failed.
   // For how long the response was not read since the last time that all its bytes had been read.
   absl::Duration unread_time_ = absl::ZeroDuration();
   bool sending_ = false;                 // The body is being sent while the response is read.
--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "async_http/task.h"
@@ -15,6 +16,7 @@
 #include "forwarding/admission/admission_controller.h"
 #include "forwarding/admission/program_admission.h"
 #include "forwarding/connection_pool.h"
+#include "forwarding/crashes/request_fingerprint.h"
 #include "forwarding/gateway_metrics.h"
 #include "forwarding/header_names.h"
 #include "forwarding/isolation/isolation_gate.h"
@@ -100,6 +102,8 @@
   id_strides event_id_strides;  ///< By the origin of the streams.
   PrefixIndex prefixes{absl::Seconds(30), 40000};
   ConnectionPool pool;
+  std::optional<fingerprint_hasher>
+      fingerprints;  ///< Empty until the deployment's secret is known.
   TurnCache turns{std::uint64_t{2} << 20};
   std::unique_ptr<turn_ledger::LedgerClient> ledger;
   std::unique_ptr<quota_client> quotas;
--- a/src/forwarding/header_names.h
+++ b/src/forwarding/header_names.h
@@ -23,6 +23,7 @@
   std::string token_usage = "Tokens";  ///< "PROMPT_TOKENS,MAX_OUTPUT_TOKENS".
   std::string priority = "Priority-Rank";
   std::string program = "Program";
+  std::string session = "Session";  ///< One for each line of consecutive turns of a program.
   std::string program_deadline_ms = "Program-Deadline";
   std::string token_budget = "Budget";
   std::string previous_turn = "Previous";
--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -55,6 +55,7 @@
     co_return;
   }
   body_ = std::make_shared<std::string>(std::move(exchange_->request().body()));
+  Identify();
   if (!co_await AdmitUnlessIsolated()) {
     co_return;
   }
@@ -246,6 +247,9 @@
           .Number("unfinished_bytes", static_cast<std::int64_t>(forwarder.unfinished_bytes()))
           .Text("framing", result.framing)
           .Flag("reused", result.reused)
+          .Flag("connection_lost", result.connection_lost)
+          .Flag("refused", result.refused)
+          .Text("fingerprint", FingerprintText())
           .Text("detail", result.detail)
           .Flag("client_slow", result.client_slow)
           .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - start)));
@@ -423,6 +427,7 @@
                         .Text("outcome", outcome)
                         .Text("detail", last_detail_)
                         .Text("head_of", head_runner_)
+                        .Text("fingerprint", FingerprintText())
                         .Number("sent_to", sent_attempts_)
                         .Number("events", static_cast<std::int64_t>(delivered_.count()))
                         .Real("ms", absl::ToDoubleMilliseconds(took)));
--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -10,6 +10,7 @@
 #include "async_http/server.h"
 #include "forwarding/admission/program_admission.h"
 #include "forwarding/attempt.h"
+#include "forwarding/crashes/request_fingerprint.h"
 #include "forwarding/gateway_state.h"
 #include "forwarding/history/history_fetch.h"
 #include "forwarding/regions/region_restriction.h"
@@ -37,6 +38,10 @@
   /// State that is not available immediately after the start of the process.
   enum class Prerequisite { kRoutes, kLedgerGroups, kLease };
   bool IsAvailable(Prerequisite prerequisite) const;
+  /// Computes the fingerprint, once the deployment's secret is known.
+  void Identify();
+  /// @return the fingerprint for the log; empty if there is none.
+  std::string FingerprintText() const;
   /// Waits until `prerequisite` is available, for at most the start-up timeout or a quarter of the
   /// request's time.
   async_http::Task<void> WaitFor(Prerequisite prerequisite);
@@ -193,6 +198,8 @@
   turn_ledger::TurnId reservation_id_;  ///< The turn's id; that of a resumable turn has an origin.
   ProgramId program_;
   std::optional<RequestId> previous_turn_;
+  /// The same for all tries of the client; empty while it is not known.
+  std::optional<request_fingerprint> fingerprint_;
   absl::Time deadline_;
   std::shared_ptr<const std::string> body_;
 
--- a/src/forwarding/request_info.cc
+++ b/src/forwarding/request_info.cc
@@ -75,6 +75,7 @@
     info.max_output_tokens = ReadNumber<std::uint32_t>(usage.substr(comma + 1)).value_or(0);
   }
   info.program = ProgramId(std::string(Find(fields, names.program)));
+  info.session = std::string(Find(fields, names.session));
   info.token_budget = ReadNumber<std::uint64_t>(Find(fields, names.token_budget));
   info.program_deadline = ReadMilliseconds(Find(fields, names.program_deadline_ms));
   absl::string_view previous = Find(fields, names.previous_turn);
--- a/src/forwarding/request_info.h
+++ b/src/forwarding/request_info.h
@@ -31,6 +31,7 @@
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
   ProgramId program;                          ///< Empty for requests outside of programs.
+  std::string session;                        ///< The line of consecutive turns; may be empty.
   std::optional<std::uint64_t> token_budget;  ///< Output tokens allowed for the whole program.
   std::optional<RequestId> previous_turn;     ///< The turn that this one continues.
   std::optional<absl::Duration> program_deadline;
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -461,6 +461,8 @@
   if (layout == nullptr) {
     return;
   }
+  // Written once, at random, and known to the deployment's own processes only.
+  state_->fingerprints.emplace(wire::Encode(*layout));
   std::vector<std::vector<wire::Endpoint>> groups;
   for (std::size_t index = 0; index < layout->size(); ++index) {
     const consensus::Configuration& initial_members = (*layout)[index];
