--- a/tests/platform/support/recording_runner.cc
+++ b/tests/platform/support/recording_runner.cc
@@ -111,6 +111,7 @@
   int asked_after = 0;  ///< The same as a number.
   int events = 1;       ///< Of a whole stream: the target's last part.
   bool streams = false;
+  bool fatal = false;
 };
 
 RecordingRunner::RecordingRunner(asio::io_context& context, std::string id, std::string version,
@@ -188,6 +189,8 @@
     if (!absl::SimpleAtoi(request.target.substr(request.target.rfind('/') + 1), &request.events)) {
       request.events = 1;
     }
+    const std::string& mark = book_.fatal.mark;
+    request.fatal = !mark.empty() && message.body().find(mark) != std::string::npos;
     int count = ++book_.runs_of[request.attempt];
     Random random(StableHash(absl::StrCat(request.attempt, "#", count), book_.seed));
     RunPlan plan = Draw(request, random);
@@ -202,7 +205,8 @@
     run.ran = plan != RunPlan::kShed && plan != RunPlan::kWrongInstance;
     run.faulty = !run.ran || Breaks(plan) || plan == RunPlan::kFromStart ||
                  plan == RunPlan::kSkipEvent || plan == RunPlan::kFail ||
-                 plan == RunPlan::kGarbage || plan == RunPlan::kClose;
+                 plan == RunPlan::kGarbage || plan == RunPlan::kClose ||
+                 plan == RunPlan::kEndProcess;
     book_.runs.push_back(std::move(run));
     session->run = &book_.runs.back();
     goes_on = co_await Answer(*session, request, plan);
@@ -218,6 +222,9 @@
   if (request.wanted_instance != id_) {
     return RunPlan::kWrongInstance;
   }
+  if (request.fatal) {
+    return RunPlan::kEndProcess;
+  }
   RunPlan plan =
       random.Uniform() < book_.trouble ? DrawFrom(kBadPlans, random) : DrawFrom(kGoodPlans, random);
   bool about_place = plan == RunPlan::kFromStart || plan == RunPlan::kSkipEvent;
@@ -257,6 +264,9 @@
       co_return false;
     case RunPlan::kClose:
       co_return false;
+    case RunPlan::kEndProcess:
+      co_await EndUnder(session, request, random);
+      co_return false;
     default:
       break;
   }
@@ -278,6 +288,40 @@
   co_return !Breaks(plan) && run.tells_end;
 }
 
+Task<void> RecordingRunner::EndUnder(Session& session, const Request& request, Random& random) {
+  RunRecord& run = *session.run;
+  std::string id = id_;
+  run.signature = absl::StrCat("sig-", run.runner, "-", book_.runs.size(), "-", run.attempt);
+  if (request.streams && book_.fatal.events > 0) {
+    run.status = 200;
+    run.tells_end = true;
+    co_await Write(session,
+                   absl::StrCat("HTTP/1.1 200 X\r\nAttempt-Id: ", run.attempt,
+                                "\r\nServer-Signature: ", run.signature,
+                                "\r\nContent-Type: text/event-stream\r\n",
+                                "Transfer-Encoding: chunked\r\n\r\n"),
+                   RunPlan::kServe, random);
+    for (int made = 0; made < book_.fatal.events; ++made) {
+      int number = request.asked_after + 1 + made;
+      std::string event =
+          absl::StrCat("id: ", number, "\ndata: ", run.signature, " event ", number, "\n\n");
+      run.body += event;
+      co_await Write(session, Chunk(event), RunPlan::kServe, random);
+      co_await async_http::Sleep(context_, book_.fatal.run_time);
+    }
+  } else {
+    co_await async_http::Sleep(context_, book_.fatal.run_time);
+  }
+  if (!acceptor_.is_open() || id_ != id) {
+    co_return;  // It ended under another request meanwhile.
+  }
+  book_.fatal.ends.emplace_back(run.request_body, id_);
+  Crash();
+  if (book_.fatal.on_end) {
+    book_.fatal.on_end(*this);
+  }
+}
+
 Task<void> RecordingRunner::AnswerCall(Session& session, RunPlan plan, Random& random) {
   RunRecord& run = *session.run;
   std::string body = absl::StrCat("answer of ", run.signature, " ",
@@ -398,6 +442,8 @@
       return "garbage";
     case RunPlan::kClose:
       return "close";
+    case RunPlan::kEndProcess:
+      return "end_process";
   }
   return "unknown";
 }
--- a/tests/platform/support/recording_runner.h
+++ b/tests/platform/support/recording_runner.h
@@ -3,12 +3,16 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "async_http/server.h"
 #include "async_http/task.h"
 #include "base/random.h"
@@ -36,6 +40,19 @@
   kWrongInstance,    ///< 421.
   kGarbage,          ///< Bytes that are no answer.
   kClose,            ///< No answer.
+  kEndProcess,       ///< The runner's process ends: see `FatalRequests`.
+};
+
+class RecordingRunner;
+
+/// Requests under which the runner that runs them ends.
+struct FatalRequests {
+  std::string mark;         ///< In their bodies; empty: there are none.
+  int events = 0;           ///< Whole events of a stream before the end.
+  absl::Duration run_time;  ///< From the request to the end, or between two events.
+  /// Each end: the request's body, and the id of the runner.
+  std::vector<std::pair<std::string, std::string>> ends;
+  std::function<void(RecordingRunner&)> on_end;  ///< May restart the runner later.
 };
 
 /// Shared by all runners of a system: what they made, in the order of beginning.
@@ -45,6 +62,7 @@
   std::deque<RunRecord> runs;
   std::map<std::string, int> runs_of;  ///< Requests got, by attempt.
   std::map<std::string, int> plans;    ///< How often each plan was drawn, by name.
+  FatalRequests fatal;
 };
 
 /// On the loop's thread only; outlives the loop's last round.
@@ -76,6 +94,8 @@
   async_http::Task<void> AcceptAll();
   async_http::Task<void> Serve(std::shared_ptr<Session> session);
   async_http::Task<bool> Answer(Session& session, const Request& request, RunPlan plan);
+  /// Runs a fatal request until the process ends.
+  async_http::Task<void> EndUnder(Session& session, const Request& request, Random& random);
   async_http::Task<void> AnswerCall(Session& session, RunPlan plan, Random& random);
   async_http::Task<void> AnswerStream(Session& session, const Request& request, RunPlan plan,
                                       Random& random);
