Requests under which three runners ended are not sent to any other

What callers saw: one request takes a whole service down. Each of its tries goes to runners that end under it, and those that ran beside it are cut.

Cause: nothing matches the tries of a client's request (each has an id of its own), so what it did to the runners before is known to no gateway, not even to the one that saw it. Ruled out: that only a change of gateways loses the count, or only maxAttempts is too large (routes with one attempt end one runner a try).

Change: - The ledger keeps, in an account of the request's fingerprint, one reserved token for each runner that ended under it. Reservations of turns ask for the records of their request, which costs no message (layout marked-6). - A lost connection counts if the runner's address refuses a new one; else the loss is kept until the runner answers another request, or turns out to have ended (its entry lapses, another process has its id or address, 421). Counted losses are cleared when it serves on. - A loss is counted before the client is answered; a suspect request is counted before it is sent, so that the count outlives the gateway. Its runner is the one with the fewest requests and no other suspect; fresh requests avoid runners of strong suspects; the last runner of a service gets none. - Calls that pass no ledger ask it for 20 s after a runner of their service ended; gateways tell each other of that by datagrams, at most once in 10 s for a service.

Not covered: a gateway that is killed together with the first runner; leaders of earlier builds do not tell records.

--- a/src/aggregation/messages.h
+++ b/src/aggregation/messages.h
@@ -178,8 +178,23 @@
     }
 };
 
+/// @brief a runner has ended under a request: until some time later, gateways ask the ledger about requests
+///        of its service
+struct runner_end_notice
+{
+    std::string m_service;
+    /// number of aggregators that have passed the notice on
+    std::uint8_t m_hops = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_service, m_hops);
+    }
+};
+
 /// @brief all messages that gateways send as datagrams
 using datagram = std::variant<member_report, zone_summary, digest, store::news_request, confirmation_question,
-                              confirmation_answer>;
+                              confirmation_answer, runner_end_notice>;
 
 }  // namespace martenyard::aggregation
--- a/src/discovery/runner_table.cc
+++ b/src/discovery/runner_table.cc
@@ -20,6 +20,8 @@
     // Requests in flight to the previous process are counted until they end.
     RunnerState fresh;
     fresh.own_active = state.own_active;
+    fresh.own_suspects = state.own_suspects;
+    fresh.own_strong_suspects = state.own_strong_suspects;
     fresh.peers_active = state.peers_active;
     fresh.own_tokens = state.own_tokens;
     state = std::move(fresh);
--- a/src/discovery/runner_table.h
+++ b/src/discovery/runner_table.h
@@ -35,6 +35,9 @@
   absl::Time draining_since = absl::InfiniteFuture();  ///< When it was first seen draining.
   std::uint32_t own_active = 0;                        ///< Requests in flight from this gateway.
   std::uint32_t peers_active = 0;  ///< Requests in flight from other gateways, as last reported.
+  /// Of the own ones, those under which runners ended before, and those under which several did.
+  std::uint32_t own_suspects = 0;
+  std::uint32_t own_strong_suspects = 0;
   int consecutive_failures = 0;
   failure_estimate failure_rate;       ///< As observed by this gateway and its peers.
   request_outcomes unreported;         ///< Observed here, not yet reported to peers.
--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -16,6 +16,7 @@
 #include "forwarding/admission/admission_controller.h"
 #include "forwarding/admission/program_admission.h"
 #include "forwarding/connection_pool.h"
+#include "forwarding/crashes/crash_tracker.h"
 #include "forwarding/crashes/request_fingerprint.h"
 #include "forwarding/gateway_metrics.h"
 #include "forwarding/header_names.h"
@@ -102,8 +103,9 @@
   id_strides event_id_strides;  ///< By the origin of the streams.
   PrefixIndex prefixes{absl::Seconds(30), 40000};
   ConnectionPool pool;
-  std::optional<fingerprint_hasher>
-      fingerprints;  ///< Empty until the deployment's secret is known.
+  /// Empty until the deployment's secret is known.
+  std::optional<fingerprint_hasher> fingerprints;
+  std::shared_ptr<crash_tracker> crashes;
   TurnCache turns{std::uint64_t{2} << 20};
   std::unique_ptr<turn_ledger::LedgerClient> ledger;
   std::unique_ptr<quota_client> quotas;
--- a/src/forwarding/rejections/reject_reason.cc
+++ b/src/forwarding/rejections/reject_reason.cc
@@ -43,6 +43,9 @@
     reject_reason::no_runner,
     reject_reason::not_taken,
     reject_reason::deadline_passed,
+    reject_reason::suspect_uncounted,
+    reject_reason::suspect_deferred,
+    reject_reason::runners_ended,
     reject_reason::runner_failed,
     reject_reason::runner_late,
 };
@@ -115,6 +118,12 @@
             return "no runner took it";
         case reject_reason::deadline_passed:
             return "the deadline passed before a runner was chosen";
+        case reject_reason::suspect_uncounted:
+            return "a runner ended under it, and the turn ledger did not count another send";
+        case reject_reason::suspect_deferred:
+            return "a runner ended under it, and one runner of the service is left";
+        case reject_reason::runners_ended:
+            return "too many runners ended under it";
         case reject_reason::runner_failed:
             return "the runner broke off";
         case reject_reason::runner_late:
--- a/src/forwarding/rejections/reject_reason.h
+++ b/src/forwarding/rejections/reject_reason.h
@@ -45,6 +45,9 @@
     no_runner,
     not_taken,
     deadline_passed,
+    suspect_uncounted,
+    suspect_deferred,
+    runners_ended,
     runner_failed,
     runner_late,
 };
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -302,6 +302,7 @@
     co_await Refuse(reject_reason::ledger_unknown);
     co_return false;
   }
+  Identify();
   group_ = state_->ledger->GroupOf(program_);
   if (!info_.token_budget && !previous_turn_) {
     co_return true;
@@ -476,9 +477,15 @@
 Task<turn_ledger::CallResult> RequestHandler::Reserve(turn_ledger::ReserveTurn reserve,
                                                       absl::Time ledger_deadline,
                                                       turn_ledger::Programs programs) {
-  std::optional<turn_ledger::origin_query> query = OriginQuery();
+  turn_ledger::LedgerQueries queries;
+  queries.origin = OriginQuery();
+  queries.crash_account = CrashAccount();
   turn_ledger::CallResult result = co_await state_->ledger->Call(
-      group_, reserve, ledger_deadline, turn_ledger::Relaying::kAllowed, programs, query);
+      group_, reserve, ledger_deadline, turn_ledger::Relaying::kAllowed, programs, queries);
+  if (result) {
+    crashes_known_ = queries.crash_account.has_value();
+    LearnCrashes(result->crash_records);
+  }
   bool unknown = result && result->verdict == turn_ledger::Verdict::kUnknownPrevious;
   if (unknown && state_->ledger->groups() > 1) {
     result = co_await ReserveAfterOtherGroupsTurn(std::move(reserve), ledger_deadline);
--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -56,7 +56,11 @@
   }
   body_ = std::make_shared<std::string>(std::move(exchange_->request().body()));
   Identify();
-  if (!co_await AdmitUnlessIsolated()) {
+  if (IsHeldBack()) {
+    co_await RejectHeldBack();
+    co_return;
+  }
+  if (!co_await AdmitUnlessIsolated() || !co_await CheckCrashes()) {
     co_return;
   }
   exchange_->OnClientGone([this] {
@@ -66,6 +70,7 @@
   });
   co_await TryRunners();
   exchange_->ClearOnClientGone();
+  WithdrawCrash();
   SettleInBackground(TokensDelivered());
 }
 
@@ -132,7 +137,7 @@
       route_->kind == RouteKind::kStream && route_->resumable && delivered_.can_be_resumed();
   retry_state.response_started = exchange_->stream_started();
   retry_state.may_have_run = may_have_run_;
-  retry_state.attempts_left = route_->max_attempts - sent_attempts_;
+  retry_state.attempts_left = IsHeldBack() ? 0 : route_->max_attempts - sent_attempts_;
   retry_state.time_left = TimeLeft();
   return retry_state;
 }
@@ -146,6 +151,8 @@
   last_runner_ = entry->short_id;
   delivered_.expect_stride(state_->event_id_strides.stride_of({runner.service, runner.version}));
   absl::Time start = SteadyNow();
+  auto sent_at = SteadyInstant();
+  CountSuspect(runner.id, 1);
   Attempt attempt(*state_, MakePlan(runner));
   attempt_ = &attempt;
   if (exchange_->client_gone()) {
@@ -153,6 +160,7 @@
   }
   AttemptResult result = co_await attempt.Run(forwarder);
   attempt_ = nullptr;
+  CountSuspect(runner.id, -1);
   state_->runners.EndRequest(SteadyInstant(), runner.id, tokens);
   if (forwarder.sent_head()) {
     head_runner_ = runner.id.value;
@@ -160,6 +168,7 @@
   RecordResult(runner, result);
   LogAttempt(runner, result, forwarder, start);
   RecordTurnTimes(result, forwarder, runner_load, start);
+  co_await JudgeAttempt(runner, result, sent_at);
   co_return result;
 }
 
@@ -247,11 +256,11 @@
           .Number("unfinished_bytes", static_cast<std::int64_t>(forwarder.unfinished_bytes()))
           .Text("framing", result.framing)
           .Flag("reused", result.reused)
+          .Text("detail", result.detail)
+          .Flag("client_slow", result.client_slow)
           .Flag("connection_lost", result.connection_lost)
           .Flag("refused", result.refused)
           .Text("fingerprint", FingerprintText())
-          .Text("detail", result.detail)
-          .Flag("client_slow", result.client_slow)
           .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - start)));
 }
 
@@ -291,8 +300,13 @@
       runner = co_await ChooseAdmitted();
     }
     if (exchange_->client_gone() || !KeyStillValid()) {
+      WithdrawCrash();
       continue;  // Changed while a permit was requested.
     }
+    if (!runner && IsHeldBack()) {
+      co_await RejectHeldBack();
+      co_return;
+    }
     AttemptOutcome outcome = AttemptOutcome::kNotSent;
     AttemptResult result;
     // One forwarder per attempt: the head and partial event of a failed attempt are discarded.
@@ -331,7 +345,9 @@
         co_return;
       }
       case NextStep::kFail:
-        co_await SendError(502, reject_reason::runner_failed, std::nullopt);
+        co_await SendError(
+            502, IsHeldBack() ? reject_reason::runners_ended : reject_reason::runner_failed,
+            std::nullopt);
         co_return;
       case NextStep::kTimeOut:
         co_await SendError(504, reject_reason::runner_late, std::nullopt);
--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -1,6 +1,7 @@
 // Handles one client request: admission, runner selection, attempts, response and settlement.
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <set>
@@ -10,6 +11,7 @@
 #include "async_http/server.h"
 #include "forwarding/admission/program_admission.h"
 #include "forwarding/attempt.h"
+#include "forwarding/crashes/crash_tracker.h"
 #include "forwarding/crashes/request_fingerprint.h"
 #include "forwarding/gateway_state.h"
 #include "forwarding/history/history_fetch.h"
@@ -45,6 +47,37 @@
   /// Waits until `prerequisite` is available, for at most the start-up timeout or a quarter of the
   /// request's time.
   async_http::Task<void> WaitFor(Prerequisite prerequisite);
+  /// @return the account with the records of the runners that ended under the request, if the
+  /// ledger group of the reservation has it.
+  std::optional<ProgramId> CrashAccount() const;
+  /// Takes over the records that are known here, or that came with a reply of the ledger.
+  void LearnCrashes(const std::vector<turn_ledger::TurnId>& records);
+  /// @return whether a runner ended under the request, in any try of its client.
+  bool IsSuspect() const { return !crashes_.empty(); }
+  /// @return whether so many runners ended under the request that it may not be sent to another.
+  bool IsHeldBack() const;
+  /// Asks the ledger for crashes if runners of the service ended recently, unless it has answered
+  /// with the reservation. @return false if it sent an error.
+  async_http::Task<bool> CheckCrashes();
+  /// Ends a request that is held back.
+  async_http::Task<void> RejectHeldBack();
+  /// Counts a suspect request at the runner that it is about to be sent to. @return false if it may
+  /// not be sent.
+  async_http::Task<bool> ReserveCrash(const discovery::Runner& runner);
+  /// Withdraws the count of a request that was not sent.
+  void WithdrawCrash();
+  /// @return whether a suspect request might end the last runner of its service.
+  bool RisksLastRunner() const;
+  /// Counts this request at the runner while it is in flight there, if it is suspect.
+  void CountSuspect(const discovery::RunnerId& runner, int change);
+  /// Decides after an attempt whether the runner ended under the request.
+  async_http::Task<void> JudgeAttempt(const discovery::Runner& runner, const AttemptResult& result,
+                                      std::chrono::steady_clock::time_point sent_at);
+  /// The runner's side closed the connection: finds out whether the runner has ended.
+  async_http::Task<void> JudgeLoss(const discovery::Runner& runner,
+                                   std::optional<turn_ledger::TurnId> record);
+  /// Keeps a loss until the runner is known to serve on or to have ended.
+  void WatchLoss(const std::string& process, std::optional<turn_ledger::TurnId> record);
   /// Finds the route. @return false if it sent an error.
   async_http::Task<bool> FindRoute();
   /// Checks the API key and sets the tenant. @return false if it sent an error.
@@ -200,6 +233,11 @@
   std::optional<RequestId> previous_turn_;
   /// The same for all tries of the client; empty while it is not known.
   std::optional<request_fingerprint> fingerprint_;
+  suspect suspect_;                                  ///< Valid with a fingerprint.
+  turn_ledger::crash_records crashes_;               ///< Of runners that ended under the request.
+  bool crashes_known_ = false;                       ///< The ledger has told the records.
+  std::optional<turn_ledger::TurnId> crash_record_;  ///< Of the runner that it is sent to now.
+  std::optional<reject_reason> suspect_refusal_;     ///< Why it may not be sent now.
   absl::Time deadline_;
   std::shared_ptr<const std::string> body_;
 
--- a/src/forwarding/request_origin.cc
+++ b/src/forwarding/request_origin.cc
@@ -156,11 +156,13 @@
   find.turn = query->m_stream;
   find.retention_ms = RetentionMilliseconds();
   turn_ledger::Operation operation = find;
+  turn_ledger::LedgerQueries queries;
+  queries.origin = query;
   GroupId group = state_->ledger->GroupOf(query->m_account);
   absl::Time end = std::min(deadline_ - state_->options.response_margin,
                             SteadyNow() + state_->options.ledger_timeout);
   turn_ledger::CallResult result = co_await state_->ledger->Call(
-      group, operation, end, turn_ledger::Relaying::kAllowed, turn_ledger::Programs::kAll, query);
+      group, operation, end, turn_ledger::Relaying::kAllowed, turn_ledger::Programs::kAll, queries);
   if (rejecting_) {
     co_return false;
   }
--- a/src/forwarding/request_runner_selection.cc
+++ b/src/forwarding/request_runner_selection.cc
@@ -35,11 +35,15 @@
   candidate_load load(steady_now, state_->runners, service_name_, PlacementMechanisms(),
                       service != nullptr && service->engine ? service->engine->cache_tokens : 0);
   bool only_reachable = DisregardsUnreachable();
+  std::set<std::string> ended = turn_ledger::runners_of(crashes_);
   for (discovery::RunnerState* runner : state_->runners.OfService(service_name_)) {
     bool reachable = !only_reachable || state_->IsReachable(runner->runner.zone);
     if (!reachable || !IsAllowed(runner->runner)) {
       continue;
     }
+    if (!ended.empty() && ended.contains(process_of(runner->runner))) {
+      continue;
+    }
     bool draining = runner->IsDraining();
     if (draining && runner->draining_since + state_->options.max_draining_runner_use < now) {
       continue;
@@ -52,7 +56,8 @@
     candidate.cached_tokens = state_->prefixes.CachedTokens(now, info_.prompt, runner->short_id);
     candidate.loss_rate = runner->failure_rate.rate(steady_now);
     candidate.draining = draining;
-    candidate.avoided = runner->avoid_until > now || runner->full_until > now;
+    std::uint32_t shunned = IsSuspect() ? runner->own_suspects : runner->own_strong_suspects;
+    candidate.avoided = runner->avoid_until > now || runner->full_until > now || shunned > 0;
     candidate.tried = tried_.contains(candidate.id);
     candidate.at_connection_limit = state_->pool.OpenCount(runner->runner.id) >= share &&
                                     state_->pool.IdleCount(runner->runner.id) == 0;
@@ -94,6 +99,10 @@
 async_http::Task<std::optional<discovery::Runner>> RequestHandler::ChooseAdmitted() {
   send_before_ = absl::InfiniteFuture();
   while (!exchange_->client_gone() && TimeLeft() > kMinAttemptTime) {
+    if (IsSuspect() && RisksLastRunner()) {
+      suspect_refusal_ = reject_reason::suspect_deferred;
+      break;
+    }
     std::optional<discovery::Runner> runner = Choose();
     if (!runner && origin_ && !origin_open_ && MayChangeOrigin()) {
       origin_open_ = true;
@@ -109,9 +118,13 @@
       break;
     }
     // The operator may have evacuated the zone meanwhile.
-    if (IsAllowed(*runner)) {
-      co_return runner;
+    if (!IsAllowed(*runner)) {
+      continue;
+    }
+    if (!co_await ReserveCrash(*runner)) {
+      break;
     }
+    co_return runner;
   }
   co_return std::nullopt;
 }
@@ -154,6 +167,9 @@
   if (TimeLeft() <= kMinAttemptTime) {
     return reject_reason::deadline_passed;
   }
+  if (suspect_refusal_) {
+    return *suspect_refusal_;
+  }
   if (IsResumption()) {
     return reject_reason::stream_version_unavailable;
   }
@@ -196,6 +212,7 @@
   ChoiceRequest request;
   request.prompt_tokens = info_.prompt_tokens;
   request.loss_ms = LossCost();
+  request.isolated = IsSuspect();
   request.rendezvous_key = info_.prompt.empty() ? 0 : info_.prompt.front().id;
   if (request.rendezvous_key == 0 && route_->sticky && !info_.affinity.empty()) {
     request.rendezvous_key = StableHash(info_.affinity);
@@ -203,7 +220,7 @@
   request.sample_key = StableHash(info_.id.value);
   request.expected_tokens = ExpectedTokens();
   ChoiceOptions options = state_->options.choice;
-  options.load_bound = PlacementMechanisms().m_load_bound;
+  options.load_bound = PlacementMechanisms().m_load_bound && !IsSuspect();
   candidates = Candidates();
   auto choice = ChooseRunner(candidates, request, options);
   const ServiceName preferred = service_name_;
--- a/src/forwarding/runner_choice.cc
+++ b/src/forwarding/runner_choice.cc
@@ -11,6 +11,9 @@
 namespace martenyard::forwarding {
 namespace {
 
+/// Above all other costs of one request.
+constexpr double kIsolationCostMs = 100000;
+
 /// @return the cost of the requests that are preempted when the engine's cache is full: their
 /// prompts are read again.
 double PreemptionCost(const Candidate& candidate, const ChoiceRequest& request,
@@ -44,6 +47,7 @@
   }
   cost += candidate.extra_service_ms * options.extra_service_share * free_share;
   cost += candidate.loss_rate * request.loss_ms;
+  cost += request.isolated ? static_cast<double>(candidate.active) * kIsolationCostMs : 0;
   cost += candidate.same_zone ? 0.0 : options.other_zone_ms;
   cost += request.rendezvous_key == 0
               ? 0.0
--- a/src/forwarding/runner_choice.h
+++ b/src/forwarding/runner_choice.h
@@ -76,6 +76,8 @@
   /// Cost of losing the request: low if it can be retried at once, high if the loss fails its
   /// program.
   double loss_ms = 0;
+  /// Runners may end under the request: it goes to the one with the fewest others.
+  bool isolated = false;
   std::uint64_t sample_key = 0;       ///< Different for each request; draws the runners considered.
   std::uint32_t expected_tokens = 0;  ///< Tokens that it may occupy in an engine's cache.
 };
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -484,6 +484,46 @@
     }
 }
 
+void zone_exchange::announce_runner_end(const ServiceName& service)
+{
+    if (!m_view)
+    {
+        return;
+    }
+    instant now = SteadyInstant();
+    aggregation::runner_end_notice notice;
+    notice.m_service = service.value;
+    std::string payload = wire::Encode(datagram(notice));
+    for (const report_target& target : m_view->report_targets(now))
+    {
+        send(target.m_endpoint, payload);
+    }
+    if (m_aggregator)
+    {
+        relay(now, std::move(notice));
+    }
+}
+
+void zone_exchange::handle(instant now, const aggregation::runner_end_notice& notice)
+{
+    bool news = m_state.crashes->raise_alert(ServiceName(notice.m_service));
+    if (news && m_aggregator)
+    {
+        relay(now, notice);
+    }
+}
+
+void zone_exchange::relay(instant now, aggregation::runner_end_notice notice)
+{
+    ++notice.m_hops;
+    std::string payload = wire::Encode(datagram(notice));
+    for (const wire::Endpoint& receiver :
+         aggregation::notice_receivers(now, *m_aggregator, m_slots, neighbor_cells(), notice))
+    {
+        send(receiver, payload);
+    }
+}
+
 void zone_exchange::apply(instant now, const std::vector<runner_load>& others,
                           const std::vector<placement>& placements)
 {
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -22,6 +22,7 @@
 #include "aggregation/change_propagation.h"
 #include "aggregation/member_view.h"
 #include "aggregation/messages.h"
+#include "aggregation/notices.h"
 #include "aggregation/slots.h"
 #include "aggregation/watch_policy.h"
 #include "async_http/task.h"
@@ -126,6 +127,9 @@
     /// @brief records that a runner is about to process a part of a prompt
     void record_placement(const forwarding::PromptPart& part, std::uint32_t runner);
 
+    /// @brief tells the other gateways that a runner of the service has ended under a request
+    void announce_runner_end(const ServiceName& service);
+
     /// @brief the store is reachable again after an outage
     void on_store_recovered()
     {
@@ -199,6 +203,9 @@
     void handle(instant now, const store::news_request& request);
     void handle(instant now, const aggregation::confirmation_question& request);
     void handle(instant now, const aggregation::confirmation_answer& reply);
+    void handle(instant now, const aggregation::runner_end_notice& notice);
+    /// @brief passes a notice on to the gateways of the cell, and to the aggregators of other cells
+    void relay(instant now, aggregation::runner_end_notice notice);
     lease_peers lease_renewal_peers(instant now) const;
 
     aggregation::mirror_revisions revisions() const;
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -244,6 +244,10 @@
                state_->admissions.overloaded(SteadyInstant());
       });
   state_->slow_starts = std::make_unique<forwarding::slow_start_limiter>(*state_->quotas);
+  state_->crashes = std::make_shared<forwarding::crash_tracker>(
+      loop.context(), *state_->ledger, log, /*restarted=*/!settings.first_start);
+  state_->crashes->on_alert(
+      [this](const ServiceName& service) { exchange_.announce_runner_end(service); });
   state_->regions = settings.regions;
   if (state_->options.overload.m_zone_reachability) {
     state_->ObserveReachability();
@@ -400,18 +404,32 @@
                    .Number("cold_ms", absl::ToInt64Milliseconds(runner->cold_for))
                    .Flag("draining", runner->draining));
   }
+  std::string previous_process = known == nullptr ? "" : forwarding::process_of(known->runner);
   if (state_->runners.Upsert(now, *runner)) {
     DropPreviousProcessState(runner->id);
+    state_->crashes->on_end(previous_process, runner->service);
   }
+  state_->crashes->on_replaced(
+      [&](const std::string& process) { return HasTakenOver(*runner, process); }, runner->service);
+}
+
+bool GatewayRole::HasTakenOver(const discovery::Runner& runner, const std::string& process) {
+  discovery::RunnerId id(process.substr(0, process.find('@')));
+  const discovery::RunnerState* previous = state_->runners.Find(id);
+  return previous != nullptr && id != runner.id && previous->runner.endpoint == runner.endpoint;
 }
 
 void GatewayRole::RemoveRunner(const std::string& key) {
   absl::string_view id = key;
   absl::ConsumePrefix(&id, formats_.RunnersPrefix());
   discovery::RunnerId runner{std::string(id)};
-  if (state_->runners.Find(runner) == nullptr) {
+  const discovery::RunnerState* known = state_->runners.Find(runner);
+  if (known == nullptr) {
     return;  // The record was never readable.
   }
+  if (!known->IsDraining()) {
+    state_->crashes->on_end(forwarding::process_of(known->runner), known->runner.service);
+  }
   state_->runners.Remove(SteadyNow(), runner);
   state_->pool.CloseIdleConnections(runner);
   log_.Write(Line("runner_gone").Text("runner", id));
@@ -507,9 +525,10 @@
       settlement ? state_->options.min_commit_timeout : state_->options.ledger_timeout;
   absl::Time deadline = SteadyNow() + timeout;
   turn_ledger::Programs programs = turn_ledger::ProgramsOf(request);
+  turn_ledger::LedgerQueries queries{std::move(request.origin), std::move(request.crash_account)};
   turn_ledger::CallResult result = co_await state_->ledger->Call(
       request.group, std::move(request.operation), deadline, turn_ledger::Relaying::kDirectOnly,
-      programs, std::move(request.origin));
+      programs, std::move(queries));
   bool answered = result.status == turn_ledger::CallStatus::kDone ||
                   result.status == turn_ledger::CallStatus::kOverloaded;
   if (!answered) {
@@ -614,6 +633,7 @@
     next_housekeeping_ = now + kHousekeepingInterval;
     state_->runners.Prune(now, kGoneRunnerRetention);
     state_->pool.Prune(now);
+    state_->crashes->tick();
   }
   log_.Flush();
   if (stopping_) {
@@ -694,8 +714,22 @@
   }
 }
 
+void GatewayRole::UpdateCrashMetrics() {
+  const forwarding::crash_stats& counters = state_->crashes->stats();
+  forwarding::GatewayMetrics& metrics = state_->metrics;
+  metrics.Set("suspect_requests", static_cast<double>(state_->crashes->suspects()));
+  metrics.Set("suspects_sent", static_cast<double>(counters.m_suspects_sent));
+  metrics.Set("suspects_held_back", static_cast<double>(counters.m_requests_held_back));
+  metrics.Set("runner_losses_counted", static_cast<double>(counters.m_losses_counted));
+  metrics.Set("runner_losses_cleared", static_cast<double>(counters.m_losses_cleared));
+  metrics.Set("runner_losses_open", static_cast<double>(state_->crashes->open_losses()));
+  metrics.Set("crash_questions", static_cast<double>(counters.m_questions));
+  metrics.Set("runner_end_alerts", static_cast<double>(counters.m_alerts));
+}
+
 Task<void> GatewayRole::ServeMetrics(std::shared_ptr<async_http::Exchange> exchange) {
   UpdateAdmissionMetrics();
+  UpdateCrashMetrics();
   forwarding::GatewayMetrics& metrics = state_->metrics;
   metrics.Set("open_connections", static_cast<double>(frontend_.stats().open_connections));
   metrics.Set("active_requests", static_cast<double>(frontend_.stats().active_exchanges));
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -56,6 +56,8 @@
   /// no requests.
   void StartSlowly(const ZoneName& zone);
   void OnRunnerChange(const store::StoreChange& change);
+  /// @return whether the runner is at the address that another process had before.
+  bool HasTakenOver(const discovery::Runner& runner, const std::string& process);
   /// Removes the runner that was registered under `key`.
   void RemoveRunner(const std::string& key);
   /// Drops connections and prefix cache state of the previous process of a restarted runner.
@@ -68,6 +70,8 @@
   void UpdateStoreMetrics();
   /// Sets the load limits, slowdowns and refusals of programs by service.
   void UpdateAdmissionMetrics();
+  /// Sets the counters of runners that ended under requests.
+  void UpdateCrashMetrics();
   /// Tells the ledger clients which machines to contact for each group.
   void SetLedgerGroups(const std::vector<turn_ledger::Machine>& machines);
 
--- a/src/turn_ledger/ledger_client.cc
+++ b/src/turn_ledger/ledger_client.cc
@@ -137,8 +137,7 @@
 }
 
 Task<CallResult> LedgerClient::Call(GroupId group_id, Operation operation, absl::Time deadline,
-                                    Relaying relaying, Programs programs,
-                                    std::optional<origin_query> origin) {
+                                    Relaying relaying, Programs programs, LedgerQueries queries) {
   bool limited = !std::holds_alternative<SettleTurn>(operation) &&
                  !std::holds_alternative<Probe>(operation) &&
                  !std::holds_alternative<TakeQuota>(operation);
@@ -149,7 +148,8 @@
   request.group = group_id;
   request.known_programs_only = programs != Programs::kAll;
   request.admit_waiting = programs == Programs::kKnownOrWaiting;
-  request.origin = std::move(origin);
+  request.origin = std::move(queries.origin);
+  request.crash_account = std::move(queries.crash_account);
   Group* group = FindGroup(group_id);
   if (!limited || group == nullptr) {
     co_return co_await RunCall(std::move(request), deadline, relaying);
--- a/src/turn_ledger/ledger_client.h
+++ b/src/turn_ledger/ledger_client.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "async_http/task.h"
+#include "turn_ledger/ledger_queries.h"
 #include "turn_ledger/messages.h"
 
 namespace martenyard::turn_ledger {
@@ -79,12 +80,12 @@
   /// Retries until the operation is committed, `deadline` has passed, or an overloaded leader
   /// refuses an operation, other than a settlement, that no earlier try can have committed.
   /// @param relaying must be direct for probes and for calls made for a peer.
-  /// @param origin answered with the result of an operation that is written to the log. Leaders of
-  /// builds without origins leave the result's origin empty.
+  /// @param queries answered with the result of an operation that is written to the log. Leaders of
+  /// builds that don't know a query leave its answer empty.
   async_http::Task<CallResult> Call(GroupId group, Operation operation, absl::Time deadline,
                                     Relaying relaying = Relaying::kAllowed,
                                     Programs programs = Programs::kAll,
-                                    std::optional<origin_query> origin = std::nullopt);
+                                    LedgerQueries queries = LedgerQueries());
   /// Sets the peer gateways that reach the ledger while this process doesn't. They make calls on
   /// its behalf; all operations may be repeated.
   /// @param ledger_unreachable without relays, reservations are refused at once.
--- a/src/turn_ledger/messages.h
+++ b/src/turn_ledger/messages.h
@@ -61,8 +61,9 @@
   bool known_programs_only = false;
   /// With `known_programs_only`: create the account of a program that was refused before.
   bool admit_waiting = false;
-  /// Answered together with the operation, once that is committed.
+  /// Answered together with the operation, once that is committed: see `LedgerQueries`.
   std::optional<origin_query> origin;
+  std::optional<ProgramId> crash_account;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(request, operation, group);
@@ -75,6 +76,9 @@
     if (wire::HasLayout(archive, wire::Layout::kMarked5)) {
       archive(origin);
     }
+    if (wire::HasLayout(archive, wire::Layout::kMarked6)) {
+      archive(crash_account);
+    }
   }
 };
 
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -150,7 +150,7 @@
     Reply(requester, ReplyStatus::kNotLeader);
     return;
   }
-  proposals_[*index] = {raft_.term(), requester, now_, request.origin};
+  proposals_[*index] = {raft_.term(), requester, now_, {request.origin, request.crash_account}};
   in_flight_.insert(requester);
 }
 
@@ -415,8 +415,12 @@
   if (proposal.empty()) {
     return;
   }
-  if (proposal.mapped().origin) {
-    result.origin = state_.OriginOf(*proposal.mapped().origin);
+  const LedgerQueries& queries = proposal.mapped().queries;
+  if (queries.origin) {
+    result.origin = state_.OriginOf(*queries.origin);
+  }
+  if (queries.crash_account) {
+    result.crash_records = state_.CrashRecordsOf(*queries.crash_account);
   }
   in_flight_.erase(proposal.mapped().requester);
   bool valid = proposal.mapped().term == entry.term && !result.history_missing;
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -15,6 +15,7 @@
 #include "consensus/snapshot_schedule.h"
 #include "tenancy/rate_limiter.h"
 #include "turn_ledger/admission/waiting_programs.h"
+#include "turn_ledger/ledger_queries.h"
 #include "turn_ledger/membership_planner.h"
 #include "turn_ledger/messages.h"
 #include "turn_ledger/transfer/snapshot_transfer.h"
@@ -143,7 +144,7 @@
     consensus::Term term = 0;
     Requester requester;
     absl::Time proposed_at;
-    std::optional<origin_query> origin;
+    LedgerQueries queries;
   };
 
   LedgerMillis LedgerNow() const;
--- a/src/turn_ledger/turn_state.cc
+++ b/src/turn_ledger/turn_state.cc
@@ -194,6 +194,17 @@
   return search.result();
 }
 
+std::vector<TurnId> TurnState::CrashRecordsOf(const ProgramId& crash_account) const {
+  std::vector<TurnId> records;
+  auto found = accounts_.find(crash_account);
+  if (found != accounts_.end()) {
+    for (const auto& [record, tokens] : found->second.m_reserved) {
+      records.push_back(record);
+    }
+  }
+  return records;
+}
+
 std::vector<consensus::LogIndex> TurnState::ReferencedEntries(consensus::LogIndex last) const {
   std::vector<consensus::LogIndex> entries;
   for (const auto& [id, kept] : turns_) {
--- a/src/turn_ledger/turn_state.h
+++ b/src/turn_ledger/turn_state.h
@@ -45,6 +45,8 @@
 
   /// @return where the stream began; nothing if its account has no unambiguous record.
   std::optional<stream_origin> OriginOf(const origin_query& query) const;
+  /// @return the unsettled records of runners that ended under a request.
+  std::vector<TurnId> CrashRecordsOf(const ProgramId& crash_account) const;
   /// @return whether the program has an account.
   bool HasProgram(const ProgramId& program) const { return accounts_.contains(program); }
   LedgerMillis now() const { return now_; }
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -138,6 +138,8 @@
   tenancy::quota_reply quota;  ///< For `TakeQuota`.
   /// For a request with an `origin_query`: where the stream began; empty if there is no record.
   std::optional<stream_origin> origin;
+  /// For a request with a crash account: its unsettled records, in their order.
+  std::vector<TurnId> crash_records;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -148,6 +150,9 @@
     if (wire::HasLayout(archive, wire::Layout::kMarked5)) {
       archive(origin);
     }
+    if (wire::HasLayout(archive, wire::Layout::kMarked6)) {
+      archive(crash_records);
+    }
   }
 };
 
--- a/tests/aggregation/fleet_test.cc
+++ b/tests/aggregation/fleet_test.cc
@@ -6,11 +6,13 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <utility>
 
 #include "aggregation/aggregator.h"
 #include "aggregation/cells.h"
 #include "aggregation/change_propagation.h"
 #include "aggregation/member_view.h"
+#include "aggregation/notices.h"
 #include "aggregation/slots.h"
 #include "aggregation/watch_policy.h"
 #include "wire/codec.h"
@@ -60,6 +62,7 @@
   bool alive = true;
   bool reaches_store = true;
   bool store_reachable = false;
+  bool notified = false;  // Of a runner's end.
   Traffic sent;
   Traffic received;
 };
@@ -91,6 +94,18 @@
   /// Changes a key of a mirrored prefix in the store.
   void Change(std::size_t mirror) { store_[mirror] = ++revision_; }
 
+  /// A gateway announces the end of a runner.
+  void Announce(SimulatedGateway& gateway) {
+    gateway.notified = true;
+    runner_end_notice notice{"service-1"};
+    for (const report_target& target : gateway.view.report_targets(now_)) {
+      SendAll(gateway, {target.m_endpoint}, notice);
+    }
+    if (gateway.own_aggregator) {
+      PassOn(gateway, notice);
+    }
+  }
+
   bool All(const std::function<bool(const SimulatedGateway&)>& holds) {
     return std::all_of(gateways_.begin(), gateways_.end(),
                        [&](const auto& gateway) { return !gateway->alive || holds(*gateway); });
@@ -183,6 +198,20 @@
   void Handle(SimulatedGateway& /*gateway*/, const confirmation_question& /*question*/) {}
   void Handle(SimulatedGateway& /*gateway*/, const confirmation_answer& /*answer*/) {}
 
+  void Handle(SimulatedGateway& gateway, const runner_end_notice& notice) {
+    if (!std::exchange(gateway.notified, true) && gateway.own_aggregator) {
+      PassOn(gateway, notice);
+    }
+  }
+  void PassOn(SimulatedGateway& gateway, runner_end_notice notice) {
+    ++notice.m_hops;
+    std::vector<std::string> neighbors =
+        neighbor_cells(gateway.slots, gateway.zone, gateway.cells.cell(), 8);
+    SendAll(gateway,
+            notice_receivers(now_, *gateway.own_aggregator, gateway.slots, neighbors, notice),
+            notice);
+  }
+
   /// Sends a complete reply over a connection, without loss.
   void Deliver(SimulatedGateway& from, std::uint16_t to, std::size_t mirror) {
     std::uint64_t revision = from.revisions[mirror];
@@ -428,6 +457,20 @@
   }
 }
 
+// Guards against gateways that don't ask about a request since they don't know that runners end.
+TEST_P(FleetTest, NoticeOfARunnersEndReachesAlmostAllGateways) {
+  Fleet fleet(GetParam(), 17);
+  fleet.Run(milliseconds(6000));
+  fleet.Announce(*fleet.gateways().back());
+  fleet.Run(milliseconds(50));
+  std::size_t notified = 0;
+  for (const auto& gateway : fleet.gateways()) {
+    notified += gateway->notified ? 1 : 0;
+  }
+  // Each gateway has three aggregators, and a datagram in fifty is lost.
+  EXPECT_GE(notified, fleet.gateways().size() - 2 - fleet.gateways().size() / 1000);
+}
+
 TEST_P(FleetTest, StableFleetReplacesNoAggregator) {
   Fleet fleet(GetParam(), 14);
   fleet.Run(milliseconds(5000));
--- a/tests/layouts/samples.h
+++ b/tests/layouts/samples.h
@@ -77,6 +77,10 @@
     {
         request.origin = {ProgramId("program-1"), turn_ledger::TurnId("turn-1")};
     }
+    if constexpr (requires { request.crash_account; })
+    {
+        request.crash_account = ProgramId("account-1");
+    }
     return request;
 }
 
@@ -101,6 +105,10 @@
     {
         reply.result.origin = {ServiceName("service-1"), "v1"};
     }
+    if constexpr (requires { reply.result.crash_records; })
+    {
+        reply.result.crash_records = {turn_ledger::TurnId("record-1"), turn_ledger::TurnId("record-2")};
+    }
     reply.leader = {"10.0.0.2", 7380};
     return reply;
 }
@@ -209,6 +217,10 @@
     visit("datagram-confirmation-answer",
           aggregation::datagram(aggregation::confirmation_answer{88, 32, 150}));
 #endif
+#if __has_include("turn_ledger/crashes/crash_record.h")
+    visit("datagram-runner-end-notice",
+          aggregation::datagram(aggregation::runner_end_notice{"service-1", 2}));
+#endif
 }
 
 /// What lies in the store, in logs and in snapshots.
--- a/tests/turn_ledger/frames/frame_codec_test.cc
+++ b/tests/turn_ledger/frames/frame_codec_test.cc
@@ -88,6 +88,8 @@
         EXPECT_FALSE(received(reserve, layout).origin.has_value());
     }
     EXPECT_TRUE(received(reserve, Layout::kMarked5).origin.has_value());
+    EXPECT_FALSE(received(reserve, Layout::kMarked5).crash_account.has_value());
+    EXPECT_TRUE(received(reserve, Layout::kMarked6).crash_account.has_value());
 }
 
 TEST(FrameCodec, UnmarkedMessageDoesNotStartWithAMark)
--- a/tests/turn_ledger/ledger_client_test.cc
+++ b/tests/turn_ledger/ledger_client_test.cc
@@ -234,8 +234,9 @@
       loop_.context(),
       [this, query]() -> async_http::Task<void> {
         Operation operation = ReserveTurn{};
+        LedgerQueries queries{query, ProgramId("crashes")};
         co_await client_.Call(kGroup, std::move(operation), SteadyNow() + absl::Seconds(10),
-                              Relaying::kAllowed, Programs::kAll, query);
+                              Relaying::kAllowed, Programs::kAll, queries);
       },
       async_http::asio::detached);
   ASSERT_TRUE(RunUntil(loop_, [&] { return sent_.size() >= 2; }));
@@ -243,6 +244,7 @@
     ASSERT_TRUE(request.origin.has_value());
     EXPECT_EQ(request.origin->m_stream, query->m_stream);
     EXPECT_EQ(request.origin->m_account, query->m_account);
+    EXPECT_EQ(request.crash_account, ProgramId("crashes"));
   }
   SendReply(sent_.back().second, ReplyStatus::kDone);
   EXPECT_TRUE(RunUntil(loop_, [&] { return client_.pending() == 0; }));
