--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -127,6 +127,18 @@
                       Field(refusal, "retry_after_ms"), " ms");
 }
 
+/// Why a request was not sent to any further runner.
+std::string CauseOfHeldBackRequest(const json& held_back, const std::string& fingerprint) {
+  std::string runners;
+  if (held_back.is_object()) {
+    runners = absl::StrCat(" (", Field(held_back, "runners"), ", as told by the ",
+                           Field(held_back, "source"), ")");
+  }
+  return absl::StrCat("three runners ended under this request, over all tries with fingerprint ",
+                      fingerprint, runners,
+                      ": it is not sent to another one while its records last");
+}
+
 /// Why a program could not begin.
 std::string CauseOfRefusedProgram(const json& admission) {
   std::string cause =
@@ -209,12 +221,14 @@
   json attempt;
   json admission;
   json quota;
+  json held_back;
   for (const LogLine& line : own) {
     json object = json::parse(line.text, nullptr, /*allow_exceptions=*/false);
     last = line.event == "request_ended" ? object : last;
     attempt = line.event == "attempt_ended" ? object : attempt;
     admission = line.event == "turn_admission" ? object : admission;
     quota = line.event == "quota_refused" ? object : quota;
+    held_back = line.event == "suspect_held_back" ? object : held_back;
   }
   std::string outcome = last.is_object() ? Field(last, "outcome") : "unknown";
   std::string verdict = admission.is_object() ? Field(admission, "verdict") : "";
@@ -229,6 +243,9 @@
   if (quota.is_object()) {
     return CauseOfQuota(quota);
   }
+  if (reason == reject_reason::runners_ended && outcome == "own_502") {
+    return CauseOfHeldBackRequest(held_back, Field(last, "fingerprint"));
+  }
   bool lease_lost = reason == reject_reason::key_unverifiable ||
                     reason == reject_reason::key_revocable ||
                     reason == reject_reason::key_revoked_meanwhile;
--- a/tests/platform/explain_test.cc
+++ b/tests/platform/explain_test.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/match.h"
 #include "forwarding/rejections/reject_reason.h"
+#include "platform/support/crash_world.h"
 #include "platform/support/platform_world.h"
 
 namespace martenyard::explain {
@@ -38,6 +39,22 @@
   EXPECT_TRUE(absl::StrContains(explanation.cause, "100 were spent")) << explanation.cause;
 }
 
+// Guards against a request that is held back without naming the runners that ended under it.
+TEST(ExplainTest, HeldBackRequestNamesTheRunnersThatEnded) {
+  testing::CrashWorld world(6);
+  world.StartAll();
+  ClientRequest request;
+  request.body = testing::kFatalMark;
+  for (int number = 0; number < 3; ++number) {
+    request.id = "attempt-" + std::to_string(number);
+    world.AskAt(number % 2, request);
+  }
+  Explanation explanation = ExplainIn(world, "attempt-2");
+  EXPECT_EQ(explanation.outcome, "own_502");
+  EXPECT_TRUE(absl::StrContains(explanation.cause, "three runners ended")) << explanation.cause;
+  EXPECT_TRUE(absl::StrContains(explanation.cause, "r0-0,r1-0,r2-0")) << explanation.cause;
+}
+
 // Guards against a response of the gateway that `explain` can't account for.
 TEST(ExplainTest, EveryReasonOfTheGatewayIsKnown) {
   std::set<std::string> texts;
