--- a/src/forwarding/crashes/request_fingerprint.cc
+++ b/src/forwarding/crashes/request_fingerprint.cc
@@ -51,7 +51,7 @@
     add(state, identity.m_session);
     add(state, identity.m_previous_turn);
     add(state, {reinterpret_cast<const char*>(&identity.m_prompt_part), sizeof(identity.m_prompt_part)});
-    add(state, identity.m_body);
+    add(state, identity.m_prompt_part == 0 ? identity.m_body : absl::string_view());
     crypto_generichash_final(&state, result.m_bytes.data(), result.m_bytes.size());
     return result;
 }
--- a/src/forwarding/crashes/request_fingerprint.h
+++ b/src/forwarding/crashes/request_fingerprint.h
@@ -28,7 +28,7 @@
     absl::string_view m_previous_turn;
     /// hash of the last part of the prompt, which is the request's own; 0 without a prompt
     std::uint64_t m_prompt_part = 0;
-    /// without the history that the gateway prepends
+    /// without the history that the gateway prepends; not hashed if the prompt's part identifies it
     absl::string_view m_body;
 
     /// @return whether equal requests of other clients can be told apart from this one's tries
--- a/tests/forwarding/crashes/request_fingerprint_test.cc
+++ b/tests/forwarding/crashes/request_fingerprint_test.cc
@@ -76,6 +76,7 @@
         },
         [](request_identity& identity)
         {
+            identity.m_prompt_part = 0;
             identity.m_body = "bodY";
         },
         [](request_identity& identity)
