Suspect requests: the ledger's records replace those known at the gateway

Found by reading: a gateway kept what the ledger had told it for a minute, also after another gateway had cleared it, and rejected by it without asking. Now each answer of the ledger replaces what is known, and a request that is suspect here asks, whether or not its service is alerted. Test: SuspectTableTest.RecordsOfTheLedgerReplaceThoseKnownHere.

--- a/src/forwarding/crashes/crash_tracker.cc
+++ b/src/forwarding/crashes/crash_tracker.cc
@@ -60,9 +60,9 @@
 
 void crash_tracker::learn(const suspect& request, const std::vector<turn_ledger::TurnId>& records)
 {
-    for (const turn_ledger::TurnId& record : records)
+    if (!records.empty())
     {
-        m_suspects.add(SteadyInstant(), request.m_fingerprint, record);
+        m_suspects.replace(SteadyInstant(), request.m_fingerprint, {records.begin(), records.end()});
     }
 }
 
@@ -172,7 +172,7 @@
     turn_ledger::TurnId record = turn_ledger::crash_record(runner, attempt);
     reply written = co_await write(request, record, std::nullopt);
     // Known here whatever the ledger answered.
-    learn(request, {record});
+    m_suspects.add(SteadyInstant(), request.m_fingerprint, record);
     written.m_records.insert(record);
     co_return written;
 }
--- a/src/forwarding/crashes/crash_tracker.h
+++ b/src/forwarding/crashes/crash_tracker.h
@@ -97,7 +97,8 @@
     /// @return the records of the request, as far as known here
     turn_ledger::crash_records known_records(const suspect& request) const;
 
-    /// @brief merges the records that the ledger told with an operation
+    /// @brief takes over the records that the ledger told with an operation; none may also mean that its
+    ///        leader is of an earlier build, and changes nothing
     void learn(const suspect& request, const std::vector<turn_ledger::TurnId>& records);
 
     /// @return whether runners of the service ended recently: the ledger is to be asked
--- a/src/forwarding/crashes/suspect_table.cc
+++ b/src/forwarding/crashes/suspect_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace martenyard::forwarding
 {
@@ -25,6 +26,16 @@
     suspect.m_expires = now + m_options.m_lifetime;
 }
 
+void suspect_table::replace(instant now, const request_fingerprint& request,
+                            turn_ledger::crash_records records)
+{
+    if (!m_requests.contains(request))
+    {
+        make_room(now);
+    }
+    m_requests[request] = {std::move(records), now + m_options.m_lifetime};
+}
+
 void suspect_table::clear(const request_fingerprint& request, const turn_ledger::TurnId& record)
 {
     auto found = m_requests.find(request);
--- a/src/forwarding/request_crashes.cc
+++ b/src/forwarding/request_crashes.cc
@@ -104,7 +104,9 @@
 }
 
 Task<bool> RequestHandler::CheckCrashes() {
-  if (!crashes_known_ && state_->crashes->is_alerted(service_name_)) {
+  // What is known here may have been cleared by another gateway.
+  bool asks = IsSuspect() || state_->crashes->is_alerted(service_name_);
+  if (!crashes_known_ && asks) {
     co_await WaitFor(Prerequisite::kLedgerGroups);
     Identify();
     if (fingerprint_) {
--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -56,10 +56,6 @@
   }
   body_ = std::make_shared<std::string>(std::move(exchange_->request().body()));
   Identify();
-  if (IsHeldBack()) {
-    co_await RejectHeldBack();
-    co_return;
-  }
   if (!co_await AdmitUnlessIsolated() || !co_await CheckCrashes()) {
     co_return;
   }
--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -56,8 +56,8 @@
   bool IsSuspect() const { return !crashes_.empty(); }
   /// @return whether so many runners ended under the request that it may not be sent to another.
   bool IsHeldBack() const;
-  /// Asks the ledger for crashes if runners of the service ended recently, unless it has answered
-  /// with the reservation. @return false if it sent an error.
+  /// Asks the ledger for crashes if the request is suspect or runners of its service ended
+  /// recently, unless it has answered with the reservation. @return false if it sent an error.
   async_http::Task<bool> CheckCrashes();
   /// Ends a request that is held back.
   async_http::Task<void> RejectHeldBack();
--- a/tests/forwarding/crashes/suspect_table_test.cc
+++ b/tests/forwarding/crashes/suspect_table_test.cc
@@ -36,6 +36,15 @@
     EXPECT_EQ(table.size(), 0U);
 }
 
+// Guards against a request that is held back here for records that another gateway has cleared.
+TEST(SuspectTableTest, RecordsOfTheLedgerReplaceThoseKnownHere)
+{
+    suspect_table table;
+    table.add(start, request(1), crash_record("a", "try-0"));
+    table.replace(start, request(1), {crash_record("b", "try-1")});
+    EXPECT_EQ(table.records(start, request(1)), turn_ledger::crash_records{crash_record("b", "try-1")});
+}
+
 TEST(SuspectTableTest, RequestIsForgottenAfterItsLifetime)
 {
     suspect_table table({.m_lifetime = 60s});
