--- a/src/aggregation/messages.h
+++ b/src/aggregation/messages.h
@@ -178,8 +178,8 @@
     }
 };
 
-/// @brief a runner has ended under a request: until some time later, gateways ask the ledger about requests
-///        of its service
+/// @brief a runner has ended under a request: for some time, gateways ask the ledger about the requests of
+///        its service
 struct runner_end_notice
 {
     std::string m_service;
--- a/src/explain/explain.cc
+++ b/src/explain/explain.cc
@@ -131,7 +131,7 @@
 std::string CauseOfHeldBackRequest(const json& held_back, const std::string& fingerprint) {
   std::string runners;
   if (held_back.is_object()) {
-    runners = absl::StrCat(" (", Field(held_back, "runners"), ", as told by the ",
+    runners = absl::StrCat(" (", Field(held_back, "runners"), ", known from the ",
                            Field(held_back, "source"), ")");
   }
   return absl::StrCat("three runners ended under this request, over all tries with fingerprint ",
--- a/src/forwarding/crashes/crash_tracker.h
+++ b/src/forwarding/crashes/crash_tracker.h
@@ -32,7 +32,7 @@
     std::size_t m_max_crashes = 3;
     /// of the records in the ledger, from their last change
     std::chrono::milliseconds m_retention{60000};
-    /// limits each call of the ledger, and the connection that tells whether a runner still listens
+    /// limits each call of the ledger, and the connection attempt to a runner that lost a request
     std::chrono::milliseconds m_call_timeout{400};
     std::chrono::milliseconds m_probe_timeout{250};
     /// after the end of a runner, and for half as long after the start of this process, the ledger is asked
@@ -41,7 +41,7 @@
     std::chrono::milliseconds m_alert_time{20000};
 };
 
-/// @brief what a new connection tells of a runner's process
+/// @brief the state of a runner's process as seen by a new connection
 enum class runner_process
 {
     listening,
@@ -68,7 +68,8 @@
     std::uint64_t m_alerts = 0;
 };
 
-/// @return the name of the runner's process: ids may outlive it where entries tell the start time
+/// @return an id of the runner's process; its start time is included if the runner reports it, since the
+/// runner's id may then be reused after a restart
 std::string process_of(const discovery::Runner& runner);
 
 /// @param[in] program  scoped to the tenant; empty outside of programs
@@ -97,8 +98,8 @@
     /// @return the records of the request, as far as known here
     turn_ledger::crash_records known_records(const suspect& request) const;
 
-    /// @brief takes over the records that the ledger told with an operation; none may also mean that its
-    ///        leader is of an earlier build, and changes nothing
+    /// @brief stores the records from a reply of the ledger; an empty reply may come from a leader of an
+    ///        earlier build and changes nothing
     void learn(const suspect& request, const std::vector<turn_ledger::TurnId>& records);
 
     /// @return whether runners of the service ended recently: the ledger is to be asked
@@ -110,7 +111,7 @@
         m_notify = std::move(notify);
     }
 
-    /// @brief a runner of the service ended, as observed here or told by another gateway
+    /// @brief a runner of the service ended, as observed here or reported by another gateway
     /// @return false if the alert has begun recently, and goes on unchanged
     bool raise_alert(const ServiceName& service);
 
@@ -132,20 +133,20 @@
     /// @brief withdraws a record: the runner did not end under the request
     void withdraw(const suspect& request, const turn_ledger::TurnId& record);
 
-    /// @brief the request was answered: all its records are withdrawn
+    /// @brief withdraws all records of a request that was answered
     void forget(const suspect& request, const turn_ledger::crash_records& records);
 
     /// @brief keeps a loss until the runner is known to serve on or to have ended
     void watch(const std::string& runner, lost_request loss);
 
-    /// @brief a runner answered a request that was sent to it at `sent_at`
+    /// @brief clears the losses of a runner that answered a request sent at `sent_at`
     void on_answer(const std::string& runner, instant sent_at);
 
-    /// @brief a runner ended, or no longer listens
+    /// @brief counts the open losses of a runner that ended or no longer listens
     void on_end(const std::string& runner, const ServiceName& service);
 
-    /// @brief another runner is known at the address: the processes that had it before have ended
-    /// @param[in] ended  tells, of a runner with open losses, whether it has
+    /// @brief another runner has the address of runners with open losses: these have ended
+    /// @param[in] ended  whether a runner with open losses has ended
     void on_replaced(const std::function<bool(const std::string&)>& ended, const ServiceName& service);
 
     /// @brief drops what has expired
--- a/src/forwarding/crashes/suspect_table.h
+++ b/src/forwarding/crashes/suspect_table.h
@@ -31,7 +31,7 @@
     /// @brief records that a runner ended under the request, or may have
     void add(instant now, const request_fingerprint& request, const turn_ledger::TurnId& record);
 
-    /// @brief sets the records that the ledger has; what was cleared by other gateways is forgotten
+    /// @brief replaces the records by those of the ledger, so that cleared ones are removed
     void replace(instant now, const request_fingerprint& request, turn_ledger::crash_records records);
 
     /// @brief records that the runner did not end under the request
--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -235,7 +235,7 @@
   std::optional<request_fingerprint> fingerprint_;
   suspect suspect_;                                  ///< Valid with a fingerprint.
   turn_ledger::crash_records crashes_;               ///< Of runners that ended under the request.
-  bool crashes_known_ = false;                       ///< The ledger has told the records.
+  bool crashes_known_ = false;                       ///< The records are the ledger's.
   std::optional<turn_ledger::TurnId> crash_record_;  ///< Of the runner that it is sent to now.
   std::optional<reject_reason> suspect_refusal_;     ///< Why it may not be sent now.
   absl::Time deadline_;
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -127,7 +127,7 @@
     /// @brief records that a runner is about to process a part of a prompt
     void record_placement(const forwarding::PromptPart& part, std::uint32_t runner);
 
-    /// @brief tells the other gateways that a runner of the service has ended under a request
+    /// @brief notifies the other gateways that a runner of the service has ended under a request
     void announce_runner_end(const ServiceName& service);
 
     /// @brief the store is reachable again after an outage
