Turns whose gateway was lost with the first runner: unsettled tries count

What callers saw: a request ends four runners in place of three if the gateway of its first try is killed together with the first of them, before it counts the end.

Cause: what the gateway knew went with it. The ledger has the reservation of that try, which nobody settles, but its leader told nobody of it. Weighed in docs/design/0021: fingerprints in the ids of reservations, a count before each first send, words to a second gateway.

Each counts as a runner that ended, two at most, so that a turn whose gateways are late in settling is still sent once. - Replies of such leaders replace what a gateway knows also when they are empty: a request whose records another gateway had cleared was held back for up to a minute. Records that the ledger did not commit are kept apart and stay.

--- a/src/forwarding/crashes/crash_tracker.cc
+++ b/src/forwarding/crashes/crash_tracker.cc
@@ -58,9 +58,10 @@
     return m_suspects.records(SteadyInstant(), request.m_fingerprint);
 }
 
-void crash_tracker::learn(const suspect& request, const std::vector<turn_ledger::TurnId>& records)
+void crash_tracker::learn(const suspect& request, const turn_ledger::OperationResult& reply)
 {
-    if (!records.empty())
+    const std::vector<turn_ledger::TurnId>& records = reply.crash_records;
+    if (!records.empty() || reply.unsettled_tries)
     {
         m_suspects.replace(SteadyInstant(), request.m_fingerprint, {records.begin(), records.end()});
     }
@@ -115,7 +116,7 @@
                                turn_ledger::Programs::kAll, queries);
     if (result)
     {
-        learn(request, result->crash_records);
+        learn(request, result.result);
     }
     co_return static_cast<bool>(result);
 }
@@ -146,7 +147,7 @@
                                turn_ledger::Programs::kAll, queries);
     if (result)
     {
-        learn(request, result->crash_records);
+        learn(request, result.result);
         written.m_records = known_records(request);
         bool done = result->verdict == turn_ledger::Verdict::kDone;
         written.m_permit = done ? crash_permit::granted : crash_permit::exhausted;
@@ -154,11 +155,13 @@
     co_return written;
 }
 
-Task<crash_tracker::reply> crash_tracker::reserve(suspect request, std::string runner, std::string attempt)
+Task<crash_tracker::reply> crash_tracker::reserve(suspect request, std::string runner, std::string attempt,
+                                                  std::size_t unsettled_tries)
 {
     ++m_stats.m_suspects_sent;
     turn_ledger::TurnId record = turn_ledger::crash_record(runner, attempt);
-    co_return co_await write(std::move(request), std::move(record), m_options.m_max_crashes);
+    std::uint64_t limit = m_options.m_max_crashes - unrecorded_ends(unsettled_tries);
+    co_return co_await write(std::move(request), std::move(record), limit);
 }
 
 Task<crash_tracker::reply> crash_tracker::count(suspect request, std::string runner, std::string attempt,
@@ -172,7 +175,14 @@
     turn_ledger::TurnId record = turn_ledger::crash_record(runner, attempt);
     reply written = co_await write(request, record, std::nullopt);
     // Known here whatever the ledger answered.
-    m_suspects.add(SteadyInstant(), request.m_fingerprint, record);
+    if (written.m_permit == crash_permit::unknown)
+    {
+        m_suspects.add_uncommitted(SteadyInstant(), request.m_fingerprint, record);
+    }
+    else
+    {
+        m_suspects.add(SteadyInstant(), request.m_fingerprint, record);
+    }
     written.m_records.insert(record);
     co_return written;
 }
--- a/src/forwarding/crashes/crash_tracker.h
+++ b/src/forwarding/crashes/crash_tracker.h
@@ -4,6 +4,7 @@
 // before the client learns of it, and a suspect request is counted before it is sent again.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -98,9 +99,16 @@
     /// @return the records of the request, as far as known here
     turn_ledger::crash_records known_records(const suspect& request) const;
 
-    /// @brief stores the records from a reply of the ledger; an empty reply may come from a leader of an
-    ///        earlier build and changes nothing
-    void learn(const suspect& request, const std::vector<turn_ledger::TurnId>& records);
+    /// @brief stores the records from a reply of the ledger to a question for them; without any, the reply
+    ///        of a leader of an earlier build changes nothing, since it may not know of records
+    void learn(const suspect& request, const turn_ledger::OperationResult& reply);
+
+    /// @return how many runners may have ended under the tries without a record. They never count as all
+    ///         that may end under a request: a gateway may also be late in settling.
+    std::size_t unrecorded_ends(std::size_t unsettled_tries) const
+    {
+        return std::min(unsettled_tries, m_options.m_max_crashes - 1);
+    }
 
     /// @return whether runners of the service ended recently: the ledger is to be asked
     bool is_alerted(const ServiceName& service) const;
@@ -120,8 +128,10 @@
     async_http::Task<bool> find(suspect request);
 
     /// @brief counts a suspect request as if it ended the runner that it is about to be sent to
-    /// @param[in] attempt  the id of the client's try
-    async_http::Task<reply> reserve(suspect request, std::string runner, std::string attempt);
+    /// @param[in] attempt          the id of the client's try
+    /// @param[in] unsettled_tries  other tries of the request without a record
+    async_http::Task<reply> reserve(suspect request, std::string runner, std::string attempt,
+                                    std::size_t unsettled_tries);
 
     /// @brief connects to a runner that lost a request
     async_http::Task<runner_process> probe(discovery::Runner runner);
--- a/src/forwarding/crashes/suspect_table.cc
+++ b/src/forwarding/crashes/suspect_table.cc
@@ -11,7 +11,7 @@
 {
 }
 
-void suspect_table::add(instant now, const request_fingerprint& request, const turn_ledger::TurnId& record)
+suspect_table::entry& suspect_table::find_or_add(instant now, const request_fingerprint& request)
 {
     if (!m_requests.contains(request))
     {
@@ -20,20 +20,39 @@
     entry& suspect = m_requests[request];
     if (suspect.m_expires < now)
     {
-        suspect.m_records.clear();
+        suspect = {};
     }
-    suspect.m_records.insert(record);
     suspect.m_expires = now + m_options.m_lifetime;
+    return suspect;
+}
+
+void suspect_table::add(instant now, const request_fingerprint& request, const turn_ledger::TurnId& record)
+{
+    find_or_add(now, request).m_committed.insert(record);
+}
+
+void suspect_table::add_uncommitted(instant now, const request_fingerprint& request,
+                                    const turn_ledger::TurnId& record)
+{
+    find_or_add(now, request).m_uncommitted.insert(record);
 }
 
 void suspect_table::replace(instant now, const request_fingerprint& request,
                             turn_ledger::crash_records records)
 {
-    if (!m_requests.contains(request))
+    auto found = m_requests.find(request);
+    bool uncommitted = found != m_requests.end() && !found->second.m_uncommitted.empty();
+    if (records.empty() && !uncommitted)
     {
-        make_room(now);
+        m_requests.erase(request);
+        return;
+    }
+    entry& suspect = find_or_add(now, request);
+    for (const turn_ledger::TurnId& record : records)
+    {
+        suspect.m_uncommitted.erase(record);
     }
-    m_requests[request] = {std::move(records), now + m_options.m_lifetime};
+    suspect.m_committed = std::move(records);
 }
 
 void suspect_table::clear(const request_fingerprint& request, const turn_ledger::TurnId& record)
@@ -43,8 +62,9 @@
     {
         return;
     }
-    found->second.m_records.erase(record);
-    if (found->second.m_records.empty())
+    found->second.m_committed.erase(record);
+    found->second.m_uncommitted.erase(record);
+    if (found->second.size() == 0)
     {
         m_requests.erase(found);
     }
@@ -62,7 +82,9 @@
     {
         return {};
     }
-    return found->second.m_records;
+    turn_ledger::crash_records records = found->second.m_committed;
+    records.insert(found->second.m_uncommitted.begin(), found->second.m_uncommitted.end());
+    return records;
 }
 
 void suspect_table::make_room(instant now)
@@ -80,13 +102,12 @@
     {
         return;
     }
-    auto least =
-        std::min_element(m_requests.begin(), m_requests.end(),
-                         [](const auto& left, const auto& right)
-                         {
-                             return std::make_tuple(left.second.m_records.size(), left.second.m_expires) <
-                                    std::make_tuple(right.second.m_records.size(), right.second.m_expires);
-                         });
+    auto least = std::min_element(m_requests.begin(), m_requests.end(),
+                                  [](const auto& left, const auto& right)
+                                  {
+                                      return std::make_tuple(left.second.size(), left.second.m_expires) <
+                                             std::make_tuple(right.second.size(), right.second.m_expires);
+                                  });
     m_requests.erase(least);
 }
 
--- a/src/forwarding/crashes/suspect_table.h
+++ b/src/forwarding/crashes/suspect_table.h
@@ -31,7 +31,10 @@
     /// @brief records that a runner ended under the request, or may have
     void add(instant now, const request_fingerprint& request, const turn_ledger::TurnId& record);
 
-    /// @brief replaces the records by those of the ledger, so that cleared ones are removed
+    /// @brief records the same, although the ledger is not known to have the record
+    void add_uncommitted(instant now, const request_fingerprint& request, const turn_ledger::TurnId& record);
+
+    /// @brief replaces the committed records by those of the ledger, so that cleared ones are removed
     void replace(instant now, const request_fingerprint& request, turn_ledger::crash_records records);
 
     /// @brief records that the runner did not end under the request
@@ -52,10 +55,19 @@
   private:
     struct entry
     {
-        turn_ledger::crash_records m_records;
+        turn_ledger::crash_records m_committed;
+        /// records that the ledger may not have
+        turn_ledger::crash_records m_uncommitted;
         instant m_expires;
+
+        std::size_t size() const
+        {
+            return m_committed.size() + m_uncommitted.size();
+        }
     };
 
+    /// @return the request's entry without expired records, added if there is none
+    entry& find_or_add(instant now, const request_fingerprint& request);
     void make_room(instant now);
 
     suspect_options m_options;
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -484,7 +484,7 @@
       group_, reserve, ledger_deadline, turn_ledger::Relaying::kAllowed, programs, queries);
   if (result) {
     crashes_known_ = queries.crash_account.has_value();
-    LearnCrashes(result->crash_records);
+    LearnCrashes(result.result);
   }
   bool unknown = result && result->verdict == turn_ledger::Verdict::kUnknownPrevious;
   if (unknown && state_->ledger->groups() > 1) {
--- a/src/forwarding/request_crashes.cc
+++ b/src/forwarding/request_crashes.cc
@@ -76,7 +76,7 @@
   fingerprint_ = state_->fingerprints->fingerprint(identity);
   if (fingerprint_) {
     suspect_ = make_suspect(*fingerprint_, program_);
-    LearnCrashes({});
+    crashes_ = state_->crashes->known_records(suspect_);
   }
 }
 
@@ -92,15 +92,19 @@
 
 // ---- Before a send ----
 
-void RequestHandler::LearnCrashes(const std::vector<TurnId>& records) {
+void RequestHandler::LearnCrashes(const turn_ledger::OperationResult& reply) {
   if (fingerprint_) {
-    state_->crashes->learn(suspect_, records);
+    state_->crashes->learn(suspect_, reply);
     crashes_ = state_->crashes->known_records(suspect_);
+    unsettled_tries_ = reply.unsettled_tries.value_or(0);
   }
 }
 
 bool RequestHandler::IsHeldBack() const {
-  return turn_ledger::runners_of(crashes_).size() >= state_->crashes->options().m_max_crashes;
+  const crash_tracker& crashes = *state_->crashes;
+  std::size_t ended =
+      turn_ledger::runners_of(crashes_).size() + crashes.unrecorded_ends(unsettled_tries_);
+  return ended >= crashes.options().m_max_crashes;
 }
 
 Task<bool> RequestHandler::CheckCrashes() {
@@ -111,7 +115,7 @@
     Identify();
     if (fingerprint_) {
       crashes_known_ = co_await state_->crashes->find(suspect_);
-      LearnCrashes({});
+      crashes_ = state_->crashes->known_records(suspect_);
     }
   }
   if (IsHeldBack()) {
@@ -128,6 +132,7 @@
                         .Text("request", info_.id.value)
                         .Text("fingerprint", FingerprintText())
                         .Text("runners", RunnersOf(crashes_))
+                        .Number("unsettled_tries", unsettled_tries_)
                         .Text("source", crashes_known_ ? "ledger" : "gateway"));
   if (exchange_->stream_started()) {
     exchange_->Break();
@@ -142,8 +147,8 @@
     co_return true;
   }
   absl::Time start = SteadyNow();
-  crash_tracker::reply reply =
-      co_await state_->crashes->reserve(suspect_, process_of(runner), info_.id.value);
+  crash_tracker::reply reply = co_await state_->crashes->reserve(suspect_, process_of(runner),
+                                                                 info_.id.value, unsettled_tries_);
   bool granted = reply.m_permit == crash_permit::granted;
   crashes_ = std::move(reply.m_records);
   if (granted) {
@@ -158,6 +163,7 @@
                         .Text("runner", runner.id.value)
                         .Text("permit", NameOf(reply.m_permit))
                         .Text("runners_ended", RunnersOf(crashes_))
+                        .Number("unsettled_tries", unsettled_tries_)
                         .Real("ms", absl::ToDoubleMilliseconds(SteadyNow() - start)));
   co_return granted;
 }
--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -50,10 +50,11 @@
   /// @return the account with the records of the runners that ended under the request, if the
   /// ledger group of the reservation has it.
   std::optional<ProgramId> CrashAccount() const;
-  /// Takes over the records that are known here, or that came with a reply of the ledger.
-  void LearnCrashes(const std::vector<turn_ledger::TurnId>& records);
-  /// @return whether a runner ended under the request, in any try of its client.
-  bool IsSuspect() const { return !crashes_.empty(); }
+  /// Takes over the records that came with a reply of the ledger.
+  void LearnCrashes(const turn_ledger::OperationResult& reply);
+  /// @return whether a runner ended under the request, in any try of its client, or may have ended
+  /// together with the gateway of an earlier try.
+  bool IsSuspect() const { return !crashes_.empty() || unsettled_tries_ > 0; }
   /// @return whether so many runners ended under the request that it may not be sent to another.
   bool IsHeldBack() const;
   /// Asks the ledger for crashes if the request is suspect or runners of its service ended
@@ -235,6 +236,7 @@
   std::optional<request_fingerprint> fingerprint_;
   suspect suspect_;                                  ///< Valid with a fingerprint.
   turn_ledger::crash_records crashes_;               ///< Of runners that ended under the request.
+  std::uint32_t unsettled_tries_ = 0;                ///< Other tries without a record of an end.
   bool crashes_known_ = false;                       ///< The records are the ledger's.
   std::optional<turn_ledger::TurnId> crash_record_;  ///< Of the runner that it is sent to now.
   std::optional<reject_reason> suspect_refusal_;     ///< Why it may not be sent now.
--- a/src/forwarding/request_runner_selection.cc
+++ b/src/forwarding/request_runner_selection.cc
@@ -99,7 +99,7 @@
 async_http::Task<std::optional<discovery::Runner>> RequestHandler::ChooseAdmitted() {
   send_before_ = absl::InfiniteFuture();
   while (!exchange_->client_gone() && TimeLeft() > kMinAttemptTime) {
-    if (IsSuspect() && RisksLastRunner()) {
+    if (!crashes_.empty() && RisksLastRunner()) {
       suspect_refusal_ = reject_reason::suspect_deferred;
       break;
     }
--- a/src/tenancy/tenant.h
+++ b/src/tenancy/tenant.h
@@ -46,20 +46,27 @@
     std::set<std::string> m_allowed_regions;
 };
 
+/// between a tenant's name and an id; a control character can't be in a header, so that it is unambiguous
+inline constexpr char scope_separator = '\x1f';
+
 /// @brief makes an id chosen by a client unique over all tenants
 /// @param[in] tenant_name  empty if there are no tenants; the id is then unchanged
 inline std::string scoped_id(absl::string_view tenant_name, absl::string_view id)
 {
-    // A control character can't be in a header, so that the separator is unambiguous.
-    constexpr char separator = '\x1f';
     if (tenant_name.empty())
     {
         return std::string(id);
     }
     std::string scoped(tenant_name);
-    scoped.push_back(separator);
+    scoped.push_back(scope_separator);
     scoped.append(id.data(), id.size());
     return scoped;
 }
 
+/// @return the id that the client chose, without the tenant's name
+inline std::string unscoped_id(absl::string_view scoped)
+{
+    return std::string(scoped.substr(scoped.rfind(scope_separator) + 1));
+}
+
 }  // namespace martenyard::tenancy
--- a/src/turn_ledger/crashes/crash_record.cc
+++ b/src/turn_ledger/crashes/crash_record.cc
@@ -30,6 +30,11 @@
     return record.value.substr(0, record.value.find(separator));
 }
 
+std::string try_of_record(const TurnId& record)
+{
+    return record.value.substr(record.value.find(separator) + 1);
+}
+
 std::set<std::string> runners_of(const crash_records& records)
 {
     std::set<std::string> runners;
--- a/src/turn_ledger/crashes/crash_record.h
+++ b/src/turn_ledger/crashes/crash_record.h
@@ -24,6 +24,9 @@
 /// @return the runner that a record names
 std::string runner_of(const TurnId& record);
 
+/// @return the id of the client's try that a record names
+std::string try_of_record(const TurnId& record);
+
 /// the records of one request, over all its tries
 using crash_records = std::set<TurnId>;
 
--- a/src/turn_ledger/streams/origin_record.cc
+++ b/src/turn_ledger/streams/origin_record.cc
@@ -68,6 +68,11 @@
     return record;
 }
 
+TurnId turn_of(const TurnId& reservation)
+{
+    return TurnId(reservation.value.substr(0, reservation.value.find(separator)));
+}
+
 origin_search::origin_search(TurnId stream)
     : m_stream(std::move(stream)), m_prefix(recording_prefix(m_stream))
 {
--- a/src/turn_ledger/streams/origin_record.h
+++ b/src/turn_ledger/streams/origin_record.h
@@ -32,6 +32,9 @@
 /// @return the prefix of the ids of all reservations that record the origin of `stream`
 TurnId recording_prefix(const TurnId& stream);
 
+/// @return the turn of a reservation, whether or not its id records an origin
+TurnId turn_of(const TurnId& reservation);
+
 /// @brief finds the record that holds among those of one stream
 class origin_search
 {
--- a/src/turn_ledger/turn_replica.cc
+++ b/src/turn_ledger/turn_replica.cc
@@ -223,6 +223,7 @@
     quotas_.reset(QuotaTime(now_));
     slow_starts_.reset(QuotaTime(now_));
     waiting_programs_.reset(QuotaTime(now_));
+    unsettled_tries_.reset();
     return;
   }
   AbandonProposals();
@@ -403,6 +404,9 @@
   for (consensus::LogIndex expired : state_.TakeExpiredEntries()) {
     unreferenced_entries_.push_back(expired);
   }
+  if (const auto* settle = std::get_if<SettleTurn>(&command->operation)) {
+    unsettled_tries_.settle(settle->turn);
+  }
   const auto* reserve = std::get_if<ReserveTurn>(&command->operation);
   if (reserve != nullptr && result.verdict == Verdict::kDone) {
     waiting_programs_.remove(reserve->program);
@@ -415,19 +419,33 @@
   if (proposal.empty()) {
     return;
   }
-  const LedgerQueries& queries = proposal.mapped().queries;
-  if (queries.origin) {
-    result.origin = state_.OriginOf(*queries.origin);
-  }
-  if (queries.crash_account) {
-    result.crash_records = state_.CrashRecordsOf(*queries.crash_account);
-  }
+  AnswerQueries(proposal.mapped().queries, command->operation, result);
   in_flight_.erase(proposal.mapped().requester);
   bool valid = proposal.mapped().term == entry.term && !result.history_missing;
   Reply(proposal.mapped().requester, valid ? ReplyStatus::kDone : ReplyStatus::kUncertain,
         valid ? std::move(result) : OperationResult{});
 }
 
+void TurnReplica::AnswerQueries(const LedgerQueries& queries, const Operation& operation,
+                                OperationResult& result) {
+  if (queries.origin) {
+    result.origin = state_.OriginOf(*queries.origin);
+  }
+  if (!queries.crash_account) {
+    return;
+  }
+  const ProgramId& request = *queries.crash_account;
+  result.crash_records = state_.CrashRecordsOf(request);
+  result.unsettled_tries = 0;
+  const auto* reserve = std::get_if<ReserveTurn>(&operation);
+  bool reserves_turn = reserve != nullptr && reserve->program != request;
+  if (reserves_turn && result.verdict == Verdict::kDone) {
+    unsettled_tries_.add(QuotaTime(now_), request, reserve->turn);
+    result.unsettled_tries = static_cast<std::uint32_t>(
+        unsettled_tries_.count(request, reserve->turn, result.crash_records));
+  }
+}
+
 void TurnReplica::BeginSnapshotIfDue() {
   if (snapshot_in_progress_ || !snapshot_schedule_.Due(raft_)) {
     return;
--- a/src/turn_ledger/turn_replica.h
+++ b/src/turn_ledger/turn_replica.h
@@ -15,6 +15,7 @@
 #include "consensus/snapshot_schedule.h"
 #include "tenancy/rate_limiter.h"
 #include "turn_ledger/admission/waiting_programs.h"
+#include "turn_ledger/crashes/unsettled_tries.h"
 #include "turn_ledger/ledger_queries.h"
 #include "turn_ledger/membership_planner.h"
 #include "turn_ledger/messages.h"
@@ -161,6 +162,9 @@
   void PlanConfiguration();
   GroupView MakeGroupView() const;
   void ApplyEntry(const consensus::Entry& entry);
+  /// Answers the queries of an operation that was applied.
+  void AnswerQueries(const LedgerQueries& queries, const Operation& operation,
+                     OperationResult& result);
   std::optional<consensus::Entry> ReadEntry(consensus::EntryId entry) const;
   /// Whether every entry that the snapshot references is on this machine's disk.
   bool HasReferencedEntries(const consensus::Snapshot& snapshot) const;
@@ -211,6 +215,7 @@
   tenancy::rate_limiter slow_starts_;  ///< For the cold runners hashed to this group.
   tenancy::rate_limiter quotas_;       ///< For the tenants hashed to this group, while leading.
   waiting_programs waiting_programs_;  ///< Programs refused by this replica, while leading.
+  unsettled_tries unsettled_tries_;    ///< Of the turns reserved by this replica, while leading.
   std::uint64_t refused_programs_ = 0;
 };
 
--- a/src/turn_ledger/types.h
+++ b/src/turn_ledger/types.h
@@ -140,6 +140,10 @@
   std::optional<stream_origin> origin;
   /// For a request with a crash account: its unsettled records, in their order.
   std::vector<TurnId> crash_records;
+  /// For a request with a crash account: the number of other tries of the client's request whose
+  /// reservations are unsettled, and under which a runner may have ended without a record. Empty if
+  /// it was not asked for or the leader runs a build that doesn't tell.
+  std::optional<std::uint32_t> unsettled_tries;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -153,6 +157,9 @@
     if (wire::HasLayout(archive, wire::Layout::kMarked6)) {
       archive(crash_records);
     }
+    if (wire::HasLayout(archive, wire::Layout::kMarked7)) {
+      archive(unsettled_tries);
+    }
   }
 };
 
--- a/src/wire/layout.h
+++ b/src/wire/layout.h
@@ -18,10 +18,11 @@
   kMarked4 = 4,    ///< Adds reservations for waiting programs, and overload to quota requests.
   kMarked5 = 5,    ///< Adds the origins of streams to ledger requests and replies.
   kMarked6 = 6,    ///< Adds the records of runners that ended under a request.
+  kMarked7 = 7,    ///< Adds the unsettled tries of a request to ledger replies.
 };
 
 inline constexpr Layout kOldestLayout = Layout::kUnmarked1;
-inline constexpr Layout kNewestLayout = Layout::kMarked6;
+inline constexpr Layout kNewestLayout = Layout::kMarked7;
 /// Layout of all bytes without a layout number: in the store, in logs and snapshots, on disks, in
 /// datagrams, and in frames of the product's daemons. A build must not write another layout there
 /// before all present and later readers are known to support it.
--- a/tests/forwarding/crashes/suspect_table_test.cc
+++ b/tests/forwarding/crashes/suspect_table_test.cc
@@ -45,6 +45,31 @@
     EXPECT_EQ(table.records(start, request(1)), turn_ledger::crash_records{crash_record("b", "try-1")});
 }
 
+// Guards against a request that stays held back here after another gateway has cleared all its records.
+TEST(SuspectTableTest, ReplyWithoutRecordsRemovesThoseThatTheLedgerHad)
+{
+    suspect_table table;
+    table.add(start, request(1), crash_record("a", "try-0"));
+    table.replace(start, request(1), {});
+    EXPECT_EQ(table.size(), 0U);
+}
+
+// Guards against the loss of a record that the ledger could not be told.
+TEST(SuspectTableTest, UncommittedRecordOutlivesRepliesUntilTheLedgerHasIt)
+{
+    suspect_table table;
+    table.add_uncommitted(start, request(1), crash_record("a", "try-0"));
+    table.replace(start, request(1), {});
+    EXPECT_EQ(table.records(start, request(1)).size(), 1U);
+    table.replace(start, request(1), {crash_record("a", "try-0"), crash_record("b", "try-1")});
+    EXPECT_EQ(table.records(start, request(1)).size(), 2U);
+    table.replace(start, request(1), {});
+    EXPECT_TRUE(table.records(start, request(1)).empty());
+    table.add_uncommitted(start, request(1), crash_record("a", "try-0"));
+    table.clear(request(1), crash_record("a", "try-0"));
+    EXPECT_EQ(table.size(), 0U);
+}
+
 TEST(SuspectTableTest, RequestIsForgottenAfterItsLifetime)
 {
     suspect_table table({.m_lifetime = 60s});
--- a/tests/layouts/layouts_test.cc
+++ b/tests/layouts/layouts_test.cc
@@ -24,7 +24,8 @@
 
 const std::map<std::string, Layout> released{
     {"unmarked-1", Layout::kUnmarked1}, {"unmarked-2", Layout::kUnmarked2}, {"marked-3", Layout::kMarked3},
-    {"marked-4", Layout::kMarked4},     {"marked-5", Layout::kMarked5},     {"marked-6", Layout::kMarked6}};
+    {"marked-4", Layout::kMarked4},     {"marked-5", Layout::kMarked5},     {"marked-6", Layout::kMarked6},
+    {"marked-7", Layout::kMarked7}};
 
 std::string folder(const std::string& layout)
 {
--- a/tests/layouts/samples.h
+++ b/tests/layouts/samples.h
@@ -109,6 +109,10 @@
     {
         reply.result.crash_records = {turn_ledger::TurnId("record-1"), turn_ledger::TurnId("record-2")};
     }
+    if constexpr (requires { reply.result.unsettled_tries; })
+    {
+        reply.result.unsettled_tries = 2;
+    }
     reply.leader = {"10.0.0.2", 7380};
     return reply;
 }
--- a/tests/platform/poison_request_contract_test.cc
+++ b/tests/platform/poison_request_contract_test.cc
@@ -118,6 +118,55 @@
   });
 }
 
+/// A gateway that is lost together with the first runner: nothing that it learned reaches the
+/// ledger.
+class LostGateway {
+ public:
+  explicit LostGateway(CrashWorld& world) {
+    world.book().fatal.on_end = [&world, next = world.book().fatal.on_end](auto& runner) {
+      world.other_gateway().state().ledger->SetGroups({});
+      next(runner);
+    };
+  }
+};
+
+void ExpectBoundAfterLossOfGateway(const PoisonCase& test) {
+  CrashWorld world(kRunners);
+  world.StartAll();
+  LostGateway lost(world);
+  std::string body = absl::StrCat("poison ", kFatalMark);
+  world.AskAt(1, Request(test, "first", body));
+  RetryingClient client(world, test);
+  client.Run(body, kTries);
+  EXPECT_LE(world.EndsUnder(body), kMostEnds) << world.Log();
+}
+
+// Guards against a count that lacks the runner that ended together with the gateway of the first
+// try.
+TEST(PoisonRequestContractTest, NoMoreThanThreeRunnersEndUnderATurnWhoseFirstGatewayIsLost) {
+  ExpectBoundAfterLossOfGateway({"Turn", "/stream/9", Gateways::kSame, true});
+}
+
+// The same for a call, which leaves no reservation.
+TEST(PoisonRequestContractTest, NoMoreThanThreeRunnersEndUnderACallWhoseFirstGatewayIsLost) {
+  ExpectBoundAfterLossOfGateway({"Call", "/safe/1", Gateways::kSame});
+}
+
+// Guards against a turn that is held back since the gateway of its first try was lost.
+TEST(PoisonRequestContractTest, TurnWhoseFirstGatewayIsLostIsServed) {
+  CrashWorld world(kRunners);
+  world.StartAll();
+  PoisonCase test{"Turn", "/stream/9", Gateways::kSame, true};
+  world.book().only_plan = RunPlan::kServeSlowly;
+  auto first = world.Begin(1, Request(test, "first", "innocent"));
+  ASSERT_TRUE(world.RunUntil([&] { return world.RunsOf("innocent") == 1; }));
+  world.other_gateway().state().ledger->SetGroups({});
+  first->connection->Close();
+  world.book().only_plan = RunPlan::kServe;
+  EXPECT_EQ(world.AskAt(0, Request(test, "second", "innocent")).status, 200U) << world.Log();
+  EXPECT_NE(world.Log().find("\"unsettled_tries\":1"), std::string::npos);
+}
+
 constexpr char kEndsReason[] = "too many runners ended under it";
 
 ClientRequest Call(const std::string& id, const std::string& body) {
--- a/tests/turn_ledger/turn_replica_test.cc
+++ b/tests/turn_ledger/turn_replica_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "storage/log_store.h"
+#include "turn_ledger/crashes/crash_record.h"
 
 namespace martenyard::turn_ledger {
 namespace {
@@ -51,6 +52,7 @@
       replica_->Apply(ready);
       for (const OutgoingLedgerReply& reply : replica_->TakeReplies()) {
         answered_ += reply.reply.status == ReplyStatus::kDone ? 1 : 0;
+        last_result_ = reply.reply.result;
       }
     }
   }
@@ -65,6 +67,7 @@
   std::unique_ptr<storage::LogStore> disk_ = storage::CreateMemoryLogStore(true);
   std::unique_ptr<TurnReplica> replica_;
   int answered_ = 0;
+  OperationResult last_result_;
 };
 
 TEST_F(TurnReplicaTest, LargeSnapshotIsTakenInStepsAndRequestsAreServedBetweenThem) {
@@ -166,6 +169,37 @@
   EXPECT_EQ(answered_, 2);
 }
 
+TEST_F(TurnReplicaTest, ReservationIsToldTheUnsettledTriesOfItsRequest) {
+  ProgramId account("crashes-of-request");
+  std::uint64_t number = 0;
+  auto submit = [&](const Operation& operation) {
+    LedgerRequest request{++number, operation};
+    request.crash_account = account;
+    replica_->OnRequest(now_, kGateway, request);
+    ProcessReady();
+    return last_result_.unsettled_tries;
+  };
+  auto reserve = [&](const ProgramId& program, const std::string& turn) {
+    ReserveTurn operation;
+    operation.program = program;
+    operation.turn = TurnId(turn);
+    operation.tokens = 1;
+    return submit(operation);
+  };
+  ProgramId program("p");
+  EXPECT_EQ(reserve(program, "try-1"), 0U);
+  EXPECT_EQ(reserve(program, "try-1"), 0U) << "a repeated message";
+  EXPECT_EQ(reserve(program, "try-2"), 1U);
+  reserve(account, crash_record("runner", "try-1").value);
+  EXPECT_EQ(last_result_.unsettled_tries, 0U) << "a record is no try";
+  EXPECT_EQ(reserve(program, "try-3"), 1U) << "the record stands for the first try";
+  SettleTurn settle;
+  settle.program = program;
+  settle.turn = TurnId("try-2");
+  submit(settle);
+  EXPECT_EQ(reserve(program, "try-4"), 1U) << "the third try is left";
+}
+
 TEST_F(TurnReplicaTest, ProbeIsAnsweredWithoutALogEntry) {
   consensus::LogIndex before = replica_->raft().last_index();
   replica_->OnRequest(now_, kGateway, {1, Probe{}});
