Logs and metrics: how long a gateway has known of a newer configuration

configuration_applied has lag_ms, from the first report of a newer configuration by a peer; the same as a histogram, and the present lag and version as gauges. Runners of the first read are told in one line (runners_read).

--- a/src/aggregation/change_propagation.cc
+++ b/src/aggregation/change_propagation.cc
@@ -112,4 +112,11 @@
     return change_query{chosen.m_contact.m_endpoint, mirror};
 }
 
+std::chrono::milliseconds change_propagation::lag(instant now, std::size_t mirror) const
+{
+    const std::optional<instant>& since = m_lags[mirror].m_since;
+    return since ? std::chrono::duration_cast<std::chrono::milliseconds>(now - *since)
+                 : std::chrono::milliseconds::zero();
+}
+
 }  // namespace martenyard::aggregation
--- a/src/aggregation/change_propagation.h
+++ b/src/aggregation/change_propagation.h
@@ -78,6 +78,10 @@
     /// @return the query that is due for a mirror, if any; it is recorded as sent
     std::optional<change_query> next_query(instant now, std::size_t mirror, std::uint64_t own, bool may_wait);
 
+    /// @return how long peers have reported newer changes of a mirror than this gateway had; zero if none did
+    ///         at the last call of @ref next_query
+    std::chrono::milliseconds lag(instant now, std::size_t mirror) const;
+
   private:
     struct peer_state
     {
--- a/src/aggregation/messages.h
+++ b/src/aggregation/messages.h
@@ -20,6 +20,8 @@
 
 /// configuration, runners, ledger directory, aggregators: in the same order on all gateways
 constexpr std::size_t mirror_count = 4;
+constexpr std::size_t configuration_mirror = 0;
+constexpr std::size_t runners_mirror = 1;
 
 /// the revision of the last known change of each mirror
 using mirror_revisions = std::array<std::uint64_t, mirror_count>;
--- a/src/forwarding/gateway_metrics.cc
+++ b/src/forwarding/gateway_metrics.cc
@@ -25,6 +25,10 @@
   return {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0};
 }
 
+prometheus::Histogram::BucketBoundaries LagBuckets() {
+  return {0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 5.0, 10.0};
+}
+
 }  // namespace
 
 GatewayMetrics::GatewayMetrics()
@@ -44,6 +48,12 @@
                   .Name("martenyard_stage_seconds")
                   .Help("Time of each stage of a request, in seconds.")
                   .Register(registry_)),
+      configuration_lag_(prometheus::BuildHistogram()
+                             .Name("martenyard_configuration_lag_seconds")
+                             .Help("Time from a peer's first report of a newer configuration until "
+                                   "it was applied, in seconds.")
+                             .Register(registry_)
+                             .Add({}, LagBuckets())),
       gauges_(prometheus::BuildGauge()
                   .Name("martenyard_state")
                   .Help("Present values, by name.")
@@ -82,6 +92,10 @@
   histograms_[stage]->Observe(absl::ToDoubleSeconds(took));
 }
 
+void GatewayMetrics::ObserveConfigurationLag(absl::Duration lag) {
+  configuration_lag_.Observe(absl::ToDoubleSeconds(lag));
+}
+
 void GatewayMetrics::Set(const std::string& name, double value) {
   gauges_.Add({{"name", name}}).Set(value);
 }
--- a/src/forwarding/gateway_metrics.h
+++ b/src/forwarding/gateway_metrics.h
@@ -27,6 +27,8 @@
   /// Counts a resumption by a client. @param origin how the stream's origin is known, or "unknown".
   void CountResumption(const std::string& origin);
   void Observe(Stage stage, absl::Duration took);
+  /// @param lag from the first report of a newer configuration by a peer until it was applied.
+  void ObserveConfigurationLag(absl::Duration lag);
   void Set(const std::string& name, double value);
   std::string Text() const;
 
@@ -36,6 +38,7 @@
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& resumptions_;
   prometheus::Family<prometheus::Histogram>& stages_;
+  prometheus::Histogram& configuration_lag_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   std::map<std::string, prometheus::Counter*> request_counters_;
   std::map<std::string, prometheus::Counter*> attempt_counters_;
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -698,6 +698,11 @@
                       : m_view && m_view->any_reaches_store(SteadyInstant());
 }
 
+std::chrono::milliseconds zone_exchange::configuration_lag() const
+{
+    return m_propagation.lag(SteadyInstant(), aggregation::configuration_mirror);
+}
+
 std::size_t zone_exchange::peer_count() const
 {
     return m_view ? m_view->gateway_count() - 1 : 0;
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -150,6 +150,10 @@
     ///         reports that it is
     bool store_reachable() const;
 
+    /// @return how long other gateways have reported a newer configuration than this one has; to a tick's
+    ///         precision
+    std::chrono::milliseconds configuration_lag() const;
+
     /// @return the number of other known gateways, and of those that do not reach the ledger
     std::size_t peer_count() const;
     std::size_t peers_without_ledger() const;
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <initializer_list>
 #include <limits>
+#include <map>
+#include <string>
 #include <utility>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "absl/strings/strip.h"
 #include "base/clock.h"
 #include "forwarding/forwarder.h"
@@ -334,12 +337,15 @@
   limits.body_bytes = configuration->limits.body_bytes;
   limits.header_timeout = configuration->limits.header_timeout;
   limits.idle_timeout = configuration->limits.idle_timeout;
+  std::chrono::milliseconds lag = exchange_.configuration_lag();
+  state_->metrics.ObserveConfigurationLag(absl::FromChrono(lag));
   log_.Write(
       Line("configuration_applied")
           .Number("version", static_cast<std::int64_t>(configuration->version))
           .Number("routes", static_cast<std::int64_t>(configuration->routes.size()))
           .Number("tenants", static_cast<std::int64_t>(configuration->tenants.tenants().size()))
-          .Number("revision", static_cast<std::int64_t>(revision)));
+          .Number("revision", static_cast<std::int64_t>(revision))
+          .Number("lag_ms", lag.count()));
   for (const std::string& fault : configuration->tenants.errors()) {
     log_.Write(Line("tenant_faulty")
                    .Number("version", static_cast<std::int64_t>(configuration->version))
@@ -392,10 +398,11 @@
     return;
   }
   const discovery::RunnerState* known = state_->runners.Find(runner->id);
+  bool first_read = !runners_read_ && known == nullptr;
   bool changed = known == nullptr || known->runner.draining != runner->draining || known->gone ||
                  known->runner.version != runner->version ||
                  runner->cold_for > absl::ZeroDuration();
-  if (changed) {
+  if (changed && !first_read) {
     log_.Write(Line("runner_known")
                    .Text("runner", runner->id.value)
                    .Text("service", runner->service.value)
@@ -413,6 +420,20 @@
       [&](const std::string& process) { return HasTakenOver(*runner, process); }, runner->service);
 }
 
+void GatewayRole::LogFirstRunners() {
+  if (runners_read_ || !runners_.complete()) {
+    return;
+  }
+  runners_read_ = true;
+  std::map<std::string, int> counts;
+  for (const auto& [id, state] : state_->runners.all()) {
+    ++counts[absl::StrCat(state.runner.service.value, " ", state.runner.version)];
+  }
+  log_.Write(Line("runners_read")
+                 .Number("runners", static_cast<std::int64_t>(state_->runners.all().size()))
+                 .Text("by_version", absl::StrJoin(counts, ",", absl::PairFormatter(" "))));
+}
+
 bool GatewayRole::HasTakenOver(const discovery::Runner& runner, const std::string& process) {
   discovery::RunnerId id(process.substr(0, process.find('@')));
   const discovery::RunnerState* previous = state_->runners.Find(id);
@@ -628,6 +649,7 @@
 
 void GatewayRole::Tick(absl::Time now) {
   exchange_.tick(readiness_monitor_.ledger_unreachable());
+  LogFirstRunners();
   UpdateReadiness();
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeepingInterval;
@@ -748,6 +770,11 @@
               state_->reachability == nullptr
                   ? 0
                   : static_cast<double>(state_->reachability->unreachable_zones()));
+  const auto& routes = state_->routes;
+  metrics.Set("configuration_version",
+              routes ? static_cast<double>(routes->configuration().version) : 0);
+  metrics.Set("configuration_lag_seconds",
+              absl::ToDoubleSeconds(absl::FromChrono(exchange_.configuration_lag())));
   metrics.Set("known_runners", static_cast<double>(state_->runners.all().size()));
   discovery::ServiceBalance balance =
       state_->runners.Balance(SteadyInstant(), state_->options.overload.m_runner_speeds);
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -58,6 +58,8 @@
   void OnRunnerChange(const store::StoreChange& change);
   /// @return whether the runner is at the address that another process had before.
   bool HasTakenOver(const discovery::Runner& runner, const std::string& process);
+  /// Logs the runners that were read first in one line, once all are known.
+  void LogFirstRunners();
   /// Removes the runner that was registered under `key`.
   void RemoveRunner(const std::string& key);
   /// Drops connections and prefix cache state of the previous process of a restarted runner.
@@ -120,6 +122,7 @@
   zone_contact zone_contact_;
   bool ledger_answered_ = false;
   bool own_zone_has_quorum_ = false;
+  bool runners_read_ = false;   ///< All runners were known once.
   bool reaches_ledger_ = true;  ///< The reported state: debounced, and true in a shared outage.
   bool layout_update_pending_ = false;
   absl::Time next_housekeeping_;
