Pushes of changes: copies of the runners last, others in turn

Cause: pushes were made in the order of names, eight a tick, and repeated each 0.4 s until they are acknowledged. With 32 of them unacknowledged, as while gateways receive copies of the runners after a restart, those behind got none and had to ask for each change themselves.

Change: all other copies go before those of the runners; among equals, what was pushed longest ago comes first.

Evidence: SlowCopiesTest, 64 gateways of which none acknowledges its copy: before, 26 have a change of the configuration after 1 s and 32 are sent a copy at all, now 64 and 64.

--- a/src/aggregation/change_propagation.cc
+++ b/src/aggregation/change_propagation.cc
@@ -56,11 +56,11 @@
     return may_push && !recently_pushed;
 }
 
-std::vector<change_push> change_propagation::take_due_pushes(instant now, const mirror_revisions& own,
-                                                             const aggregator& own_aggregator,
-                                                             const std::vector<contact>& immediate)
+std::vector<change_propagation::due_push> change_propagation::find_due_pushes(
+    instant now, const mirror_revisions& own, const aggregator& own_aggregator,
+    const std::vector<contact>& immediate)
 {
-    std::vector<change_push> pushes;
+    std::vector<due_push> pushes;
     for (const auto& [name, gateway] : own_aggregator.members())
     {
         if (!own_aggregator.is_live(now, gateway))
@@ -72,17 +72,40 @@
         for (std::size_t mirror = 0; mirror < mirror_count; ++mirror)
         {
             bool behind = gateway.m_revisions[mirror] < own[mirror];
-            bool due = is_due(now, behind, immediately, states[mirror]);
-            if (due && pushes.size() < m_options.m_max_pushes)
+            if (is_due(now, behind, immediately, states[mirror]))
             {
-                states[mirror].m_pushed_at = now;
-                pushes.push_back({gateway.m_contact.m_endpoint, mirror, gateway.m_revisions[mirror]});
+                change_push push{gateway.m_contact.m_endpoint, mirror, gateway.m_revisions[mirror]};
+                pushes.push_back({push, &states[mirror]});
             }
         }
     }
     return pushes;
 }
 
+std::vector<change_push> change_propagation::take_due_pushes(instant now, const mirror_revisions& own,
+                                                             const aggregator& own_aggregator,
+                                                             const std::vector<contact>& immediate)
+{
+    std::vector<due_push> due = find_due_pushes(now, own, own_aggregator, immediate);
+    auto rank = [](const due_push& push)
+    {
+        return std::make_pair(push.m_push.m_mirror == runners_mirror, push.m_state->m_pushed_at);
+    };
+    std::stable_sort(due.begin(), due.end(),
+                     [rank](const due_push& left, const due_push& right)
+                     {
+                         return rank(left) < rank(right);
+                     });
+    due.resize(std::min(due.size(), m_options.m_max_pushes));
+    std::vector<change_push> pushes;
+    for (const due_push& push : due)
+    {
+        push.m_state->m_pushed_at = now;
+        pushes.push_back(push.m_push);
+    }
+    return pushes;
+}
+
 std::optional<change_query> change_propagation::next_query(instant now, std::size_t mirror, std::uint64_t own,
                                                            bool may_wait)
 {
--- a/src/aggregation/change_propagation.h
+++ b/src/aggregation/change_propagation.h
@@ -69,7 +69,9 @@
     /// @param[in] own        the revisions of this gateway's mirrors
     /// @param[in] immediate  gateways without a primary that are sent changes without delay: the other
     ///                       aggregators of the zone, which push them to their own gateways
-    /// @return the pushes that are due; they are recorded as sent
+    /// @return the pushes that are due, up to the limit; they are recorded as sent. Copies of the runners are
+    ///         large and come last, so that they delay no other change; among equals, those pushed longest
+    ///         ago come first.
     std::vector<change_push> take_due_pushes(instant now, const mirror_revisions& own,
                                              const aggregator& own_aggregator,
                                              const std::vector<contact>& immediate = {});
@@ -104,7 +106,16 @@
         std::optional<instant> m_queried_at;
     };
 
+    struct due_push
+    {
+        change_push m_push;
+        push_state* m_state = nullptr;
+    };
+
     bool is_due(instant now, bool behind, bool immediately, push_state& state) const;
+    std::vector<due_push> find_due_pushes(instant now, const mirror_revisions& own,
+                                          const aggregator& own_aggregator,
+                                          const std::vector<contact>& immediate);
 
     change_propagation_options m_options;
     Random m_random;
--- a/tests/aggregation/change_propagation_test.cc
+++ b/tests/aggregation/change_propagation_test.cc
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <string>
+
 namespace martenyard::aggregation {
 namespace {
 
@@ -80,6 +84,58 @@
   EXPECT_EQ(pushed_total, 20U);
 }
 
+/// Gateways that lack the runners for the whole test, and have the configuration once it was
+/// pushed.
+class SlowCopiesTest : public ChangePropagationTest {
+ protected:
+  static constexpr int kGateways = 64;
+
+  /// @return the number of gateways with the configuration `version` after the time.
+  std::size_t RunTicks(std::uint64_t version, milliseconds duration) {
+    mirror_revisions own{version, /*runners=*/100};
+    for (milliseconds end = now_ + duration; now_ < end; now_ += milliseconds(100)) {
+      for (int number = 0; number < kGateways; ++number) {
+        auto port = static_cast<std::uint16_t>(10 + number);
+        HandleReport(Report("g" + std::to_string(number), port, configurations_[port]), now_);
+      }
+      for (const change_push& push :
+           propagation_.take_due_pushes(instant() + now_, own, aggregator_)) {
+        auto port = push.m_to.port;
+        if (push.m_mirror == configuration_mirror) {
+          configurations_[port] = version;
+        } else {
+          ++copies_[port];
+        }
+      }
+    }
+    return static_cast<std::size_t>(
+        std::count_if(configurations_.begin(), configurations_.end(),
+                      [version](const auto& known) { return known.second == version; }));
+  }
+
+  milliseconds now_{0};
+  std::map<std::uint16_t, std::uint64_t> configurations_;
+  std::map<std::uint16_t, int> copies_;  // Of the runners, sent to each gateway.
+};
+
+// Guards against gateways that get no configuration while others have not acknowledged their
+// copies of the runners, as after a restart of many.
+TEST_F(SlowCopiesTest, UnacknowledgedCopiesDelayNoConfiguration) {
+  RunTicks(8, milliseconds(2000));
+  EXPECT_EQ(RunTicks(9, milliseconds(1000)), static_cast<std::size_t>(kGateways));
+}
+
+// Guards against gateways that are never sent a copy, since those before them are sent theirs
+// again.
+TEST_F(SlowCopiesTest, CopiesAreSentToAllGatewaysInTurn) {
+  RunTicks(8, milliseconds(4000));
+  ASSERT_EQ(copies_.size(), static_cast<std::size_t>(kGateways));
+  auto [least, most] = std::minmax_element(
+      copies_.begin(), copies_.end(),
+      [](const auto& left, const auto& right) { return left.second < right.second; });
+  EXPECT_LE(most->second - least->second, 1);
+}
+
 TEST_F(ChangePropagationTest, QueriesPeersWithNewerRevisionsOneAtATime) {
   propagation_.record_revisions(instant(), Gateway("ahead", 3), {9});
   propagation_.record_revisions(instant(), Gateway("behind", 4), {7});
