Copies of the runners: connections of their own, one at a time to a gateway

Cause: a gateway that has just started was sent its copy of the runners (3 MB) by its aggregators again and again before the first could arrive, asked other peers for one each 0.4 s and a storage machine each 0.2 s, and read the store besides: on its link of 30 Mbit/s these took 4 to 9 s. Changes of the configuration took the same connections, and nothing is sent to a peer while earlier bytes are unsent.

Change: - Changes of the runners are sent on connections of their own, with a small send buffer, so that bytes not yet received count as unsent; a copy that finds no room is due again at once, so bytes in flight are bounded by the sender's memory. - A second copy is sent to a gateway without any only after the time that one needs at a quarter of the slowest link, by its size. - While a large frame arrives and grows, no other copy of the runners is asked for or read. Builds before this one read the new connections like the old ones; no message changed.

Evidence: AggregatorContractTest.GatewayThatIsReceivingACopyOfTheRunnersGetsTheConfiguration fails before (4.6 s: only behind the copy).

--- a/src/aggregation/change_propagation.cc
+++ b/src/aggregation/change_propagation.cc
@@ -43,7 +43,13 @@
                   });
 }
 
-bool change_propagation::is_due(instant now, bool behind, bool immediately, push_state& state) const
+std::chrono::milliseconds change_propagation::copy_time(std::size_t mirror) const
+{
+    return std::chrono::milliseconds(1000 * m_copy_sizes[mirror] / m_options.m_min_copy_rate);
+}
+
+bool change_propagation::is_due(instant now, bool behind, bool immediately,
+                                std::chrono::milliseconds copy_time, push_state& state) const
 {
     if (!behind)
     {
@@ -51,8 +57,10 @@
         return false;
     }
     state.m_behind_since = state.m_behind_since.value_or(now);
-    bool may_push = immediately || now - *state.m_behind_since >= m_options.m_secondary_push_delay;
-    bool recently_pushed = state.m_pushed_at && now - *state.m_pushed_at < m_options.m_push_retry_interval;
+    bool may_push =
+        immediately || now - *state.m_behind_since >= m_options.m_secondary_push_delay + copy_time;
+    bool recently_pushed =
+        state.m_pushed_at && now - *state.m_pushed_at < m_options.m_push_retry_interval + copy_time;
     return may_push && !recently_pushed;
 }
 
@@ -71,10 +79,11 @@
         std::array<push_state, mirror_count>& states = m_pushes[name];
         for (std::size_t mirror = 0; mirror < mirror_count; ++mirror)
         {
-            bool behind = gateway.m_revisions[mirror] < own[mirror];
-            if (is_due(now, behind, immediately, states[mirror]))
+            std::uint64_t revision = gateway.m_revisions[mirror];
+            auto time = revision == 0 ? copy_time(mirror) : std::chrono::milliseconds::zero();
+            if (is_due(now, revision < own[mirror], immediately, time, states[mirror]))
             {
-                change_push push{gateway.m_contact.m_endpoint, mirror, gateway.m_revisions[mirror]};
+                change_push push{name, gateway.m_contact.m_endpoint, mirror, revision};
                 pushes.push_back({push, &states[mirror]});
             }
         }
@@ -106,6 +115,15 @@
     return pushes;
 }
 
+void change_propagation::cancel(const change_push& push)
+{
+    auto states = m_pushes.find(push.m_name);
+    if (states != m_pushes.end())
+    {
+        states->second[push.m_mirror].m_pushed_at.reset();
+    }
+}
+
 std::optional<change_query> change_propagation::next_query(instant now, std::size_t mirror, std::uint64_t own,
                                                            bool may_wait)
 {
--- a/src/aggregation/change_propagation.h
+++ b/src/aggregation/change_propagation.h
@@ -23,6 +23,7 @@
 /// @brief changes to send to a gateway that has not requested them
 struct change_push
 {
+    std::string m_name;
     wire::Endpoint m_to;
     std::size_t m_mirror = 0;
     /// revision of the last change that the receiver has
@@ -52,6 +53,8 @@
     std::chrono::milliseconds m_peer_lifetime{1600};
     /// pushes per call; eight full mirrors of 45 KB take 0.1 s on a 30 Mbit/s link
     std::size_t m_max_pushes = 8;
+    /// bytes per second at which a full copy is expected to arrive: a quarter of a 30 Mbit/s link
+    std::size_t m_min_copy_rate = 900'000;
 };
 
 /// @brief decides on pushes and queries
@@ -76,6 +79,16 @@
                                              const aggregator& own_aggregator,
                                              const std::vector<contact>& immediate = {});
 
+    /// @brief a push could not be sent: it is due again
+    void cancel(const change_push& push);
+
+    /// @param[in] bytes  the size of a full copy of each mirror. Another copy is sent to a gateway only after
+    ///                   the time that one of this size needs
+    void set_copy_sizes(const std::array<std::size_t, mirror_count>& bytes)
+    {
+        m_copy_sizes = bytes;
+    }
+
     /// @param[in] may_wait  a watch or a push may still deliver the changes
     /// @return the query that is due for a mirror, if any; it is recorded as sent
     std::optional<change_query> next_query(instant now, std::size_t mirror, std::uint64_t own, bool may_wait);
@@ -112,7 +125,10 @@
         push_state* m_state = nullptr;
     };
 
-    bool is_due(instant now, bool behind, bool immediately, push_state& state) const;
+    /// @param[in] copy_time  for a full copy to arrive; zero for a gateway that has one
+    bool is_due(instant now, bool behind, bool immediately, std::chrono::milliseconds copy_time,
+                push_state& state) const;
+    std::chrono::milliseconds copy_time(std::size_t mirror) const;
     std::vector<due_push> find_due_pushes(instant now, const mirror_revisions& own,
                                           const aggregator& own_aggregator,
                                           const std::vector<contact>& immediate);
@@ -122,6 +138,7 @@
     std::map<std::string, peer_state> m_peers;
     std::map<std::string, std::array<push_state, mirror_count>> m_pushes;
     std::array<lag_state, mirror_count> m_lags;
+    std::array<std::size_t, mirror_count> m_copy_sizes{};
 };
 
 }  // namespace martenyard::aggregation
--- a/src/roles/exchange/change_sender.cc
+++ b/src/roles/exchange/change_sender.cc
@@ -17,17 +17,18 @@
     return revisions;
 }
 
-change_sender::change_sender(wire::Transport& transport, const mirror_list& mirrors,
-                             std::function<turn_ledger::Machine()> self)
-    : m_transport(transport), m_mirrors(mirrors), m_self(std::move(self))
+change_sender::change_sender(wire::Transport& transport, wire::Transport& bulk_transport,
+                             const mirror_list& mirrors, std::function<turn_ledger::Machine()> self)
+    : m_transport(transport), m_bulk_transport(bulk_transport), m_mirrors(mirrors), m_self(std::move(self))
 {
 }
 
-void change_sender::send(const wire::Endpoint& to, std::size_t mirror, std::uint64_t from_revision)
+send_result change_sender::send(const wire::Endpoint& to, std::size_t mirror, std::uint64_t from_revision)
 {
-    if (m_transport.Unsent(to) > 0)
+    wire::Transport& transport = mirror == aggregation::runners_mirror ? m_bulk_transport : m_transport;
+    if (transport.Unsent(to) > 0)
     {
-        return;
+        return send_result::pending;
     }
     const store::PrefixMirror& source = *m_mirrors[mirror];
     std::uint64_t to_revision = source.last_change();
@@ -39,7 +40,7 @@
         m_cached = encoded_delta{mirror, from_revision, to_revision,
                                  wire::Encode(turn_ledger::Envelope{m_self(), std::move(reply)})};
     }
-    m_transport.SendFrame(to, m_cached->m_frame);
+    return transport.SendFrame(to, m_cached->m_frame) ? send_result::queued : send_result::no_room;
 }
 
 }  // namespace martenyard::roles
--- a/src/roles/exchange/change_sender.h
+++ b/src/roles/exchange/change_sender.h
@@ -19,6 +19,19 @@
 /// the mirrors whose changes are propagated, in the order of aggregation::mirror_revisions
 using mirror_list = std::array<store::PrefixMirror*, aggregation::mirror_count>;
 
+/// bytes of a copy that the system may hold for a connection; a link of 200 Mbit/s has fewer in flight
+constexpr int bulk_send_buffer = 256 << 10;
+
+/// @brief the outcome of @ref change_sender::send
+enum class send_result
+{
+    queued,
+    /// earlier bytes to the peer are unsent, most likely a copy that is under way
+    pending,
+    /// too many bytes to all peers are unsent
+    no_room,
+};
+
 /// @return the revision of the last change of each mirror
 aggregation::mirror_revisions last_revisions(const mirror_list& mirrors);
 
@@ -27,17 +40,20 @@
 {
   public:
     /// All references must outlive the object.
-    /// @param[in] self  returns the machine that is named as the sender
-    change_sender(wire::Transport& transport, const mirror_list& mirrors,
+    /// @param[in] bulk_transport  its own connections carry the changes of the runners, whose copies are
+    ///                            large, so that the configuration doesn't wait behind one
+    /// @param[in] self            returns the machine that is named as the sender
+    change_sender(wire::Transport& transport, wire::Transport& bulk_transport, const mirror_list& mirrors,
                   std::function<turn_ledger::Machine()> self);
 
-    /// @brief sends the changes after `from_revision`, or nothing while earlier data to the peer is unsent;
-    ///        the peer requests them again
+    /// @brief sends the changes after `from_revision`, unless earlier ones are unsent; the peer requests them
+    ///        again
     /// @param[in] mirror  a valid index
-    void send(const wire::Endpoint& to, std::size_t mirror, std::uint64_t from_revision);
+    send_result send(const wire::Endpoint& to, std::size_t mirror, std::uint64_t from_revision);
 
   private:
     wire::Transport& m_transport;
+    wire::Transport& m_bulk_transport;
     mirror_list m_mirrors;
     std::function<turn_ledger::Machine()> m_self;
 
--- a/src/roles/exchange/storage_link.cc
+++ b/src/roles/exchange/storage_link.cc
@@ -46,7 +46,7 @@
     }
 }
 
-void storage_link::request_missing(instant now, bool all_mirrors)
+void storage_link::request_missing(instant now, bool all_mirrors, bool receives_copy)
 {
     bool due = now - m_started_at >= m_options.m_request_delay &&
                now - m_requested_at >= m_options.m_request_interval;
@@ -60,7 +60,8 @@
     {
         // Only few gateways request all mirrors; the aggregators push them to the others.
         bool needed = all_mirrors || index + 1 == m_mirrors.size();
-        if (needed && !m_mirrors[index]->complete())
+        bool arrives = receives_copy && index == aggregation::runners_mirror;
+        if (needed && !arrives && !m_mirrors[index]->complete())
         {
             ++requested;
             m_send(seed,
--- a/src/roles/exchange/storage_link.h
+++ b/src/roles/exchange/storage_link.h
@@ -60,7 +60,8 @@
     /// @brief requests the mirrors that this process lacks from a storage machine, if due
     /// @param[in] all_mirrors  request all mirrors instead of only the aggregator slots, through which an
     ///                         ordinary gateway finds the aggregators that push the others
-    void request_missing(instant now, bool all_mirrors);
+    /// @param[in] receives_copy  a copy of the runners is arriving already
+    void request_missing(instant now, bool all_mirrors, bool receives_copy);
 
   private:
     const RoleSettings& m_settings;
--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -94,8 +94,9 @@
 
 zone_exchange::zone_exchange(async_http::asio::io_context& context, const RoleSettings& settings,
                              store::MetadataStore& store, wire::Transport& transport,
-                             const mirror_references& mirrors, forwarding::GatewayState& state,
-                             event_log::EventLog& log, const exchange_options& options)
+                             wire::Transport& bulk_transport, const mirror_references& mirrors,
+                             forwarding::GatewayState& state, event_log::EventLog& log,
+                             const exchange_options& options)
     : m_context(context),
       m_settings(settings),
       m_store(store),
@@ -104,7 +105,7 @@
       m_log(log),
       m_options(options),
       m_mirrors{&mirrors.m_configuration, &mirrors.m_runners, &mirrors.m_ledger, &mirrors.m_aggregators},
-      m_change_sender(transport, m_mirrors,
+      m_change_sender(transport, bulk_transport, m_mirrors,
                       [this]
                       {
                           return machine();
@@ -620,7 +621,7 @@
         }
     }
     query_changes(now);
-    m_storage_link.request_missing(now, reads_all_mirrors(now));
+    m_storage_link.request_missing(now, reads_all_mirrors(now), is_receiving_copy());
     confirm_configuration();
     expire_peer_loads(now);
     m_state.gateway_count = std::max<std::uint32_t>(1, m_view->gateway_count());
@@ -673,7 +674,8 @@
     bool store_unreachable = !m_store_answered.value_or(true);
     for (std::size_t mirror = 0; mirror + 1 < m_mirrors.size(); ++mirror)
     {
-        m_mirrors[mirror]->SetPaused(!reads || (mirror > 0 && store_unreachable));
+        bool arrives = mirror == aggregation::runners_mirror && is_receiving_copy();
+        m_mirrors[mirror]->SetPaused(!reads || arrives || (mirror > 0 && store_unreachable));
     }
     m_registry.set_paused(!is_aggregator() || store_unreachable);
     log_reading_change(reads, store_unreachable);
@@ -868,18 +870,39 @@
 
 void zone_exchange::push_changes(instant now)
 {
+    std::array<std::size_t, aggregation::mirror_count> sizes{};
+    std::transform(m_mirrors.begin(), m_mirrors.end(), sizes.begin(),
+                   [](const store::PrefixMirror* mirror)
+                   {
+                       return mirror->bytes();
+                   });
+    m_propagation.set_copy_sizes(sizes);
     for (const aggregation::change_push& push : m_propagation.take_due_pushes(
              now, revisions(), *m_aggregator, aggregation::slot_holders(m_slots, m_cells.cell())))
     {
-        ++m_stats.m_changes_pushed;
-        m_change_sender.send(push.m_to, push.m_mirror, push.m_since);
+        send_result result = m_change_sender.send(push.m_to, push.m_mirror, push.m_since);
+        if (result == send_result::no_room)
+        {
+            m_propagation.cancel(push);
+        }
+        m_stats.m_changes_pushed += result == send_result::queued ? 1 : 0;
     }
 }
 
+bool zone_exchange::is_receiving_copy() const
+{
+    return m_transport.IsReceiving(m_options.m_min_copy_bytes,
+                                   absl::FromChrono(m_options.m_copy_stall_timeout));
+}
+
 void zone_exchange::query_changes(instant now)
 {
     for (std::size_t mirror = 0; mirror < m_mirrors.size(); ++mirror)
     {
+        if (mirror == aggregation::runners_mirror && is_receiving_copy())
+        {
+            continue;
+        }
         // A push or this gateway's own watch may still deliver the change, unless the watch has failed.
         bool may_wait = !m_watching || m_store_answered.value_or(false);
         auto query = m_propagation.next_query(now, mirror, m_mirrors[mirror]->last_change(), may_wait);
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -67,6 +67,9 @@
     std::chrono::milliseconds m_representative_timeout{900};
     /// time between short digests to registered gateways that do not report
     std::chrono::milliseconds m_introduction_interval{1000};
+    /// an incomplete frame of this size is taken for a copy of the runners while it goes on growing
+    std::size_t m_min_copy_bytes = std::size_t{64} << 10U;
+    std::chrono::milliseconds m_copy_stall_timeout{400};
     /// minimum time between two log lines about dropped reports
     std::chrono::milliseconds m_drop_log_interval{1000};
     /// without a full digest for this time, the loads of other gateways are reset
@@ -106,8 +109,8 @@
   public:
     /// All references must outlive the object.
     zone_exchange(async_http::asio::io_context& context, const RoleSettings& settings,
-                  store::MetadataStore& store, wire::Transport& transport, const mirror_references& mirrors,
-                  forwarding::GatewayState& state, event_log::EventLog& log,
+                  store::MetadataStore& store, wire::Transport& transport, wire::Transport& bulk_transport,
+                  const mirror_references& mirrors, forwarding::GatewayState& state, event_log::EventLog& log,
                   const exchange_options& options = {});
 
     /// @brief starts the exchange, once the internal port is bound
@@ -249,6 +252,8 @@
     void push_changes(instant now);
     void query_changes(instant now);
     bool reads_all_mirrors(instant now) const;
+    /// @return whether a peer is sending a large frame, such as a copy of the runners
+    bool is_receiving_copy() const;
     void apply(instant now, const std::vector<aggregation::runner_load>& others,
                const std::vector<aggregation::placement>& placements);
     void expire_peer_loads(instant now);
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -170,6 +170,9 @@
           loop, [this](const std::string& payload) { OnFrame(payload); },
           [this](const std::string& payload) { exchange_.on_datagram(payload); },
           [this](const wire::Endpoint& peer, absl::Time) { state_->ledger->OnReplicaDown(peer); }),
+      bulk_transport_(
+          loop, [](const std::string&) {}, [](const std::string&) {},
+          [](const wire::Endpoint&, absl::Time) {}),
       link_(
           transport_, [this] { return Self(); }, log,
           [this](const wire::Endpoint& peer, std::uint64_t request) {
@@ -218,7 +221,7 @@
           },
           AggregatorWatchOptions(settings)),
       exchange_(
-          loop.context(), settings, store, transport_,
+          loop.context(), settings, store, transport_, bulk_transport_,
           {configuration_, runners_, ledger_directory_, aggregators_, formats.ConfigurationKey()},
           *state_, log),
       ticker_(loop, kTickInterval, log, [this](absl::Time now) { Tick(now); }) {
@@ -270,6 +273,8 @@
   BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
   settings_.internal_port = bound.port;
   transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
+  bulk_transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
+  bulk_transport_.SetSendBuffer(bulk_send_buffer);
   frontend_.limits().buffered_body_bytes = settings_.memory_bytes / kBodyMemoryDivisor;
   state_->response_buffers.set_limit(settings_.memory_bytes / kResponseMemoryDivisor);
   frontend_.limits().connections = settings_.max_descriptors > 2 * kReservedDescriptors
@@ -806,8 +811,10 @@
   metrics.Set("requests_dropped_for_unknown_peers", static_cast<double>(link_.stats().m_dropped));
   metrics.Set("peers_of_earlier_layouts", static_cast<double>(link_.earlier_peers()));
   metrics.Set("newest_layout", static_cast<double>(wire::kNewestLayout));
-  metrics.Set("peer_bytes_unsent", static_cast<double>(transport_.unsent()));
-  metrics.Set("peer_bytes_sent", static_cast<double>(transport_.stats().bytes_sent));
+  metrics.Set("peer_bytes_unsent",
+              static_cast<double>(transport_.unsent() + bulk_transport_.unsent()));
+  metrics.Set("peer_bytes_sent", static_cast<double>(transport_.stats().bytes_sent +
+                                                     bulk_transport_.stats().bytes_sent));
   metrics.Set("peer_bytes_received", static_cast<double>(transport_.stats().bytes_received));
   async_http::HttpHead head;
   head.result(200U);
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -104,6 +104,7 @@
   event_log::EventLog& log_;
   std::shared_ptr<forwarding::GatewayState> state_;
   wire::Transport transport_;
+  wire::Transport bulk_transport_;  ///< Sends copies of the runners, on connections of its own.
   peer_link link_;
   async_http::Server frontend_;
   async_http::Server readiness_server_;
--- a/src/roles/ledger/persisted_mirrors.cc
+++ b/src/roles/ledger/persisted_mirrors.cc
@@ -58,7 +58,8 @@
 
 persisted_mirrors::persisted_mirrors(async_http::asio::io_context& context, const RoleSettings& settings,
                                      const PlatformFormats& formats, store::MetadataStore& store,
-                                     wire::Transport& transport, store::PrefixMirror& directory,
+                                     wire::Transport& transport, wire::Transport& bulk_transport,
+                                     store::PrefixMirror& directory,
                                      std::function<turn_ledger::Machine()> self, event_log::EventLog& log,
                                      const persisted_mirrors_options& options)
     : m_settings(settings),
@@ -70,7 +71,7 @@
       m_runners(context, store, formats.RunnersPrefix(), ignore_change, ignore_reachability),
       m_aggregators(context, store, kAggregatorsPrefix, ignore_change, ignore_reachability),
       m_mirrors{&m_configuration, &m_runners, &directory, &m_aggregators},
-      m_sender(transport, m_mirrors, std::move(self))
+      m_sender(transport, bulk_transport, m_mirrors, std::move(self))
 {
 }
 
--- a/src/roles/ledger/persisted_mirrors.h
+++ b/src/roles/ledger/persisted_mirrors.h
@@ -49,8 +49,9 @@
     /// @param[in] self       the sender named in messages to peers
     persisted_mirrors(async_http::asio::io_context& context, const RoleSettings& settings,
                       const PlatformFormats& formats, store::MetadataStore& store, wire::Transport& transport,
-                      store::PrefixMirror& directory, std::function<turn_ledger::Machine()> self,
-                      event_log::EventLog& log, const persisted_mirrors_options& options = {});
+                      wire::Transport& bulk_transport, store::PrefixMirror& directory,
+                      std::function<turn_ledger::Machine()> self, event_log::EventLog& log,
+                      const persisted_mirrors_options& options = {});
 
     /// @brief loads the mirrors from disk
     void start();
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -51,6 +51,8 @@
 constexpr std::size_t kTransferPartBytes = std::size_t{128} << 10;
 /// Limits unsent frames to peers to 1/6 of the memory limit.
 constexpr std::uint64_t kFrameMemoryDivisor = 6;
+/// The same for copies of the runners.
+constexpr std::uint64_t kBulkMemoryDivisor = 16;
 constexpr absl::Duration kLogFlushInterval = absl::Milliseconds(250);
 constexpr char kPeersFileName[] = "peers";
 
@@ -111,6 +113,9 @@
           loop, [this](const std::string& payload) { OnFrame(payload); },
           [this](const std::string& payload) { persisted_mirrors_.on_datagram(payload); },
           [this](const wire::Endpoint& peer, absl::Time) { OnPeerDown(peer); }),
+      bulk_transport_(
+          loop, [](const std::string&) {}, [](const std::string&) {},
+          [](const wire::Endpoint&, absl::Time) {}),
       link_(
           transport_, [this] { return Self(); }, log),
       directory_(
@@ -126,7 +131,7 @@
           [this](GroupId group) { return Find(group); },
           [this](const std::vector<std::string>& machines) { OnRetiringMachines(machines); }),
       persisted_mirrors_(
-          loop.context(), settings_, formats, store, transport_, directory_,
+          loop.context(), settings_, formats, store, transport_, bulk_transport_, directory_,
           [this] { return Self(); }, log),
       peers_(settings.data_folder + "/" + kPeersFileName, log),
       ticker_(loop, kTickInterval, log, [this](absl::Time now) { Tick(now); }),
@@ -137,6 +142,8 @@
   BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
   settings_.internal_port = bound.port;
   transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
+  bulk_transport_.SetUnsentLimit(settings_.memory_bytes / kBulkMemoryDivisor);
+  bulk_transport_.SetSendBuffer(bulk_send_buffer);
   OpenDisk();
   persisted_mirrors_.start();
   directory_.Start();
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -120,6 +120,7 @@
   event_log::EventLog& log_;
   OpenLogStore open_log_store_;
   wire::Transport transport_;
+  wire::Transport bulk_transport_;  ///< Sends copies of the runners, on connections of its own.
   peer_link link_;
   store::PrefixMirror directory_;
   group_layout_record layout_record_;
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -27,6 +27,8 @@
 /// Removals retained for peers that are behind; a peer that is further behind gets all items.
 constexpr std::size_t kMaxRemovals = 1000;
 
+std::size_t SizeOf(const StoreItem& item) { return item.key.size() + item.value.size(); }
+
 }  // namespace
 
 absl::Duration MaxWatchTimeout(absl::Duration history) {
@@ -241,6 +243,7 @@
     PruneRemovals();
     AdvanceLastChange(change.revision);
     if (known != items_.end() && known->second.revision <= change.revision) {
+      bytes_ -= SizeOf(known->second);
       items_.erase(known);
       on_change_(change);
     }
@@ -257,7 +260,10 @@
     return;  // The sending peer doesn't know the removal yet.
   }
   AdvanceLastChange(change.revision);
-  items_[change.key] = {change.key, *change.value, change.revision};
+  StoreItem& item = items_[change.key];
+  bytes_ -= SizeOf(item);
+  item = {change.key, *change.value, change.revision};
+  bytes_ += SizeOf(item);
   on_change_(change);
 }
 
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -57,6 +57,8 @@
   bool complete() const { return complete_; }
   const std::string& prefix() const { return prefix_; }
   const std::map<std::string, StoreItem>& items() const { return items_; }
+  /// @return the size of all keys and values.
+  std::size_t bytes() const { return bytes_; }
   /// @return time since the store last confirmed the mirror; infinite if it never did.
   absl::Duration Staleness() const;
   /// @return time that the pending call has waited; nullopt if there is none.
@@ -115,6 +117,7 @@
   ChangeHandler on_change_;
   ReachabilityHandler on_reachability_;
   std::map<std::string, StoreItem> items_;
+  std::size_t bytes_ = 0;
   std::map<std::string, Revision> removals_;  // Keys removed since the last full read.
   /// The mirror was complete as of this revision; earlier removals are unknown.
   Revision removals_since_ = 0;
--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -128,6 +129,7 @@
   bool healthy = count > 0 || (count < 0 && (errno == EAGAIN || errno == EINTR));
   if (count > 0) {
     stats_.bytes_received += static_cast<std::uint64_t>(count);
+    connection.received_at = SteadyNow();
     absl::string_view bytes(read_buffer_.data(), static_cast<std::size_t>(count));
     healthy = connection.received.Feed(bytes, on_frame_);
     stats_.streams_rejected += healthy ? 0 : 1;
@@ -159,6 +161,9 @@
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMilliseconds,
              sizeof(kUserTimeoutMilliseconds));
+  if (send_buffer_ > 0) {
+    setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &send_buffer_, sizeof(send_buffer_));
+  }
   sockaddr_in address = SocketAddress(peer);
   int status = connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   if (status != 0 && errno != EINPROGRESS) {
@@ -177,15 +182,15 @@
   return true;
 }
 
-void Transport::SendFrame(const Endpoint& peer, const std::string& payload) {
+bool Transport::SendFrame(const Endpoint& peer, const std::string& payload) {
   if (!peers_.contains(peer) && !Connect(peer)) {
     ++stats_.frames_dropped;
-    return;
+    return false;
   }
   Connection& connection = *peers_[peer];
   if (unsent_ + payload.size() > max_unsent_) {
     ++stats_.frames_dropped;
-    return;
+    return false;
   }
   std::size_t before = connection.unsent.size();
   AppendFrame(connection.unsent, payload);
@@ -193,6 +198,15 @@
   if (!connection.connecting) {
     Flush(peer);
   }
+  return true;
+}
+
+bool Transport::IsReceiving(std::size_t min_bytes, absl::Duration recent) const {
+  absl::Time since = SteadyNow() - recent;
+  return std::any_of(accepted_.begin(), accepted_.end(), [&](const auto& entry) {
+    const Connection& connection = *entry.second;
+    return connection.received.buffered_bytes() >= min_bytes && connection.received_at >= since;
+  });
 }
 
 std::size_t Transport::Unsent(const Endpoint& peer) const {
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -51,12 +51,18 @@
   /// Errors: TransportError.
   Result<Endpoint> Listen(const Endpoint& endpoint);
   void SetClosedHandler(ClosedHandler on_closed) { on_closed_ = std::move(on_closed); }
-  void SendFrame(const Endpoint& peer, const std::string& payload);
+  /// @return false if the frame was dropped at once.
+  bool SendFrame(const Endpoint& peer, const std::string& payload);
   void SendDatagram(const Endpoint& peer, const std::string& payload);
   /// @return number of bytes queued for the peer.
   std::size_t Unsent(const Endpoint& peer) const;
   /// Limits the bytes queued for all peers together; frames beyond are dropped.
   void SetUnsentLimit(std::size_t bytes) { max_unsent_ = bytes; }
+  /// Limits the system's send buffer of each connection opened from now on, so that bytes which the
+  /// peer has not received count as unsent.
+  void SetSendBuffer(int bytes) { send_buffer_ = bytes; }
+  /// @return whether a frame of at least `min_bytes` is arriving and grew within the last `recent`.
+  bool IsReceiving(std::size_t min_bytes, absl::Duration recent) const;
   /// @return number of bytes queued for all peers.
   std::size_t unsent() const { return unsent_; }
   const TransportStats& stats() const { return stats_; }
@@ -67,6 +73,7 @@
     bool connecting = false;
     bool checks_peer_down = false;  ///< Opened only to check a peer whose connection was lost.
     absl::Time opened_at;
+    absl::Time received_at;  ///< Last bytes, of an accepted connection.
     std::string unsent;
     FrameParser received;
   };
@@ -93,6 +100,7 @@
   std::map<Endpoint, std::unique_ptr<Connection>> peers_;
   std::size_t unsent_ = 0;         ///< Sum over `peers_`.
   std::size_t max_unsent_ = 0;     ///< See `SetUnsentLimit`.
+  int send_buffer_ = 0;            ///< See `SetSendBuffer`; 0: the system's default.
   std::vector<char> read_buffer_;  // Shared by all reads.
   TransportStats stats_;
 };
--- a/tests/aggregation/change_propagation_test.cc
+++ b/tests/aggregation/change_propagation_test.cc
@@ -136,6 +136,36 @@
   EXPECT_LE(most->second - least->second, 1);
 }
 
+// Guards against copies that are sent again and again while the first one is still arriving.
+TEST_F(ChangePropagationTest, CopyIsSentAgainOnlyAfterTheTimeThatItNeeds) {
+  propagation_.set_copy_sizes({900'000});  // A second.
+  HandleReport(Report("g", 2, 0), milliseconds(0));
+  EXPECT_EQ(Pushes(9, milliseconds(0)).size(), 1U);
+  HandleReport(Report("g", 2, 0), milliseconds(1000));
+  EXPECT_TRUE(Pushes(9, milliseconds(1300)).empty());
+  EXPECT_EQ(Pushes(9, milliseconds(1500)).size(), 1U) << "the copy was lost";
+  HandleReport(Report("g", 2, 8), milliseconds(1900));
+  EXPECT_EQ(Pushes(9, milliseconds(2000)).size(), 1U) << "it has a copy: only changes are sent";
+}
+
+TEST_F(ChangePropagationTest, SecondCopyComesFromAnotherAggregatorOnlyAfterThatTime) {
+  propagation_.set_copy_sizes({900'000});
+  for (milliseconds at(0); at <= milliseconds(1500); at += milliseconds(500)) {
+    HandleReport(Report("g", 2, 0, /*primary=*/false), at);
+    EXPECT_TRUE(Pushes(9, at).empty());
+  }
+  EXPECT_EQ(Pushes(9, milliseconds(1900)).size(), 1U);
+}
+
+TEST_F(ChangePropagationTest, CancelledPushIsDueAtOnce) {
+  propagation_.set_copy_sizes({900'000});
+  HandleReport(Report("g", 2, 0), milliseconds(0));
+  std::vector<change_push> pushes = Pushes(9, milliseconds(0));
+  ASSERT_EQ(pushes.size(), 1U);
+  propagation_.cancel(pushes[0]);
+  EXPECT_EQ(Pushes(9, milliseconds(100)).size(), 1U);
+}
+
 TEST_F(ChangePropagationTest, QueriesPeersWithNewerRevisionsOneAtATime) {
   propagation_.record_revisions(instant(), Gateway("ahead", 3), {9});
   propagation_.record_revisions(instant(), Gateway("behind", 4), {7});
--- a/tests/platform/aggregator_contract_test.cc
+++ b/tests/platform/aggregator_contract_test.cc
@@ -1,9 +1,13 @@
 // A gateway that the store turns away while it serves the others: the aggregators of its zone tell
 // it what they know.
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -219,5 +223,111 @@
   })) << second.Log();
 }
 
+/// A gateway that receives frames of a megabyte or more slowly, as a copy of the runners over a
+/// slow link, and others at once.
+class SlowReceiver {
+ public:
+  SlowReceiver() : listener_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+    int small = 4096;  // Accepted connections get the same buffer.
+    setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    listen(listener_, 16);
+    socklen_t size = sizeof(address);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    endpoint_ = {"127.0.0.1", ntohs(address.sin_port)};
+  }
+  ~SlowReceiver() {
+    close(listener_);
+    for (const Connection& connection : connections_) {
+      close(connection.socket);
+    }
+  }
+
+  const wire::Endpoint& endpoint() const { return endpoint_; }
+  /// @return whether a large frame has begun, and none has been received whole.
+  bool receives_first_copy() const { return copies_begun_ > 0 && copies_received_ == 0; }
+  /// @return whether the text is in a small frame that was received.
+  bool Received(const std::string& text) {
+    for (int peer = accept(listener_, nullptr, nullptr); peer >= 0;
+         peer = accept(listener_, nullptr, nullptr)) {
+      connections_.push_back({peer});
+    }
+    for (Connection& connection : connections_) {
+      ReadSome(connection);
+    }
+    return received_.find(text) != std::string::npos;
+  }
+
+ private:
+  struct Connection {
+    int socket = -1;
+    std::size_t copy_bytes_left = 0;  // Of a large frame.
+  };
+
+  void ReadSome(Connection& connection) {
+    if (connection.copy_bytes_left > 0) {
+      std::string part(std::min<std::size_t>(connection.copy_bytes_left, 4096), '\0');
+      ssize_t count = recv(connection.socket, part.data(), part.size(), MSG_DONTWAIT);
+      connection.copy_bytes_left -= static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+      copies_received_ += connection.copy_bytes_left == 0 ? 1 : 0;
+      return;
+    }
+    std::uint32_t length = 0;
+    while (recv(connection.socket, &length, sizeof(length), MSG_PEEK | MSG_DONTWAIT) ==
+           sizeof(length)) {
+      std::size_t frame_bytes = sizeof(length) + ntohl(length);
+      if (frame_bytes >= std::size_t{1} << 20U) {
+        connection.copy_bytes_left = frame_bytes;
+        ++copies_begun_;
+        return;
+      }
+      std::string frame(frame_bytes, '\0');
+      recv(connection.socket, frame.data(), frame.size(), MSG_WAITALL);
+      received_ += frame;
+    }
+  }
+
+  int listener_;
+  wire::Endpoint endpoint_;
+  std::vector<Connection> connections_;
+  std::string received_;
+  int copies_begun_ = 0;
+  int copies_received_ = 0;
+};
+
+// Guards against a change of the configuration that waits behind a copy of the runners.
+TEST(AggregatorContractTest, GatewayThatIsReceivingACopyOfTheRunnersGetsTheConfiguration) {
+  PlatformWorld world;
+  world.Start();
+  for (int number = 0; number < 4; ++number) {
+    world.store().Put(absl::StrCat("servers/large-", number), std::string(600'000, 'x'));
+  }
+  SlowReceiver receiver;
+  aggregation::member_report report;
+  report.m_from = {"edge-slow", "near", receiver.endpoint()};
+  report.m_primary = true;
+  wire::Transport transport(
+      world.loop(), [](const std::string&) {}, [](const std::string&) {},
+      [](const wire::Endpoint&, absl::Time) {});
+  ASSERT_TRUE(transport.Listen({"127.0.0.1", 0}));
+  absl::Time next = SteadyNow();
+  auto received = [&](const std::string& text) {
+    auto holder =
+        wire::Decode<aggregation::contact>(world.store().Value("martenyard/aggregators/near/0"));
+    if (holder && SteadyNow() >= next) {
+      next = SteadyNow() + absl::Milliseconds(300);
+      transport.SendDatagram(holder->m_endpoint, wire::Encode(aggregation::datagram(report)));
+    }
+    return receiver.Received(text);
+  };
+  ASSERT_TRUE(world.RunUntil([&] { return received("") && receiver.receives_first_copy(); }));
+  world.store().Put("op/config", StandardConfiguration(2));
+  EXPECT_TRUE(world.RunUntil([&] { return received(R"("version":2)"); }));
+  EXPECT_TRUE(receiver.receives_first_copy());
+}
+
 }  // namespace
 }  // namespace martenyard::testing
--- a/tests/wire/transport_test.cc
+++ b/tests/wire/transport_test.cc
@@ -103,6 +103,47 @@
   EXPECT_EQ(frames, (std::vector<std::string>{"first-of-the-old", "of-the-new", "after-the-old"}));
 }
 
+TEST(TransportTest, LargeFrameIsReceivedWhileItGrows) {
+  constexpr std::size_t kLarge = 1000;
+  EventLoop loop;
+  int frames = 0;
+  Transport transport(
+      loop, [&](const std::string&) { ++frames; }, [](const std::string&) {},
+      [](const Endpoint&, absl::Time) {});
+  auto bound = transport.Listen({"127.0.0.1", 0});
+  ASSERT_TRUE(bound);
+  auto receiving = [&] { return transport.IsReceiving(kLarge, absl::Milliseconds(200)); };
+  RawPeer peer(*bound);
+  std::string frame = FrameOf(std::string(3 * kLarge, 'x'));
+  peer.Send(frame.substr(0, kLarge / 2));
+  EXPECT_FALSE(receiving());
+  peer.Send(frame.substr(kLarge / 2, kLarge));
+  ASSERT_TRUE(RunUntil(loop, receiving));
+  EXPECT_TRUE(RunUntil(loop, [&] { return !receiving(); })) << "it does not grow any more";
+  peer.Send(frame.substr(kLarge / 2 + kLarge, kLarge));
+  ASSERT_TRUE(RunUntil(loop, receiving));
+  peer.Send(frame.substr(kLarge / 2 + 2 * kLarge));
+  ASSERT_TRUE(RunUntil(loop, [&] { return frames == 1; }));
+  EXPECT_FALSE(receiving());
+}
+
+// Guards against a copy that counts as sent while it lies in the system's buffer.
+TEST(TransportTest, BytesBeyondTheSendBufferCountAsUnsent) {
+  constexpr int kSendBuffer = 64 << 10;
+  constexpr std::size_t kFrame = std::size_t{1} << 20U;
+  EventLoop loop;
+  Transport sender(
+      loop, [](const std::string&) {}, [](const std::string&) {},
+      [](const Endpoint&, absl::Time) {});
+  sender.SetSendBuffer(kSendBuffer);
+  sender.SetUnsentLimit(3 * kFrame / 2);
+  NonAcceptingPeer peer;
+  EXPECT_TRUE(sender.SendFrame(peer.endpoint(), std::string(kFrame, 'x')));
+  ASSERT_TRUE(RunUntil(loop, [&] { return sender.stats().bytes_sent > 0; }));
+  EXPECT_GT(sender.Unsent(peer.endpoint()), 0U);
+  EXPECT_FALSE(sender.SendFrame(peer.endpoint(), std::string(kFrame, 'x')));
+}
+
 TEST(TransportTest, UnsentBytesOfABrokenConnectionAreNotSentOnTheNextOne) {
   EventLoop loop;
   // Keeps the loop running while no connection is open.
