Arriving copies: only a gateway without the runners takes a large frame for one

Replies of the ledger with long histories are large frames, too. While one arrived, a gateway that watches the store paused its watch of the runners for up to a tick.

--- a/src/roles/exchange/zone_exchange.cc
+++ b/src/roles/exchange/zone_exchange.cc
@@ -891,7 +891,8 @@
 
 bool zone_exchange::is_receiving_copy() const
 {
-    return m_transport.IsReceiving(m_options.m_min_copy_bytes,
+    return !m_mirrors[aggregation::runners_mirror]->complete() &&
+           m_transport.IsReceiving(m_options.m_min_copy_bytes,
                                    absl::FromChrono(m_options.m_copy_stall_timeout));
 }
 
--- a/src/roles/exchange/zone_exchange.h
+++ b/src/roles/exchange/zone_exchange.h
@@ -252,7 +252,7 @@
     void push_changes(instant now);
     void query_changes(instant now);
     bool reads_all_mirrors(instant now) const;
-    /// @return whether a peer is sending a large frame, such as a copy of the runners
+    /// @return whether a copy of the runners, which this gateway lacks, seems to be arriving: a large frame
     bool is_receiving_copy() const;
     void apply(instant now, const std::vector<aggregation::runner_load>& others,
                const std::vector<aggregation::placement>& placements);
