--- a/tests/platform/system/stream_soak_test.cc
+++ b/tests/platform/system/stream_soak_test.cc
@@ -80,7 +80,8 @@
   int lines = SoakNumber("LINES", 3);
   int rounds = SoakNumber("ROUNDS", 4);
   int trouble = SoakNumber("TROUBLE", 40);
-  int fatal_clients = 0;  ///< Whose requests end the runners that run them.
+  int fatal_clients = 0;          ///< Whose requests end the runners that run them.
+  bool fatal_turns_only = false;  ///< None of these requests is a call.
   Troubles troubles = Troubles::kAll;
 };
 
@@ -283,7 +284,7 @@
   Task<void> SendFatalRequests(std::uint64_t seed) {
     Random random(seed);
     for (int round = 0; round < size_.rounds; ++round) {
-      bool turn = random.Below(2) == 0;
+      bool turn = random.Below(2) == 0 || size_.fatal_turns_only;
       ClientRequest request;
       request.body = absl::StrCat(kFatalMark, " ", seed, "-", round);
       request.target = turn ? "/stream/9" : "/safe/1";
@@ -814,8 +815,9 @@
   EXPECT_GE(soak.ContinuedShare(), 0.5 * soak.BegunShare());
 }
 
-void SoakWithFatalRequests(Troubles troubles, std::uint64_t seed) {
+void SoakWithFatalRequests(Troubles troubles, std::uint64_t seed, bool turns_only = false) {
   SoakSize size;
+  size.fatal_turns_only = turns_only;
   size.troubles = troubles;
   size.runners = SoakNumber("RUNNERS", 10);
   size.fatal_clients = SoakNumber("FATAL_CLIENTS", 2);
@@ -834,6 +836,11 @@
   SoakWithFatalRequests(Troubles::kReleases, 506);
 }
 
+// The same for turns, whose reservations tell of gateways that were killed with the first runner.
+TEST(StreamSoakTest, NoMoreThanThreeRunnersEndUnderOneTurnWhileGatewaysAreKilled) {
+  SoakWithFatalRequests(Troubles::kReleases, 506, /*turns_only=*/true);
+}
+
 TEST(StreamSoakTest, StreamsStayTrueUnderOverlappingTroubles) {
   int chosen = SoakNumber("SEED", 0);
   std::vector<std::uint64_t> seeds = {1, 2};
