--- a/review/common-2/turns.h
+++ b/review/common-2/turns.h
@@ -65,8 +65,9 @@
     }
   }
 
-  /// @return false if it can't run here.
-  bool Start() {
+  /// Starts the stand-ins, and the system's processes for the first time. @return false if it can't
+  /// run here.
+  bool StartProcesses() {
     if (place.net.empty() || !std::filesystem::exists(Node::Program())) {
       record.Say("no free addresses, or " + Node::Program() + " isn't built");
       return false;
@@ -91,6 +92,14 @@
     for (auto& node : gateways) {
       node->Start(true);
     }
+    return true;
+  }
+
+  /// Starts everything and waits until a turn is served. @return false if it can't run here.
+  bool Start() {
+    if (!StartProcesses()) {
+      return false;
+    }
     for (int tried = 0; tried < 200; ++tried) {
       SleepMs(50);
       bool ready = std::all_of(gateways.begin(), gateways.end(),
