Logs: every abnormal end of a process names its reason

Cause: an uncaught exception, a call of std::terminate or a fatal signal ended a process without a line, and what the log had buffered was lost; so did faulty settings and a missing disk.

Change: process_crashed names the exception or the signal, the thread and the stack; start_failed is written for each failed start, with its status; resource_limits has the operating system's limits; settings_reloaded has the faults.

--- a/bench/local_system.cc
+++ b/bench/local_system.cc
@@ -77,7 +77,8 @@
 
 TemporaryFolder::~TemporaryFolder() { std::filesystem::remove_all(path_); }
 
-Process::Process(const std::vector<std::string>& command, const std::string& output_file) {
+Process::Process(const std::vector<std::string>& command, const std::string& output_file,
+                 const ProcessLimits& limits) {
   std::vector<char*> arguments;
   for (const std::string& word : command) {
     arguments.push_back(const_cast<char*>(word.c_str()));
@@ -90,6 +91,9 @@
     dup2(output, STDERR_FILENO);
     // An inherited socket would stay open after this process closes it: its peer would wait.
     close_range(STDERR_FILENO + 1, ~0U, 0);
+    for (const auto& [resource, limit] : limits) {
+      setrlimit(static_cast<__rlimit_resource_t>(resource), &limit);
+    }
     execv(arguments[0], arguments.data());
     _exit(127);
   }
--- a/bench/local_system.h
+++ b/bench/local_system.h
@@ -1,9 +1,11 @@
 // A system of real martenyardd processes on loopback, with the emulated platform in this process.
 #pragma once
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -32,10 +34,14 @@
   std::string path_;
 };
 
+/// Limits of the operating system by their number, RLIMIT_AS for example.
+using ProcessLimits = std::map<int, rlimit>;
+
 /// One child process; killed and reaped at the end.
 class Process {
  public:
-  Process(const std::vector<std::string>& command, const std::string& output_file);
+  Process(const std::vector<std::string>& command, const std::string& output_file,
+          const ProcessLimits& limits = {});
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -46,6 +52,7 @@
   /// @return what `Wait` returns once the process has ended; nothing while it runs.
   std::optional<int> Poll();
   bool running() const { return pid_ > 0; }
+  pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_ = -1;
--- a/src/event_log/event_log.cc
+++ b/src/event_log/event_log.cc
@@ -90,7 +90,7 @@
                   ",\"sequence\":", sequence_, ",\"node\":\"", node_, "\",", line.body(), "}\n");
 }
 
-void EventLog::Flush() {
+std::size_t EventLog::WriteWithoutBlocking() const {
   std::size_t written = 0;
   while (written < buffer_.size() && IsWritable(file_)) {
     std::size_t chunk = std::min(kMaxWriteBytes, buffer_.size() - written);
@@ -100,7 +100,13 @@
     }
     written += static_cast<std::size_t>(count);
   }
-  buffer_.erase(0, written);
+  return written;
+}
+
+void EventLog::WriteBuffered() const { WriteWithoutBlocking(); }
+
+void EventLog::Flush() {
+  buffer_.erase(0, WriteWithoutBlocking());
   if (dropped_since_flush_ > 0 && buffer_.size() < buffer_bytes_ / 2) {
     Line line("log_dropped");
     line.Number("lines", static_cast<std::int64_t>(dropped_since_flush_));
--- a/src/event_log/event_log.h
+++ b/src/event_log/event_log.h
@@ -53,11 +53,20 @@
   void Write(const Line& line);
   /// Writes as much of the buffer as is possible without blocking.
   void Flush();
+  /// As `Flush`, but leaves the buffer unchanged. Async-signal-safe: for a process that is about to
+  /// end abnormally.
+  void WriteBuffered() const;
   const EventLogStats& stats() const { return stats_; }
+  const std::string& node() const { return node_; }
+  /// @return the number of the last line.
+  std::uint64_t sequence() const { return sequence_; }
 
  private:
   static constexpr std::size_t kDefaultBufferBytes = std::size_t{256} << 10;
 
+  /// @return the number of bytes written.
+  std::size_t WriteWithoutBlocking() const;
+
   int file_;
   std::string node_;
   std::size_t buffer_bytes_;
--- /dev/null
+++ b/src/process/resource_limits.h
@@ -0,0 +1,29 @@
+// The operating system's limits on this process.
+#pragma once
+
+#include <cstdint>
+
+#include "event_log/event_log.h"
+
+namespace martenyard::process
+{
+
+/// @brief soft limits in force; `unlimited` where there is none
+struct resource_limits
+{
+    static constexpr std::uint64_t unlimited = UINT64_MAX;
+
+    std::uint64_t m_descriptors = unlimited;
+    std::uint64_t m_address_space_bytes = unlimited;
+    /// of the user's processes; each thread counts
+    std::uint64_t m_threads = unlimited;
+    std::uint64_t m_file_bytes = unlimited;
+    std::uint64_t m_stack_bytes = unlimited;
+};
+
+resource_limits read_resource_limits();
+
+/// @return the line `resource_limits`, in which -1 stands for no limit
+event_log::Line describe(const resource_limits& limits);
+
+}  // namespace martenyard::process
--- a/tests/platform/support/machine.cc
+++ b/tests/platform/support/machine.cc
@@ -71,7 +71,7 @@
   lives_.push_back(life);
   process_ = std::make_unique<bench::Process>(
       std::vector<std::string>{program_, storage() ? "ledger" : "gateway"},
-      absl::StrCat(folder_, "/log-", lives_.size()));
+      absl::StrCat(folder_, "/log-", lives_.size()), options_.limits);
 }
 
 void Machine::Kill() {
--- a/tests/platform/support/machine.h
+++ b/tests/platform/support/machine.h
@@ -26,6 +26,8 @@
   int grace_s = 4;  ///< From SIGTERM to the end.
   /// Addresses of storage machines, which processes ask that know nobody.
   std::vector<std::string> seeds;
+  /// Of the operating system, on the process.
+  bench::ProcessLimits limits;
 };
 
 class Machine {
@@ -47,6 +49,8 @@
   /// Notes an end of the process. @return true while it runs.
   bool Poll();
 
+  /// @return the present process's id; 0 if there is none.
+  pid_t pid() const { return process_ == nullptr ? 0 : process_->pid(); }
   bool storage() const { return options_.storage; }
   const std::string& name() const { return name_; }
   /// The present process's name, or that of the last one.
--- /dev/null
+++ b/tests/platform/system/process_end_test.cc
@@ -0,0 +1,146 @@
+// Guards against real processes that don't start or end by themselves: each start must serve or
+// name in the log why it can't, and each end must have been asked for.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "bench/local_system.h"
+#include "emulator/platform/runner_stand_in.h"
+#include "emulator/platform/store_stand_in.h"
+#include "platform/support/machine.h"
+#include "platform/support/platform_client.h"
+#include "platform/support/soak_setup.h"
+
+namespace martenyard::testing {
+namespace {
+
+constexpr std::uint64_t kMegabyte = std::uint64_t{1} << 20;
+constexpr int kSignalled = 128;  ///< Exit codes of signals begin here.
+/// Long beside the tick of a role, so that a process that ends has ended.
+constexpr absl::Duration kSettleTime = absl::Seconds(1);
+
+/// A socket that listens on an address.
+class HeldPort {
+ public:
+  explicit HeldPort(const wire::Endpoint& endpoint)
+      : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    address.sin_addr.s_addr = inet_addr(endpoint.address.c_str());
+    EXPECT_EQ(bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    listen(socket_, 1);
+  }
+  ~HeldPort() { close(socket_); }
+  HeldPort(const HeldPort&) = delete;
+  HeldPort& operator=(const HeldPort&) = delete;
+
+ private:
+  int socket_;
+};
+
+class ProcessEndTest : public ::testing::Test {
+ protected:
+  ProcessEndTest() : store_(loop_.context()), runner_(loop_.context(), "i-1") {
+    store_.Listen(0);
+    store_.Put("servers/i-1", emulator::RunnerEntry({.port = runner_.port(), .zone = "z0"}));
+    store_.Put("op/config", StandardConfiguration(1));
+  }
+
+  std::unique_ptr<Machine> MakeMachine(bool storage, const bench::ProcessLimits& limits = {}) {
+    MachineOptions options;
+    options.folder = folder_.path();
+    options.storage = storage;
+    options.address = absl::StrCat("127.", storage ? 81 : 82, ".", range_.number(), ".1");
+    options.store_port = store_.port();
+    options.limits = limits;
+    return std::make_unique<Machine>(std::move(options));
+  }
+
+  unsigned Ask(const Machine& gateway) {
+    ClientRequest request;
+    request.id = absl::StrCat("attempt-", ++asked_);
+    auto dialogue = StartDialogue(loop_, gateway.frontend(), RequestText(request));
+    RunLoopUntil(loop_, [&] { return dialogue->done; });
+    return dialogue->answer.whole ? dialogue->answer.status : 0;
+  }
+
+  /// @return whether the gateway serves a request before its process ends.
+  bool Serves(Machine& gateway) {
+    bool served = false;
+    RunLoopUntil(loop_, [&] {
+      served = gateway.Poll() && Ask(gateway) == 200;
+      return served || !gateway.Poll();
+    });
+    return served;
+  }
+
+  /// @return whether the line is in the process's log before the process ends.
+  bool Logs(Machine& machine, const std::string& text) {
+    bool logged = false;
+    RunLoopUntil(loop_, [&] {
+      bool runs = machine.Poll();
+      logged = absl::StrContains(machine.LatestLog(), text);
+      return logged || !runs;
+    });
+    return logged;
+  }
+
+  void RunFor(absl::Duration time) {
+    for (absl::Time end = SteadyNow() + time; SteadyNow() < end;) {
+      loop_.RunRound(absl::Milliseconds(5));
+    }
+  }
+
+  bench::TemporaryFolder folder_;
+  AddressRange range_;
+  wire::EventLoop loop_;
+  emulator::StoreStandIn store_;
+  emulator::RunnerStandIn runner_;
+  int asked_ = 0;
+};
+
+TEST_F(ProcessEndTest, FaultySettingsAreNamedInTheLog) {
+  auto gateway = MakeMachine(false);
+  gateway->ChangeSettings("limits.memoryMb=much\n");
+  gateway->Start();
+  EXPECT_TRUE(RunLoopUntil(loop_, [&] { return !gateway->Poll(); }));
+  EXPECT_EQ(gateway->lives().back().exit_code, 2);
+  EXPECT_TRUE(absl::StrContains(gateway->LatestLog(), "\"event\":\"start_failed\""))
+      << gateway->LatestLog();
+  EXPECT_TRUE(absl::StrContains(gateway->LatestLog(), "limits.memoryMb must be"))
+      << gateway->LatestLog();
+}
+
+TEST_F(ProcessEndTest, CrashLeavesItsReasonAndTheBufferedLines) {
+  auto gateway = MakeMachine(false);
+  gateway->Start();
+  ASSERT_TRUE(Serves(*gateway)) << gateway->LatestLog();
+  gateway->Signal(SIGSEGV);
+  EXPECT_TRUE(RunLoopUntil(loop_, [&] { return !gateway->Poll(); }));
+  EXPECT_EQ(gateway->lives().back().exit_code, kSignalled + SIGSEGV);
+  EXPECT_TRUE(absl::StrContains(gateway->LatestLog(), "\"event\":\"request_ended\""))
+      << gateway->LatestLog();
+  EXPECT_TRUE(absl::StrContains(gateway->LatestLog(),
+                                "\"event\":\"process_crashed\",\"reason\":\"signal\",\"detail\":"
+                                "\"signal 11"))
+      << gateway->LatestLog();
+}
+
+}  // namespace
+}  // namespace martenyard::testing
