Ledger: a thread that can't be started no longer ends the process

What was seen: under a limit of address space ledgers end at their start with signal 6 and "terminate called without an active exception": 4 of 8 starts at 300 MB here.

Cause, traced with a debugger: RocksDB opens its table files with up to 15 threads, however few files there are (VersionBuilder::Rep::LoadTableHandlers). One that can't be started throws, the running ones are destroyed without being joined, and std::terminate follows. Each thread reserves 8 MB of stack and, by glibc's default, a heap of 64 MB. Ruled out: a fault of the disk or the lock; the same start opens it without the limit.

--- a/src/process/resource_limits.cc
+++ b/src/process/resource_limits.cc
@@ -1,5 +1,6 @@
 #include "process/resource_limits.h"
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -36,6 +37,11 @@
     return limits;
 }
 
+void use_one_heap()
+{
+    mallopt(M_ARENA_MAX, 1);
+}
+
 event_log::Line describe(const resource_limits& limits)
 {
     event_log::Line line("resource_limits");
--- a/src/process/resource_limits.h
+++ b/src/process/resource_limits.h
@@ -23,6 +23,12 @@
 
 resource_limits read_resource_limits();
 
+/// @brief makes all threads allocate from one heap
+///
+/// By default each thread gets a heap of its own, which reserves address space and keeps freed memory that
+/// other threads can't use. To be called before other threads are started.
+void use_one_heap();
+
 /// @return the line `resource_limits`, in which -1 stands for no limit
 event_log::Line describe(const resource_limits& limits);
 
--- a/src/storage/rocksdb_log_store.cc
+++ b/src/storage/rocksdb_log_store.cc
@@ -20,9 +20,13 @@
 #include <atomic>
 #include <cstdarg>
 #include <cstdlib>
+#include <exception>
+#include <latch>
 #include <map>
+#include <thread>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "base/big_endian.h"
 #include "storage/durable_mark.h"
 #include "storage/log_store.h"
@@ -55,6 +59,8 @@
 /// Gaps between retained entries up to this length are deleted by key: each range tombstone slows
 /// down later reads.
 constexpr consensus::LogIndex kMaxSingleDeletes = 64;
+/// For flushes, compactions, periodic tasks, and one more that an opening may use.
+constexpr std::size_t kRocksDbThreads = 4;
 /// Size of the parts of a snapshot. Writing it at once would hold several copies in memory.
 constexpr std::size_t kPartBytes = std::size_t{256} << 10;
 
@@ -545,6 +551,28 @@
   return leaf::new_error(StorageError{code, "data folder " + folder + ": " + status.ToString()});
 }
 
+/// RocksDB can't recover from a thread that does not start while it opens a database: it ends the
+/// process, or keeps the folder locked. @return why the threads that it needs can't be started;
+/// empty if they can.
+std::string WhyThreadsCantStart() {
+  std::latch all_tried(1);
+  std::vector<std::thread> threads;
+  std::string failure;
+  try {
+    threads.reserve(kRocksDbThreads);
+    while (threads.size() < kRocksDbThreads) {
+      threads.emplace_back([&all_tried] { all_tried.wait(); });
+    }
+  } catch (const std::exception& error) {
+    failure = absl::StrCat("cannot start ", kRocksDbThreads, " threads: ", error.what());
+  }
+  all_tried.count_down();
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  return failure;
+}
+
 /// An open database, and whether a torn tail of its write-ahead log was dropped.
 struct Opened {
   std::unique_ptr<rocksdb::DB> db;
@@ -593,6 +621,11 @@
 
 Result<std::unique_ptr<LogStore>> OpenRocksDbLogStore(const std::string& folder,
                                                       rocksdb::Env* files) {
+  std::string failure = WhyThreadsCantStart();
+  if (!failure.empty()) {
+    return leaf::new_error(
+        StorageError{StorageError::Code::kCannotOpen, "data folder " + folder + ": " + failure});
+  }
   rocksdb::Options options;
   options.env = files != nullptr ? files : rocksdb::Env::Default();
   options.create_if_missing = true;
@@ -609,6 +642,9 @@
   options.level0_slowdown_writes_trigger = kNoFileLimit;
   options.level0_stop_writes_trigger = kNoFileLimit;
   options.paranoid_checks = true;
+  // A thread that can't be started while others of the same opening run ends the process: RocksDB
+  // destroys the running ones without joining them. The database has few files to open.
+  options.max_file_opening_threads = 1;
   auto stalls = std::make_shared<StallCounter>();
   options.listeners.push_back(stalls);
   // Unsynced writes of a killed process are recovered below and treated as stored. Without a sync,
--- a/tests/platform/system/process_end_test.cc
+++ b/tests/platform/system/process_end_test.cc
@@ -115,6 +115,30 @@
   int asked_ = 0;
 };
 
+// The ledger's memory limit of dosan-cardyard, as a limit of address space.
+TEST_F(ProcessEndTest, LedgerOpensItsDiskWithinItsMemoryLimitAsAddressSpace) {
+  auto ledger = MakeMachine(true, {{RLIMIT_AS, {220 * kMegabyte, RLIM_INFINITY}}});
+  constexpr int kStarts = 12;
+  for (int start = 0; start < kStarts; ++start) {
+    ledger->Start();
+    EXPECT_TRUE(Logs(*ledger, "\"disk_opened\""))
+        << "start " << start << ": " << ledger->LatestLog();
+    EXPECT_TRUE(ledger->Poll()) << "start " << start << ": " << ledger->LatestLog();
+    ledger->Kill();
+  }
+}
+
+// Threads that can't be started are reported; the disk is opened once they can.
+TEST_F(ProcessEndTest, LedgerThatCannotStartThreadsNamesTheReasonAndRunsOn) {
+  auto ledger = MakeMachine(true, {{RLIMIT_AS, {44 * kMegabyte, RLIM_INFINITY}}});
+  ledger->Start();
+  EXPECT_TRUE(Logs(*ledger, "\"disk_failed\"")) << ledger->LatestLog();
+  EXPECT_TRUE(ledger->Poll()) << ledger->LatestLog();
+  rlimit wide{RLIM_INFINITY, RLIM_INFINITY};
+  ASSERT_EQ(prlimit(ledger->pid(), RLIMIT_AS, &wide, nullptr), 0);
+  EXPECT_TRUE(Logs(*ledger, "\"disk_opened\"")) << ledger->LatestLog();
+}
+
 TEST_F(ProcessEndTest, FaultySettingsAreNamedInTheLog) {
   auto gateway = MakeMachine(false);
   gateway->ChangeSettings("limits.memoryMb=much\n");
