A signal for new settings during the start does not end the process

Cause: SIGHUP ends a process by default, and the handler was installed only after the settings had been read and the role been made.

Test: the settings are read from a pipe, so the signal arrives while the process waits for them.

--- a/tests/platform/system/process_end_test.cc
+++ b/tests/platform/system/process_end_test.cc
@@ -139,6 +139,32 @@
   EXPECT_TRUE(Logs(*ledger, "\"disk_opened\"")) << ledger->LatestLog();
 }
 
+// A changed settings file is announced by SIGHUP at any moment. The settings are read from a pipe,
+// so that the signal arrives while the process waits for them.
+TEST_F(ProcessEndTest, SignalForNewSettingsDuringTheStartDoesNotEndTheProcess) {
+  auto gateway = MakeMachine(false);
+  std::string path = absl::StrCat(folder_.path(), "/settings-pipe");
+  ASSERT_EQ(mkfifo(path.c_str(), 0600), 0);
+  std::string folder = absl::StrCat(folder_.path(), "/", gateway->name());
+  std::ifstream file(folder + "/node.conf");
+  std::string settings((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  setenv("MARTENYARD_BOOT", path.c_str(), 1);
+  bench::Process process({bench::ProgramPath("martenyard-node"), "gateway"}, folder + "/log");
+  int pipe = open(path.c_str(), O_WRONLY | O_CLOEXEC);  // Waits for the reader.
+  process.Signal(SIGHUP);
+  ASSERT_EQ(write(pipe, settings.data(), settings.size()), static_cast<ssize_t>(settings.size()));
+  close(pipe);
+  std::optional<int> code;
+  unsigned status = 0;
+  RunLoopUntil(loop_, [&] {
+    code = process.Poll();
+    status = code ? 0 : Ask(*gateway);
+    return code || status == 200;
+  });
+  EXPECT_EQ(status, 200U);
+  EXPECT_EQ(code.value_or(0), 0) << "signal " << code.value_or(0) - kSignalled;
+}
+
 TEST_F(ProcessEndTest, FaultySettingsAreNamedInTheLog) {
   auto gateway = MakeMachine(false);
   gateway->ChangeSettings("limits.memoryMb=much\n");
