Start: an address that is in use is tried again

Cause: a process listened once and ended with status 1 if the address was in use.

SIGTERM ends it meanwhile with status 0. Listening is idempotent for each address.

Tests: a data, readiness or internal port held for a second: ended on, serve now; a port held for good ends with status 1 and names it.

--- a/src/async_http/server.cc
+++ b/src/async_http/server.cc
@@ -545,6 +545,8 @@
     acceptor.listen(kBacklog, error);
   }
   if (error) {
+    error_code ignored;
+    acceptor.close(ignored);
     return leaf::new_error(
         ServerError{absl::StrCat("cannot listen on ", endpoint.ToString(), ": ", error.message())});
   }
@@ -552,6 +554,8 @@
   return {};
 }
 
+bool Server::is_listening() const { return shared_->acceptor.is_open(); }
+
 std::uint16_t Server::port() const { return shared_->acceptor.local_endpoint().port(); }
 void Server::BeginDrain() { shared_->draining = true; }
 
--- a/src/async_http/server.h
+++ b/src/async_http/server.h
@@ -110,8 +110,9 @@
  public:
   Server(asio::io_context& context, ExchangeHandler handler, RejectionObserver on_rejected = {});
   ~Server();
-  /// Errors: ServerError.
+  /// May be called again after an error. Errors: ServerError.
   Result<void> Listen(const wire::Endpoint& endpoint);
+  bool is_listening() const;
   /// @return the port listened on.
   std::uint16_t port() const;
   /// Makes all further responses ask the client to close the connection.
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -273,9 +273,24 @@
   };
 }
 
+Result<void> GatewayRole::Listen() {
+  if (!transport_.is_listening()) {
+    BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
+    settings_.internal_port = bound.port;
+  }
+  if (!frontend_.is_listening()) {
+    BOOST_LEAF_CHECK(frontend_.Listen(settings_.frontend));
+  }
+  if (!readiness_server_.is_listening()) {
+    BOOST_LEAF_CHECK(readiness_server_.Listen(settings_.readiness));
+  }
+  if (settings_.metrics && !metrics_server_.is_listening()) {
+    BOOST_LEAF_CHECK(metrics_server_.Listen(*settings_.metrics));
+  }
+  return {};
+}
+
 Result<void> GatewayRole::Start() {
-  BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
-  settings_.internal_port = bound.port;
   transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
   bulk_transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
   bulk_transport_.SetSendBuffer(bulk_send_buffer);
@@ -284,11 +299,7 @@
   frontend_.limits().connections = settings_.max_descriptors > 2 * kReservedDescriptors
                                        ? settings_.max_descriptors - kReservedDescriptors
                                        : settings_.max_descriptors / 2;
-  BOOST_LEAF_CHECK(frontend_.Listen(settings_.frontend));
-  BOOST_LEAF_CHECK(readiness_server_.Listen(settings_.readiness));
-  if (settings_.metrics) {
-    BOOST_LEAF_CHECK(metrics_server_.Listen(*settings_.metrics));
-  }
+  BOOST_LEAF_CHECK(Listen());
   exchange_.start(settings_.internal_port);
   aggregators_.Start();
   configuration_.Start();
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -37,6 +37,7 @@
               store::MetadataStore& store, event_log::EventLog& log);
 
   /// Errors: wire::TransportError, async_http::ServerError.
+  /// May be called again after an error.
   Result<void> Start();
   /// Planned stop: reports not ready at once, keeps serving, and stops the loop when no request is
   /// pending.
@@ -58,6 +59,7 @@
   void OnRunnerChange(const store::StoreChange& change);
   /// @return whether the runner is at the address that another process had before.
   bool HasTakenOver(const discovery::Runner& runner, const std::string& process);
+  Result<void> Listen();
   /// Logs the runners that were read first in one line, once all are known.
   void LogFirstRunners();
   /// Removes the runner that was registered under `key`.
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -139,8 +139,10 @@
       random_(SystemSeed()) {}
 
 Result<void> LedgerRole::Start() {
-  BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
-  settings_.internal_port = bound.port;
+  if (!transport_.is_listening()) {
+    BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
+    settings_.internal_port = bound.port;
+  }
   transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
   bulk_transport_.SetUnsentLimit(settings_.memory_bytes / kBulkMemoryDivisor);
   bulk_transport_.SetSendBuffer(bulk_send_buffer);
--- a/src/roles/ledger_role.h
+++ b/src/roles/ledger_role.h
@@ -45,6 +45,7 @@
              store::MetadataStore& store, event_log::EventLog& log, OpenLogStore open_log_store);
 
   /// Errors: wire::TransportError.
+  /// May be called again after an error.
   Result<void> Start();
   /// Planned stop: transfers leadership, then stops the loop.
   void RequestStop();
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -50,6 +50,7 @@
   /// Binds TCP and UDP to the same port; 0 selects a free one.
   /// Errors: TransportError.
   Result<Endpoint> Listen(const Endpoint& endpoint);
+  bool is_listening() const { return listener_ >= 0; }
   void SetClosedHandler(ClosedHandler on_closed) { on_closed_ = std::move(on_closed); }
   /// @return false if the frame was dropped at once.
   bool SendFrame(const Endpoint& peer, const std::string& payload);
--- a/tests/platform/system/process_end_test.cc
+++ b/tests/platform/system/process_end_test.cc
@@ -139,6 +139,53 @@
   EXPECT_TRUE(Logs(*ledger, "\"disk_opened\"")) << ledger->LatestLog();
 }
 
+// The process before may still be ending, or an outgoing connection have the port.
+TEST_F(ProcessEndTest, GatewayStartsAlthoughAPortIsHeldForAMoment) {
+  auto gateway = MakeMachine(false);
+  wire::Endpoint internal{gateway->frontend().address, kInternalPort};
+  for (const wire::Endpoint& endpoint : {gateway->frontend(), gateway->readiness(), internal}) {
+    auto held = std::make_unique<HeldPort>(endpoint);
+    gateway->Start();
+    RunFor(kSettleTime);
+    EXPECT_TRUE(gateway->Poll()) << endpoint.ToString() << ": " << gateway->LatestLog();
+    held.reset();
+    EXPECT_TRUE(Serves(*gateway)) << endpoint.ToString() << ": " << gateway->LatestLog();
+    gateway->Kill();
+  }
+}
+
+TEST_F(ProcessEndTest, LedgerStartsAlthoughItsPortIsHeldForAMoment) {
+  auto ledger = MakeMachine(true);
+  auto held = std::make_unique<HeldPort>(wire::Endpoint{ledger->frontend().address, kInternalPort});
+  ledger->Start();
+  RunFor(kSettleTime);
+  EXPECT_TRUE(ledger->Poll()) << ledger->LatestLog();
+  held.reset();
+  EXPECT_TRUE(Logs(*ledger, "\"disk_opened\"")) << ledger->LatestLog();
+}
+
+TEST_F(ProcessEndTest, GatewayWhosePortStaysHeldNamesIt) {
+  auto gateway = MakeMachine(false);
+  HeldPort held(gateway->readiness());
+  gateway->Start();
+  EXPECT_TRUE(RunLoopUntil(loop_, [&] { return !gateway->Poll(); }));
+  EXPECT_EQ(gateway->lives().back().exit_code, 1);
+  EXPECT_TRUE(absl::StrContains(gateway->LatestLog(), "\"event\":\"start_failed\""))
+      << gateway->LatestLog();
+  EXPECT_TRUE(absl::StrContains(gateway->LatestLog(), gateway->readiness().ToString()))
+      << gateway->LatestLog();
+}
+
+TEST_F(ProcessEndTest, StopDuringAHeldPortEndsInOrder) {
+  auto gateway = MakeMachine(false);
+  HeldPort held(gateway->readiness());
+  gateway->Start();
+  EXPECT_TRUE(Logs(*gateway, "\"listen_delayed\"")) << gateway->LatestLog();
+  gateway->Stop();
+  EXPECT_TRUE(RunLoopUntil(loop_, [&] { return !gateway->Poll(); }));
+  EXPECT_EQ(gateway->lives().back().exit_code, 0) << gateway->LatestLog();
+}
+
 // A changed settings file is announced by SIGHUP at any moment. The settings are read from a pipe,
 // so that the signal arrives while the process waits for them.
 TEST_F(ProcessEndTest, SignalForNewSettingsDuringTheStartDoesNotEndTheProcess) {
