--- a/src/process/resource_limits.cc
+++ b/src/process/resource_limits.cc
@@ -37,6 +37,16 @@
     return limits;
 }
 
+void raise_descriptor_limit(std::uint64_t wanted)
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < wanted)
+    {
+        limit.rlim_cur = std::min<rlim_t>(wanted, limit.rlim_max);
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 void use_one_heap()
 {
     mallopt(M_ARENA_MAX, 1);
--- a/src/process/resource_limits.h
+++ b/src/process/resource_limits.h
@@ -23,6 +23,10 @@
 
 resource_limits read_resource_limits();
 
+/// @brief raises the soft limit on descriptors, up to the hard limit
+/// @param[in] wanted  number of descriptors that the process may need
+void raise_descriptor_limit(std::uint64_t wanted);
+
 /// @brief makes all threads allocate from one heap
 ///
 /// By default each thread gets a heap of its own, which reserves address space and keeps freed memory that
--- a/src/wire/event_loop.cc
+++ b/src/wire/event_loop.cc
@@ -54,14 +54,21 @@
   });
 }
 
-void EventLoop::Watch(int file, std::uint32_t events, std::function<void(std::uint32_t)> on_ready) {
+bool EventLoop::Watch(int file, std::uint32_t events, std::function<void(std::uint32_t)> on_ready) {
   auto& watch = watches_[file];
   if (!watch) {
-    watch = std::make_shared<FileWatch>(context_, file);
+    watch = std::make_shared<FileWatch>(context_);
+    boost::system::error_code error;
+    watch->descriptor.assign(file, error);
+    if (error) {
+      watches_.erase(file);
+      return false;
+    }
   }
   watch->events = events;
   watch->on_ready = std::move(on_ready);
   Arm(watch);
+  return true;
 }
 
 void EventLoop::Arm(const std::shared_ptr<FileWatch>& watch) {
--- a/src/wire/event_loop.h
+++ b/src/wire/event_loop.h
@@ -30,7 +30,8 @@
   /// Runs `task` once after `delay`, counted by the steady clock.
   void After(absl::Duration delay, std::function<void()> task);
   /// Calls `on_ready` with epoll event bits while `file` is watched. Replaces an earlier watch.
-  void Watch(int file, std::uint32_t events, std::function<void(std::uint32_t)> on_ready);
+  /// @return false if the system can't watch more files.
+  bool Watch(int file, std::uint32_t events, std::function<void(std::uint32_t)> on_ready);
   void Unwatch(int file);
   /// `hook` runs after every round of callbacks, before the loop waits again.
   void SetRoundHook(std::function<void()> hook) { round_hook_ = std::move(hook); }
@@ -40,7 +41,7 @@
  private:
   /// A watched file. Handlers hold a weak reference, so no callback runs after `Unwatch`.
   struct FileWatch {
-    explicit FileWatch(boost::asio::io_context& context, int file) : descriptor(context, file) {}
+    explicit FileWatch(boost::asio::io_context& context) : descriptor(context) {}
     boost::asio::posix::stream_descriptor descriptor;
     std::uint32_t events = 0;
     std::function<void(std::uint32_t)> on_ready;
--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -23,6 +23,7 @@
 constexpr std::size_t kReadBytes = std::size_t{64} << 10;
 constexpr int kBacklog = 512;
 constexpr int kBindAttempts = 20;
+constexpr absl::Duration kAcceptPause = absl::Milliseconds(20);
 /// Detects a network partition: the connection fails if sent data isn't acknowledged in this time.
 constexpr unsigned kUserTimeoutMilliseconds = 1000;
 /// A refused connection is reported only if the attempt is not older than this.
@@ -88,7 +89,7 @@
     if (BindSocket(listener_, endpoint) && listen(listener_, kBacklog) == 0) {
       bound.port = BoundPort(listener_);
       if (BindSocket(datagrams_, bound)) {
-        loop_.Watch(listener_, EPOLLIN, [this](std::uint32_t) { AcceptAll(); });
+        WatchListener();
         loop_.Watch(datagrams_, EPOLLIN, [this](std::uint32_t) { ReadDatagrams(); });
         return bound;
       }
@@ -109,13 +110,40 @@
 void Transport::AcceptAll() {
   while (true) {
     int socket = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0 && (errno == EINTR || errno == ECONNABORTED)) {
+      continue;
+    }
     if (socket < 0) {
+      bool exhausted = errno != EAGAIN;  // Of descriptors or memory.
+      if (exhausted) {
+        PauseAccepting();
+      }
       return;
     }
+    if (!loop_.Watch(socket, EPOLLIN, [this, socket](std::uint32_t) { ReadFrames(socket); })) {
+      close(socket);
+      continue;
+    }
     auto connection = std::make_unique<Connection>();
     connection->socket = socket;
     accepted_[socket] = std::move(connection);
-    loop_.Watch(socket, EPOLLIN, [this, socket](std::uint32_t) { ReadFrames(socket); });
+  }
+}
+
+void Transport::PauseAccepting() {
+  // The listener stays readable: watching it on would call `AcceptAll` without a pause.
+  loop_.Unwatch(listener_);
+  std::weak_ptr<bool> alive = alive_;
+  loop_.After(kAcceptPause, [this, alive] {
+    if (!alive.expired()) {
+      WatchListener();
+    }
+  });
+}
+
+void Transport::WatchListener() {
+  if (!loop_.Watch(listener_, EPOLLIN, [this](std::uint32_t) { AcceptAll(); })) {
+    PauseAccepting();  // The system can't watch more files at present.
   }
 }
 
@@ -172,13 +200,18 @@
     errno = failure;
     return false;
   }
+  bool watched = loop_.Watch(socket, EPOLLOUT | EPOLLIN | EPOLLRDHUP,
+                             [this, peer](std::uint32_t events) { OnPeerReady(peer, events); });
+  if (!watched) {
+    close(socket);
+    errno = ENOSPC;
+    return false;
+  }
   auto connection = std::make_unique<Connection>();
   connection->socket = socket;
   connection->connecting = status != 0;
   connection->opened_at = SteadyNow();
   peers_[peer] = std::move(connection);
-  loop_.Watch(socket, EPOLLOUT | EPOLLIN | EPOLLRDHUP,
-              [this, peer](std::uint32_t events) { OnPeerReady(peer, events); });
   return true;
 }
 
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -79,7 +79,10 @@
     FrameParser received;
   };
 
+  void WatchListener();
   void AcceptAll();
+  /// Stops accepting for a moment while descriptors or memory are exhausted.
+  void PauseAccepting();
   void ReadFrames(int socket);
   void ReadDatagrams();
   void Flush(const Endpoint& peer);
@@ -90,6 +93,7 @@
   void ReportPeerDown(const Endpoint& peer, absl::Time checked_at);
   void OnBroken(const Endpoint& peer);
 
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>();  ///< Expires with this object.
   EventLoop& loop_;
   PayloadHandler on_frame_;
   PayloadHandler on_datagram_;
--- a/tests/platform/system/process_end_test.cc
+++ b/tests/platform/system/process_end_test.cc
@@ -239,5 +239,33 @@
       << gateway->LatestLog();
 }
 
+// More clients than the process has descriptors.
+TEST_F(ProcessEndTest, GatewayServesOnAfterItsDescriptorsWereExhausted) {
+  auto gateway = MakeMachine(false, {{RLIMIT_NOFILE, {96, 96}}});
+  gateway->Start();
+  ASSERT_TRUE(Serves(*gateway)) << gateway->LatestLog();
+  constexpr int kClients = 200;
+  std::vector<int> clients;
+  for (const wire::Endpoint& endpoint :
+       {gateway->frontend(), gateway->readiness(),
+        wire::Endpoint{gateway->frontend().address, kInternalPort}}) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    address.sin_addr.s_addr = inet_addr(endpoint.address.c_str());
+    for (int number = 0; number < kClients; ++number) {
+      int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      clients.push_back(client);
+    }
+    RunFor(kSettleTime);
+    EXPECT_TRUE(gateway->Poll()) << gateway->LatestLog();
+  }
+  for (int client : clients) {
+    close(client);
+  }
+  EXPECT_TRUE(Serves(*gateway)) << gateway->LatestLog();
+}
+
 }  // namespace
 }  // namespace martenyard::testing
--- a/tests/wire/transport_test.cc
+++ b/tests/wire/transport_test.cc
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -177,6 +178,33 @@
   EXPECT_EQ(frames.front(), "new");
 }
 
+// Guards against a loop that spins on a connection which can't be accepted.
+TEST(TransportTest, ExhaustedDescriptorsDoNotKeepTheLoopBusy) {
+  EventLoop loop;
+  int frames = 0;
+  Transport transport(
+      loop, [&](const std::string&) { ++frames; }, [](const std::string&) {},
+      [](const Endpoint&, absl::Time) {});
+  auto bound = transport.Listen({"127.0.0.1", 0});
+  ASSERT_TRUE(bound);
+  RawPeer peer(*bound);
+  peer.Send(FrameOf("waits"));
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  int next_descriptor = dup(STDOUT_FILENO);
+  close(next_descriptor);
+  rlimit exhausted{static_cast<rlim_t>(next_descriptor), before.rlim_max};
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &exhausted), 0);
+  int rounds = 0;
+  for (absl::Time end = SteadyNow() + absl::Milliseconds(200); SteadyNow() < end; ++rounds) {
+    loop.RunRound(absl::Milliseconds(5));
+  }
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+  EXPECT_LT(rounds, 200);
+  EXPECT_EQ(frames, 0);
+  EXPECT_TRUE(RunUntil(loop, [&] { return frames == 1; })) << "accepted once descriptors are free";
+}
+
 TEST(TransportTest, UnsentBytesOfAllPeersAreBounded) {
   constexpr std::size_t kLimit = std::size_t{4} << 20U;
   constexpr std::size_t kFrame = std::size_t{1} << 20U;
