Event loop: a round ends although handlers keep becoming ready

Cause: a round ran all handlers that were ready, those that became ready meanwhile as well, and a flood of datagrams was read to its end. On a machine whose other processes really run beside it a round need not end, and the ledger stores and applies only at its end.

Change: 1,024 handlers a round at most, 64 datagrams at once.

--- a/src/wire/event_loop.cc
+++ b/src/wire/event_loop.cc
@@ -14,6 +14,8 @@
 
 namespace asio = boost::asio;
 
+constexpr int kMaxHandlersPerRound = 1024;
+
 /// @return the current event bits; distinguishes a failed connection from a writable one.
 std::uint32_t PresentEvents(int file, std::uint32_t event) {
   pollfd query{file, POLLIN | POLLOUT | POLLRDHUP, 0};
@@ -122,17 +124,23 @@
 
 void EventLoop::RunRound(absl::Duration timeout) {
   context_.run_one_for(absl::ToChronoNanoseconds(timeout));
-  context_.poll();
+  RunReadyHandlers();
   if (round_hook_) {
     round_hook_();
   }
 }
 
+void EventLoop::RunReadyHandlers() {
+  // Without the limit, handlers that keep becoming ready would hold up the round's hook.
+  for (int count = 0; count < kMaxHandlersPerRound && context_.poll_one() > 0; ++count) {
+  }
+}
+
 void EventLoop::Run() {
   auto guard = asio::make_work_guard(context_);
   while (!stopping_) {
     context_.run_one();
-    context_.poll();
+    RunReadyHandlers();
     if (round_hook_) {
       round_hook_();
     }
--- a/src/wire/event_loop.h
+++ b/src/wire/event_loop.h
@@ -49,6 +49,7 @@
     bool waits_to_write = false;
   };
 
+  void RunReadyHandlers();
   void Arm(const std::shared_ptr<FileWatch>& watch);
   void OnReady(const std::shared_ptr<FileWatch>& watch, std::uint32_t event);
 
--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -23,6 +23,7 @@
 constexpr std::size_t kReadBytes = std::size_t{64} << 10;
 constexpr int kBacklog = 512;
 constexpr int kBindAttempts = 20;
+constexpr int kDatagramsAtOnce = 64;
 constexpr absl::Duration kAcceptPause = absl::Milliseconds(20);
 /// Detects a network partition: the connection fails if sent data isn't acknowledged in this time.
 constexpr unsigned kUserTimeoutMilliseconds = 1000;
@@ -170,7 +171,8 @@
 }
 
 void Transport::ReadDatagrams() {
-  while (true) {
+  // The rest is read in a later round, so that a flood doesn't hold up everything else.
+  for (int datagram = 0; datagram < kDatagramsAtOnce; ++datagram) {
     ssize_t count = recv(datagrams_, read_buffer_.data(), read_buffer_.size(), 0);
     if (count < 0) {
       return;
