Ledger: a repeated SIGTERM does not prolong the stop

Cause: each SIGTERM set the stop's deadline anew, so that a series of them kept the process from ending.

Change: only the first one begins the stop, as at the gateway.

--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -473,6 +473,9 @@
 }
 
 void LedgerRole::RequestStop() {
+  if (stopping_) {
+    return;
+  }
   stopping_ = true;
   stop_deadline_ = SteadyNow() + kLeadershipTransferTimeout;
   log_.Write(Line("stopping"));
