Loops that must not end by an exception end the process instead

Cause: asio::detached discards the exception of a coroutine. After one in the loop that accepts clients, mirrors the store, registers a storage machine or empties it, the process went on without that part: it lived, served nothing, and logged nothing.

Change: these loops rethrow into the event loop, so that process_crashed names the reason and the platform starts the process again.

Result: no test: nothing is known that makes one of them throw.

--- a/src/async_http/server.cc
+++ b/src/async_http/server.cc
@@ -550,7 +550,7 @@
     return leaf::new_error(
         ServerError{absl::StrCat("cannot listen on ", endpoint.ToString(), ": ", error.message())});
   }
-  asio::co_spawn(shared_->context, AcceptAll(shared_), asio::detached);
+  asio::co_spawn(shared_->context, AcceptAll(shared_), kRethrow);
   return {};
 }
 
--- a/src/async_http/task.h
+++ b/src/async_http/task.h
@@ -15,6 +15,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <set>
@@ -33,6 +34,14 @@
 /// Completion token: the coroutine receives the error code with the result.
 inline constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+/// Completion handler of a coroutine that must not end by an exception: the event loop throws it.
+/// `asio::detached` would discard it, and the process would go on without the coroutine.
+inline constexpr auto kRethrow = [](const std::exception_ptr& error) {
+  if (error) {
+    std::rethrow_exception(error);
+  }
+};
+
 /// Timer that runs `on_expiry` on the loop's thread unless stopped or destroyed before.
 class Alarm {
  public:
--- a/src/roles/ledger/machine_retirement.cc
+++ b/src/roles/ledger/machine_retirement.cc
@@ -59,7 +59,7 @@
 void machine_retirement::start()
 {
     m_requests.Start();
-    async_http::asio::co_spawn(m_context, run(), async_http::asio::detached);
+    async_http::asio::co_spawn(m_context, run(), async_http::kRethrow);
 }
 
 std::vector<std::string> machine_retirement::retiring_machines() const
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -150,8 +150,8 @@
   persisted_mirrors_.start();
   directory_.Start();
   retirement_.start();
-  async_http::asio::co_spawn(loop_.context(), Register(), async_http::asio::detached);
-  async_http::asio::co_spawn(loop_.context(), BootstrapGroups(), async_http::asio::detached);
+  async_http::asio::co_spawn(loop_.context(), Register(), async_http::kRethrow);
+  async_http::asio::co_spawn(loop_.context(), BootstrapGroups(), async_http::kRethrow);
   loop_.SetRoundHook([this] { ProcessReady(); });
   ticker_.Start();
   return {};
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -56,9 +56,7 @@
 
 PrefixMirror::~PrefixMirror() { store_.reachability().RemoveListener(this); }
 
-void PrefixMirror::Start() {
-  async_http::asio::co_spawn(context_, Run(), async_http::asio::detached);
-}
+void PrefixMirror::Start() { async_http::asio::co_spawn(context_, Run(), async_http::kRethrow); }
 
 absl::Duration PrefixMirror::Staleness() const { return SteadyNow() - last_confirmed_; }
 
