Clients: all that they make a process hold counts against its limits

What was seen: eight clients that send trailers without end bring a gateway with a limit of 64 MB to 1,268 MB in four seconds, and ordinary requests wait.

Cause: the HTTP library takes a trailer section, and a chunk's line with its extension, as a whole and limits neither; only bodies were counted, by their announced length; each read began the time limit anew; connections beyond the limit were closed at once, whoever held the others; connections to runners had no limit in sum.

Change: these sections have the header section's limit (431). A process counts what each unfinished or running request holds: read buffer, parsed fields with their overhead, body as far as it has arrived. Beyond a quarter of the memory the connection that has been sending its request for longest is closed, so that ordinary clients, which are quick, get through; if there is none the request gets 503, not run. Beyond the connection limit, one without a complete request is closed for each new one. A request has 60 s in all, a response its route's time and 10 s. Idle connections hold no buffer. Connections to runners have a limit in sum. The readiness and metrics endpoints have small limits. An exception ends its connection only.

--- a/src/async_http/server.cc
+++ b/src/async_http/server.cc
@@ -4,20 +4,25 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <exception>
+#include <new>
 #include <optional>
 #include <set>
 #include <utility>
 #include <vector>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "async_http/framing.h"
+#include "async_http/growing_body.h"
 #include "async_http/reason_phrase.h"
 #include "base/clock.h"
 
@@ -40,7 +45,23 @@
 /// socket readable, so readability can't signal it.
 constexpr absl::Duration kDisconnectPollInterval = absl::Milliseconds(50);
 
-using RequestParser = http::request_parser<http::string_body>;
+/// Memory that a parsed header field takes besides its text.
+constexpr std::uint64_t kFieldOverhead = 96;
+/// A client that has been taking one part of its response for this long may be disconnected for
+/// another one.
+constexpr absl::Duration kStalledSend = absl::Seconds(2);
+constexpr absl::Duration kStalledSearchInterval = absl::Milliseconds(20);
+
+using RequestParser = http::request_parser<GrowingBody>;
+
+/// @return the memory that parsed header fields take, approximately.
+std::uint64_t MemoryOf(const http::fields& fields) {
+  std::uint64_t bytes = 0;
+  for (const auto& field : fields) {
+    bytes += field.name_string().size() + field.value().size() + kFieldOverhead;
+  }
+  return bytes;
+}
 
 std::string HeadText(const HttpHead& head) {
   std::string text = absl::StrCat("HTTP/1.1 ", head.result_int(), " ", ReasonPhrase(head), "\r\n");
@@ -64,21 +85,37 @@
 }
 
 struct Server::Shared {
-  Shared(asio::io_context& io, ExchangeHandler on_exchange, RejectionObserver on_rejection)
+  Shared(asio::io_context& io, ExchangeHandler on_exchange, ServerObservers server_observers)
       : context(io),
         handler(std::move(on_exchange)),
-        on_rejected(std::move(on_rejection)),
+        observers(std::move(server_observers)),
         acceptor(io) {}
 
   asio::io_context& context;
   ExchangeHandler handler;
-  RejectionObserver on_rejected;  // May be empty.
+  ServerObservers observers;
   asio::ip::tcp::acceptor acceptor;
   ServerLimits limits;
   ServerStats stats;
   bool draining = false;
   bool requests_close = false;
   std::set<ServerConnection*> connections;
+
+  /// Connections in the order in which they entered their state.
+  using Queue = std::set<std::pair<absl::Time, ServerConnection*>>;
+  Queue never_served;   ///< Without a complete request, on which none was served before.
+  Queue served_before;  ///< Without a complete request.
+  Queue receiving;      ///< With a part of a request; also in one of the others.
+  absl::Time next_stalled_search;
+
+  /// Closes the connection that has been receiving a request for longest, other than `spared`.
+  /// @return false if there is none.
+  bool EvictReceiving(const ServerConnection* spared);
+  /// Closes a connection without a complete request, or else one whose client does not take its
+  /// response. @return false if there is none.
+  bool EvictForNewConnection();
+  /// @return a connection whose client does not take its response; null if there is none.
+  ServerConnection* FindStalled();
 };
 
 /// A client connection: reads requests one after the other and passes them to the handler.
@@ -90,13 +127,19 @@
     shared_->connections.insert(this);
   }
   ~ServerConnection() {
+    Enqueue(false);
+    ReleaseMemory();
     --shared_->stats.open_connections;
     shared_->connections.erase(this);
   }
 
-  Task<void> Run();
+  /// Serves the client until the connection ends.
+  Task<void> RunGuarded();
 
   Task<bool> SendBytes(absl::string_view bytes);
+  /// Sends both one after the other.
+  Task<bool> SendBytes(absl::string_view first, absl::string_view second);
+  bool is_open() const { return socket_.is_open(); }
   void Close();
   /// Closes the connection if it is idle and no byte of a request was received.
   void CloseIfIdle();
@@ -107,9 +150,23 @@
   void set_keep_open(bool keep) { keep_open_ = keep; }
   bool draining() const { return shared_->draining; }
 
+  /// @return whether the client has not taken the response for a while.
+  bool IsStalled() const;
+  /// Closes the connection in favor of another one.
+  void Evict();
+
  private:
   enum class ReadOutcome { kComplete, kClosed, kAnswered };
+  enum class State {
+    kNew,
+    kIdle,       ///< No byte of the next request has been read.
+    kReceiving,  ///< A part of a request has been read.
+    kProcessing,
+    kSending,
+  };
 
+  Task<void> Run();
+  Task<void> Process(std::shared_ptr<Exchange> exchange);
   Task<ReadOutcome> ReadRequest(Exchange& exchange);
   Task<bool> FillBuffer(absl::Duration timeout);
   /// @return the bytes that were read and not parsed yet.
@@ -120,8 +177,15 @@
   /// @param detail for the log.
   Task<ReadOutcome> Reject(unsigned status, absl::string_view detail);
   Task<ReadOutcome> RejectFraming(FramingError error);
-  bool ReserveBody(std::uint64_t bytes);
-  void ReleaseBody();
+  void EnterState(State state);
+  /// Adds the connection to the queues of its state. @param queued false: removes it.
+  void Enqueue(bool queued);
+  void ReleaseMemory() { Hold(0); }
+  /// Sets the number of bytes held for the current request. @return false if there is no room.
+  bool Hold(std::uint64_t bytes);
+  /// Counts what the incomplete request holds. @return false if there is no room.
+  /// @param header_memory of the parsed header fields.
+  bool HoldRequest(const RequestParser& parser, std::uint64_t header_memory);
   void OnReadable();
   void ArmWatch();
   /// Schedules a check for the disconnect of a client with unread bytes.
@@ -135,11 +199,91 @@
   bool watch_armed_ = false;
   std::unique_ptr<Alarm> disconnect_check_;  // For the current exchange only.
   bool keep_open_ = true;
-  bool idle_ = false;  // No byte of the next request has been read.
-  std::uint64_t reserved_body_ = 0;
+  State state_ = State::kNew;
+  absl::Time state_since_;
+  bool served_ = false;  // A request on this connection was read completely.
+  std::uint64_t held_ = 0;
   const HttpRequest* current_ = nullptr;
 };
 
+// ---- Eviction ----
+
+bool Server::Shared::EvictReceiving(const ServerConnection* spared) {
+  auto oldest = receiving.begin();
+  if (oldest != receiving.end() && oldest->second == spared) {
+    ++oldest;
+  }
+  if (oldest == receiving.end()) {
+    return false;
+  }
+  oldest->second->Evict();
+  return true;
+}
+
+bool Server::Shared::EvictForNewConnection() {
+  ServerConnection* oldest = nullptr;
+  if (!never_served.empty()) {
+    oldest = never_served.begin()->second;
+  } else if (!served_before.empty()) {
+    oldest = served_before.begin()->second;
+  } else {
+    oldest = FindStalled();
+  }
+  if (oldest != nullptr) {
+    oldest->Evict();
+  }
+  return oldest != nullptr;
+}
+
+ServerConnection* Server::Shared::FindStalled() {
+  absl::Time now = SteadyNow();
+  if (now < next_stalled_search) {
+    return nullptr;
+  }
+  auto stalled = std::find_if(connections.begin(), connections.end(),
+                              [](const auto* connection) { return connection->IsStalled(); });
+  if (stalled != connections.end()) {
+    return *stalled;
+  }
+  next_stalled_search = now + kStalledSearchInterval;
+  return nullptr;
+}
+
+bool ServerConnection::IsStalled() const {
+  return state_ == State::kSending && socket_.is_open() &&
+         SteadyNow() - state_since_ > kStalledSend;
+}
+
+void ServerConnection::Evict() {
+  EnterState(State::kProcessing);  // Leaves the queues.
+  ReleaseMemory();
+  Close();
+}
+
+void ServerConnection::EnterState(State state) {
+  Enqueue(false);
+  state_ = state;
+  state_since_ = SteadyNow();
+  Enqueue(true);
+}
+
+void ServerConnection::Enqueue(bool queued) {
+  auto update = [&](Server::Shared::Queue& queue) {
+    std::pair entry(state_since_, this);
+    if (queued) {
+      queue.insert(entry);
+    } else {
+      queue.erase(entry);
+    }
+  };
+  if (state_ == State::kIdle || state_ == State::kReceiving) {
+    update(served_ ? shared_->served_before : shared_->never_served);
+  }
+  if (state_ == State::kReceiving) {
+    update(shared_->receiving);
+  }
+}
+
 // ---- Reading ----
 
 Task<bool> ServerConnection::FillBuffer(absl::Duration timeout) {
@@ -149,6 +293,13 @@
       present->Close();
     }
   });
+  if (state_ == State::kIdle) {
+    // An idle connection holds no buffer.
+    co_await socket_.async_wait(Socket::wait_read, kAwait);
+    if (!socket_.is_open()) {
+      co_return false;
+    }
+  }
   auto [error, count] = co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAwait);
   // Closed after the bytes arrived: the client takes the close to mean that nothing was processed.
   if (error || !socket_.is_open()) {
@@ -158,24 +309,22 @@
   co_return true;
 }
 
-bool ServerConnection::ReserveBody(std::uint64_t bytes) {
+bool ServerConnection::Hold(std::uint64_t bytes) {
   ServerStats& stats = shared_->stats;
-  if (bytes <= reserved_body_) {
-    return true;
-  }
-  std::uint64_t more = bytes - reserved_body_;
-  if (stats.buffered_body_bytes + more > shared_->limits.buffered_body_bytes) {
-    ++stats.rejected_bodies;
-    return false;
+  while (bytes > held_ && stats.request_memory - held_ + bytes > shared_->limits.request_memory) {
+    if (!shared_->EvictReceiving(this)) {
+      ++stats.rejected_for_memory;
+      return false;
+    }
+    ++stats.evicted_for_memory;
   }
-  stats.buffered_body_bytes += more;
-  reserved_body_ = bytes;
+  stats.request_memory += bytes - held_;
+  held_ = bytes;
   return true;
 }
 
-void ServerConnection::ReleaseBody() {
-  shared_->stats.buffered_body_bytes -= reserved_body_;
-  reserved_body_ = 0;
+bool ServerConnection::HoldRequest(const RequestParser& parser, std::uint64_t header_memory) {
+  return Hold(buffer_.capacity() + header_memory + parser.get().body().capacity());
 }
 
 Task<ServerConnection::ReadOutcome> ServerConnection::RejectFraming(FramingError error) {
@@ -185,8 +334,8 @@
 
 Task<ServerConnection::ReadOutcome> ServerConnection::Reject(unsigned status,
                                                              absl::string_view detail) {
-  if (shared_->on_rejected) {
-    shared_->on_rejected(status, detail);
+  if (shared_->observers.on_rejected) {
+    shared_->observers.on_rejected(status, detail);
   }
   boost::beast::string_view phrase = http::obsolete_reason(static_cast<http::status>(status));
   absl::string_view reason(phrase.data(), phrase.size());
@@ -201,11 +350,14 @@
 
 Task<ServerConnection::ReadOutcome> ServerConnection::ReadRequest(Exchange& exchange) {
   const ServerLimits& limits = shared_->limits;
-  idle_ = buffer_.size() == 0;
-  if (idle_ && !co_await FillBuffer(limits.idle_timeout)) {
-    co_return ReadOutcome::kClosed;
+  if (buffer_.size() == 0) {
+    EnterState(State::kIdle);
+    buffer_.shrink_to_fit();
+    if (!co_await FillBuffer(limits.idle_timeout)) {
+      co_return ReadOutcome::kClosed;
+    }
   }
-  idle_ = false;
+  EnterState(State::kReceiving);
   RequestParser parser;
   // Not eager until the header is complete, to keep it apart from the trailer of a chunked body.
   parser.eager(false);
@@ -214,6 +366,7 @@
   absl::Time began = SteadyNow();
   bool continue_sent = false;
   std::optional<http::request_header<>> header;
+  std::uint64_t header_memory = 0;
   while (!parser.is_done()) {
     if (!parser.is_header_done() && CheckLines(BufferedBytes()) != FramingError::kNone) {
       co_return co_await RejectFraming(FramingError::kLineFolding);
@@ -223,6 +376,10 @@
     buffer_.consume(used);
     if (error == http::error::need_more) {
       error = {};
+      // The parser takes a trailer section or a chunk's line at once and limits neither.
+      if (parser.is_header_done() && buffer_.size() > limits.header_bytes) {
+        co_return co_await Reject(431, "the trailer section or a chunk's line is too large");
+      }
     } else if (error == http::error::header_limit) {
       co_return co_await Reject(431, "the header section is too large");
     } else if (error == http::error::body_limit) {
@@ -239,18 +396,19 @@
         co_return co_await RejectFraming(framing);
       }
       parser.eager(true);
+      header_memory = MemoryOf(parser.get());
       if (parser.chunked()) {
         header = parser.get().base();
+        header_memory *= 2;
       }
     }
     if (parser.is_done()) {
       break;
     }
+    if (!HoldRequest(parser, header_memory)) {
+      co_return co_await Reject(503, "the requests of this process use up their memory");
+    }
     if (parser.is_header_done()) {
-      std::uint64_t expected = parser.content_length().value_or(parser.get().body().size());
-      if (!ReserveBody(expected)) {
-        co_return co_await Reject(503, "the request bodies of this process use up their memory");
-      }
       auto expectation = parser.get().find(http::field::expect);
       if (!continue_sent && expectation != parser.get().end()) {
         continue_sent = true;
@@ -261,7 +419,9 @@
       continue;
     }
     absl::Duration allowed =
-        parser.is_header_done() ? limits.body_timeout : began + limits.header_timeout - SteadyNow();
+        parser.is_header_done()
+            ? std::min(limits.body_timeout, began + limits.request_timeout - SteadyNow())
+            : began + limits.header_timeout - SteadyNow();
     if (allowed <= absl::ZeroDuration()) {
       co_return co_await Reject(408, "the request was not complete in time");
     }
@@ -269,8 +429,13 @@
       co_return ReadOutcome::kClosed;
     }
   }
+  if (!HoldRequest(parser, header_memory)) {
+    co_return co_await Reject(503, "the requests of this process use up their memory");
+  }
   keep_open_ = parser.keep_alive();
-  exchange.request_ = parser.release();
+  auto message = parser.release();
+  exchange.request_.base() = std::move(message.base());
+  exchange.request_.body() = std::move(message.body());
   if (header) {
     // The parser adds trailer fields to the header. Drop them: they may repeat the name of any
     // header field, and none is used.
@@ -286,19 +451,9 @@
     auto exchange = std::make_shared<Exchange>(*this);
     ReadOutcome end = co_await ReadRequest(*exchange);
     if (end != ReadOutcome::kComplete) {
-      ReleaseBody();
       break;
     }
-    current_ = &exchange->request_;
-    ++shared_->stats.active_exchanges;
-    Watch(exchange);
-    co_await shared_->handler(exchange);
-    --shared_->stats.active_exchanges;
-    current_ = nullptr;
-    exchange->ClearOnClientGone();
-    watched_.reset();
-    disconnect_check_.reset();
-    ReleaseBody();
+    co_await Process(exchange);
     if (exchange->broken_ || !exchange->answered_ || !keep_open_) {
       break;
     }
@@ -310,6 +465,49 @@
   }
 }
 
+Task<void> ServerConnection::Process(std::shared_ptr<Exchange> exchange) {
+  EnterState(State::kProcessing);
+  served_ = true;
+  if (buffer_.size() == 0) {
+    std::size_t freed = buffer_.capacity();
+    buffer_.shrink_to_fit();
+    Hold(held_ - std::min<std::uint64_t>(held_, freed));
+  }
+  current_ = &exchange->request_;
+  ++shared_->stats.active_exchanges;
+  auto end = absl::MakeCleanup([this, exchange] {
+    --shared_->stats.active_exchanges;
+    current_ = nullptr;
+    exchange->ClearOnClientGone();
+    watched_.reset();
+    disconnect_check_.reset();
+    ReleaseMemory();
+  });
+  std::weak_ptr<ServerConnection> self = weak_from_this();
+  Alarm alarm(shared_->context, shared_->limits.response_timeout, [self, exchange] {
+    if (auto present = self.lock()) {
+      present->Close();
+      exchange->HandleDisconnect();
+    }
+  });
+  Watch(exchange);
+  co_await shared_->handler(exchange);
+}
+
+Task<void> ServerConnection::RunGuarded() {
+  auto self = shared_from_this();
+  try {
+    co_await Run();
+  } catch (const std::exception& error) {
+    // For example std::bad_alloc: it ends this connection only.
+    ++shared_->stats.failed_connections;
+    if (shared_->observers.on_failure) {
+      shared_->observers.on_failure(error.what());
+    }
+    Close();
+  }
+}
+
 // ---- Watching the client ----
 
 void ServerConnection::Watch(std::shared_ptr<Exchange> exchange) {
@@ -379,11 +577,19 @@
 // ---- Writing ----
 
 Task<bool> ServerConnection::SendBytes(absl::string_view bytes) {
+  return SendBytes(bytes, absl::string_view());
+}
+
+Task<bool> ServerConnection::SendBytes(absl::string_view first, absl::string_view second) {
   if (!socket_.is_open()) {
     co_return false;
   }
-  auto [error, count] =
-      co_await asio::async_write(socket_, asio::buffer(bytes.data(), bytes.size()), kAwait);
+  State before = state_;
+  EnterState(State::kSending);
+  std::array<asio::const_buffer, 2> buffers{asio::buffer(first.data(), first.size()),
+                                            asio::buffer(second.data(), second.size())};
+  auto [error, count] = co_await asio::async_write(socket_, buffers, kAwait);
+  EnterState(before);
   if (error) {
     Close();
     co_return false;
@@ -397,7 +603,7 @@
 }
 
 void ServerConnection::CloseIfIdle() {
-  if (!idle_ || !socket_.is_open()) {
+  if (state_ != State::kIdle || !socket_.is_open()) {
     return;
   }
   char byte = 0;
@@ -451,10 +657,8 @@
     absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n");
   }
   text.append("\r\n");
-  if (has_body && !is_head) {
-    text.append(body);
-  }
-  co_return co_await connection_.SendBytes(text);
+  absl::string_view sent_body = has_body && !is_head ? absl::string_view(body) : "";
+  co_return co_await connection_.SendBytes(text, sent_body);
 }
 
 Task<bool> Exchange::StartStream(HttpHead head) {
@@ -493,6 +697,17 @@
 
 namespace {
 
+void Serve(const std::shared_ptr<Server::Shared>& shared, Socket socket) {
+  try {
+    auto connection = std::make_shared<ServerConnection>(shared, std::move(socket));
+    asio::co_spawn(
+        shared->context, [connection]() -> Task<void> { return connection->RunGuarded(); },
+        asio::detached);
+  } catch (const std::bad_alloc&) {
+    ++shared->stats.failed_connections;  // The client finds its connection closed.
+  }
+}
+
 Task<void> AcceptAll(std::shared_ptr<Server::Shared> shared) {
   while (shared->acceptor.is_open()) {
     auto [error, socket] = co_await shared->acceptor.async_accept(kAwait);
@@ -504,23 +719,23 @@
       continue;
     }
     if (shared->stats.open_connections >= shared->limits.connections) {
-      continue;  // Closed without reading, so the client knows that nothing was processed.
+      if (!shared->EvictForNewConnection()) {
+        continue;  // Closed without reading, so the client knows that nothing was processed.
+      }
+      ++shared->stats.evicted_for_connections;
     }
     error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMilliseconds,
                sizeof(kUserTimeoutMilliseconds));
-    auto connection = std::make_shared<ServerConnection>(shared, std::move(socket));
-    asio::co_spawn(
-        shared->context, [connection]() -> Task<void> { return connection->Run(); },
-        asio::detached);
+    Serve(shared, std::move(socket));
   }
 }
 
 }  // namespace
 
-Server::Server(asio::io_context& context, ExchangeHandler handler, RejectionObserver on_rejected)
-    : shared_(std::make_shared<Shared>(context, std::move(handler), std::move(on_rejected))) {}
+Server::Server(asio::io_context& context, ExchangeHandler handler, ServerObservers observers)
+    : shared_(std::make_shared<Shared>(context, std::move(handler), std::move(observers))) {}
 
 Server::~Server() {
   error_code ignored;
--- a/src/async_http/server.h
+++ b/src/async_http/server.h
@@ -33,13 +33,22 @@
 
 /// Limits on what clients may send; may change while connections are open.
 struct ServerLimits {
+  /// Of the header section, of the trailer section, and of a chunk's line with its extensions.
   std::uint32_t header_bytes = 16384;
   std::uint64_t body_bytes = std::uint64_t{4} << 20;
   absl::Duration header_timeout = absl::Seconds(3);
+  /// Between two parts of a body.
   absl::Duration body_timeout = absl::Seconds(10);
+  /// From the first byte of a request to its last.
+  absl::Duration request_timeout = absl::Seconds(60);
+  /// From the last byte of a request until its response has been taken by the client.
+  absl::Duration response_timeout = absl::Seconds(120);
   absl::Duration idle_timeout = absl::Seconds(15);
-  /// Total size of the request bodies in progress over all connections; more are rejected.
-  std::uint64_t buffered_body_bytes = std::uint64_t{64} << 20;
+  /// Memory held for requests over all connections: incomplete ones, and complete ones until their
+  /// response is sent. Beyond it, the connections that have been sending a request for longest are
+  /// closed; if there are none, the request is rejected.
+  std::uint64_t request_memory = std::uint64_t{64} << 20;
+  /// Beyond it, a connection without a complete request is closed for each new one.
   std::size_t connections = 3000;
 };
 
@@ -95,20 +104,27 @@
 struct ServerStats {
   std::size_t open_connections = 0;
   std::size_t active_exchanges = 0;
-  std::uint64_t buffered_body_bytes = 0;
-  std::uint64_t rejected_bodies = 0;
-  std::uint64_t rejected_framings = 0;  ///< Requests with an ambiguous body length.
+  std::uint64_t request_memory = 0;  ///< In bytes; see `ServerLimits`.
+  std::uint64_t rejected_for_memory = 0;
+  std::uint64_t rejected_framings = 0;   ///< Requests with an ambiguous body length.
+  std::uint64_t evicted_for_memory = 0;  ///< Connections closed in favor of others.
+  std::uint64_t evicted_for_connections = 0;
+  std::uint64_t failed_connections = 0;  ///< Closed because of an exception.
 };
 
-/// Called when a request is rejected before it was read completely.
-/// @param reason for the log.
-using RejectionObserver = std::function<void(unsigned status, absl::string_view reason)>;
+/// What the owner of a server is told for its log; each may be empty.
+struct ServerObservers {
+  /// A request was rejected before it was read completely.
+  std::function<void(unsigned status, absl::string_view reason)> on_rejected;
+  /// A connection was closed because of an exception.
+  std::function<void(absl::string_view reason)> on_failure;
+};
 
 /// Listens on one endpoint. Not thread-safe: for the event loop's thread only. Coroutines of its
 /// connections share ownership of the state that they need.
 class Server {
  public:
-  Server(asio::io_context& context, ExchangeHandler handler, RejectionObserver on_rejected = {});
+  Server(asio::io_context& context, ExchangeHandler handler, ServerObservers observers = {});
   ~Server();
   /// May be called again after an error. Errors: ServerError.
   Result<void> Listen(const wire::Endpoint& endpoint);
--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -131,6 +131,10 @@
     result.reused = true;
     co_return true;
   }
+  if (!state_.pool.MakeRoom()) {
+    result.detail = "no descriptor is left for a connection to a runner";
+    co_return false;
+  }
   connection_ = std::make_shared<Connection>(state_.context, plan_.runner.endpoint);
   state_.pool.CountOpened(plan_.runner.id);
   if (!co_await OpenConnection()) {
--- a/src/forwarding/connection_pool.cc
+++ b/src/forwarding/connection_pool.cc
@@ -45,6 +45,20 @@
   idle_[runner].push_back(std::move(connection));
 }
 
+bool ConnectionPool::MakeRoom() {
+  if (total_ < limit_) {
+    return true;
+  }
+  for (auto& [runner, connections] : idle_) {
+    if (!connections.empty()) {
+      connections.erase(connections.begin());
+      CountClosed(runner);
+      return true;
+    }
+  }
+  return false;
+}
+
 void ConnectionPool::Prune(absl::Time now) {
   for (auto& [runner, connections] : idle_) {
     auto expired =
@@ -83,6 +97,7 @@
   if (found == open_.end()) {
     return;
   }
+  --total_;
   if (--found->second == 0) {
     open_.erase(found);
   }
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -43,13 +43,23 @@
 constexpr absl::Duration kMinDrain = absl::Seconds(3);
 /// Margin between the end of the process and the platform's SIGKILL.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(700);
-/// Limits buffered request bodies to 1/4 of the memory limit.
-constexpr std::uint64_t kBodyMemoryDivisor = 4;
+/// Limits the memory of requests to 1/4 of the memory limit.
+constexpr std::uint64_t kRequestMemoryDivisor = 4;
+/// Limits the memory of the clients' connections themselves to 1/4 of the memory limit.
+constexpr std::uint64_t kConnectionMemoryDivisor = 4;
+/// Memory of a connection besides its request.
+constexpr std::uint64_t kConnectionBytes = std::uint64_t{16} << 10;
+/// From the deadline of a request until its client must have taken the response.
+constexpr absl::Duration kResponseGrace = absl::Seconds(10);
+/// Limits of the readiness and metrics endpoints, whose callers are few and send no bodies.
+constexpr std::size_t kInternalEndpointConnections = 64;
+constexpr std::uint64_t kInternalEndpointMemory = std::uint64_t{1} << 20;
 /// Limits buffered responses to 1/8 of the memory limit.
 constexpr std::uint64_t kResponseMemoryDivisor = 8;
 /// Limits unsent frames to peers to 1/16 of the memory limit.
 constexpr std::uint64_t kFrameMemoryDivisor = 16;
 constexpr std::size_t kReservedDescriptors = 1200;  // For runners, peers, files and the store.
+constexpr std::size_t kRunnerDescriptors = 900;     // Of the reserved ones.
 
 /// Upper bound on the time between the store's acceptance of a drain notice and the arrival at the
 /// runner of a request sent before the gateway learned of it: watch spacing, propagation between
@@ -183,9 +193,12 @@
           [state = state_](std::shared_ptr<async_http::Exchange> exchange) {
             return forwarding::Forward(state, std::move(exchange));
           },
-          [this](unsigned status, absl::string_view reason) {
-            log_.Write(Line("request_rejected").Number("status", status).Text("reason", reason));
-          }),
+          {[this](unsigned status, absl::string_view reason) {
+             log_.Write(Line("request_rejected").Number("status", status).Text("reason", reason));
+           },
+           [this](absl::string_view reason) {
+             log_.Write(Line("connection_failed").Text("reason", reason));
+           }}),
       readiness_server_(loop.context(),
                         [this](std::shared_ptr<async_http::Exchange> exchange) {
                           return ServeReadiness(std::move(exchange));
@@ -273,6 +286,26 @@
   };
 }
 
+void GatewayRole::LimitClients() {
+  async_http::ServerLimits& clients = frontend_.limits();
+  clients.request_memory = settings_.memory_bytes / kRequestMemoryDivisor;
+  std::size_t by_descriptors = settings_.max_descriptors > 2 * kReservedDescriptors
+                                   ? settings_.max_descriptors - kReservedDescriptors
+                                   : settings_.max_descriptors / 2;
+  std::size_t by_memory = settings_.memory_bytes / kConnectionMemoryDivisor / kConnectionBytes;
+  clients.connections = std::min(by_descriptors, by_memory);
+  state_->pool.SetLimit(settings_.max_descriptors > 2 * kReservedDescriptors
+                            ? kRunnerDescriptors
+                            : settings_.max_descriptors / 4);
+  for (async_http::Server* endpoint : {&readiness_server_, &metrics_server_}) {
+    async_http::ServerLimits& limits = endpoint->limits();
+    limits.connections = kInternalEndpointConnections;
+    limits.request_memory = kInternalEndpointMemory;
+    limits.body_bytes = 0;
+    limits.response_timeout = kResponseGrace;
+  }
+}
+
 Result<void> GatewayRole::Listen() {
   if (!transport_.is_listening()) {
     BOOST_LEAF_AUTO(bound, transport_.Listen({settings_.address, settings_.internal_port}));
@@ -294,11 +327,8 @@
   transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
   bulk_transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
   bulk_transport_.SetSendBuffer(bulk_send_buffer);
-  frontend_.limits().buffered_body_bytes = settings_.memory_bytes / kBodyMemoryDivisor;
   state_->response_buffers.set_limit(settings_.memory_bytes / kResponseMemoryDivisor);
-  frontend_.limits().connections = settings_.max_descriptors > 2 * kReservedDescriptors
-                                       ? settings_.max_descriptors - kReservedDescriptors
-                                       : settings_.max_descriptors / 2;
+  LimitClients();
   BOOST_LEAF_CHECK(Listen());
   exchange_.start(settings_.internal_port);
   aggregators_.Start();
@@ -357,6 +387,11 @@
   limits.body_bytes = configuration->limits.body_bytes;
   limits.header_timeout = configuration->limits.header_timeout;
   limits.idle_timeout = configuration->limits.idle_timeout;
+  absl::Duration longest = absl::ZeroDuration();
+  for (const forwarding::Route& route : configuration->routes) {
+    longest = std::max(longest, route.timeout);
+  }
+  limits.response_timeout = longest + kResponseGrace;
   std::chrono::milliseconds lag = exchange_.configuration_lag();
   state_->metrics.ObserveConfigurationLag(absl::FromChrono(lag));
   log_.Write(
@@ -776,6 +811,14 @@
   metrics.Set("active_requests", static_cast<double>(frontend_.stats().active_exchanges));
   metrics.Set("requests_with_ambiguous_framing",
               static_cast<double>(frontend_.stats().rejected_framings));
+  metrics.Set("request_memory_bytes", static_cast<double>(frontend_.stats().request_memory));
+  metrics.Set("requests_rejected_for_memory",
+              static_cast<double>(frontend_.stats().rejected_for_memory));
+  metrics.Set("connections_evicted_for_memory",
+              static_cast<double>(frontend_.stats().evicted_for_memory));
+  metrics.Set("connections_evicted_for_others",
+              static_cast<double>(frontend_.stats().evicted_for_connections));
+  metrics.Set("connections_failed", static_cast<double>(frontend_.stats().failed_connections));
   metrics.Set("log_lines_dropped", static_cast<double>(log_.stats().dropped_lines));
   metrics.Set("ledger_retries", static_cast<double>(state_->ledger->retries()));
   metrics.Set("quota_questions", static_cast<double>(state_->quotas->batches_sent()));
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -60,6 +60,8 @@
   /// @return whether the runner is at the address that another process had before.
   bool HasTakenOver(const discovery::Runner& runner, const std::string& process);
   Result<void> Listen();
+  /// Bounds what clients can make this process hold by its limits of memory and descriptors.
+  void LimitClients();
   /// Logs the runners that were read first in one line, once all are known.
   void LogFirstRunners();
   /// Removes the runner that was registered under `key`.
--- a/tests/fuzz/http_fuzz.cc
+++ b/tests/fuzz/http_fuzz.cc
@@ -171,7 +171,7 @@
     }
     ASSERT_EQ(server.stats().open_connections, 0U);
     ASSERT_EQ(server.stats().active_exchanges, 0U);
-    ASSERT_EQ(server.stats().buffered_body_bytes, 0U);
+    ASSERT_EQ(server.stats().request_memory, 0U);
     most = std::max(most, memory.bytes());
     ASSERT_LE(memory.bytes(), kMostBytes) << input.size() << " bytes";
   }
