Runners: responses without end stay within the gateway's memory

Cause: as on the clients' side a trailer section or a chunk's line had no limit; the body of a response to another request was kept while it was skipped; the text of a stream that is stored counted against no budget; an announced length was reserved before it arrived.

Change: 64 KB for a trailer section or a chunk's line, 16 interim responses, 1 MB of a skipped body, which is not kept; the text of a stored stream counts in the budget of responses and ends the attempt beyond it.

--- a/src/async_http/connection.cc
+++ b/src/async_http/connection.cc
@@ -18,8 +18,11 @@
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{16} << 10;
-constexpr std::uint64_t kBodyLimit = std::uint64_t{64} << 20;
 constexpr std::uint32_t kHeaderLimit = std::uint32_t{64} << 10;
+/// Of a trailer section and of a chunk's line.
+constexpr std::size_t kTrailerLimit = kHeaderLimit;
+/// Interim responses before a final one; servers send one or two.
+constexpr int kMaxInterimResponses = 16;
 /// The connection fails if sent data isn't acknowledged in this time.
 constexpr unsigned kUserTimeoutMilliseconds = 1000;
 
@@ -81,6 +84,7 @@
   ended_by_close_ = false;
   ++uses_;
   head_request_ = head_request;
+  interim_responses_ = 0;
   StartParser();
 }
 
@@ -90,7 +94,7 @@
   parser_->eager(false);
   header_.reset();
   parser_->header_limit(kHeaderLimit);
-  parser_->body_limit(kBodyLimit);
+  parser_->body_limit(body_limit_);
   parser_->skip(head_request_);
 }
 
@@ -115,11 +119,19 @@
         co_return ReadStep::kMalformed;
       }
       parsed = parsed || used > 0;
+      // The parser takes a trailer section or a chunk's line at once and limits neither.
+      if (parser_->is_header_done() && error == http::error::need_more &&
+          buffer_.size() > kTrailerLimit) {
+        co_return ReadStep::kMalformed;
+      }
       if (error == http::error::need_more || used == 0) {
         break;
       }
     }
     if (parser_->is_done() && IsInterim(*parser_)) {
+      if (++interim_responses_ > kMaxInterimResponses) {
+        co_return ReadStep::kMalformed;
+      }
       StartParser();
       continue;
     }
--- a/src/async_http/connection.h
+++ b/src/async_http/connection.h
@@ -5,18 +5,18 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "absl/strings/string_view.h"
+#include "async_http/growing_body.h"
 #include "async_http/task.h"
 #include "wire/endpoint.h"
 
 namespace martenyard::async_http {
 
-using ResponseParser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+using ResponseParser = boost::beast::http::response_parser<GrowingBody>;
 
 /// Result of a read step.
 enum class ReadStep {
@@ -37,6 +37,8 @@
   const error_code& connect_error() const { return connect_error_; }
   /// Sends bytes. @return false if the connection failed; a part may have been sent.
   Task<bool> Send(absl::string_view bytes);
+  /// Limits the bodies of the responses begun from now on; a larger one is malformed.
+  void SetBodyLimit(std::uint64_t bytes) { body_limit_ = bytes; }
   /// Starts reading the next response; interim (1xx) responses are skipped.
   /// @param head_request whether the request is HEAD, whose response has no body.
   void BeginResponse(bool head_request);
@@ -78,7 +80,9 @@
   error_code connect_error_;
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<ResponseParser> parser_;
+  std::uint64_t body_limit_ = std::uint64_t{64} << 20;
   bool head_request_ = false;
+  int interim_responses_ = 0;  ///< Skipped before the present response.
   /// Of a chunked response: without the fields of its trailer section.
   std::optional<boost::beast::http::response_header<>> header_;
   bool any_sent_ = false;
--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -24,6 +24,8 @@
 /// all since its bytes had last been read completely, its truncation is not the runner's failure.
 constexpr absl::Duration kMaxUnreadTime = absl::Seconds(1);
 constexpr int kMaxMismatchedResponses = 4;  ///< Skipped on one connection before it is closed.
+/// Of the body of a response to another request.
+constexpr std::size_t kMaxSkippedBytes = std::size_t{1} << 20;
 
 absl::string_view FieldOf(const async_http::HttpHead& head, const std::string& name) {
   auto found = head.find(name);
@@ -268,8 +270,12 @@
     co_return false;  // Whether it has a body depends on the method of the unknown request.
   }
   ReadStep step = ReadStep::kProgress;
-  while (step == ReadStep::kProgress) {
+  std::size_t skipped = 0;
+  while (step == ReadStep::kProgress && skipped <= kMaxSkippedBytes) {
     step = co_await ReadBody();
+    std::string& body = connection_->parser().get().body();
+    skipped += body.size();
+    body.clear();
   }
   if (step != ReadStep::kWhole || !connection_->is_open()) {
     co_return false;
@@ -289,6 +295,10 @@
 Task<void> Attempt::ReadBufferedResponse(AttemptResult& result) {
   result.response.reservation = std::make_unique<buffer_reservation>(state_.response_buffers);
   buffer_reservation& reservation = *result.response.reservation;
+  auto length = connection_->parser().content_length();
+  if (length && *length <= state_.response_buffers.limit()) {
+    connection_->parser().get().body().reserve(*length);
+  }
   ReadStep step = ReadStep::kProgress;
   while (step == ReadStep::kProgress) {
     std::size_t held = connection_->parser().get().body().size();
--- a/src/forwarding/streams/stream_forwarder.h
+++ b/src/forwarding/streams/stream_forwarder.h
@@ -33,7 +33,7 @@
     const char* WhyIncomplete(bool ended_by_close) const override;
     std::size_t HeldBytes() const override
     {
-        return m_parser.unfinished().size();
+        return m_parser.unfinished().size() + m_delivered.data().size();
     }
 
     /// @brief sends the bytes after the last blank line of a complete body; the caller ends the response
