Store: responses and lists without end stay within the memory

Cause: a response of up to 64 MB was read and decoded, whatever the process's limit, and a list went on as long as the store said that there was more.

--- a/tests/platform/crowd/endless_response_test.cc
+++ b/tests/platform/crowd/endless_response_test.cc
@@ -30,6 +30,7 @@
 constexpr int kRequests = 8;
 /// An ordinary client's tries, each on a new connection, until one is answered.
 constexpr int kTries = 20;
+constexpr absl::Duration kStoreTime = absl::Seconds(4);
 
 const std::string kHead = "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nServer-Signature: s\r\n";
 const std::string kEvents = "Content-Type: text/event-stream\r\n";
@@ -199,5 +200,47 @@
 INSTANTIATE_TEST_SUITE_P(Runners, EndlessResponseTest, ::testing::ValuesIn(RunnerCases()),
                          [](const auto& info) { return info.param.name; });
 
+class EndlessStoreTest : public EndlessResponseTest {};
+
+// Both roles ask the store at their start, again and again.
+TEST_P(EndlessStoreTest, LeavesTheProcessesWithinTheirMemory) {
+  EndlessServer store(loop_.context(), GetParam().response);
+  ledger_ = MakeMachine(true, store.port());
+  gateway_ = MakeMachine(false, store.port());
+  ledger_->Start();
+  gateway_->Start();
+  for (absl::Time end = SteadyNow() + kStoreTime; SteadyNow() < end;) {
+    loop_.RunRound(absl::Milliseconds(5));
+    NoteUsage(*gateway_);
+    NoteUsage(*ledger_);
+  }
+  EXPECT_TRUE(gateway_->Poll()) << gateway_->LatestLog();
+  EXPECT_TRUE(ledger_->Poll()) << ledger_->LatestLog();
+  EXPECT_GT(store.begun(), 0);
+  std::cout << GetParam().name << ": most " << most_ / kMegabyte << " MB, " << store.begun()
+            << " responses, " << store.sent() / kMegabyte << " MB sent\n";
+  EXPECT_LE(most_, kMemoryMb * kMegabyte);
+}
+
+std::vector<EndlessCase> StoreCases() {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"Head", "", {head, "a: b\r\n"}},
+      {"Body", "", {head + "\r\n", "x"}},
+      {"ListOfNumbers", "", {head + "\r\n[", "1,"}},
+      {"NestedLists", "", {head + "\r\n", "["}},
+      {"Items",
+       "",
+       {head + "\r\n{\"timestamp\":1,\"items\":[",
+        R"({"privateKey":"a","value":"YQ==","revision":1},)"}},
+      {"ChunkExtension", "", {head + chunked + "1;e=", "x"}},
+      {"Trailer", "", {head + chunked + "0\r\n", "T: x\r\n"}},
+  };
+}
+
+INSTANTIATE_TEST_SUITE_P(Stores, EndlessStoreTest, ::testing::ValuesIn(StoreCases()),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace martenyard::testing
