Peers: unfinished frames and connections have limits

Cause: by reading: a frame of up to 64 MB was collected from each of any number of connections to the internal port.

Change: unfinished frames may take an eighth of the memory over all connections, and a frame no more than that; beyond it the connection whose frame is oldest is closed. Half of the descriptors may be connections of peers; beyond it the one that has been silent for longest is closed. An idle connection keeps no large buffer.

No test sends unfinished frames to a process yet: open.

--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -58,6 +58,8 @@
 constexpr std::uint64_t kResponseMemoryDivisor = 8;
 /// Limits unsent frames to peers to 1/16 of the memory limit.
 constexpr std::uint64_t kFrameMemoryDivisor = 16;
+/// Limits incomplete frames from peers to 1/8 of the memory limit.
+constexpr std::uint64_t kReceivedMemoryDivisor = 8;
 constexpr std::size_t kReservedDescriptors = 1200;  // For runners, peers, files and the store.
 constexpr std::size_t kRunnerDescriptors = 900;     // Of the reserved ones.
 
@@ -325,6 +327,8 @@
 
 Result<void> GatewayRole::Start() {
   transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
+  transport_.SetReceiveLimit(settings_.memory_bytes / kReceivedMemoryDivisor);
+  transport_.SetConnectionLimit(settings_.max_descriptors / 2);
   bulk_transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
   bulk_transport_.SetSendBuffer(bulk_send_buffer);
   state_->response_buffers.set_limit(settings_.memory_bytes / kResponseMemoryDivisor);
--- a/src/roles/ledger_role.cc
+++ b/src/roles/ledger_role.cc
@@ -51,6 +51,8 @@
 constexpr std::size_t kTransferPartBytes = std::size_t{128} << 10;
 /// Limits unsent frames to peers to 1/6 of the memory limit.
 constexpr std::uint64_t kFrameMemoryDivisor = 6;
+/// Limits incomplete frames from peers to 1/8 of the memory limit.
+constexpr std::uint64_t kReceivedMemoryDivisor = 8;
 /// The same for copies of the runners.
 constexpr std::uint64_t kBulkMemoryDivisor = 16;
 constexpr absl::Duration kLogFlushInterval = absl::Milliseconds(250);
@@ -144,6 +146,8 @@
     settings_.internal_port = bound.port;
   }
   transport_.SetUnsentLimit(settings_.memory_bytes / kFrameMemoryDivisor);
+  transport_.SetReceiveLimit(settings_.memory_bytes / kReceivedMemoryDivisor);
+  transport_.SetConnectionLimit(settings_.max_descriptors / 2);
   bulk_transport_.SetUnsentLimit(settings_.memory_bytes / kBulkMemoryDivisor);
   bulk_transport_.SetSendBuffer(bulk_send_buffer);
   OpenDisk();
--- a/src/wire/frame_parser.cc
+++ b/src/wire/frame_parser.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <cstring>
 
@@ -9,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kLengthBytes = sizeof(std::uint32_t);
+/// Capacity that an idle connection keeps.
+constexpr std::size_t kRetainedBytes = std::size_t{64} << 10;
 
 }  // namespace
 
@@ -18,25 +21,31 @@
   bytes.append(payload.data(), payload.size());
 }
 
-bool FrameParser::Feed(absl::string_view bytes,
-                       const std::function<void(std::string payload)>& on_frame) {
+FeedResult FrameParser::Feed(absl::string_view bytes, std::size_t max_bytes,
+                             const std::function<void(std::string payload)>& on_frame) {
+  FeedResult result;
   buffer_.append(bytes.data(), bytes.size());
   std::size_t position = 0;
   while (buffer_.size() - position >= kLengthBytes) {
     std::uint32_t length = 0;
     std::memcpy(&length, buffer_.data() + position, kLengthBytes);
     length = ntohl(length);
-    if (length > kMaxFrameBytes) {
-      return false;
+    if (length > std::min(max_bytes, kMaxFrameBytes)) {
+      result.valid = false;
+      return result;
     }
     if (buffer_.size() - position - kLengthBytes < length) {
       break;
     }
     on_frame(buffer_.substr(position + kLengthBytes, length));
+    ++result.frames;
     position += kLengthBytes + length;
   }
   buffer_.erase(0, position);
-  return true;
+  if (buffer_.empty() && buffer_.capacity() > kRetainedBytes) {
+    buffer_.shrink_to_fit();
+  }
+  return result;
 }
 
 }  // namespace martenyard::wire
--- a/src/wire/frame_parser.h
+++ b/src/wire/frame_parser.h
@@ -14,12 +14,18 @@
 
 void AppendFrame(std::string& bytes, absl::string_view payload);
 
+struct FeedResult {
+  bool valid = true;  ///< False if a length exceeds the maximum; the connection has to be closed.
+  std::size_t frames = 0;  ///< Completed by these bytes.
+};
+
 /// Splits the bytes of one connection into frames. Not to be reused for another connection.
 class FrameParser {
  public:
   /// Accepts bytes in chunks of any size.
-  /// @return false if a length exceeds the maximum; the connection has to be closed then.
-  bool Feed(absl::string_view bytes, const std::function<void(std::string payload)>& on_frame);
+  /// @param max_bytes of a frame; at most `kMaxFrameBytes`.
+  FeedResult Feed(absl::string_view bytes, std::size_t max_bytes,
+                  const std::function<void(std::string payload)>& on_frame);
   /// @return number of buffered bytes of an incomplete frame.
   std::size_t buffered_bytes() const { return buffer_.size(); }
 
--- a/src/wire/transport.cc
+++ b/src/wire/transport.cc
@@ -18,8 +18,10 @@
 namespace martenyard::wire {
 namespace {
 
-/// Default limit, see `SetUnsentLimit`.
+/// Default limits, see `SetUnsentLimit`, `SetReceiveLimit` and `SetConnectionLimit`.
 constexpr std::size_t kDefaultMaxUnsentBytes = std::size_t{128} << 20;
+constexpr std::size_t kDefaultMaxReceivedBytes = std::size_t{128} << 20;
+constexpr std::size_t kDefaultMaxAccepted = 8192;
 constexpr std::size_t kReadBytes = std::size_t{64} << 10;
 constexpr int kBacklog = 512;
 constexpr int kBindAttempts = 20;
@@ -59,6 +61,8 @@
       on_datagram_(std::move(on_datagram)),
       on_peer_down_(std::move(on_peer_down)),
       max_unsent_(kDefaultMaxUnsentBytes),
+      max_received_(kDefaultMaxReceivedBytes),
+      max_accepted_(kDefaultMaxAccepted),
       read_buffer_(kReadBytes) {}
 
 Transport::~Transport() {
@@ -121,12 +125,16 @@
       }
       return;
     }
+    if (accepted_.size() >= max_accepted_) {
+      EvictAccepted(&Connection::received_at, /*incomplete=*/false, /*spared=*/-1);
+    }
     if (!loop_.Watch(socket, EPOLLIN, [this, socket](std::uint32_t) { ReadFrames(socket); })) {
       close(socket);
       continue;
     }
     auto connection = std::make_unique<Connection>();
     connection->socket = socket;
+    connection->received_at = SteadyNow();
     accepted_[socket] = std::move(connection);
   }
 }
@@ -160,14 +168,44 @@
     stats_.bytes_received += static_cast<std::uint64_t>(count);
     connection.received_at = SteadyNow();
     absl::string_view bytes(read_buffer_.data(), static_cast<std::size_t>(count));
-    healthy = connection.received.Feed(bytes, on_frame_);
+    std::size_t before = connection.received.buffered_bytes();
+    FeedResult result = connection.received.Feed(bytes, max_received_, on_frame_);
+    received_ += connection.received.buffered_bytes() - before;
+    if (before == 0 || result.frames > 0) {
+      connection.incomplete_since = connection.received_at;
+    }
+    healthy = result.valid;
     stats_.streams_rejected += healthy ? 0 : 1;
   }
   if (!healthy) {
-    loop_.Unwatch(socket);
-    close(socket);
-    accepted_.erase(socket);
+    CloseAccepted(socket);
+  }
+  while (received_ > max_received_ &&
+         EvictAccepted(&Connection::incomplete_since, /*incomplete=*/true, socket)) {
+  }
+}
+
+void Transport::CloseAccepted(int socket) {
+  auto closed = accepted_.extract(socket);
+  received_ -= closed.mapped()->received.buffered_bytes();
+  loop_.Unwatch(socket);
+  close(socket);
+}
+
+bool Transport::EvictAccepted(absl::Time Connection::*since, bool incomplete, int spared) {
+  const Connection* first = nullptr;
+  for (const auto& [socket, connection] : accepted_) {
+    bool candidate = socket != spared && (!incomplete || connection->received.buffered_bytes() > 0);
+    if (candidate && (first == nullptr || (*connection).*since < first->*since)) {
+      first = connection.get();
+    }
   }
+  if (first == nullptr) {
+    return false;
+  }
+  ++stats_.streams_evicted;
+  CloseAccepted(first->socket);
+  return true;
 }
 
 void Transport::ReadDatagrams() {
--- a/src/wire/transport.h
+++ b/src/wire/transport.h
@@ -27,6 +27,7 @@
   std::uint64_t bytes_received = 0;
   std::uint64_t frames_dropped = 0;
   std::uint64_t streams_rejected = 0;  ///< Connections closed because of malformed frames.
+  std::uint64_t streams_evicted = 0;   ///< Accepted connections closed because of a limit.
 };
 
 /// Not thread-safe: for the event loop's thread only.
@@ -59,6 +60,12 @@
   std::size_t Unsent(const Endpoint& peer) const;
   /// Limits the bytes queued for all peers together; frames beyond are dropped.
   void SetUnsentLimit(std::size_t bytes) { max_unsent_ = bytes; }
+  /// Limits the bytes of incomplete frames over all accepted connections, and the size of a frame.
+  /// Beyond it, the connection whose frame has been incomplete for longest is closed.
+  void SetReceiveLimit(std::size_t bytes) { max_received_ = bytes; }
+  /// Limits the accepted connections. Beyond it, the one that has been silent for longest is closed
+  /// for each new one.
+  void SetConnectionLimit(std::size_t connections) { max_accepted_ = connections; }
   /// Limits the system's send buffer of each connection opened from now on, so that bytes which the
   /// peer has not received count as unsent.
   void SetSendBuffer(int bytes) { send_buffer_ = bytes; }
@@ -74,7 +81,8 @@
     bool connecting = false;
     bool checks_peer_down = false;  ///< Opened only to check a peer whose connection was lost.
     absl::Time opened_at;
-    absl::Time received_at;  ///< Last bytes, of an accepted connection.
+    absl::Time received_at;       ///< Last bytes, of an accepted connection.
+    absl::Time incomplete_since;  ///< Of the frame that is being received.
     std::string unsent;
     FrameParser received;
   };
@@ -84,6 +92,10 @@
   /// Stops accepting for a moment while descriptors or memory are exhausted.
   void PauseAccepting();
   void ReadFrames(int socket);
+  void CloseAccepted(int socket);
+  /// Closes the connection with the earliest `since`, other than `spared`. @return false if there
+  /// is none.
+  bool EvictAccepted(absl::Time Connection::*since, bool incomplete, int spared);
   void ReadDatagrams();
   void Flush(const Endpoint& peer);
   void OnPeerReady(const Endpoint& peer, std::uint32_t events);
@@ -105,6 +117,9 @@
   std::map<Endpoint, std::unique_ptr<Connection>> peers_;
   std::size_t unsent_ = 0;         ///< Sum over `peers_`.
   std::size_t max_unsent_ = 0;     ///< See `SetUnsentLimit`.
+  std::size_t received_ = 0;       ///< Incomplete frames over `accepted_`.
+  std::size_t max_received_ = 0;   ///< See `SetReceiveLimit`.
+  std::size_t max_accepted_ = 0;   ///< See `SetConnectionLimit`.
   int send_buffer_ = 0;            ///< See `SetSendBuffer`; 0: the system's default.
   std::vector<char> read_buffer_;  // Shared by all reads.
   TransportStats stats_;
--- a/tests/fuzz/wire_targets.cc
+++ b/tests/fuzz/wire_targets.cc
@@ -116,8 +116,10 @@
     std::pair<bool, std::vector<std::string>> result{true, {}};
     for (std::size_t at = 0; at < input.size() && result.first; at += piece) {
       result.first =
-          parser.Feed(absl::string_view(input).substr(at, piece),
-                      [&](std::string frame) { result.second.push_back(std::move(frame)); });
+          parser
+              .Feed(absl::string_view(input).substr(at, piece), wire::kMaxFrameBytes,
+                    [&](std::string frame) { result.second.push_back(std::move(frame)); })
+              .valid;
     }
     EXPECT_LE(parser.buffered_bytes(), input.size());
     return result;
