An exception while a request runs leaves no count and no reference behind

Change: the attempt's destructor detaches the sender and closes its connection; the runner's counts are restored in any case.

Result: no test makes it throw; the tests of forwarding pass.

--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -45,6 +45,30 @@
 
 }  // namespace
 
+Attempt::~Attempt() {
+  DetachSender();
+  if (uses_connection_) {  // `Run` was ended by an exception.
+    CloseConnection();
+  }
+}
+
+void Attempt::DetachSender() {
+  if (sending_done_) {
+    *sending_done_ = nullptr;
+  }
+}
+
+void Attempt::ReturnConnection() {
+  uses_connection_ = false;
+  state_.pool.Return(plan_.runner.id, connection_, SteadyNow());
+}
+
+void Attempt::CloseConnection() {
+  uses_connection_ = false;
+  connection_->Close();
+  state_.pool.CountClosed(plan_.runner.id);
+}
+
 void Attempt::Abort(AttemptOutcome outcome) {
   if (aborted_) {
     return;
@@ -72,7 +96,7 @@
   if (const char* reason = WhyWithdrawn()) {
     result.detail = reason;
     result.outcome = AttemptOutcome::kWithdrawn;
-    state_.pool.Return(plan_.runner.id, connection_, SteadyNow());
+    ReturnConnection();
     co_return result;
   }
   state_.metrics.Observe(Stage::kConnect, SteadyNow() - start);
@@ -130,6 +154,7 @@
 Task<bool> Attempt::Connect(AttemptResult& result) {
   if (auto idle = state_.pool.Take(plan_.runner.id, SteadyNow())) {
     connection_ = std::move(idle);
+    uses_connection_ = true;
     result.reused = true;
     co_return true;
   }
@@ -139,11 +164,11 @@
   }
   connection_ = std::make_shared<Connection>(state_.context, plan_.runner.endpoint);
   state_.pool.CountOpened(plan_.runner.id);
+  uses_connection_ = true;
   if (!co_await OpenConnection()) {
     result.detail = "connection failed";
     result.refused = connection_->connect_error() == async_http::asio::error::connection_refused;
-    connection_->Close();
-    state_.pool.CountClosed(plan_.runner.id);
+    CloseConnection();
     co_return false;
   }
   co_return true;
@@ -399,19 +424,16 @@
 }
 
 void Attempt::Finish(AttemptResult& result) {
-  if (sending_done_) {
-    *sending_done_ = nullptr;
-  }
+  DetachSender();
   result.client_slow = unread_time_ >= kMaxUnreadTime;
   result.connection_lost = LostConnection(result);
   bool good =
       result.outcome == AttemptOutcome::kCompleted || result.outcome == AttemptOutcome::kNotRun;
   if (good && !sending_ && !aborted_ && connection_->MayBeReused()) {
-    state_.pool.Return(plan_.runner.id, connection_, SteadyNow());
+    ReturnConnection();
     return;
   }
-  connection_->Close();
-  state_.pool.CountClosed(plan_.runner.id);
+  CloseConnection();
 }
 
 }  // namespace martenyard::forwarding
--- a/src/forwarding/attempt.h
+++ b/src/forwarding/attempt.h
@@ -81,6 +81,9 @@
  public:
   Attempt(GatewayState& state, AttemptPlan plan)
       : state_(state), plan_(std::move(plan)), silence_(state.reachability, plan_.runner) {}
+  ~Attempt();
+  Attempt(const Attempt&) = delete;
+  Attempt& operator=(const Attempt&) = delete;
 
   async_http::Task<AttemptResult> Run(StreamSink& sink);
   /// Closes the connection to the runner; `Run` then returns with `outcome`.
@@ -113,12 +116,17 @@
   /// @return the reason why the stream is incomplete, or null when it is complete.
   const char* WhyIncomplete(async_http::ReadStep last, const StreamSink& sink) const;
   void Finish(AttemptResult& result);
+  /// The coroutine that sends the body no longer refers to this object.
+  void DetachSender();
+  void ReturnConnection();
+  void CloseConnection();
   AttemptOutcome FailureOutcome(AttemptOutcome fallback) const;
 
   GatewayState& state_;
   AttemptPlan plan_;
   silence_watch silence_;
   std::shared_ptr<async_http::Connection> connection_;
+  bool uses_connection_ = false;  ///< `connection_` counts as open and was not given back.
   bool aborted_ = false;
   AttemptOutcome abort_outcome_ = AttemptOutcome::kNoResponse;
   bool peer_closed_ = false;  // Or the connection failed.
--- a/src/forwarding/request_handler.cc
+++ b/src/forwarding/request_handler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "base/clock.h"
@@ -155,10 +156,13 @@
   if (exchange_->client_gone()) {
     attempt.Abort(AttemptOutcome::kClientGone);
   }
+  auto end = absl::MakeCleanup([&] {
+    attempt_ = nullptr;
+    CountSuspect(runner.id, -1);
+    state_->runners.EndRequest(SteadyInstant(), runner.id, tokens);
+  });
   AttemptResult result = co_await attempt.Run(forwarder);
-  attempt_ = nullptr;
-  CountSuspect(runner.id, -1);
-  state_->runners.EndRequest(SteadyInstant(), runner.id, tokens);
+  std::move(end).Invoke();
   if (forwarder.sent_head()) {
     head_runner_ = runner.id.value;
   }
