HTTP client: limit the body and the header lines of a response

Cause: a body that is not passed to a data callback was appended to the result without limit, and a back end, the key-value service or the machine list may send one without end. libcurl stores each header line; it limits those of a head, not those of trailers.

Change: ClientRequest::max_body_bytes (64 MB) limits the stored body, and max_header_bytes (256 KB) the header lines of all responses to a request, interim responses and trailers included. Beyond either the transfer fails, the connection closes and the error names the limit. Streamed data is passed on as before.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
 
 namespace martenyard::http {
@@ -29,6 +30,8 @@
   DataCallback on_data;
   DoneCallback on_done;
   ClientResult result;
+  std::size_t header_bytes = 0;
+  std::string limit_error;  ///< Set by the callback that fails the transfer.
   CURL* handle = nullptr;
   curl_slist* headers = nullptr;
 
@@ -49,16 +52,27 @@
   curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
   if (transfer.on_data && IsSuccess(static_cast<int>(status))) {
     transfer.on_data(chunk);
+  } else if (chunk.size() > transfer.request.max_body_bytes - transfer.result.body.size()) {
+    transfer.result.body = std::string();
+    transfer.limit_error =
+        absl::StrCat("the response body exceeds ", transfer.request.max_body_bytes, " bytes");
+    return 0;
   } else {
     transfer.result.body.append(chunk);
   }
   return chunk.size();
 }
 
-/// Called for each header line, including those of interim (1xx) responses.
+/// Called for each header line, including those of interim (1xx) responses and trailers.
 std::size_t ReceiveHeader(char* data, std::size_t size, std::size_t count, void* context) {
   auto& transfer = *static_cast<Transfer*>(context);
   absl::string_view line(data, size * count);
+  if (line.size() > transfer.request.max_header_bytes - transfer.header_bytes) {
+    transfer.limit_error = absl::StrCat("the response's header lines exceed ",
+                                        transfer.request.max_header_bytes, " bytes");
+    return 0;
+  }
+  transfer.header_bytes += line.size();
   if (absl::StartsWith(line, kStatusLineStart)) {
     transfer.result.framed = false;  // A status line starts a new response.
   }
@@ -117,7 +131,8 @@
     transfer.result.retry_after_seconds = static_cast<int>(retry_after);
   }
   if (code != CURLE_OK) {
-    transfer.result.error = curl_easy_strerror(code);
+    transfer.result.error =
+        transfer.limit_error.empty() ? curl_easy_strerror(code) : transfer.limit_error;
   }
   transfer.on_done(std::move(transfer.result));
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,6 +1,7 @@
 // Asynchronous HTTP client over libcurl: one thread drives every transfer.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -25,6 +26,12 @@
   /// retries a request if the connection closes before the first byte of the response, although
   /// the server may have processed it.
   bool send_once = false;
+  /// Limits the body stored in the result; a longer one fails the transfer. Does not apply to data
+  /// passed to the data callback.
+  std::size_t max_body_bytes = std::size_t{64} << 20;
+  /// Limits the header lines of all responses to the request, interim responses and trailers
+  /// included; more fail the transfer.
+  std::size_t max_header_bytes = std::size_t{256} << 10;
 };
 
 /// Result of a transfer. `status` is 0 if no response was received.
