Model stream: limit the size of one event

Cause: the parser held a line until its end and an event's data until the blank line, however long, so an engine whose stream has no line feed or no blank line filled the memory. Each piece was searched from the line's start again.

Change: SseParser stops at an event of more than 1 MB (line under way, data and name together) and discards what follows; ModelStream reports it as its failure, and the call is cancelled like one with an invalid chunk.

--- a/src/clients/model_stream.cc
+++ b/src/clients/model_stream.cc
@@ -42,6 +42,13 @@
         HandleEvent(event, data);
       }) {}
 
+void ModelStream::Feed(std::string_view bytes) {
+  parser_.Feed(bytes);
+  if (parser_.too_large() && !finished_ && failure_.empty()) {
+    failure_ = "an event of the stream is too large";
+  }
+}
+
 void ModelStream::HandleEvent(const std::string& event, const std::string& data) {
   // Ignore data after the end of the stream or after a failure.
   if (finished_ || !failure_.empty()) {
--- a/src/clients/model_stream.h
+++ b/src/clients/model_stream.h
@@ -27,7 +27,7 @@
   ModelStream& operator=(const ModelStream&) = delete;
 
   /// Parses more of a 2xx response's body. Data after the end or a failure is ignored.
-  void Feed(std::string_view bytes) { parser_.Feed(bytes); }
+  void Feed(std::string_view bytes);
   /// @return true if `[DONE]` was received and no failure was detected.
   bool finished() const { return finished_ && failure_.empty(); }
   /// @return why the stream is invalid, or an empty string. No text is passed on after a failure.
--- a/src/clients/sse.cc
+++ b/src/clients/sse.cc
@@ -5,18 +5,39 @@
 namespace martenyard::clients {
 
 void SseParser::Feed(std::string_view bytes) {
-  buffer_.append(bytes);
+  if (too_large_) {
+    return;
+  }
   std::size_t start = 0;
-  for (std::size_t end = buffer_.find('\n'); end != std::string::npos;
-       end = buffer_.find('\n', start)) {
+  std::size_t end = buffer_.size();  // The bytes before contain no line feed.
+  buffer_.append(bytes);
+  for (end = buffer_.find('\n', end); end != std::string::npos; end = buffer_.find('\n', start)) {
     std::string line = buffer_.substr(start, end - start);
     if (!line.empty() && line.back() == '\r') {
       line.pop_back();
     }
     start = end + 1;
+    if (ExceedsLimit(line.size())) {
+      Discard();
+      return;
+    }
     HandleLine(line);
   }
   buffer_.erase(0, start);
+  if (ExceedsLimit(buffer_.size())) {
+    Discard();
+  }
+}
+
+bool SseParser::ExceedsLimit(std::size_t line_bytes) const {
+  return event_.size() + data_.size() + line_bytes > max_event_bytes_;
+}
+
+void SseParser::Discard() {
+  too_large_ = true;
+  buffer_ = std::string();
+  event_ = std::string();
+  data_ = std::string();
 }
 
 void SseParser::HandleLine(const std::string& line) {
--- a/tests/clients/http_backends_test.cc
+++ b/tests/clients/http_backends_test.cc
@@ -14,6 +14,7 @@
 #include "absl/synchronization/mutex.h"
 #include "base/logging.h"
 #include "clients/backends.h"
+#include "clients/sse.h"
 #include "support/scripted_server.h"
 
 namespace martenyard::clients {
@@ -231,6 +232,12 @@
   Check("", {{"ResumedWithoutRequest", ResumedAt(4) + Text("ef") + kDone, Status::kBroken, ""}});
 }
 
+TEST(HttpBackendsTest, EventBeyondTheLimitBreaksTheStream) {
+  const std::string large(2 * kMaxSseEventBytes, 't');
+  Check("", {{"OneEvent", Text("a") + Text(large) + kDone, Status::kBroken, "a"},
+             {"LineWithoutEnd", Text("a") + "data: " + large, Status::kBroken, "a"}});
+}
+
 TEST(HttpBackendsTest, RequestIsNotRetriedWhenReusedConnectionCloses) {
   HttpBackends backends({Framed(200, R"({"run":1})"), {"", true}, Framed(200, R"({"run":3})")});
   EXPECT_EQ(backends.RunService().status, ServiceOutcome::Status::kRan);
