HTTP server: close connections that are idle or half-way through a request

Cause: libmicrohttpd was started without a connection timeout, so a connection without a complete request stayed open for good and kept its place among max_connections.

Change: a connection without a byte either way for kConnectionTimeout (60 s) is closed. Suspended connections do not time out, so the time until a response or the next part of a stream is not limited by it. Each byte begins the time anew.

Result: HalfSentRequestIsClosedAfterTheConnectionTimeout failed for all six requests when only the option's field was there (no close within 20 s); it passes now, with a timeout of 1 s. AwaitedResponseOutlivesTheConnectionTimeout and EndlessLinesAreEndedByTheServer passed before and after: libmicrohttpd's memory pool ends request lines, header lines, trailers, chunk extensions and chunk sizes without end. server_test.cc: 14 of 14. Run as a program of these tests alone.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -231,13 +231,14 @@
 
   /// Errors: HttpError::kCannotListen.
   Result<void> Listen() {
-    daemon_ = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
-                                   MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC,
-                               0, nullptr, nullptr, &Accept, this, MHD_OPTION_THREAD_POOL_SIZE,
-                               options_.threads, MHD_OPTION_CONNECTION_LIMIT,
-                               options_.max_connections + kRejectedConnections,
-                               MHD_OPTION_NOTIFY_CONNECTION, &ConnectionChanged, this,
-                               MHD_OPTION_NOTIFY_COMPLETED, &Completed, this, MHD_OPTION_END);
+    daemon_ = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET |
+            MHD_USE_ITC,
+        0, nullptr, nullptr, &Accept, this, MHD_OPTION_THREAD_POOL_SIZE, options_.threads,
+        MHD_OPTION_CONNECTION_LIMIT, options_.max_connections + kRejectedConnections,
+        MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(options_.connection_timeout.count()),
+        MHD_OPTION_NOTIFY_CONNECTION, &ConnectionChanged, this, MHD_OPTION_NOTIFY_COMPLETED,
+        &Completed, this, MHD_OPTION_END);
     if (daemon_ == nullptr) {
       return leaf::new_error(
           HttpError{HttpError::Code::kCannotListen, "cannot start the server threads"});
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -57,6 +57,9 @@
 
 using Handler = std::function<void(Request, std::shared_ptr<Responder>)>;
 
+/// Time without received or sent bytes after which a connection is closed.
+constexpr std::chrono::seconds kConnectionTimeout{60};
+
 /// Limits of a server.
 struct ServerOptions {
   std::string address = "127.0.0.1";
@@ -65,6 +68,8 @@
   unsigned threads = 2;
   /// Requests on further connections are answered with 503 and Retry-After.
   unsigned max_connections = 4000;
+  /// Does not run while a response, or the next part of a stream, is awaited.
+  std::chrono::seconds connection_timeout = kConnectionTimeout;
   /// How long `Stop` waits for responses to be written.
   std::chrono::milliseconds stop_timeout{1000};
 };
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -272,16 +272,21 @@
   }
 }
 
-/// Sends the bytes on a new connection and reads until the server closes or is idle.
-std::string Exchange(const ServerOptions& options, const Server& server, const std::string& bytes) {
+/// Opens a connection whose reads wait for `read_timeout` at most.
+int Connect(const ServerOptions& options, const Server& server, timeval read_timeout) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(server.port());
   EXPECT_EQ(inet_pton(AF_INET, options.address.c_str(), &address.sin_addr), 1);
   int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  timeval idle{0, 100000};
-  setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &idle, sizeof(idle));
+  setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &read_timeout, sizeof(read_timeout));
   EXPECT_EQ(connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  return socket;
+}
+
+/// Sends the bytes on a new connection and reads until the server closes or is idle.
+std::string Exchange(const ServerOptions& options, const Server& server, const std::string& bytes) {
+  int socket = Connect(options, server, {0, 100000});
   send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   std::string received;
   char part[4096];
@@ -339,6 +344,112 @@
   }
 }
 
+/// Bytes of requests that do not end.
+const std::vector<std::string>& HalfSentRequests() {
+  static const std::vector<std::string> requests = {
+      "",
+      "POST / HT",
+      "POST / HTTP/1.1\r\nHost: h\r\nX: a",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;extension",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX: a",
+  };
+  return requests;
+}
+
+/// Guards against connections that stay open for good without a complete request.
+TEST(MicrohttpdServerTest, HalfSentRequestIsClosedAfterTheConnectionTimeout) {
+  constexpr timeval kFarBeyondTheTimeout{20, 0};
+  ServerOptions options;
+  options.address = NextLoopbackAddress();
+  options.connection_timeout = std::chrono::seconds(1);
+  auto server = StartServer(options, [](Request, std::shared_ptr<Responder> responder) {
+    responder->Send({200, {}, "ok"});
+  });
+  std::vector<int> sockets;
+  for (const std::string& bytes : HalfSentRequests()) {
+    int socket = Connect(options, *server, kFarBeyondTheTimeout);
+    send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    sockets.push_back(socket);
+  }
+  for (std::size_t index = 0; index < sockets.size(); ++index) {
+    char byte = 0;
+    EXPECT_EQ(recv(sockets[index], &byte, 1, 0), 0) << HalfSentRequests()[index];
+    close(sockets[index]);
+  }
+}
+
+/// The connection timeout applies to callers, not to the time that an answer takes.
+TEST(MicrohttpdServerTest, AwaitedResponseOutlivesTheConnectionTimeout) {
+  constexpr auto kBeyondTheTimeout = std::chrono::seconds(3);
+  ServerOptions options;
+  options.address = NextLoopbackAddress();
+  options.connection_timeout = std::chrono::seconds(1);
+  std::vector<std::thread> handlers;
+  auto server = StartServer(options, [&](Request, std::shared_ptr<Responder> responder) {
+    handlers.emplace_back([responder = std::move(responder), kBeyondTheTimeout] {
+      std::this_thread::sleep_for(kBeyondTheTimeout);
+      responder->StartStream(200, {});
+      responder->Write("one ");
+      std::this_thread::sleep_for(kBeyondTheTimeout);
+      responder->Write("two");
+      responder->Finish();
+    });
+  });
+  ClientRequest request;
+  request.url = UrlOf(options, *server);
+  ClientResult result = Client::Create()->Fetch(std::move(request));
+  EXPECT_TRUE(result.ok()) << result.error;
+  EXPECT_EQ(result.body, "one two");
+  for (std::thread& handler : handlers) {
+    handler.join();
+  }
+}
+
+/// Guards against a head, a trailer section or a chunk extension that is held without limit.
+TEST(MicrohttpdServerTest, EndlessLinesAreEndedByTheServer) {
+  constexpr std::size_t kMaxSentBytes = std::size_t{64} << 20;
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Case {
+    const char* name;
+    std::string start;
+    std::string repeated;
+  };
+  ServerOptions options;
+  options.address = NextLoopbackAddress();
+  std::atomic<int> runs = 0;
+  auto server = StartServer(options, [&runs](Request, std::shared_ptr<Responder> responder) {
+    ++runs;
+    responder->Send({200, {}, "ok"});
+  });
+  for (const Case& test :
+       {Case{"RequestLine", "POST /", "path"}, Case{"HeaderLines", head, "X-Field: value\r\n"},
+        Case{"HeaderLine", head + "X-Field: ", "value"},
+        Case{"TrailerLines", chunked + "4\r\ndata\r\n0\r\n", "X-Field: value\r\n"},
+        Case{"TrailerLine", chunked + "4\r\ndata\r\n0\r\nX-Field: ", "value"},
+        Case{"ChunkExtension", chunked + "4;extension=", "value"},
+        Case{"ChunkSize", chunked, "0"}}) {
+    SCOPED_TRACE(test.name);
+    int socket = Connect(options, *server, {0, 100000});
+    std::string part;
+    while (part.size() < 65536) {
+      part += test.repeated;
+    }
+    std::size_t sent = test.start.size();
+    bool open = send(socket, test.start.data(), test.start.size(), MSG_NOSIGNAL) > 0;
+    while (open && sent < kMaxSentBytes) {
+      open = send(socket, part.data(), part.size(), MSG_NOSIGNAL) > 0;
+      sent += part.size();
+    }
+    EXPECT_FALSE(open) << "the server took " << sent << " bytes";
+    close(socket);
+  }
+  EXPECT_EQ(runs, 0);
+  EXPECT_THAT(Exchange(options, *server, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+              ::testing::StartsWith("HTTP/1.1 200"));
+}
+
 /// Guards against a reset of connections that the kernel established before the listener closed.
 TEST(ListenerTest, HandsOverEstablishedConnectionsWhenItCloses) {
   constexpr int kCloses = 300;
