HTTP server: limit the request bodies of all connections together

Change: ServerOptions::max_buffered_body_bytes (256 MB, the largest body that the settings allow) limits the sum over the requests that are being received. A body that would exceed it is dropped, and its request is answered with 503, Retry-After and "not_run", and never reaches the handler. The body of a 413 is dropped at once too. A request stops counting when it is passed to the handler or ends; Server::buffered_body_bytes() tells the sum.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -156,6 +156,7 @@
 
   std::string& request_body() { return request_body_; }
   bool body_too_large = false;
+  bool body_memory_full = false;
   bool handled = false;
 
  private:
@@ -267,6 +268,8 @@
     return unfinished_.size();
   }
 
+  std::size_t buffered_body_bytes() const override { return buffered_body_bytes_; }
+
   std::size_t Stop() override {
     if (daemon_ == nullptr) {
       return 0;
@@ -364,14 +367,34 @@
     exchange->Send(std::move(response));
   }
 
-  void CollectBody(Exchange& exchange, const char* upload, std::size_t size) const {
-    if (exchange.request_body().size() + size > options_.max_body_bytes) {
-      exchange.body_too_large = true;
+  void CollectBody(Exchange& exchange, const char* upload, std::size_t size) {
+    if (exchange.body_too_large || exchange.body_memory_full) {
+      return;
+    }
+    exchange.body_too_large = exchange.request_body().size() + size > options_.max_body_bytes;
+    exchange.body_memory_full = !exchange.body_too_large && !ReserveBodyBytes(size);
+    if (exchange.body_too_large || exchange.body_memory_full) {
+      TakeBody(exchange);
       return;
     }
     exchange.request_body().append(upload, size);
   }
 
+  /// @return false if the bodies of all requests would exceed their limit.
+  bool ReserveBodyBytes(std::size_t size) {
+    if (buffered_body_bytes_.fetch_add(size) + size <= options_.max_buffered_body_bytes) {
+      return true;
+    }
+    buffered_body_bytes_ -= size;
+    return false;
+  }
+
+  /// @return the received body, which no longer counts as buffered.
+  std::string TakeBody(Exchange& exchange) {
+    buffered_body_bytes_ -= exchange.request_body().size();
+    return std::exchange(exchange.request_body(), std::string());
+  }
+
   void Dispatch(MHD_Connection* connection, const char* url, const char* method,
                 const std::shared_ptr<Exchange>& exchange) {
     bool stopping = false;
@@ -380,6 +403,7 @@
       unfinished_.insert(exchange);
       stopping = stopping_;
     }
+    std::string body = TakeBody(*exchange);
     if (stopping) {
       exchange->Abort();
       return;
@@ -401,10 +425,19 @@
       exchange->Send(std::move(response));
       return;
     }
+    if (exchange->body_memory_full) {
+      Response response;
+      response.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+      response.headers["Content-Type"] = kProblemType;
+      response.headers["Retry-After"] = kRetryAfterSeconds;
+      response.body = R"({"title":"too many request bodies","status":503,"outcome":"not_run"})";
+      exchange->Send(std::move(response));
+      return;
+    }
     Request request;
     request.method = method;
     request.path = url;
-    request.body = std::move(exchange->request_body());
+    request.body = std::move(body);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectPair, &request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &CollectPair, &request.query);
     handler_(std::move(request), exchange);
@@ -420,6 +453,7 @@
     std::shared_ptr<Exchange> exchange = std::move(*reference);
     delete reference;
     *context = nullptr;
+    self.TakeBody(*exchange);
     {
       std::lock_guard lock(self.mutex_);
       self.unfinished_.erase(exchange);
@@ -434,6 +468,7 @@
   std::unique_ptr<Listener> listener_;
   std::atomic<bool> draining_ = false;
   std::atomic<unsigned> open_connections_ = 0;
+  std::atomic<std::size_t> buffered_body_bytes_ = 0;
   mutable std::mutex mutex_;
   std::condition_variable response_written_;
   bool stopping_ = false;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -65,6 +65,9 @@
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;  ///< 0: chosen by the system.
   std::size_t max_body_bytes = std::size_t{4} << 20;
+  /// Limits the bodies of all requests that are being received. A request whose body would exceed
+  /// it is answered with 503 and Retry-After, and is not passed to the handler.
+  std::size_t max_buffered_body_bytes = std::size_t{256} << 20;
   unsigned threads = 2;
   /// Requests on further connections are answered with 503 and Retry-After.
   unsigned max_connections = 4000;
@@ -87,6 +90,8 @@
   /// @return the number of received requests whose responses are not completely written. Stopping
   /// before it is 0 truncates or loses responses.
   virtual std::size_t unfinished_responses() const = 0;
+  /// @return the body bytes of requests that are being received.
+  virtual std::size_t buffered_body_bytes() const = 0;
   /// Ends pending requests with a 503 of unknown outcome, aborts streams so that clients detect the
   /// truncation, waits at most `stop_timeout` until the responses are written, and stops. Also
   /// called by the destructor.
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -285,8 +285,9 @@
 }
 
 /// Sends the bytes on a new connection and reads until the server closes or is idle.
-std::string Exchange(const ServerOptions& options, const Server& server, const std::string& bytes) {
-  int socket = Connect(options, server, {0, 100000});
+std::string Exchange(const ServerOptions& options, const Server& server, const std::string& bytes,
+                     timeval idle = {0, 100000}) {
+  int socket = Connect(options, server, idle);
   send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   std::string received;
   char part[4096];
@@ -406,6 +407,62 @@
   }
 }
 
+std::string PostOf(std::size_t length, const std::string& body) {
+  return absl::StrCat("POST /upload HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: ",
+                      length, "\r\n\r\n", body);
+}
+
+/// Guards against memory that grows with the number of connections which send a body.
+TEST(MicrohttpdServerTest, BodiesOfAllConnectionsTogetherAreLimited) {
+  constexpr int kMaxTries = 1000;
+  const std::string body(40000, 'b');
+  ServerOptions options;
+  options.address = NextLoopbackAddress();
+  options.max_body_bytes = body.size() + 1;
+  options.max_buffered_body_bytes = 2 * body.size() - 1;
+  std::atomic<std::size_t> uploads = 0;
+  auto server = StartServer(options, [&](Request request, std::shared_ptr<Responder> responder) {
+    uploads += request.path == "/upload" ? 1 : 0;
+    responder->Send({200, {}, "ok"});
+  });
+  auto exchange = [&](const std::string& bytes) {
+    return Exchange(options, *server, bytes, {20, 0});  // Ended by the server, far earlier.
+  };
+  auto upload = [&] { return exchange(PostOf(body.size(), body)); };
+  auto await_buffered = [&server](std::size_t bytes) {
+    for (int tries = 0; tries < kMaxTries && server->buffered_body_bytes() != bytes; ++tries) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return server->buffered_body_bytes();
+  };
+  for (int round = 0; round < 3; ++round) {  // What a request held is free after it.
+    EXPECT_THAT(upload(), ::testing::StartsWith("HTTP/1.1 200"));
+  }
+
+  const std::string half_sent = PostOf(body.size() + 1, body);
+  int holder = Connect(options, *server, {0, 100000});
+  ASSERT_EQ(send(holder, half_sent.data(), half_sent.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(half_sent.size()));
+  ASSERT_EQ(await_buffered(body.size()), body.size());
+  std::string rejected = upload();
+  EXPECT_THAT(rejected, ::testing::StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(rejected, ::testing::HasSubstr("\r\nRetry-After: 1\r\n"));
+  EXPECT_THAT(rejected, ::testing::HasSubstr(R"("outcome":"not_run")"));
+  std::size_t uploads_before = uploads;
+  EXPECT_THAT(upload(), ::testing::StartsWith("HTTP/1.1 503"));
+  EXPECT_EQ(uploads, uploads_before);
+  EXPECT_THAT(exchange("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"),
+              ::testing::StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(exchange(PostOf(4, "tiny")), ::testing::StartsWith("HTTP/1.1 200"));
+
+  close(holder);
+  EXPECT_EQ(await_buffered(0), 0U);
+  EXPECT_THAT(upload(), ::testing::StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(exchange(PostOf(body.size() + 2, body + "bb")),
+              ::testing::StartsWith("HTTP/1.1 413"));
+  EXPECT_THAT(upload(), ::testing::StartsWith("HTTP/1.1 200"));
+}
+
 /// Guards against a head, a trailer section or a chunk extension that is held without limit.
 TEST(MicrohttpdServerTest, EndlessLinesAreEndedByTheServer) {
   constexpr std::size_t kMaxSentBytes = std::size_t{64} << 20;
@@ -446,8 +503,9 @@
     close(socket);
   }
   EXPECT_EQ(runs, 0);
-  EXPECT_THAT(Exchange(options, *server, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-              ::testing::StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(
+      Exchange(options, *server, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", {20, 0}),
+      ::testing::StartsWith("HTTP/1.1 200"));
 }
 
 /// Guards against a reset of connections that the kernel established before the listener closed.
