Streams: an unnamed resumption needs proof of the version that began the stream

Cause: a resumption that does not name its request went on wherever the gateway knew one version of the service at that moment. A gateway that has just started knows only the newer one, one out of step only the older one. Named resumptions ask the ledger and were refused in the same tests before and after.

Change: for a program with a token budget, whose streams are recorded before they begin, the ledger tells the version that all of the program's streams have in common, with the resumption's own reservation; it must be the only one known here. For other streams the gateway must have known no other version for as long as streams may be resumed, and asks the store whether it lists one now. Everything else is refused, not run.

--- a/src/discovery/runner_table.cc
+++ b/src/discovery/runner_table.cc
@@ -10,10 +10,14 @@
 bool RunnerTable::Upsert(absl::Time now, const Runner& runner) {
   auto [entry, is_new] = runners_.try_emplace(runner.id);
   RunnerState& state = entry->second;
-  if (!is_new) {
-    UncountVersion(state.runner);
+  bool counted =
+      !is_new && state.runner.service == runner.service && state.runner.version == runner.version;
+  if (!is_new && !counted) {
+    UncountVersion(now, state.runner);
+  }
+  if (!counted) {
+    CountVersion(now, runner);
   }
-  CountVersion(runner);
   bool restarted = state.runner.started != absl::UnixEpoch() &&
                    runner.started != absl::UnixEpoch() && state.runner.started != runner.started;
   if (restarted) {
@@ -178,33 +182,41 @@
       ++entry;
       continue;
     }
-    UncountVersion(state.runner);
+    UncountVersion(now, state.runner);
     by_short_id_.erase(state.short_id);
     entry = runners_.erase(entry);
   }
 }
 
-void RunnerTable::CountVersion(const Runner& runner) {
-  ++versions_[runner.service][runner.version];
+void RunnerTable::CountVersion(absl::Time now, const Runner& runner) {
+  auto [counts, is_first] = versions_.try_emplace(runner.service);
+  std::size_t& runners = counts->second.runners[runner.version];
+  if (++runners == 1 && !is_first) {
+    counts->second.unchanged_since = now;
+  }
 }
 
-void RunnerTable::UncountVersion(const Runner& runner) {
-  auto service = versions_.find(runner.service);
-  auto version = service->second.find(runner.version);
+void RunnerTable::UncountVersion(absl::Time now, const Runner& runner) {
+  VersionCounts& counts = versions_.find(runner.service)->second;
+  auto version = counts.runners.find(runner.version);
   if (--version->second == 0) {
-    service->second.erase(version);
-  }
-  if (service->second.empty()) {
-    versions_.erase(service);
+    counts.runners.erase(version);
+    counts.unchanged_since = now;
   }
 }
 
 std::optional<std::string> RunnerTable::SoleVersion(const ServiceName& service) const {
   auto found = versions_.find(service);
-  if (found == versions_.end() || found->second.size() > 1) {
+  if (found == versions_.end() || found->second.runners.size() != 1) {
     return std::nullopt;
   }
-  return found->second.begin()->first;
+  return found->second.runners.begin()->first;
+}
+
+absl::Time RunnerTable::SoleVersionSince(const ServiceName& service) const {
+  auto found = versions_.find(service);
+  return found == versions_.end() ? absl::InfiniteFuture()
+                                  : std::max(history_start_, found->second.unchanged_since);
 }
 
 RunnerState* RunnerTable::Find(const RunnerId& id) {
--- a/src/discovery/runner_table.h
+++ b/src/discovery/runner_table.h
@@ -109,6 +109,14 @@
   /// yet included; nothing if there are several, or no runner.
   std::optional<std::string> SoleVersion(const ServiceName& service) const;
 
+  /// @return since when `SoleVersion` has been what it is; infinitely long ago if no other version
+  /// can have served before.
+  absl::Time SoleVersionSince(const ServiceName& service) const;
+
+  /// Sets the time from which on all versions are known. What served before is unknown.
+  /// @param start infinitely long ago if nothing can have served before.
+  void SetHistoryStart(absl::Time start) { history_start_ = start; }
+
   RunnerState* Find(const RunnerId& id);
   /// @return the runner with this short id, or null.
   RunnerState* FindByShortId(std::uint32_t short_id);
@@ -116,15 +124,22 @@
   std::map<RunnerId, RunnerState>& all() { return runners_; }
 
  private:
-  void CountVersion(const Runner& runner);
-  void UncountVersion(const Runner& runner);
+  /// The software versions of a service's runners.
+  struct VersionCounts {
+    std::map<std::string, std::size_t> runners;  ///< By version.
+    absl::Time unchanged_since = absl::InfinitePast();
+  };
+
+  void CountVersion(absl::Time now, const Runner& runner);
+  void UncountVersion(absl::Time now, const Runner& runner);
 
   HealthOptions options_;
   std::map<RunnerId, RunnerState> runners_;
   absl::flat_hash_map<std::uint32_t, RunnerState*> by_short_id_;  // Into `runners_`.
   std::map<ServiceName, token_mean> token_means_;
-  /// The number of runners of each version.
-  std::map<ServiceName, std::map<std::string, std::size_t>> versions_;
+  /// A service without runners stays: its next version is not the first one.
+  std::map<ServiceName, VersionCounts> versions_;
+  absl::Time history_start_ = absl::InfiniteFuture();
 };
 
 }  // namespace martenyard::discovery
--- a/src/forwarding/gateway_state.h
+++ b/src/forwarding/gateway_state.h
@@ -94,7 +94,11 @@
   std::shared_ptr<const RouteTable> routes;  ///< Null until the first configuration is loaded.
   async_http::Signal prerequisite_changed;   ///< Notified on new routes, ledger groups or lease.
   tenancy::configuration_lease lease;        ///< API keys are accepted while it is held.
-  bool store_reachable = false;              ///< The configuration is known to be current.
+  /// Makes sure that all runners are known that were listed before the call. @return false if the
+  /// store doesn't tell.
+  std::function<async_http::Task<bool>()> confirm_runners;
+  bool runners_read = false;     ///< All runners were known once.
+  bool store_reachable = false;  ///< The configuration is known to be current.
   discovery::RunnerTable runners;
   discovery::EvacuatedZones evacuated_zones;
   std::map<ZoneName, std::string> regions;  ///< The region of each zone.
--- a/src/forwarding/request_admission.cc
+++ b/src/forwarding/request_admission.cc
@@ -194,7 +194,7 @@
 
 bool RequestHandler::NeedsLedger() const {
   bool limited = tenant_ != nullptr && tenant_->m_limit.limited();
-  bool needs_origin = IsResumption() && info_.resumes.has_value();
+  bool needs_origin = OriginQuery().has_value();
   return limited || needs_origin || info_.token_budget.has_value() || route_->keeps_turns;
 }
 
@@ -275,9 +275,12 @@
   bool stores_turn = route_->keeps_turns;
   bool asks_ledger = false;  // For the origin of the stream that the client resumes.
   if (IsResumption()) {
-    asks_ledger = info_.resumes.has_value();
-    if (!asks_ledger && !co_await AdoptOrigin(SoleOrigin(), OriginSource::kSoleVersion)) {
-      co_return false;
+    asks_ledger = OriginQuery().has_value();
+    if (!asks_ledger) {
+      std::optional<turn_ledger::stream_origin> origin = co_await ProveSoleOrigin();
+      if (!co_await AdoptOrigin(std::move(origin), OriginSource::kSoleVersion)) {
+        co_return false;
+      }
     }
   }
   if (!info_.token_budget && !stores_turn) {
--- a/src/forwarding/request_handler.h
+++ b/src/forwarding/request_handler.h
@@ -144,6 +144,10 @@
   std::optional<turn_ledger::origin_query> OriginQuery() const;
   /// @return the only origin that streams of the route can have now; nothing if there are several.
   std::optional<turn_ledger::stream_origin> SoleOrigin() const;
+  /// @return the origin of every stream of the service that may still be resumed, if it is proven
+  /// that they have one: no other version has been known for as long as streams are kept, and the
+  /// store lists none now.
+  async_http::Task<std::optional<turn_ledger::stream_origin>> ProveSoleOrigin();
   /// Chooses the origin that the reservation of a new stream records.
   void PlanOrigin();
   /// Records the runner's origin if the reserved stream was planned to begin at another one.
--- a/src/forwarding/request_origin.cc
+++ b/src/forwarding/request_origin.cc
@@ -55,9 +55,15 @@
 }
 
 std::optional<turn_ledger::origin_query> RequestHandler::OriginQuery() const {
-  if (!IsResumption() || !info_.resumes) {
+  if (!IsResumption()) {
     return std::nullopt;
   }
+  if (!info_.resumes) {
+    // A stream that isn't named is one of its program's. Only with a budget is each of them
+    // recorded before it begins.
+    bool has_account = !info_.program.value.empty() && info_.token_budget;
+    return has_account ? std::make_optional(turn_ledger::origin_query{program_, {}}) : std::nullopt;
+  }
   absl::string_view tenant = tenant_ == nullptr ? absl::string_view() : tenant_->m_name;
   turn_ledger::TurnId stream(tenancy::scoped_id(tenant, info_.resumes->value));
   return turn_ledger::origin_query{OriginAccount(stream), stream};
@@ -71,6 +77,22 @@
   return stream_origin{service_name_, *std::move(version)};
 }
 
+Task<std::optional<stream_origin>> RequestHandler::ProveSoleOrigin() {
+  absl::Duration kept = std::max(absl::Milliseconds(RetentionMilliseconds()), route_->timeout);
+  absl::Time kept_since = SteadyNow() - kept;
+  auto is_proven = [&] { return state_->runners.SoleVersionSince(service_name_) <= kept_since; };
+  // A gateway that has just started has not read the runners yet.
+  bool may_be_proven = !state_->runners_read || is_proven();
+  if (!may_be_proven || !state_->store_reachable || !state_->confirm_runners) {
+    co_return std::nullopt;
+  }
+  bool confirmed = co_await state_->confirm_runners();
+  if (!confirmed || !is_proven()) {
+    co_return std::nullopt;
+  }
+  co_return SoleOrigin();
+}
+
 void RequestHandler::PlanOrigin() {
   origin_ = SoleOrigin();
   if (!origin_) {
@@ -175,6 +197,9 @@
 }
 
 Task<bool> RequestHandler::AdoptOrigin(std::optional<stream_origin> origin, OriginSource source) {
+  if (!info_.resumes && origin != SoleOrigin()) {
+    origin.reset();  // Runners of another version serve, too.
+  }
   state_->metrics.CountResumption(origin ? NameOf(source) : "unknown");
   state_->log.Write(Line("client_resumption")
                         .Text("request", info_.id.value)
--- a/src/roles/gateway_role.cc
+++ b/src/roles/gateway_role.cc
@@ -35,6 +35,9 @@
 /// The same with zone isolation, which decides on a shorter silence. With ticks of 100 ms a group
 /// is probed each 200 ms.
 constexpr absl::Duration kProbeAfterWithIsolation = absl::Milliseconds(150);
+/// A gateway of the first start of a deployment that has read the runners within this time knows
+/// that none served before.
+constexpr absl::Duration kFirstReadTime = absl::Seconds(5);
 constexpr std::size_t kMaxRelays = 4;
 /// An isolated gateway uses relays only if they are reported this long after it lost the ledger: a
 /// gateway that was lost with the zone is listed for up to 1.6 s.
@@ -283,6 +286,7 @@
         link_.send_request(to, request);
       },
       ZoneName(settings.zone), state_->random.NextId() >> 16U);
+  state_->confirm_runners = [this] { return ConfirmRunners(); };
   state_->on_placement = [this](const forwarding::PromptPart& part, std::uint32_t runner) {
     exchange_.record_placement(part, runner);
   };
@@ -479,11 +483,15 @@
       [&](const std::string& process) { return HasTakenOver(*runner, process); }, runner->service);
 }
 
-void GatewayRole::LogFirstRunners() {
+void GatewayRole::RecordFirstRunners() {
   if (runners_read_ || !runners_.complete()) {
     return;
   }
   runners_read_ = true;
+  state_->runners_read = true;
+  absl::Time now = SteadyNow();
+  bool nothing_before = settings_.first_start && now - created_at_ <= kFirstReadTime;
+  state_->runners.SetHistoryStart(nothing_before ? absl::InfinitePast() : now);
   std::map<std::string, int> counts;
   for (const auto& [id, state] : state_->runners.all()) {
     ++counts[absl::StrCat(state.runner.service.value, " ", state.runner.version)];
@@ -493,6 +501,12 @@
                  .Text("by_version", absl::StrJoin(counts, ",", absl::PairFormatter(" "))));
 }
 
+Task<bool> GatewayRole::ConfirmRunners() {
+  bool confirmed = co_await runners_.Confirm();
+  RecordFirstRunners();
+  co_return confirmed;
+}
+
 bool GatewayRole::HasTakenOver(const discovery::Runner& runner, const std::string& process) {
   discovery::RunnerId id(process.substr(0, process.find('@')));
   const discovery::RunnerState* previous = state_->runners.Find(id);
@@ -708,7 +722,7 @@
 
 void GatewayRole::Tick(absl::Time now) {
   exchange_.tick(readiness_monitor_.ledger_unreachable());
-  LogFirstRunners();
+  RecordFirstRunners();
   UpdateReadiness();
   if (now >= next_housekeeping_) {
     next_housekeeping_ = now + kHousekeepingInterval;
--- a/src/roles/gateway_role.h
+++ b/src/roles/gateway_role.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "async_http/server.h"
+#include "base/clock.h"
 #include "event_log/event_log.h"
 #include "forwarding/gateway_state.h"
 #include "roles/directory_keys.h"
@@ -62,8 +63,11 @@
   Result<void> Listen();
   /// Bounds what clients can make this process hold by its limits of memory and descriptors.
   void LimitClients();
-  /// Logs the runners that were read first in one line, once all are known.
-  void LogFirstRunners();
+  /// Logs the runners that were read first in one line, once all are known. From then on the
+  /// versions of all runners are known.
+  void RecordFirstRunners();
+  /// @return whether all runners are known that were listed before the call.
+  async_http::Task<bool> ConfirmRunners();
   /// Removes the runner that was registered under `key`.
   void RemoveRunner(const std::string& key);
   /// Drops connections and prefix cache state of the previous process of a restarted runner.
@@ -127,6 +131,7 @@
   zone_contact zone_contact_;
   bool ledger_answered_ = false;
   bool own_zone_has_quorum_ = false;
+  const absl::Time created_at_ = SteadyNow();
   bool runners_read_ = false;   ///< All runners were known once.
   bool reaches_ledger_ = true;  ///< The reported state: debounced, and true in a shared outage.
   bool layout_update_pending_ = false;
--- a/src/store/prefix_mirror.cc
+++ b/src/store/prefix_mirror.cc
@@ -93,6 +93,23 @@
       async_http::asio::detached);
 }
 
+Task<bool> PrefixMirror::Confirm() {
+  if (complete_) {
+    WatchResult result = co_await store_.Watch(prefix_, revision_, absl::ZeroDuration());
+    if (result.status == StoreStatus::kDone) {
+      for (const StoreChange& change : result.changes) {
+        ApplyChange(change, result.revision);
+      }
+      revision_ = std::max(revision_, result.revision);
+      co_return true;
+    }
+    if (result.status != StoreStatus::kCompacted) {
+      co_return false;
+    }
+  }
+  co_return co_await ReadAll();
+}
+
 Task<void> PrefixMirror::Run() {
   while (true) {
     if (paused_) {
--- a/src/store/prefix_mirror.h
+++ b/src/store/prefix_mirror.h
@@ -75,6 +75,9 @@
   void SetPaused(bool paused);
   /// Reads all keys again, in parallel to a watch that may be lost. For a known newer revision.
   void Refresh();
+  /// Asks the store for what this mirror doesn't know yet.
+  /// @return whether the mirror has all changes that were made before this call.
+  async_http::Task<bool> Confirm();
   /// @return revision of the last known change.
   Revision last_change() const { return last_change_; }
   /// @return the changes after `last_change`, for a peer's mirror of the same prefix.
--- a/src/turn_ledger/streams/origin_query.h
+++ b/src/turn_ledger/streams/origin_query.h
@@ -11,7 +11,8 @@
 {
     /// has the reservations of the stream
     ProgramId m_account;
-    /// the request that delivered the stream's first event
+    /// the request that delivered the stream's first event; empty if it is not known which stream of the
+    /// account is meant: then the origin that all of them have in common is asked for
     TurnId m_stream;
 
     template <class Archive>
--- a/src/turn_ledger/streams/origin_record.cc
+++ b/src/turn_ledger/streams/origin_record.cc
@@ -104,4 +104,28 @@
     return m_latest->m_origin;
 }
 
+void common_origin_search::add_reservation(const TurnId& reservation)
+{
+    TurnId stream = turn_of(reservation);
+    if (record_of(stream, reservation))
+    {
+        m_streams.try_emplace(stream, stream).first->second.add_reservation(reservation);
+    }
+}
+
+std::optional<stream_origin> common_origin_search::result() const
+{
+    std::optional<stream_origin> common;
+    for (const auto& [stream, search] : m_streams)
+    {
+        std::optional<stream_origin> origin = search.result();
+        if (!origin || (common && origin != common))
+        {
+            return std::nullopt;
+        }
+        common = std::move(origin);
+    }
+    return common;
+}
+
 }  // namespace martenyard::turn_ledger
--- a/src/turn_ledger/streams/origin_record.h
+++ b/src/turn_ledger/streams/origin_record.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include "turn_ledger/streams/stream_origin.h"
@@ -57,12 +58,14 @@
         }
     }
 
+    /// @brief considers one reservation, of any stream
+    void add_reservation(const TurnId& reservation);
+
     /// @return the origin; nothing if the stream has no record, or different ones of the same generation
     std::optional<stream_origin> result() const;
 
   private:
     bool has_prefix(const TurnId& reservation) const;
-    void add_reservation(const TurnId& reservation);
 
     TurnId m_stream;
     TurnId m_prefix;
@@ -70,4 +73,28 @@
     bool m_ambiguous = false;
 };
 
+/// @brief finds the origin that all recorded streams of an account have in common
+class common_origin_search
+{
+  public:
+    /// @brief considers the reservations of an account
+    /// @param[in] reservations  a map whose keys are their ids
+    template <typename Reservations>
+    void add(const Reservations& reservations)
+    {
+        for (const auto& entry : reservations)
+        {
+            add_reservation(entry.first);
+        }
+    }
+
+    /// @return nothing if there is no record, if a stream's records are ambiguous, or if streams differ
+    std::optional<stream_origin> result() const;
+
+  private:
+    void add_reservation(const TurnId& reservation);
+
+    std::map<TurnId, origin_search> m_streams;
+};
+
 }  // namespace martenyard::turn_ledger
--- a/src/turn_ledger/turn_state.cc
+++ b/src/turn_ledger/turn_state.cc
@@ -188,6 +188,12 @@
   if (found == accounts_.end()) {
     return std::nullopt;
   }
+  if (query.m_stream.value.empty()) {
+    common_origin_search common;
+    common.add(found->second.m_reserved);
+    common.add(found->second.m_settled);
+    return common.result();
+  }
   origin_search search(query.m_stream);
   search.add(found->second.m_reserved);
   search.add(found->second.m_settled);
--- a/tests/platform/stream_version_contract_test.cc
+++ b/tests/platform/stream_version_contract_test.cc
@@ -36,12 +36,15 @@
   }
 
   /// Begins `attempt-1` at runner `b`, which breaks off after its second event.
-  void BeginAtV1(Accounting accounting) {
+  void BeginAtV1(Accounting accounting) { BeginAtB(accounting, "v1"); }
+
+  /// @param version of runner `b`.
+  void BeginAtB(Accounting accounting, const std::string& version) {
     a().Script({RunnerBehavior::kShed, RunnerBehavior::kServe});
     b().Script({RunnerBehavior::kBreakMidEvent, RunnerBehavior::kServe});
     ClientAnswer answer = Ask(Stream("attempt-1", accounting));
     ASSERT_FALSE(answer.whole);
-    ASSERT_EQ(answer.body, Events(1, 2, "v1"));
+    ASSERT_EQ(answer.body, Events(1, 2, version));
     ASSERT_EQ(a().runs(), 0);
     ASSERT_EQ(b().runs(), 1);
     // Until runner `a` is no longer avoided for being full.
@@ -185,6 +188,64 @@
   world.ExpectRefused(world.Ask(VersionWorld::Resumption("attempt-2", "attempt-1", GetParam())));
 }
 
+// Guards against a stream that is continued at another version because the gateway that its client
+// comes back to doesn't know the runners of the version that began it.
+
+TEST_P(StreamVersionContractTest,
+       RestartedGatewayDoesNotJoinAnUnnamedStreamToTheOnlyVersionItFinds) {
+  VersionWorld world;
+  world.Start();
+  world.BeginAtV1(GetParam());
+  world.store().Remove("servers/i-far");
+  world.StartOtherGateway(/*first_start=*/false, /*runners=*/1);
+  ASSERT_EQ(world.other_gateway().state().runners.SoleVersion(ServiceName("s")), "v2");
+  world.ExpectRefused(world.AskOther(VersionWorld::Resumption("attempt-2", "", GetParam())));
+}
+
+TEST_P(StreamVersionContractTest, RestartedGatewayDoesNotJoinANamedStreamToTheOnlyVersionItFinds) {
+  VersionWorld world;
+  world.Start();
+  world.BeginAtV1(GetParam());
+  world.store().Remove("servers/i-far");
+  world.StartOtherGateway(/*first_start=*/false, /*runners=*/1);
+  world.ExpectRefused(
+      world.AskOther(VersionWorld::Resumption("attempt-2", "attempt-1", GetParam())));
+}
+
+// The other gateway's copy of the runners is from before the newer version joined.
+TEST_P(StreamVersionContractTest, GatewayOutOfStepDoesNotJoinAStreamToTheVersionThatItKnows) {
+  for (const char* resumes : {"", "attempt-1"}) {
+    SCOPED_TRACE(absl::StrCat("resumes '", resumes, "'"));
+    VersionWorld world;
+    world.a().version = "v1";
+    world.b().version = "v1";
+    world.Start();
+    world.StartOtherGateway();
+    world.store().faults().silent = true;
+    world.store().SilenceWaiting();
+    discovery::RunnerTable& runners = world.gateway().state().runners;
+    discovery::Runner newer = runners.Find(discovery::RunnerId("i-far"))->runner;
+    newer.version = "v2";
+    runners.Upsert(SteadyNow(), newer);
+    world.b().version = "v2";
+    world.BeginAtB(GetParam(), "v2");
+    ASSERT_EQ(world.other_gateway().state().runners.SoleVersion(ServiceName("s")), "v1");
+    world.ExpectRefused(world.AskOther(VersionWorld::Resumption("attempt-2", resumes, GetParam())));
+  }
+}
+
+// Without it, all clients that don't name their stream would be refused after a restart.
+TEST(StreamVersionProgramTest, RestartedGatewayContinuesAnUnnamedStreamOfItsProgramsOnlyVersion) {
+  VersionWorld world;
+  world.a().version = "v1";
+  world.Start();
+  world.BeginAtV1(Accounting::kBudget);
+  world.StartOtherGateway(/*first_start=*/false, /*runners=*/2);
+  ClientAnswer answer = world.AskOther(VersionWorld::Resumption("attempt-2", ""));
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Events(3, 4, "v1")) << world.Log();
+}
+
 TEST(StreamVersionTenantTest, TenantCannotResumeAnotherTenantsStream) {
   constexpr char kTenants[] = R"([{"name":"north","apiKeys":["north-key"]},
                                   {"name":"south","apiKeys":["south-key"]}])";
--- a/tests/platform/support/platform_world.cc
+++ b/tests/platform/support/platform_world.cc
@@ -174,8 +174,9 @@
   return AskGateway(*other_gateway_, request);
 }
 
-void PlatformWorld::StartOtherGateway() {
+void PlatformWorld::StartOtherGateway(bool first_start, std::size_t runners) {
   roles::RoleSettings settings = gateway_settings_;
+  settings.first_start = first_start;
   settings.node = "edge-2";
   settings.internal_port = 0;
   other_gateway_ = std::make_unique<roles::GatewayRole>(loop_, settings, formats_, *client_, *log_);
@@ -188,7 +189,7 @@
   ASSERT_TRUE(started) << "the second gateway could not listen";
   bool serves = RunUntil([&] {
     return other_gateway_->ready() && other_gateway_->state().ledger->has_replicas() &&
-           other_gateway_->state().runners.all().size() == 2;
+           other_gateway_->state().runners.all().size() == runners;
   });
   ASSERT_TRUE(serves) << Log();
 }
--- a/tests/platform/support/platform_world.h
+++ b/tests/platform/support/platform_world.h
@@ -54,7 +54,10 @@
   bool RunUntil(const std::function<bool()>& condition);
   ClientAnswer Ask(const ClientRequest& request);
   /// Starts a second gateway, on a machine of the same zone, and waits until it serves.
-  void StartOtherGateway();
+  void StartOtherGateway() { StartOtherGateway(/*first_start=*/true, /*runners=*/2); }
+  /// @param first_start false: the deployment has run for a while.
+  /// @param runners that it finds.
+  void StartOtherGateway(bool first_start, std::size_t runners);
   /// Sends a request to the second gateway.
   ClientAnswer AskOther(const ClientRequest& request);
   /// Sends a request and leaves as soon as `condition` holds.
