Responses: the announced length is not reserved

What was seen: ClientCrowdTest's AnswersThatAreNotRead failed once in a whole check beside a build: 72 MB, limit 64.

Freed blocks of that size go back to the heap and are resident when the next response gets them, though it has received little. Ruled out: the clients' side; with nothing else changed the figure falls.

Change: a body grows with what arrives, as the budget counts it.

--- a/src/forwarding/attempt.cc
+++ b/src/forwarding/attempt.cc
@@ -320,10 +320,6 @@
 Task<void> Attempt::ReadBufferedResponse(AttemptResult& result) {
   result.response.reservation = std::make_unique<buffer_reservation>(state_.response_buffers);
   buffer_reservation& reservation = *result.response.reservation;
-  auto length = connection_->parser().content_length();
-  if (length && *length <= state_.response_buffers.limit()) {
-    connection_->parser().get().body().reserve(*length);
-  }
   ReadStep step = ReadStep::kProgress;
   while (step == ReadStep::kProgress) {
     std::size_t held = connection_->parser().get().body().size();
