Tests: an allowed body in small chunks, connections that give way, unfinished frames

Cause: three statements of the limits had no test of their own: that an allowed client does not meet them, that a silent connection gives way to an ordinary client, and that unfinished frames of peers are bounded.

Change: ServerTest.BodyInSmallChunksWithATrailerSectionIsAccepted and ConnectionThatSaysNothingGivesWayToAnOrdinaryClient, TransportTest.UnfinishedFramesOfManyConnectionsAreBounded.

--- a/tests/async_http/server_test.cc
+++ b/tests/async_http/server_test.cc
@@ -93,6 +93,49 @@
   std::unique_ptr<Server> server_;
 };
 
+// Guards against limits that a client inside the limits of the pages meets.
+TEST_F(ServerTest, BodyInSmallChunksWithATrailerSectionIsAccepted) {
+  constexpr int kChunks = 20000;
+  std::string body;
+  Serve([&](std::shared_ptr<Exchange> exchange) -> Task<void> {
+    body = exchange->request().body();
+    HttpHead head = MakeHead(200);
+    co_await exchange->Send(std::move(head), "ok");
+  });
+  server_->limits().request_memory = std::uint64_t{256} << 10;
+  std::string text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int chunk = 0; chunk < kChunks; ++chunk) {
+    text += "1\r\nx\r\n";
+  }
+  text += absl::StrCat("0\r\nTrailer-Field: ", std::string(12000, 't'), "\r\n\r\n");
+  RawClient client(server_->port());
+  constexpr std::size_t kPiece = 1000;
+  for (std::size_t at = 0; at < text.size(); at += kPiece) {
+    client.Say(text.substr(at, kPiece));
+    loop_.RunRound(absl::Milliseconds(1));
+  }
+  ASSERT_TRUE(RunUntil([&] { return absl::StrContains(client.Received(), "200 OK"); }))
+      << client.Received();
+  EXPECT_EQ(body, std::string(kChunks, 'x'));
+}
+
+// Guards against a server that only turns new clients away once others hold all its connections.
+TEST_F(ServerTest, ConnectionThatSaysNothingGivesWayToAnOrdinaryClient) {
+  Serve([&](std::shared_ptr<Exchange> exchange) -> Task<void> {
+    HttpHead head = MakeHead(200);
+    co_await exchange->Send(std::move(head), "ok");
+  });
+  server_->limits().connections = 2;
+  RawClient first(server_->port());
+  RawClient second(server_->port());
+  second.Say("G");
+  ASSERT_TRUE(RunUntil([&] { return server_->stats().open_connections == 2; }));
+  RawClient ordinary(server_->port());
+  ordinary.Say("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(RunUntil([&] { return absl::StrContains(ordinary.Received(), "200 OK"); }));
+  EXPECT_EQ(server_->stats().evicted_for_connections, 1U);
+}
+
 // Guards against missing the disconnect of a client that has pipelined its next request, which
 // would be processed and charged to the end.
 TEST_F(ServerTest, DetectsDisconnectOfPipeliningClient) {
--- a/tests/wire/transport_test.cc
+++ b/tests/wire/transport_test.cc
@@ -10,6 +10,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -205,6 +206,34 @@
   EXPECT_TRUE(RunUntil(loop, [&] { return frames == 1; })) << "accepted once descriptors are free";
 }
 
+// Guards against peers that begin large frames and never end them.
+TEST(TransportTest, UnfinishedFramesOfManyConnectionsAreBounded) {
+  constexpr std::size_t kLimit = std::size_t{1} << 20U;
+  constexpr int kPeers = 8;
+  EventLoop loop;
+  int frames = 0;
+  Transport transport(
+      loop, [&](const std::string&) { ++frames; }, [](const std::string&) {},
+      [](const Endpoint&, absl::Time) {});
+  transport.SetReceiveLimit(kLimit);
+  auto bound = transport.Listen({"127.0.0.1", 0});
+  ASSERT_TRUE(bound);
+  std::string unfinished = FrameOf(std::string(kLimit - 64, 'x')).substr(0, kLimit / 2);
+  std::vector<std::unique_ptr<RawPeer>> peers;
+  for (int number = 0; number < kPeers; ++number) {
+    peers.push_back(std::make_unique<RawPeer>(*bound));
+    peers.back()->Send(unfinished);
+    loop.RunRound(absl::Milliseconds(5));
+  }
+  ASSERT_TRUE(RunUntil(loop, [&] { return transport.stats().streams_evicted >= kPeers - 3; }));
+  RawPeer ordinary(*bound);
+  ordinary.Send(FrameOf("whole"));
+  EXPECT_TRUE(RunUntil(loop, [&] { return frames == 1; }));
+  RawPeer oversized(*bound);
+  oversized.Send(FrameOf(std::string(kLimit + 1, 'x')).substr(0, 100));
+  EXPECT_TRUE(RunUntil(loop, [&] { return transport.stats().streams_rejected == 1; }));
+}
+
 TEST(TransportTest, UnsentBytesOfAllPeersAreBounded) {
   constexpr std::size_t kLimit = std::size_t{4} << 20U;
   constexpr std::size_t kFrame = std::size_t{1} << 20U;
