Responses: a reset beside an unfinished upload is no end of a response

Callers saw: a runner answered a long upload with a 200 without a length, sent a part of its body and reset the connection; the client got that part as a complete response.

Cause: a socket reports the failure of its connection once, to the operation that meets it first. The write of the upload runs beside the reading and took ECONNRESET (or ETIMEDOUT); its result was not kept, and the read after it got an end of file, which was taken for the end of the body. The class: the end of a byte stream taken for its completeness while another operation on the same socket knows better.

Ruled out: a second read that repeats the error (the system reports it once); the errors of the write alone, since ETIMEDOUT comes with and without a FIN before it, and a response that ended in order has to be delivered although its request can't be sent any more.

Change: a connection keeps the error of its first failed send. An end of file after it ends a response only if the peer's FIN arrived: EPIPE says so, and else the system's count of the bytes received, in which a FIN is one. Without a failed send nothing changes. All reads of such responses go through Connection::Parse(): runners' plain responses, streams, skipped responses, second ones on a connection, the store's (whose requests are sent before anything is read, so it could not happen there).

Not provoked: an unreachable host, which takes the same path with another error.

--- a/emulator/platform/runner_stand_in.cc
+++ b/emulator/platform/runner_stand_in.cc
@@ -24,6 +24,8 @@
 namespace {
 
 constexpr char kForeignId[] = "foreign00foreign";
+/// Longer than any connection lives whose peer acknowledges nothing.
+constexpr absl::Duration kSilence = absl::Seconds(20);
 constexpr std::uint64_t kBodyLimit = std::uint64_t{8} << 20;
 
 Task<void> Write(async_http::Socket& socket, std::string bytes) {
@@ -92,6 +94,10 @@
   acceptor_.close(ignored);
 }
 
+void RunnerStandIn::LimitReceiveBuffer(int bytes) {
+  acceptor_.set_option(asio::socket_base::receive_buffer_size(bytes));
+}
+
 std::uint16_t RunnerStandIn::port() const { return acceptor_.local_endpoint().port(); }
 
 int RunnerStandIn::runs() const {
@@ -140,6 +146,13 @@
     if (behavior == RunnerBehavior::kEarly) {
       co_await Write(socket, Whole(503, request.id, "full", "Not-Executed: 1\r\n"));
     }
+    if (behavior == RunnerBehavior::kRawEarly) {
+      std::string id = request.id;
+      request.ran = true;
+      seen_.push_back(std::move(request));
+      co_await RespondEarly(socket, id);
+      co_return;
+    }
     auto [error, bytes] = co_await http::async_read(socket, buffer, parser, kAwait);
     if (error) {
       co_return;
@@ -233,6 +246,7 @@
       co_await Write(socket, WithId(raw, request.id));
       co_return false;
     case RunnerBehavior::kEarly:
+    case RunnerBehavior::kRawEarly:
       co_return true;  // Handled before the body was read.
   }
   co_return false;
@@ -298,6 +312,23 @@
   co_await Write(socket, std::move(tail));
 }
 
+Task<void> RunnerStandIn::RespondEarly(async_http::Socket& socket, const std::string& id) {
+  EarlyEnd end = early_end;
+  co_await Write(socket, WithId(raw, id));
+  boost::system::error_code ignored;
+  if (end.finishes) {
+    socket.shutdown(asio::socket_base::shutdown_send, ignored);
+  }
+  if (end.after > absl::ZeroDuration()) {
+    co_await async_http::Sleep(context_, end.after);
+  }
+  if (end.kind == EarlyEnd::Kind::kReset) {
+    Reset(socket);
+  } else if (end.kind == EarlyEnd::Kind::kSilence) {
+    co_await async_http::Sleep(context_, kSilence);
+  }
+}
+
 Task<void> RunnerStandIn::WaitForClose(async_http::Socket& socket) {
   char byte = 0;
   co_await socket.async_read_some(asio::buffer(&byte, 1), kAwait);
--- a/emulator/platform/runner_stand_in.h
+++ b/emulator/platform/runner_stand_in.h
@@ -40,6 +40,15 @@
   kResetUnframed,     ///< Part of an unframed answer, then a reset.
   kEarly,             ///< Answers before the body is read, and reads on later.
   kRaw,               ///< Sends `raw` as it is, with the request's id for each `@`, then closes.
+  kRawEarly,          ///< The same before the body is read, which it never is; ends as `early_end`.
+};
+
+/// How a runner ends a connection from which it has not read the whole request.
+struct EarlyEnd {
+  enum class Kind { kReset, kClose, kSilence };
+  bool finishes = false;     ///< Ends its data in order (FIN) first.
+  absl::Duration after;      ///< From the end of its bytes to the end of the connection.
+  Kind kind = Kind::kReset;  ///< The system turns a close into a reset, with bytes unread.
 };
 
 /// A request as a runner saw it.
@@ -75,6 +84,8 @@
   RunnerStandIn(async_http::asio::io_context& context, std::string id, std::uint16_t port = 0);
   ~RunnerStandIn();
 
+  /// Keeps the system from receiving much of a request that is not read.
+  void LimitReceiveBuffer(int bytes);
   /// What is done with the requests to come, one each; the last one stays.
   void Script(std::deque<RunnerBehavior> script) { script_ = std::move(script); }
   std::uint16_t port() const;
@@ -87,7 +98,8 @@
   absl::Duration event_gap;    ///< Between two events.
   unsigned status = 200;       ///< Of the responses of `kServe`.
   std::string reason = "X";    ///< The reason phrase beside `status`; may be empty.
-  std::string raw;             ///< What `kRaw` sends.
+  std::string raw;             ///< What `kRaw` and `kRawEarly` send.
+  EarlyEnd early_end;          ///< Of `kRawEarly`.
   std::string version = "v1";  ///< Of its software, as its listing has it.
   bool events_name_version = false;
 
@@ -103,6 +115,8 @@
                                     const std::string& body);
   /// @return what names this runner's answer to a request.
   std::string Signature(const SeenRequest& request) const;
+  /// Sends `raw` and ends the connection as `early_end` says.
+  async_http::Task<void> RespondEarly(async_http::Socket& socket, const std::string& id);
   async_http::Task<void> WaitForClose(async_http::Socket& socket);
   RunnerBehavior NextBehavior();
 
--- a/src/async_http/connection.cc
+++ b/src/async_http/connection.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 #include "async_http/framing.h"
+#include "async_http/tcp_state.h"
 
 namespace martenyard::async_http {
 
@@ -76,6 +77,9 @@
   auto [error, count] =
       co_await asio::async_write(socket_, asio::buffer(bytes.data(), bytes.size()), kAwait);
   any_sent_ = any_sent_ || count > 0;
+  if (error && !send_error_) {
+    send_error_ = error;
+  }
   co_return !error;
 }
 
@@ -151,21 +155,34 @@
       co_return ReadStep::kClosed;
     }
     auto [error, count] = co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAwait);
-    if (error == asio::error::eof) {
-      bool had_head = parser_->is_header_done();
-      error_code end_error;
-      if (had_head && parser_->need_eof()) {
-        parser_->put_eof(end_error);
-        ended_by_close_ = true;
-        co_return end_error ? ReadStep::kClosed : ReadStep::kWhole;
-      }
-      co_return ReadStep::kClosed;
-    }
     if (error) {
-      co_return ReadStep::kClosed;
+      co_return error == asio::error::eof ? EndByClose() : ReadStep::kClosed;
     }
     buffer_.commit(count);
+    bytes_received_ += count;
+  }
+}
+
+ReadStep Connection::EndByClose() {
+  bool delimited_by_close = parser_->is_header_done() && parser_->need_eof();
+  if (!delimited_by_close || !PeerHasFinished()) {
+    return ReadStep::kClosed;
+  }
+  error_code error;
+  parser_->put_eof(error);
+  ended_by_close_ = true;
+  return error ? ReadStep::kClosed : ReadStep::kWhole;
+}
+
+bool Connection::PeerHasFinished() {
+  // A socket reports the failure of its connection once. After a send has got the error, reads end
+  // as if the peer had finished.
+  if (!send_error_) {
+    return true;
   }
+  // EPIPE is the error of a reset that followed the peer's FIN.
+  return send_error_ == asio::error::broken_pipe ||
+         HasReceivedFin(socket_.native_handle(), bytes_received_);
 }
 
 bool Connection::AcceptHeader() {
--- a/src/async_http/connection.h
+++ b/src/async_http/connection.h
@@ -73,6 +73,10 @@
   /// Handles the end of the header section. @return false if the response is malformed.
   bool AcceptHeader();
   Task<ReadStep> Parse(bool head_only);
+  /// Handles the end of the connection's data.
+  ReadStep EndByClose();
+  /// @return whether an end of file, once it was read, is the peer's end of its data.
+  bool PeerHasFinished();
   void ParseKeepAlive();
 
   Socket socket_;
@@ -86,6 +90,8 @@
   /// Of a chunked response: without the fields of its trailer section.
   std::optional<boost::beast::http::response_header<>> header_;
   bool any_sent_ = false;
+  error_code send_error_;             ///< Of the first failed send.
+  std::uint64_t bytes_received_ = 0;  ///< Since the connection was made.
   bool ended_by_close_ = false;
   absl::Time idle_since_;
   absl::Duration keep_alive_timeout_ = absl::InfiniteDuration();
--- a/tests/async_http/connection_test.cc
+++ b/tests/async_http/connection_test.cc
@@ -38,6 +38,12 @@
   }
   const wire::Endpoint& endpoint() const { return endpoint_; }
   void Accept() { accepted_ = accept(listener_, nullptr, nullptr); }
+  /// Keeps the system from receiving much that is not read on connections accepted later.
+  void LimitReceiveBuffer(int bytes) const {
+    setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+  }
+  /// Ends the data in order (FIN); the connection stays open for reading.
+  void FinishSending() const { shutdown(accepted_, SHUT_WR); }
   /// Resets the accepted connection.
   void Reset() {
     linger abort{1, 0};
@@ -207,5 +213,113 @@
   EXPECT_EQ(bodies, (std::vector<std::string>{"", "whole", ""}));
 }
 
+/// How a peer that reads nothing ends a connection behind a response without a length.
+struct UnreadEnding {
+  const char* name;
+  bool finishes;  ///< Sends a FIN first.
+  bool resets;    ///< Otherwise nothing is acknowledged until the connection times out.
+  ReadStep expected;
+};
+
+constexpr UnreadEnding kUnreadEndings[] = {
+    {"reset", false, true, ReadStep::kClosed},
+    {"time-out", false, false, ReadStep::kClosed},
+    {"FIN, then a reset", true, true, ReadStep::kWhole},
+    {"FIN, then a time-out", true, false, ReadStep::kWhole},
+};
+
+/// Sends a request that the peer doesn't read and reads its response, which has no length.
+/// @param send_fails_first reads the end only after the send has failed.
+/// @param earlier_responses complete ones on the same connection.
+ReadStep ReadBesideUnreadRequest(const UnreadEnding& ending, bool send_fails_first,
+                                 int earlier_responses = 0) {
+  const std::string request(std::size_t{16} << 20, 'u');
+  asio::io_context context;
+  ScriptedPeer peer;
+  peer.LimitReceiveBuffer(4096);
+  ReadStep step = ReadStep::kProgress;
+  auto run = [&]() -> Task<void> {
+    Connection connection(context, peer.endpoint());
+    co_await connection.Connect();
+    peer.Accept();
+    for (int number = 0; number < earlier_responses; ++number) {
+      connection.BeginResponse(/*head_request=*/false);
+      peer.SendBytes(kResponse);
+      while (co_await connection.ReadBody() == ReadStep::kProgress) {
+      }
+    }
+    connection.BeginResponse(/*head_request=*/false);
+    bool sending = true;
+    asio::co_spawn(
+        context,
+        [&]() -> Task<void> {
+          EXPECT_FALSE(co_await connection.Send(request));
+          sending = false;
+        },
+        asio::detached);
+    peer.SendBytes("HTTP/1.1 200 OK\r\n\r\nbody");
+    while (!connection.parser().is_header_done()) {
+      co_await connection.ReadHead();
+    }
+    if (ending.finishes) {
+      peer.FinishSending();
+    }
+    if (ending.resets) {
+      peer.Reset();
+    }
+    while (send_fails_first && sending) {
+      co_await Sleep(context, absl::Milliseconds(1));
+    }
+    step = ReadStep::kProgress;
+    while (step == ReadStep::kProgress) {
+      step = co_await connection.ReadBody();
+    }
+    EXPECT_EQ(connection.parser().get().body(), "body");
+    while (sending) {
+      co_await Sleep(context, absl::Milliseconds(1));
+    }
+  };
+  asio::co_spawn(context, run, asio::detached);
+  context.run();
+  return step;
+}
+
+// Guards against taking the end of file after a failed send for the end of a response: the send got
+// the connection's error.
+TEST(ConnectionTest, EndOfFileAfterAFailedSendCompletesAResponseOnlyBehindAFin) {
+  for (const UnreadEnding& ending : kUnreadEndings) {
+    for (bool send_fails_first : {true, false}) {
+      SCOPED_TRACE(absl::StrCat(ending.name, send_fails_first ? ", send first" : ", read first"));
+      EXPECT_EQ(ReadBesideUnreadRequest(ending, send_fails_first), ending.expected);
+    }
+    SCOPED_TRACE(absl::StrCat(ending.name, ", second response"));
+    EXPECT_EQ(ReadBesideUnreadRequest(ending, true, /*earlier_responses=*/2), ending.expected);
+  }
+}
+
+// Guards against taking a close of our own, as at a deadline, for the end of a response.
+TEST(ConnectionTest, OwnCloseDoesNotCompleteAResponse) {
+  asio::io_context context;
+  ScriptedPeer peer;
+  ReadStep step = ReadStep::kProgress;
+  auto run = [&]() -> Task<void> {
+    Connection connection(context, peer.endpoint());
+    co_await connection.Connect();
+    peer.Accept();
+    connection.BeginResponse(/*head_request=*/false);
+    peer.SendBytes("HTTP/1.1 200 OK\r\n\r\nbody");
+    while (!connection.parser().is_header_done()) {
+      co_await connection.ReadHead();
+    }
+    asio::post(context, [&connection] { connection.Close(); });
+    while (step == ReadStep::kProgress) {
+      step = co_await connection.ReadBody();
+    }
+  };
+  asio::co_spawn(context, run, asio::detached);
+  context.run();
+  EXPECT_EQ(step, ReadStep::kClosed);
+}
+
 }  // namespace
 }  // namespace martenyard::async_http
