Responses: a folded header line is malformed

Callers saw: a response with a line that begins with a blank or a tab in its head was passed on. Behind Server-Signature it changed the signature; a folded Content-Length or Transfer-Encoding lost its meaning, and the client got the bytes up to the connection's end as the body, chunk lines included.

Cause: Beast's parser joins such lines to the one before. Requests are checked for them before they are parsed (CheckLines()), responses were checked for their framing only.

Change: the same check for responses of runners and of the store: malformed, so 502, or another runner where the route allows it. RFC 9112, 5.2, lets a proxy do either.

Handled before, and nothing changed for it: every other malformed line, InvalidStatusLineIsRefused (000, 099, 20, 2000, 2x0, HTTP/2.0, control bytes, also as an interim response), ResponseCutWithinTheHeadIsRefused (cut after each byte), ResponseCutWithinTheLastChunkIsNotComplete. InvalidTrailerLineChangesNothing: folded lines in a trailer section pass as before, since no field of it is used.

--- a/src/async_http/connection.cc
+++ b/src/async_http/connection.cc
@@ -113,6 +113,9 @@
   while (true) {
     bool parsed = false;
     while (buffer_.size() > 0 && !parser_->is_done()) {
+      if (!parser_->is_header_done() && CheckLines(BufferedBytes()) != FramingError::kNone) {
+        co_return ReadStep::kMalformed;
+      }
       error_code error;
       std::size_t used = parser_->put(buffer_.data(), error);
       buffer_.consume(used);
@@ -185,6 +188,10 @@
          HasReceivedFin(socket_.native_handle(), bytes_received_);
 }
 
+absl::string_view Connection::BufferedBytes() const {
+  return {static_cast<const char*>(buffer_.data().data()), buffer_.size()};
+}
+
 bool Connection::AcceptHeader() {
   const auto& response = parser_->get();
   parser_->eager(true);
--- a/src/async_http/connection.h
+++ b/src/async_http/connection.h
@@ -70,6 +70,7 @@
 
  private:
   void StartParser();
+  absl::string_view BufferedBytes() const;
   /// Handles the end of the header section. @return false if the response is malformed.
   bool AcceptHeader();
   Task<ReadStep> Parse(bool head_only);
