HTTP client: a response cut within its header section is no success

Cause: libcurl reports success, with an empty body, when the connection ends within the header section; the client took its word.

Change: a transfer succeeds only once the header section of a final response has ended. Before that the status is 0, so that no caller decides by a status line whose fields did not arrive.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -13,6 +13,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
+#include "absl/strings/strip.h"
 
 namespace martenyard::http {
 namespace {
@@ -20,6 +21,7 @@
 constexpr int kPollMilliseconds = 1000;
 constexpr long kMaxIdleConnections = 256;
 constexpr absl::string_view kStatusLineStart = "HTTP/";
+constexpr int kFirstFinalStatus = 200;
 constexpr absl::string_view kLengthHeader = "content-length:";
 constexpr absl::string_view kChunksHeader = "transfer-encoding:";
 
@@ -31,7 +33,8 @@
   DoneCallback on_done;
   ClientResult result;
   std::size_t header_bytes = 0;
-  std::string limit_error;  ///< Set by the callback that fails the transfer.
+  bool head_ended = false;  ///< The header section of the final response is complete.
+  std::string failure;      ///< Set by the callback that fails the transfer.
   CURL* handle = nullptr;
   curl_slist* headers = nullptr;
 
@@ -45,6 +48,19 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+/// Follows the header sections of a transfer's responses, line by line.
+/// @param line without its end.
+void FollowHeader(Transfer& transfer, absl::string_view line) {
+  if (absl::StartsWith(line, kStatusLineStart)) {
+    transfer.result.framed = false;  // A status line starts a new response.
+  }
+  if (line.empty()) {
+    long status = 0;
+    curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+    transfer.head_ended = status >= kFirstFinalStatus;
+  }
+}
+
 std::size_t ReceiveBody(char* data, std::size_t size, std::size_t count, void* context) {
   auto& transfer = *static_cast<Transfer*>(context);
   std::string_view chunk(data, size * count);
@@ -54,7 +70,7 @@
     transfer.on_data(chunk);
   } else if (chunk.size() > transfer.request.max_body_bytes - transfer.result.body.size()) {
     transfer.result.body = std::string();
-    transfer.limit_error =
+    transfer.failure =
         absl::StrCat("the response body exceeds ", transfer.request.max_body_bytes, " bytes");
     return 0;
   } else {
@@ -68,14 +84,12 @@
   auto& transfer = *static_cast<Transfer*>(context);
   absl::string_view line(data, size * count);
   if (line.size() > transfer.request.max_header_bytes - transfer.header_bytes) {
-    transfer.limit_error = absl::StrCat("the response's header lines exceed ",
-                                        transfer.request.max_header_bytes, " bytes");
+    transfer.failure = absl::StrCat("the response's header lines exceed ",
+                                    transfer.request.max_header_bytes, " bytes");
     return 0;
   }
   transfer.header_bytes += line.size();
-  if (absl::StartsWith(line, kStatusLineStart)) {
-    transfer.result.framed = false;  // A status line starts a new response.
-  }
+  FollowHeader(transfer, absl::StripSuffix(absl::StripSuffix(line, "\n"), "\r"));
   for (absl::string_view name : {kLengthHeader, kChunksHeader}) {
     transfer.result.framed = transfer.result.framed || absl::StartsWithIgnoreCase(line, name);
   }
@@ -125,14 +139,16 @@
   curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo(transfer.handle, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_easy_getinfo(transfer.handle, CURLINFO_RETRY_AFTER, &retry_after);
-  transfer.result.status = static_cast<int>(status);
+  transfer.result.status = transfer.head_ended ? static_cast<int>(status) : 0;
   transfer.result.connected = request_bytes > 0;
   if (retry_after > 0) {
     transfer.result.retry_after_seconds = static_cast<int>(retry_after);
   }
   if (code != CURLE_OK) {
-    transfer.result.error =
-        transfer.limit_error.empty() ? curl_easy_strerror(code) : transfer.limit_error;
+    transfer.result.error = transfer.failure.empty() ? curl_easy_strerror(code) : transfer.failure;
+  } else if (!transfer.head_ended) {
+    // libcurl reports success if the connection ends within the header section.
+    transfer.result.error = "the response ended within its header section";
   }
   transfer.on_done(std::move(transfer.result));
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -34,10 +34,10 @@
   std::size_t max_header_bytes = std::size_t{256} << 10;
 };
 
-/// Result of a transfer. `status` is 0 if no response was received.
+/// Result of a transfer.
 struct ClientResult {
-  int status = 0;
-  std::string body;   ///< Empty if it was passed to the data callback.
+  int status = 0;    ///< 0 if no final response was received with a complete, valid header section.
+  std::string body;  ///< Empty if it was passed to the data callback.
   std::string error;  ///< Empty if the complete response was received.
   /// True if the response has a Content-Length or Transfer-Encoding header. Otherwise the body ends
   /// when the connection closes, and truncation cannot be detected.
--- a/tests/clients/http_backends_test.cc
+++ b/tests/clients/http_backends_test.cc
@@ -281,6 +281,24 @@
   }
 }
 
+/// Guards against taking an operation for done, or a request for not run, by a status line whose
+/// header section was cut.
+TEST(HttpBackendsTest, CutHeadTellsNothing) {
+  for (int status : {200, 204, 404, 429, 503}) {
+    SCOPED_TRACE(status);
+    std::string head = absl::StrCat("HTTP/1.1 ", status, " Status\r\nX-Field: a\r\n");
+    HttpBackends backends({{head, true}, {head, true}, {head, true}});
+    EXPECT_EQ(backends.RunService().status, ServiceOutcome::Status::kUnknown);
+    std::string text;
+    EXPECT_EQ(backends.RunModel("", &text).status, Status::kBroken);
+    std::optional<bool> released;
+    backends.client().ReleaseContext(backends.server().url(), "context",
+                                     [&released](bool result) { released = result; });
+    backends.tasks().RunUntil([&] { return released.has_value(); });
+    EXPECT_FALSE(*released);
+  }
+}
+
 TEST(HttpBackendsTest, CancelledTransferDoesNotAffectTheNext) {
   std::string head = "HTTP/1.1 200 Status\r\nTransfer-Encoding: chunked\r\n\r\n";
   std::string chunk = Text("old");
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -1,4 +1,5 @@
-// Responses without end: guard against a client whose memory grows with what a server sends.
+// Responses without end or cut: guard against a client whose memory grows with what a
+// server sends, and against broken responses that are reported as received.
 #include "http/client.h"
 
 #include <gtest/gtest.h>
@@ -121,5 +122,55 @@
   }
 }
 
+/// A response and what is wrong with it.
+struct BrokenResponse {
+  std::string name;
+  std::string bytes;
+};
+
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+const std::string kBody = "Content-Length: 5\r\n\r\nwhole";
+
+void ExpectFailure(const BrokenResponse& response) {
+  SCOPED_TRACE(response.name);
+  ScriptedServer server({{response.bytes, true}, Framed(200, "next")});
+  auto client = Client::Create();
+  ClientRequest request = RequestTo(server);
+  request.send_once = true;  // Else libcurl sends the request again if nothing was received.
+  ClientResult result = client->Fetch(request);
+  EXPECT_FALSE(result.ok());
+  EXPECT_NE(result.error, "");
+  EXPECT_TRUE(result.connected);
+  EXPECT_EQ(result.status, 0);
+  EXPECT_EQ(client->Fetch(RequestTo(server)).body, "next");
+}
+
+// Guards against success for a response whose server closed within its head.
+TEST(HttpClientTest, ResponseCutWithinTheHeadFailsTheTransfer) {
+  const std::string head = kOk + "X-Field: a\r\nContent-Length: 5\r\n\r\n";
+  const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    ExpectFailure({absl::StrCat("after ", size, " bytes"), head.substr(0, size)});
+    ExpectFailure({absl::StrCat("second head after ", size), interim + head.substr(0, size)});
+  }
+  ExpectFailure({"within a 204", "HTTP/1.1 204 No Content\r\nX-Field: a\r\n"});
+  ExpectFailure({"within a 503", "HTTP/1.1 503 Service Unavailable\r\nX-Field: a\r\n"});
+}
+
+// Shows that the responses above fail for what is wrong in them.
+TEST(HttpClientTest, WellFormedResponseIsReceived) {
+  for (const std::string& bytes :
+       {kOk + kBody, "HTTP/1.0 200\r\n" + kBody, "HTTP/1.1 200 \r\n" + kBody,
+        "HTTP/1.1 102 Processing\r\n\r\n" + kOk + kBody, kOk + "X-Field:\r\n" + kBody,
+        kOk + "x!#$%&'*+-.^_`|~: a\tb \xe9 \r\n" + kBody, kOk + "\r\nwhole",
+        kChunked + Chunk("whole") + "0\r\nX-Trailer: a\r\n\r\n"}) {
+    SCOPED_TRACE(bytes);
+    ScriptedServer server({{bytes, true}});
+    ClientResult result = Client::Create()->Fetch(RequestTo(server));
+    EXPECT_TRUE(result.ok()) << result.error;
+    EXPECT_EQ(result.body, "whole");
+  }
+}
+
 }  // namespace
 }  // namespace martenyard::http
