HTTP client: invalid status lines and header lines fail the transfer

Callers saw: nothing on the platform's roles. martenyardd took responses with blanks or control bytes in the names of fields, without a name, with folded lines, or with HTTP/2.0 in their status line; with a blank before the colon of Content-Length it took a wrong body.

Cause: libcurl ignores or joins what is no header line. Status 000 and others that are no three-digit number from 100 on it refuses itself.

Change: each line is checked as HTTP/1.1 has it (RFC 9112, sections 4 and 5), in interim responses and trailer sections, too; the first invalid one fails the transfer. The version is set to 1.1, which is what libcurl uses on connections without TLS anyway.

Evidence, on and with the change: InvalidHeaderLineFailsTheTransfer, 28 lines at 5 places each: 113 of 140 forms were a success before, none is now; InvalidStatusLineFailsTheTransfer: 10 of 28 before, none now. Handled before: ResetWhileTheRequestIsSentFailsTheTransfer (libcurl reports the reset).

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -10,10 +11,13 @@
 #include <thread>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
 #include "absl/strings/strip.h"
+#include "async_http/field_syntax.h"
 
 namespace martenyard::http {
 namespace {
@@ -21,6 +25,9 @@
 constexpr int kPollMilliseconds = 1000;
 constexpr long kMaxIdleConnections = 256;
 constexpr absl::string_view kStatusLineStart = "HTTP/";
+constexpr std::size_t kVersionSize = sizeof("HTTP/1.1") - 1;
+constexpr std::size_t kStatusDigits = 3;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
 constexpr absl::string_view kLengthHeader = "content-length:";
 constexpr absl::string_view kChunksHeader = "transfer-encoding:";
@@ -33,6 +40,7 @@
   DoneCallback on_done;
   ClientResult result;
   std::size_t header_bytes = 0;
+  int latest_status = 0;    ///< Of the latest status line; interim responses have one, too.
   bool head_ended = false;  ///< The header section of the final response is complete.
   std::string failure;      ///< Set by the callback that fails the transfer.
   CURL* handle = nullptr;
@@ -48,17 +56,46 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
-/// Follows the header sections of a transfer's responses, line by line.
 /// @param line without its end.
-void FollowHeader(Transfer& transfer, absl::string_view line) {
-  if (absl::StartsWith(line, kStatusLineStart)) {
-    transfer.result.framed = false;  // A status line starts a new response.
+/// @return the status; 0 if the line is not a valid status line of HTTP/1.0 or HTTP/1.1.
+int ReadStatusLine(absl::string_view line) {
+  absl::string_view version = line.substr(0, kVersionSize);
+  absl::string_view rest = line.substr(version.size());
+  if ((version != "HTTP/1.0" && version != "HTTP/1.1") || !absl::ConsumePrefix(&rest, " ")) {
+    return 0;
   }
+  absl::string_view digits = rest.substr(0, kStatusDigits);
+  absl::string_view reason = rest.substr(digits.size());
+  int status = 0;
+  bool valid = digits.size() == kStatusDigits &&
+               std::all_of(digits.begin(), digits.end(), absl::ascii_isdigit) &&
+               absl::SimpleAtoi(digits, &status) && status >= kFirstStatus &&
+               (reason.empty() || reason.front() == ' ') &&
+               async_http::IsFieldValue(async_http::StripOptionalWhitespace(reason));
+  return valid ? status : 0;
+}
+
+/// @param line without its end.
+bool IsFieldLine(absl::string_view line) {
+  std::size_t colon = line.find(':');
+  return colon != absl::string_view::npos && async_http::IsFieldName(line.substr(0, colon)) &&
+         async_http::IsFieldValue(async_http::StripOptionalWhitespace(line.substr(colon + 1)));
+}
+
+/// Follows the header sections of a transfer's responses, line by line.
+/// @param line without its end.
+/// @return false if the line is invalid.
+bool AcceptHeaderLine(Transfer& transfer, absl::string_view line) {
   if (line.empty()) {
-    long status = 0;
-    curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
-    transfer.head_ended = status >= kFirstFinalStatus;
+    transfer.head_ended = transfer.latest_status >= kFirstFinalStatus;
+    return true;
   }
+  if (transfer.head_ended || !absl::StartsWith(line, kStatusLineStart)) {
+    return IsFieldLine(line);
+  }
+  transfer.latest_status = ReadStatusLine(line);
+  transfer.result.framed = false;  // A status line starts a new response.
+  return transfer.latest_status != 0;
 }
 
 std::size_t ReceiveBody(char* data, std::size_t size, std::size_t count, void* context) {
@@ -89,7 +126,11 @@
     return 0;
   }
   transfer.header_bytes += line.size();
-  FollowHeader(transfer, absl::StripSuffix(absl::StripSuffix(line, "\n"), "\r"));
+  // libcurl accepts much that is no header line, such as blanks in names, and ignores or joins it.
+  if (!AcceptHeaderLine(transfer, absl::StripSuffix(absl::StripSuffix(line, "\n"), "\r"))) {
+    transfer.failure = "the response has an invalid header line";
+    return 0;
+  }
   for (absl::string_view name : {kLengthHeader, kChunksHeader}) {
     transfer.result.framed = transfer.result.framed || absl::StartsWithIgnoreCase(line, name);
   }
@@ -122,6 +163,7 @@
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE,
                      1L);  // The connection must not return to the pool.
   }
+  curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -1,11 +1,19 @@
-// Responses without end or cut: guard against a client whose memory grows with what a
+// Responses without end, malformed or cut: guard against a client whose memory grows with what a
 // server sends, and against broken responses that are reported as received.
 #include "http/client.h"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -131,7 +139,7 @@
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 const std::string kBody = "Content-Length: 5\r\n\r\nwhole";
 
-void ExpectFailure(const BrokenResponse& response) {
+void ExpectFailure(const BrokenResponse& response, bool has_head = false) {
   SCOPED_TRACE(response.name);
   ScriptedServer server({{response.bytes, true}, Framed(200, "next")});
   auto client = Client::Create();
@@ -141,10 +149,57 @@
   EXPECT_FALSE(result.ok());
   EXPECT_NE(result.error, "");
   EXPECT_TRUE(result.connected);
-  EXPECT_EQ(result.status, 0);
+  EXPECT_EQ(result.status, has_head ? 200 : 0);
   EXPECT_EQ(client->Fetch(RequestTo(server)).body, "next");
 }
 
+// Guards against a status of a response that is none, such as 000.
+TEST(HttpClientTest, InvalidStatusLineFailsTheTransfer) {
+  for (const char* line :
+       {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
+        "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x01K",
+        "HTTP/1.1 ", "HTTP/1.1", "HTTP/2.0 200 OK", "HTTP/2 200", "HTTP/0.9 200 OK", "200 OK"}) {
+    ExpectFailure({line, std::string(line) + "\r\n" + kBody});
+    ExpectFailure({absl::StrCat(line, " interim"), std::string(line) + "\r\n\r\n" + kOk + kBody});
+  }
+}
+
+/// @return header lines that are none, with their ends.
+std::vector<std::string> InvalidLines() {
+  std::vector<std::string> lines = {
+      ": a\r\n",
+      "X-Field\r\n",
+      "X-Field : a\r\n",
+      "Content-Length : 2\r\n",
+      "Transfer-Encoding : chunked\r\n",
+      "X-Field: a\r\n b\r\n",
+      "X-Field: a\r\n\tTransfer-Encoding: chunked\r\n",
+      "X-Field: a\r\n Content-Length: 2\r\n",
+  };
+  for (char byte : {' ', '\t', '\x01', '\0', '\x7f', '\xe9', '\r', '('}) {
+    lines.push_back(absl::StrCat("X-Fi", std::string(1, byte), "eld: a\r\n"));
+  }
+  for (char byte : {'\x01', '\0', '\x7f', '\r', '\v', '\f'}) {
+    lines.push_back(absl::StrCat("X-Field: a", std::string(1, byte), "b\r\n"));
+    lines.push_back(absl::StrCat("X-Field: a", std::string(1, byte), "\r\n"));
+  }
+  return lines;
+}
+
+// Guards against a response with a malformed line in its head, or with a body that it has changed.
+TEST(HttpClientTest, InvalidHeaderLineFailsTheTransfer) {
+  for (const std::string& line : InvalidLines()) {
+    ExpectFailure({"first " + line, kOk + line + kBody});
+    ExpectFailure({"second " + line, kOk + "X-First: a\r\n" + line + kBody});
+    ExpectFailure({"without a length " + line, kOk + "X-First: a\r\n" + line + "\r\nwhole"});
+    ExpectFailure({"interim " + line,
+                   "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n" + kOk + kBody});
+    ExpectFailure(
+        {"trailer " + line, kChunked + Chunk("whole") + "0\r\nX-First: a\r\n" + line + "\r\n"},
+        /*has_head=*/true);
+  }
+}
+
 // Guards against success for a response whose server closed within its head.
 TEST(HttpClientTest, ResponseCutWithinTheHeadFailsTheTransfer) {
   const std::string head = kOk + "X-Field: a\r\nContent-Length: 5\r\n\r\n";
@@ -157,6 +212,66 @@
   ExpectFailure({"within a 503", "HTTP/1.1 503 Service Unavailable\r\nX-Field: a\r\n"});
 }
 
+/// Responds to a request whose body it doesn't read, then resets the connection.
+class ResettingServer {
+ public:
+  explicit ResettingServer(std::string response) : response_(std::move(response)) {
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int buffer_bytes = 4096;
+    setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), size), 0);
+    EXPECT_EQ(listen(listener_, 1), 0);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~ResettingServer() {
+    thread_.join();
+    close(listener_);
+  }
+  std::string url() const { return absl::StrCat("http://127.0.0.1:", port_); }
+
+ private:
+  void Serve() {
+    int connection = accept(listener_, nullptr, nullptr);
+    char bytes[1024];
+    EXPECT_GT(read(connection, bytes, sizeof(bytes)), 0);
+    send(connection, response_.data(), response_.size(), MSG_NOSIGNAL);
+    int unacknowledged = 1;
+    while (unacknowledged > 0) {
+      ioctl(connection, SIOCOUTQ, &unacknowledged);
+      std::this_thread::yield();
+    }
+    linger abort{1, 0};
+    setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+    close(connection);
+  }
+
+  std::string response_;
+  int listener_ = -1;
+  std::uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+// Guards against taking a response without a length for complete when the connection was reset.
+TEST(HttpClientTest, ResetWhileTheRequestIsSentFailsTheTransfer) {
+  for (const char* head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"}) {
+    ResettingServer server(std::string(head) + "part");
+    ClientRequest request;
+    request.method = "POST";
+    request.url = server.url();
+    request.body = std::string(std::size_t{16} << 20, 'u');
+    request.send_once = true;
+    ClientResult result = Client::Create()->Fetch(std::move(request));
+    EXPECT_FALSE(result.ok());
+    EXPECT_NE(result.error, "");
+  }
+}
+
 // Shows that the responses above fail for what is wrong in them.
 TEST(HttpClientTest, WellFormedResponseIsReceived) {
   for (const std::string& bytes :
