Command line: a success that was cut exits with 4

Callers saw: exit code 1 (refused) for a request whose response was a 2xx that broke off, and 0 (done) for one with a cut or malformed header section.

Cause: the exit code was chosen by the status although the response was incomplete. A 2xx without its end doesn't tell that the request was refused.

Change: such a response counts as a missing one: 4 (not known whether it took effect).

--- a/apps/cli/common.cc
+++ b/apps/cli/common.cc
@@ -94,11 +94,21 @@
   return http::Client::Create()->Fetch(std::move(request));
 }
 
+namespace {
+
+/// @return whether no response came, or only a part of one that announces success.
+bool IsOutcomeMissing(const http::ClientResult& result) {
+  bool announces_success = result.status >= 200 && result.status < 300;
+  return result.status == 0 || (announces_success && !result.error.empty());
+}
+
+}  // namespace
+
 int ExitCodeOf(const http::ClientResult& result) {
   if (result.ok()) {
     return kExitOk;
   }
-  if (result.status == 0) {
+  if (IsOutcomeMissing(result)) {
     return result.connected ? kExitUnknown : kExitUnavailable;
   }
   nlohmann::json body = nlohmann::json::parse(result.body, nullptr, false);
@@ -115,8 +125,9 @@
     Print(body);
     return code;
   }
-  if (result.status == 0) {
-    return Complain(code, "no answer from " + ReadCommonFlags().server + ": " + result.error);
+  if (IsOutcomeMissing(result)) {
+    return Complain(code,
+                    "no complete answer from " + ReadCommonFlags().server + ": " + result.error);
   }
   std::string title = body.is_object() ? body.value("title", "") : result.body;
   std::string outcome = body.is_object() ? body.value("outcome", "") : "";
--- a/tests/system/cli_test.cc
+++ b/tests/system/cli_test.cc
@@ -3,6 +3,7 @@
 #include <fstream>
 
 #include "bench/local_system.h"
+#include "support/scripted_server.h"
 
 namespace martenyard::testing {
 namespace {
@@ -52,6 +53,18 @@
   EXPECT_EQ(Run({"status", "--server=http://127.0.0.1:1"}), 3);
 }
 
+// Guards against reporting a request as refused, or as done, by a response that was cut or
+// malformed.
+TEST_F(CliTest, BrokenResponseExitsWithFour) {
+  for (const char* bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"cut\":",
+                            "HTTP/1.1 200 OK\r\nX-Field: a\r\n", "HTTP/1.1 000 OK\r\n\r\n{}",
+                            "HTTP/1.1 200 OK\r\nX Field: a\r\n\r\n{}"}) {
+    ScriptedServer server({{bytes, true}});
+    EXPECT_EQ(Run({"program", "end", "p", "--server=" + server.url(), "--token=t"}), 4)
+        << bytes << output_;
+  }
+}
+
 TEST_F(CliTest, KeyIsNeverOverwritten) {
   std::string prefix = folder_.path() + "/partner";
   EXPECT_EQ(Run({"keygen", "--out=" + prefix}), 0);
