Back ends: an invalid item does not hide the rest of a list

Callers saw: martenyardd stopped following the list of machines (and an engine's list of contexts) while one item of another writer could not be read.

Cause: the items were read under one try block, so that one exception dropped the list. A number of slots too large for an int was converted without a check.

Change: each item is read by itself; invalid ones are ignored and counted in one warning, as the gateways do with the store's entries. Counts have a range.

Open: a number like 1e999 anywhere in the document, which the JSON library takes for a parse error, still makes the list unreadable; the one before is kept.

--- a/src/clients/http_backends.cc
+++ b/src/clients/http_backends.cc
@@ -1,6 +1,8 @@
+#include <exception>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <stdexcept>
 #include <utility>
 
 #include "base/logging.h"
@@ -17,6 +19,10 @@
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
+/// Of one machine; far beyond any.
+constexpr std::int64_t kMaxSlots = 1000000;
+/// Of one context; far beyond any.
+constexpr std::int64_t kMaxContextTokens = std::int64_t{1} << 40;
 /// Limits how much of an error body is copied into `detail`.
 constexpr std::size_t kMaxDetailBytes = 4096;
 
@@ -33,30 +39,71 @@
   return std::nullopt;
 }
 
-std::optional<std::vector<Backend>> ReadMachines(const std::string& body) {
-  try {
-    std::vector<Backend> machines;
-    const json list = json::parse(body);
-    for (const json& item : list.at("machines")) {
-      std::optional<BackendKind> kind = ReadKind(item.at("kind").get<std::string>());
-      if (!kind) {
-        continue;  // Ignore unknown kinds of later platform versions.
+/// Reads an optional count. Throws if it is not a number from 0 to `max`.
+std::int64_t ReadCount(const json& item, const char* name, std::int64_t fallback,
+                       std::int64_t max) {
+  auto found = item.find(name);
+  if (found == item.end()) {
+    return fallback;
+  }
+  double count = found->is_number() ? found->get<double>() : -1;
+  if (count < 0 || count > static_cast<double>(max)) {
+    throw std::out_of_range(name);
+  }
+  return static_cast<std::int64_t>(count);
+}
+
+/// @return nothing for a kind of a later platform version. Throws if the item is invalid.
+std::optional<Backend> ReadMachine(const json& item) {
+  std::optional<BackendKind> kind = ReadKind(item.at("kind").get<std::string>());
+  if (!kind) {
+    return std::nullopt;
+  }
+  Backend backend;
+  backend.name = BackendName(item.at("name").get<std::string>());
+  backend.kind = *kind;
+  backend.service = item.at("service").get<std::string>();
+  backend.owner = PartnerName(item.at("owner").get<std::string>());
+  backend.zone = ZoneName(item.at("zone").get<std::string>());
+  backend.url = item.at("url").get<std::string>();
+  backend.slots = static_cast<int>(ReadCount(item, "slots", 1, kMaxSlots));
+  backend.draining = item.value("state", "live") != "live";
+  return backend;
+}
+
+/// Throws if the item is invalid.
+std::optional<CachedContext> ReadContext(const json& item) {
+  return CachedContext{item.at("id").get<std::string>(),
+                       ReadCount(item, "tokens", 0, kMaxContextTokens)};
+}
+
+/// Reads the items of a list one by one, so that an invalid one does not hide the others.
+/// @param name the member of the document that is the list.
+/// @param read returns nothing for an item to be ignored; throws if the item is invalid.
+/// @return nullopt if the document has no such list.
+template <typename Item>
+std::optional<std::vector<Item>> ReadList(const std::string& body, const char* name,
+                                          std::optional<Item> (*read)(const json&)) {
+  const json document = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  auto list = document.find(name);
+  if (list == document.end() || !list->is_array()) {
+    return std::nullopt;
+  }
+  std::vector<Item> items;
+  int invalid = 0;
+  for (const json& entry : *list) {
+    try {
+      if (std::optional<Item> item = read(entry)) {
+        items.push_back(std::move(*item));
       }
-      Backend backend;
-      backend.name = BackendName(item.at("name").get<std::string>());
-      backend.kind = *kind;
-      backend.service = item.at("service").get<std::string>();
-      backend.owner = PartnerName(item.at("owner").get<std::string>());
-      backend.zone = ZoneName(item.at("zone").get<std::string>());
-      backend.url = item.at("url").get<std::string>();
-      backend.slots = item.value("slots", 1);
-      backend.draining = item.value("state", "live") != "live";
-      machines.push_back(std::move(backend));
+    } catch (const std::exception&) {
+      ++invalid;
     }
-    return machines;
-  } catch (const json::exception&) {
-    return std::nullopt;
   }
+  if (invalid > 0) {
+    MARTENYARD_LOG_WARN(kLog, "Ignored " << invalid << " invalid items of \"" << name << "\".");
+  }
+  return items;
 }
 
 ModelOutcome ReadModelOutcome(const http::ClientResult& result, const ModelStream& stream) {
@@ -120,7 +167,7 @@
                   [executor = executor_, on_list = std::move(on_list)](http::ClientResult result) {
                     std::optional<std::vector<Backend>> machines;
                     if (result.ok()) {
-                      machines = ReadMachines(result.body);
+                      machines = ReadList(result.body, "machines", &ReadMachine);
                       if (!machines) {
                         MARTENYARD_LOG_WARN(kLog, "Failed to parse the machine list.");
                       }
@@ -224,7 +271,7 @@
                   [executor = executor_, on_list = std::move(on_list)](http::ClientResult result) {
                     std::optional<std::vector<CachedContext>> contexts;
                     if (result.ok()) {
-                      contexts = ReadContexts(result.body);
+                      contexts = ReadList(result.body, "contexts", &ReadContext);
                       if (!contexts) {
                         MARTENYARD_LOG_WARN(kLog, "Failed to parse an engine's list of contexts.");
                       }
@@ -246,20 +293,6 @@
     return request;
   }
 
-  static std::optional<std::vector<CachedContext>> ReadContexts(const std::string& body) {
-    try {
-      std::vector<CachedContext> contexts;
-      const json list = json::parse(body);
-      for (const json& item : list.at("contexts")) {
-        contexts.push_back(
-            {item.at("id").get<std::string>(), item.value("tokens", std::int64_t{0})});
-      }
-      return contexts;
-    } catch (const json::exception&) {
-      return std::nullopt;
-    }
-  }
-
   void Erase(Handle handle) {
     active_->erase(handle);
     transfers_.erase(handle);
--- a/tests/clients/http_backends_test.cc
+++ b/tests/clients/http_backends_test.cc
@@ -299,6 +299,85 @@
   }
 }
 
+std::string MachineItem(const std::string& name, const std::string& rest = "") {
+  return absl::StrCat(R"({"kind":"engine","name":")", name,
+                      R"(","service":"s","owner":"o","zone":"z","url":"http://127.0.0.1:1")", rest,
+                      "}");
+}
+
+/// @return the names of the machines in a list of these items; "no list" if it can't be read.
+std::string MachineNames(const std::string& items) {
+  HttpBackends backends({Framed(200, absl::StrCat(R"({"machines":[)", items, "]}"))});
+  std::string names = "none";
+  backends.client().FetchMachines([&names](const std::optional<std::vector<Backend>>& machines) {
+    names = machines ? "" : "no list";
+    for (const Backend& machine : machines.value_or(std::vector<Backend>())) {
+      absl::StrAppend(&names, machine.name.value, " ");
+    }
+  });
+  backends.tasks().RunUntil([&] { return names != "none"; });
+  return names;
+}
+
+const std::string& DeepList() {
+  static const std::string kDeep = std::string(60000, '[') + std::string(60000, ']');
+  return kDeep;
+}
+
+/// Guards against ignoring the machine list because of one item.
+TEST(HttpBackendsTest, InvalidItemDoesNotHideTheOtherMachines) {
+  const std::string odd[] = {
+      "7",
+      "null",
+      "[]",
+      "{}",
+      R"("text")",
+      DeepList(),
+      R"({"kind":7})",
+      R"({"kind":"engine"})",
+      R"({"kind":"engine","name":)" + DeepList() + "}",
+      R"({"kind":"engine","name":"x","service":{},"owner":"o","zone":"z","url":"u"})",
+      MachineItem("x", R"(,"slots":"8")"),
+      MachineItem("x", R"(,"slots":true)"),
+      MachineItem("x", R"(,"slots":-1)"),
+      MachineItem("x", R"(,"slots":4294967297)"),
+      MachineItem("x", R"(,"slots":1e308)"),
+      MachineItem("x", R"(,"slots":123456789012345678901234567890)"),
+      MachineItem("x", R"(,"state":[])"),
+  };
+  for (const std::string& item : odd) {
+    SCOPED_TRACE(item.substr(0, 100));
+    EXPECT_EQ(MachineNames(absl::StrCat(MachineItem("a"), ",", item, ",", MachineItem("b"))),
+              "a b ");
+  }
+  EXPECT_EQ(MachineNames(MachineItem("a") + "," + MachineItem("new", R"(,"kind":"later")") + "," +
+                         MachineItem("b", R"(,"slots":0,"state":"live","other":[{}])")),
+            "a b ");
+  EXPECT_EQ(MachineNames("{"), "no list");
+}
+
+/// Guards against ignoring an engine's list of contexts because of one item.
+TEST(HttpBackendsTest, InvalidItemDoesNotHideTheOtherContexts) {
+  for (const std::string& item : {std::string("7"), std::string("{}"), DeepList(),
+                                  std::string(R"({"id":"x","tokens":18446744073709551615})"),
+                                  std::string(R"({"id":"x","tokens":-1})")}) {
+    SCOPED_TRACE(item.substr(0, 100));
+    HttpBackends backends({Framed(
+        200, absl::StrCat(R"({"contexts":[{"id":"a","tokens":3},)", item, R"(,{"id":"b"}]})"))});
+    std::optional<std::vector<CachedContext>> contexts;
+    bool ended = false;
+    backends.client().ListContexts(backends.server().url(), [&](const auto& list) {
+      contexts = list;
+      ended = true;
+    });
+    backends.tasks().RunUntil([&] { return ended; });
+    ASSERT_TRUE(contexts.has_value());
+    ASSERT_EQ(contexts->size(), 2U);
+    EXPECT_EQ(contexts->front().tokens, 3);
+    EXPECT_EQ(contexts->back().id, "b");
+  }
+}
+
 TEST(HttpBackendsTest, CancelledTransferDoesNotAffectTheNext) {
   std::string head = "HTTP/1.1 200 Status\r\nTransfer-Encoding: chunked\r\n\r\n";
   std::string chunk = Text("old");
