Key-value client: a deeply nested reply does not end the process

Callers saw: not reported here; found while looking for the same cause. martenyardd ended by a signal (stack overflow) on a reply of the key-value service with a million nested lists.

Cause: value(name, default) copies the member, and the JSON library copies one level by recursion. Parsing and destroying don't recurse.

Change: members are found without a copy. Replies that are no object stay uncertain; a response within a transaction that is none is uncertain now, too.

Ruled out: the same in the gateways (they read by reference or convert at once; OddEntryContractTest has entries of 60,000 levels) and in the model stream (by reading).

Evidence: EtcdKeyValueTest.DeeplyNestedReplyIsNotFollowed ended the test program by SIGSEGV on, passes now.

--- a/src/clients/etcd_key_value.cc
+++ b/src/clients/etcd_key_value.cc
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <stdexcept>
 #include <utility>
 
 #include "base/logging.h"
@@ -37,10 +38,27 @@
   return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>();
 }
 
+/// Finds a member without copying it: copying a deeply nested value recurses once for each level.
+/// @return null if there is none. Throws if the value is not an object.
+const json* FindMember(const json& object, const char* name) {
+  if (!object.is_object()) {
+    throw std::invalid_argument("not a JSON object");
+  }
+  auto found = object.find(name);
+  return found == object.end() ? nullptr : &*found;
+}
+
+/// @return a member that is a list; an empty list without it. Throws if the value is not an object.
+const json& ListOf(const json& object, const char* name) {
+  static const json kNone = json::array();
+  const json* list = FindMember(object, name);
+  return list == nullptr ? kNone : *list;
+}
+
 /// @return the entries, or nullopt if any key or value is not valid Base64.
 std::optional<std::vector<KeyValueEntry>> ReadEntries(const json& range) {
   std::vector<KeyValueEntry> entries;
-  for (const json& item : range.value("kvs", json::array())) {
+  for (const json& item : ListOf(range, "kvs")) {
     std::optional<std::string> key = FromBase64(item.value("key", ""));
     std::optional<std::string> value = FromBase64(item.value("value", ""));
     if (!key || !value) {
@@ -61,9 +79,8 @@
   if (body.value("succeeded", false)) {
     return {KeyValueStatus::kDone, {}};
   }
-  for (const json& response : body.value("responses", json::array())) {
-    auto range = response.find("response_range");
-    if (range != response.end()) {
+  for (const json& response : ListOf(body, "responses")) {
+    if (const json* range = FindMember(response, "response_range")) {
       return ReplyWith(KeyValueStatus::kConditionFailed, *range);
     }
   }
--- a/tests/clients/key_value_test.cc
+++ b/tests/clients/key_value_test.cc
@@ -190,6 +190,22 @@
   EXPECT_EQ(empty.entries.at(0).value, "");
 }
 
+/// Guards against a stack overflow: values were copied, which recurses once for each level.
+TEST(EtcdKeyValueTest, DeeplyNestedReplyIsNotFollowed) {
+  const std::string deep = std::string(1000000, '[') + std::string(1000000, ']');
+  for (const std::string& body : {absl::StrCat("{\"kvs\":", deep, "}"), deep}) {
+    testing::ScriptedServer server({testing::Framed(200, body)});
+    EXPECT_EQ(EtcdGet(server).status, KeyValueStatus::kUncertain);
+  }
+  testing::ScriptedServer server(
+      {testing::Framed(200, absl::StrCat("{\"responses\":", deep, "}"))});
+  std::unique_ptr<http::Client> client = http::Client::Create();
+  auto store = CreateEtcdKeyValue(*client, server.url(), [](auto task) { task(); });
+  auto write =
+      AwaitEtcd([&](KeyValue::Callback done) { store->PutIf("k", 0, "v", std::move(done)); });
+  EXPECT_EQ(write.status, KeyValueStatus::kUncertain);
+}
+
 class KeyValueStoreTest : public ::testing::Test {
  protected:
   nlohmann::json Ask(const std::string& path, const nlohmann::json& body) {
