Runners: an id that is no field value names no runner

Callers saw: an entry whose key held CR LF and a line added that line to the head of the requests sent to its runner, so that another writer of the list could put any field, or a second request, into what a runner reads.

Cause: the id is sent as a header field, and only the entry was checked, not its key.

--- a/tests/platform/formats_test.cc
+++ b/tests/platform/formats_test.cc
@@ -136,6 +136,21 @@
   EXPECT_FALSE(formats.ReadRunner("elsewhere/i-1", RunnerEntry()).has_value());
 }
 
+// Guards against a runner's id that adds a line to the head of the requests sent to it.
+TEST(FormatsTest, KeyThatIsNoFieldValueNamesNoRunner) {
+  Formats formats;
+  for (const std::string& id :
+       {std::string("r-x\r\nEvil: 1"), std::string("r\nx"), std::string("r\rx"),
+        std::string("r\0x", 3), std::string("r\x01x"), std::string("r\x7f"), std::string(" r"),
+        std::string("r "), std::string("\t"), std::string("r\r\n")}) {
+    EXPECT_FALSE(formats.ReadRunner("servers/" + id, RunnerEntry()).has_value()) << id;
+  }
+  for (const std::string& id :
+       {std::string("r-1"), std::string("r 1"), std::string("r/1:2"), std::string("\xc3\xa9")}) {
+    EXPECT_TRUE(formats.ReadRunner("servers/" + id, RunnerEntry()).has_value()) << id;
+  }
+}
+
 constexpr char kSettings[] =
     "nodeName=edge-1\nmachineClass=edge\nip=10.1.0.38\nzone=a\nzones.a=r\nzones.b=r\n"
     "listen.frontend=10.1.0.38:8149\nlisten.readiness=10.1.0.38:8141\ninternalPorts=7380,7395\n"
