Streams: no resumption after an event id that is no field value

An event id with a bare CR or another control byte, as a faulty runner may send it, was put into the head of the request that resumes the stream at another runner.

Cause: bytes of a response were written into a request's head unchecked.

Change: after such an id a stream can't be resumed; its events are passed on as before.

--- a/src/forwarding/streams/delivered_events.cc
+++ b/src/forwarding/streams/delivered_events.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "async_http/field_syntax.h"
 
 namespace martenyard::forwarding
 {
@@ -66,6 +67,11 @@
     return assumes_unit_stride ? 1 : m_known_stride;
 }
 
+bool delivered_events::can_be_resumed() const
+{
+    return m_count > 0 && m_last_has_id && async_http::IsFieldValue(m_last_id);
+}
+
 std::optional<std::uint64_t> delivered_events::stride() const
 {
     if (m_strides_seen == 0)
--- a/src/forwarding/streams/delivered_events.h
+++ b/src/forwarding/streams/delivered_events.h
@@ -57,11 +57,9 @@
         return m_last_id;
     }
 
-    /// @return whether another runner can continue the stream: the last event with data had a non-empty id
-    bool can_be_resumed() const
-    {
-        return m_count > 0 && m_last_has_id;
-    }
+    /// @return whether another runner can continue the stream: the last event with data had a non-empty id,
+    ///         and the id to resume after can be sent as a header field
+    bool can_be_resumed() const;
 
     /// @return the id stride; 0 if it was not constant; nothing before two events
     std::optional<std::uint64_t> stride() const;
--- a/tests/forwarding/streams/delivered_events_test.cc
+++ b/tests/forwarding/streams/delivered_events_test.cc
@@ -121,5 +121,24 @@
     EXPECT_TRUE(delivered.data().empty());
 }
 
+// Guards against an event id that adds a line to the head of the request that resumes after it, or makes it
+// malformed.
+TEST(DeliveredEventsTest, StreamIsNotResumedAfterAnIdThatIsNoFieldValue)
+{
+    for (const std::string& id : {std::string("1\rEvil: 1"), std::string("1\x01"), std::string("1\0", 2),
+                                  std::string("\x7f"), std::string(" 1"), std::string("1\t")})
+    {
+        delivered_events delivered;
+        delivered.add(event_with(id));
+        EXPECT_FALSE(delivered.can_be_resumed()) << id;
+        delivered.add(event_with("2"));
+        EXPECT_TRUE(delivered.can_be_resumed());
+        sse_event id_only;
+        id_only.m_id = id;
+        delivered.add(id_only);
+        EXPECT_FALSE(delivered.can_be_resumed()) << id;
+    }
+}
+
 }  // namespace
 }  // namespace martenyard::forwarding
