--- a/tests/platform/malformed_response_contract_test.cc
+++ b/tests/platform/malformed_response_contract_test.cc
@@ -128,6 +128,8 @@
       "X-Field: a\r\n b\r\n",
       "X-Field: a\r\n\tb\r\n",
       "X-Field:\r\n \r\n",
+      " X-Field: a\r\n",
+      "\tX-Field: a\r\n",
       "X-Field: a\r\n Content-Length: 2\r\n",
       "X-Field: a\r\n\tTransfer-Encoding: chunked\r\n",
   };
@@ -159,9 +161,9 @@
 TEST_P(MalformedResponseTest, InvalidTrailerLineChangesNothing) {
   for (const std::string& line : InvalidLines()) {
     SCOPED_TRACE(line);
-    ClientAnswer answer =
-        Ask(kOk + kFields + kChunked + kChunk + "0\r\nX-First: a\r\n" + line + "\r\n");
-    bool folded = absl::StrContains(line, "\r\n ") || absl::StrContains(line, "\r\n\t");
+    const std::string section = "X-First: a\r\n" + line;
+    ClientAnswer answer = Ask(kOk + kFields + kChunked + kChunk + "0\r\n" + section + "\r\n");
+    bool folded = absl::StrContains(section, "\r\n ") || absl::StrContains(section, "\r\n\t");
     if (IsHead() || folded) {
       EXPECT_TRUE(answer.whole);
       EXPECT_EQ(answer.status, 200U);
